--- /dev/null
+++ b/src/contracts/engines.ts
@@ -0,0 +1,70 @@
+/** Model engines: orders to them, and streams of tokens from them. docs/PROTOCOLS.md has the HTTP form. */
+import type { Observable } from "rxjs";
+import type { EndpointReport } from "../core/endpoints.js";
+import type { Fault, Result } from "../core/errors.js";
+import type { Instance, InstanceId } from "../core/instances.js";
+import type { ModelVersion, ReplicaGroupId } from "../core/replica-groups.js";
+import type { CompletionRequest } from "../core/requests.js";
+
+/** What a placer may tell one engine instance. */
+export type OrderKind = "load" | "serve" | "drain" | "release";
+
+/** An order to one instance; the instance drops it after the deadline. */
+export interface EngineOrder {
+    readonly kind: OrderKind;
+    readonly group: ReplicaGroupId;
+    readonly epoch: number;
+    readonly model: ModelVersion;
+    readonly members: readonly InstanceId[];
+    /** Local monotonic milliseconds; travels as the time that remains. */
+    readonly deadline: number;
+}
+
+/** Answer to an order. */
+export interface OrderAnswer {
+    readonly accepted: boolean;
+    /** The engine's state after the order. */
+    readonly report: EndpointReport;
+}
+
+/** Where and from which token an attempt starts. */
+export interface EngineDispatch {
+    readonly request: CompletionRequest;
+    readonly attempt: number;
+    readonly group: ReplicaGroupId;
+    readonly epoch: number;
+    readonly leader: Instance;
+    /** Text that earlier attempts already delivered; generation goes on after it. */
+    readonly delivered: string;
+    /** Offset of the first token that this attempt generates. */
+    readonly fromOffset: number;
+}
+
+/** One event of an engine's stream. */
+export type EngineEvent =
+    | { readonly kind: "accepted" }
+    | { readonly kind: "token"; readonly offset: number; readonly text: string }
+    | { readonly kind: "finished"; readonly reason: "stop" | "length"; readonly nextOffset: number }
+    | { readonly kind: "failed"; readonly fault: Fault };
+
+/** A change of an engine's prefix cache; late, and sequence numbers may have gaps. */
+export interface CacheEvent {
+    readonly sequence: number;
+    readonly kind: "stored" | "evicted" | "cleared";
+    /** Hash of the prompt up to and including the block, in hexadecimal. */
+    readonly block: string;
+}
+
+/** The functions of model engines. Unsubscribing from a stream leaves it resumable; `cancel` ends it. */
+export interface Engines {
+    readonly probe: (instance: Instance, deadline: number) => Promise<Result<EndpointReport>>;
+    readonly order: (instance: Instance, order: EngineOrder) => Promise<Result<OrderAnswer>>;
+    readonly start: (dispatch: EngineDispatch) => Observable<EngineEvent>;
+    readonly resume: (dispatch: EngineDispatch) => Observable<EngineEvent>;
+    readonly cancel: (leader: Instance, request: string, deadline: number) => Promise<Result<undefined>>;
+    readonly cacheEvents: (
+        leader: Instance,
+        after: number,
+        deadline: number,
+    ) => Promise<Result<readonly CacheEvent[]>>;
+}
--- /dev/null
+++ b/src/core/errors.ts
@@ -0,0 +1,113 @@
+/**
+ * Faults: errors as data. Every fault has a `code`, the step and the peer at which it arose, and a `path`
+ * that names the faulty field where there is one.
+ */
+import ModernError from "modern-errors";
+
+/** The part of the work in which a fault arose. */
+export type Step =
+    | "settings"
+    | "parse"
+    | "authenticate"
+    | "admit"
+    | "route"
+    | "claim"
+    | "send"
+    | "stream"
+    | "record"
+    | "configure"
+    | "place"
+    | "order"
+    | "probe"
+    | "gossip"
+    | "store"
+    | "shutdown";
+
+/** What went wrong; links map each code to a status of their protocol. */
+export type FaultCode =
+    | "invalidSettings"
+    | "invalidConfiguration"
+    | "invalidRequest"
+    | "requestTooLarge"
+    | "callerTooSlow"
+    | "unauthenticated"
+    | "forbidden"
+    | "notFound"
+    | "overloaded"
+    | "deadlineUnreachable"
+    | "deadlinePassed"
+    | "noReplica"
+    | "noEndpoint"
+    | "endpointFailed"
+    | "staleEpoch"
+    | "storeUnavailable"
+    | "storeAmbiguous"
+    | "storeConflict"
+    | "storeBudgetSpent"
+    | "inProgress"
+    | "outcomeUnknown"
+    | "keyExpired"
+    | "keyMismatch"
+    | "streamLost"
+    | "shuttingDown"
+    | "cancelled"
+    | "peerUnreachable"
+    | "internal";
+
+/** One fault as data. */
+export interface Fault {
+    readonly code: FaultCode;
+    readonly message: string;
+    readonly step: Step;
+    /** The process or endpoint on the other side, where there is one. */
+    readonly peer?: string;
+    /** Names of the fields from the outermost to the faulty one. */
+    readonly path?: readonly (string | number)[];
+    /** True only if it is proved that nothing of the request ran. */
+    readonly notRun: boolean;
+    /** Local monotonic milliseconds at which to come back. */
+    readonly retryAt?: number;
+}
+
+/** A fault in its throwing form. */
+export class ChervilError extends ModernError {
+    public readonly fault: Fault;
+
+    public constructor(fault: Fault) {
+        super(fault.message);
+        this.fault = fault;
+    }
+
+    public static create(fault: Fault): ChervilError {
+        return new ChervilError(fault);
+    }
+}
+
+/** Success with data, or a fault. */
+export type Result<T> =
+    { readonly success: true; readonly data: T } | { readonly success: false; readonly fault: Fault };
+
+export function succeed<T>(data: T): Result<T> {
+    return { success: true, data };
+}
+
+export function fail<T = never>(fault: Fault): Result<T> {
+    return { success: false, fault };
+}
+
+/** Returns the data, or throws the fault as a ChervilError. */
+export function unwrap<T>(result: Result<T>): T {
+    if (!result.success) {
+        throw ChervilError.create(result.fault);
+    }
+    return result.data;
+}
+
+/** Turns anything thrown into a fault. */
+export function toFault(thrown: unknown, step: Step, peer?: string): Fault {
+    if (thrown instanceof ChervilError) {
+        return thrown.fault;
+    }
+    const message = thrown instanceof Error ? thrown.message : String(thrown);
+    return { code: "internal", message, step, peer, notRun: false };
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,3 @@
+/** Public surface of chervilrouter. */
+export * as core from "./core/index.js";
+export * as contracts from "./contracts/index.js";
