--- /dev/null
+++ b/benchmarks/loops.ts
@@ -0,0 +1,107 @@
+/** A seeded event loop in virtual time, shared by all experiments. */
+
+interface ScheduledAction {
+    readonly at: number;
+    readonly order: number;
+    readonly action: () => void;
+}
+
+/** Runs actions in order of their virtual time (milliseconds), first scheduled first at equal times. */
+export class VirtualLoop {
+    private time = 0;
+    private scheduled = 0;
+    private readonly heap: ScheduledAction[] = [];
+
+    private constructor() {}
+
+    public static create(): VirtualLoop {
+        return new VirtualLoop();
+    }
+
+    /** Present virtual time in milliseconds. */
+    public now(): number {
+        return this.time;
+    }
+
+    /** Runs `action` at the given time, or now if that has passed. */
+    public at(time: number, action: () => void): void {
+        this.push({ at: Math.max(time, this.time), order: this.scheduled, action });
+        this.scheduled += 1;
+    }
+
+    /** Runs `action` after the given milliseconds. */
+    public after(milliseconds: number, action: () => void): void {
+        this.at(this.time + milliseconds, action);
+    }
+
+    /** Runs `action` every `milliseconds` until it returns false. */
+    public every(milliseconds: number, action: () => boolean | void): void {
+        this.after(milliseconds, () => {
+            if (action() !== false) {
+                this.every(milliseconds, action);
+            }
+        });
+    }
+
+    /** Runs all actions up to and including `end`, then sets the time to `end`. */
+    public runUntil(end: number): void {
+        for (let next = this.heap[0]; next !== undefined && next.at <= end; next = this.heap[0]) {
+            this.pop();
+            this.time = next.at;
+            next.action();
+        }
+        this.time = Math.max(this.time, end);
+    }
+
+    private push(item: ScheduledAction): void {
+        this.heap.push(item);
+        let index = this.heap.length - 1;
+        while (index > 0) {
+            const parent = (index - 1) >> 1;
+            if (!isBefore(this.heap[index]!, this.heap[parent]!)) {
+                return;
+            }
+            this.exchange(index, parent);
+            index = parent;
+        }
+    }
+
+    private pop(): void {
+        const last = this.heap.pop();
+        if (last === undefined || this.heap.length === 0) {
+            return;
+        }
+        this.heap[0] = last;
+        this.sinkRoot();
+    }
+
+    private sinkRoot(): void {
+        let index = 0;
+        for (;;) {
+            const left = index * 2 + 1;
+            const right = left + 1;
+            let first = index;
+            if (left < this.heap.length && isBefore(this.heap[left]!, this.heap[first]!)) {
+                first = left;
+            }
+            if (right < this.heap.length && isBefore(this.heap[right]!, this.heap[first]!)) {
+                first = right;
+            }
+            if (first === index) {
+                return;
+            }
+            this.exchange(index, first);
+            index = first;
+        }
+    }
+
+    private exchange(left: number, right: number): void {
+        const kept = this.heap[left]!;
+        this.heap[left] = this.heap[right]!;
+        this.heap[right] = kept;
+    }
+}
+
+function isBefore(left: ScheduledAction, right: ScheduledAction): boolean {
+    return left.at < right.at || (left.at === right.at && left.order < right.order);
+}
--- /dev/null
+++ b/benchmarks/main.ts
@@ -0,0 +1,49 @@
+/** Runs one experiment by name: `npm run bench -- <experiment> --seed N [--json]`. */
+import { cac } from "cac";
+import type { Experiment, ExperimentReport } from "./experiments.js";
+
+const experiments: Readonly<Record<string, Experiment>> = {};
+
+function printTable(report: ExperimentReport): void {
+    process.stdout.write(
+        `${report.experiment} (seed ${report.seed}): ${report.holds ? "holds" : "DOES NOT HOLD"}\n`,
+    );
+    for (const part of ["target", "measured", "baseline"] as const) {
+        process.stdout.write(`  ${part}\n`);
+        for (const [name, value] of Object.entries(report[part])) {
+            process.stdout.write(
+                `    ${name}: ${typeof value === "object" ? JSON.stringify(value) : String(value)}\n`,
+            );
+        }
+    }
+}
+
+async function run(
+    name: string,
+    options: { readonly seed?: number; readonly json?: boolean },
+): Promise<void> {
+    const experiment = experiments[name];
+    if (experiment === undefined) {
+        process.stderr.write(
+            `experiment "${name}" does not exist; there are: ${Object.keys(experiments).join(", ")}\n`,
+        );
+        process.exitCode = 2;
+        return;
+    }
+    const report = await experiment(Number(options.seed ?? 1));
+    if (options.json === true) {
+        process.stdout.write(`${JSON.stringify(report)}\n`);
+        return;
+    }
+    printTable(report);
+}
+
+const commands = cac("bench");
+commands
+    .command("<experiment>", "Run one experiment")
+    .option("--seed <seed>", "Seed of the experiment", { default: 1 })
+    .option("--json", "Print one JSON line")
+    .action(run);
+commands.help();
+commands.parse(process.argv, { run: false });
+await commands.runMatchedCommand();
--- /dev/null
+++ b/src/core/hashes.ts
@@ -0,0 +1,24 @@
+/** Fast non-cryptographic hashes, and rendezvous hashing on them. */
+import xxhash from "xxhash-wasm";
+
+const hasher = await xxhash();
+
+/** XXH64 of a text, as 16 hexadecimal digits. */
+export function hashText(text: string): string {
+    return hasher.h64ToString(text);
+}
+
+/** XXH32 of a text, as an unsigned number. */
+export function hashNumber(text: string): number {
+    return hasher.h32(text) >>> 0;
+}
+
+/** Orders candidates by their rendezvous weight for a key, the preferred first. */
+export function rankByRendezvous(key: string, candidates: readonly string[]): readonly string[] {
+    const weighted = candidates.map(candidate => ({
+        candidate,
+        weight: hashNumber(`${key}\u0000${candidate}`),
+    }));
+    weighted.sort((left, right) => right.weight - left.weight || (left.candidate < right.candidate ? -1 : 1));
+    return weighted.map(entry => entry.candidate);
+}
--- /dev/null
+++ b/src/core/random-numbers.ts
@@ -0,0 +1,19 @@
+/** Seeded random numbers. */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** Returns a function that gives uniform numbers in [0, 1), the same sequence for the same seed. */
+export function createRandomNumber(seed: number): () => number {
+    const generator = xoroshiro128plus(seed);
+    return () => uniformFloat64(generator);
+}
+
+/** Returns a uniform whole number from `low` to `high`, both included. */
+export function wholeNumberBetween(low: number, high: number, random: () => number): number {
+    return low + Math.floor(random() * (high - low + 1));
+}
+
+/** Returns an exponentially distributed number with the given mean. */
+export function exponential(mean: number, random: () => number): number {
+    return -mean * Math.log(1 - random());
+}
--- /dev/null
+++ b/src/daemons/settings.ts
@@ -0,0 +1,75 @@
+/**
+ * Process settings: addresses, the failure domain and where the platform is. Source: one TOML file. Everything else is
+ * operators' configuration in the key-value service.
+ */
+import { readFileSync } from "node:fs";
+import { parse as parseToml } from "smol-toml";
+import { z } from "zod";
+import type { Fault, Result } from "../core/errors.js";
+import { fail, succeed, unwrap } from "../core/errors.js";
+
+const address = z.string().regex(/^[^\s:]+:\d{1,5}$/, "expected host:port");
+const keyFiles = z.strictObject({ certificate: z.string(), key: z.string() });
+
+/** Schema of a daemon's settings file; unknown keys are errors. */
+export const settingsSchema = z.strictObject({
+    /** Name of the process in logs and on the time line. */
+    name: z.string().min(1),
+    /** The entry instance that the process runs on. */
+    instance: z.string().min(1),
+    failureDomain: z.string().min(1),
+    /** Callers' port; an entry daemon must have it. */
+    caller: z.strictObject({ listen: address, tls: keyFiles.optional() }).optional(),
+    admin: z.strictObject({ listen: address }),
+    /** Peers' port; mutual TLS when keys are set. */
+    peer: z.strictObject({
+        listen: address,
+        tls: keyFiles.extend({ authority: z.string() }).optional(),
+        /** Peers to ask first, until the instance list is read. */
+        seeds: z.array(address).default([]),
+    }),
+    /** The key-value service's addresses, tried in order. */
+    platform: z.strictObject({ stores: z.array(address).min(1) }),
+    metrics: z.strictObject({ statsd: address }).optional(),
+    log: z
+        .strictObject({ level: z.enum(["debug", "info", "warn", "error"]).default("info") })
+        .default({ level: "info" }),
+});
+
+/** A daemon's checked settings. */
+export type Settings = Readonly<z.infer<typeof settingsSchema>>;
+
+function invalidSettings(message: string, path: readonly (string | number)[]): Fault {
+    return { code: "invalidSettings", message, step: "settings", path, notRun: true };
+}
+
+/** Checks the text of a settings file; the fault names the path of every problem. */
+export function safeParseSettings(text: string, file: string): Result<Settings> {
+    let document: unknown;
+    try {
+        document = parseToml(text);
+    } catch (thrown) {
+        const message = thrown instanceof Error ? thrown.message : String(thrown);
+        return fail(invalidSettings(`settings file "${file}" is not valid TOML: ${message}`, []));
+    }
+    const parsed = settingsSchema.safeParse(document);
+    if (parsed.success) {
+        return succeed(parsed.data);
+    }
+    const problems = parsed.error.issues.map(issue => `${issue.path.join(".") || "(top)"}: ${issue.message}`);
+    const path = (parsed.error.issues[0]?.path ?? []).map(part =>
+        typeof part === "number" ? part : String(part),
+    );
+    return fail(invalidSettings(`settings file "${file}" is invalid: ${problems.join("; ")}`, path));
+}
+
+/** Reads and checks a settings file; throws a ChervilError. */
+export function readSettings(file: string): Settings {
+    let text: string;
+    try {
+        text = readFileSync(file, "utf8");
+    } catch {
+        return unwrap(fail(invalidSettings(`settings file "${file}" cannot be read`, [])));
+    }
+    return unwrap(safeParseSettings(text, file));
+}
