Add the answer log, resume tokens and the retry budget

An answer is an ordered log of (offset, token): the log drops events of older attempts and other requests and offsets that were delivered, waits for gaps in a bounded buffer, and ends with one finish or one fault. A lost or stalled stream is resumed at its engine first, then restarted elsewhere with the delivered text. notRun is said only if every attempt said by itself that it ran nothing; a stall or a closed stream is not that.

--- /dev/null
+++ b/src/core/answers.ts
@@ -0,0 +1,303 @@
+/**
+ * The log of one answer: an ordered run of (offset, token). It delivers each offset once and in order, waits for gaps
+ * in a bounded buffer, decides how a lost or stalled stream goes on, and ends with exactly one finish or fault.
+ *
+ * An attempt is one subscription to an engine's stream. Events of older attempts and of other requests are dropped.
+ * Times are local monotonic milliseconds.
+ */
+import type { EngineEvent } from "../contracts/engines.js";
+import type { AnswerCommand, AnswerStep, AttemptEvent } from "./answers-commands.js";
+import type { AnswerOptions, AnswerRules } from "./answers-options.js";
+import { answerRules } from "./answers-options.js";
+import { StreamPace } from "./answers-paces.js";
+import type { SequenceStep } from "./answers-sequences.js";
+import { TokenSequence } from "./answers-sequences.js";
+import type { Fault, FaultCode } from "./errors.js";
+
+/** What the log waits for. */
+type Phase = "streaming" | "detached" | "waiting" | "ended";
+
+// After these faults the engine no longer has the stream, so a resume would be lost time.
+const streamGoneCodes: ReadonlySet<FaultCode> = new Set([
+    "notFound",
+    "staleEpoch",
+    "noReplica",
+    "noEndpoint",
+]);
+
+// After these faults no replica would answer otherwise.
+const permanentCodes: ReadonlySet<FaultCode> = new Set(["invalidRequest", "requestTooLarge", "forbidden"]);
+
+/** The answer log of one request at one entry instance. */
+export class AnswerLog {
+    private phase: Phase = "streaming";
+    private attempt: number;
+    private readonly sequence: TokenSequence;
+    private takenOffset: number;
+    private delivered: string | undefined;
+    private pace: StreamPace;
+    private failuresWithoutProgress = 0;
+    private resumedWithoutProgress = false;
+    private mayHaveRun: boolean;
+    private restartAt = 0;
+    private callerGoneUntil: number | undefined;
+    private commands: AnswerCommand[] = [];
+
+    private constructor(
+        private readonly options: AnswerOptions,
+        private readonly rules: AnswerRules,
+        now: number,
+    ) {
+        this.attempt = options.attempt;
+        this.sequence = TokenSequence.create(rules, options.maximumBufferedTokens, options.fromOffset);
+        this.takenOffset = options.fromOffset;
+        this.delivered = options.delivered;
+        this.mayHaveRun = options.fromOffset > 0 || options.attempt > 1;
+        this.pace = StreamPace.create(options.pace, now);
+    }
+
+    /** Starts a log for an attempt that the driver has just begun. */
+    public static create(options: AnswerOptions, now: number, rules: AnswerRules = answerRules): AnswerLog {
+        return new AnswerLog(options, rules, now);
+    }
+
+    /** Number of the attempt whose events count. */
+    public currentAttempt(): number {
+        return this.attempt;
+    }
+
+    /** Offset of the next token that will be delivered. */
+    public offset(): number {
+        return this.sequence.nextOffset();
+    }
+
+    /** True once finish or fail was given. */
+    public isEnded(): boolean {
+        return this.phase === "ended";
+    }
+
+    /** Takes one event of an engine's stream. */
+    public receive({ request, attempt, event }: AttemptEvent, now: number): AnswerStep {
+        const expected = { request: this.options.request, attempt: this.attempt };
+        if (this.phase === "streaming" && this.rules.isOwn(expected, { request, attempt })) {
+            this.receiveOwn(event, now);
+        }
+        return this.step(now);
+    }
+
+    /** The subscription of an attempt closed without a terminal event. */
+    public streamClosed(attempt: number, now: number): AnswerStep {
+        if (this.phase === "streaming" && attempt === this.attempt) {
+            this.mayHaveRun = true;
+            this.streamLost(this.fault("streamLost", "the engine's stream closed before its end"), now);
+        }
+        return this.step(now);
+    }
+
+    /** The caller has taken every token below `offset`. */
+    public callerTook(offset: number, now: number): AnswerStep {
+        this.takenOffset = Math.max(this.takenOffset, Math.min(offset, this.sequence.nextOffset()));
+        const behind = this.sequence.nextOffset() - this.takenOffset;
+        if (this.phase === "detached" && behind <= this.options.maximumUntakenTokens / 2) {
+            this.resume(now);
+        }
+        return this.step(now);
+    }
+
+    /** The caller's connection is gone; its stream is kept for the resume window. */
+    public callerLeft(now: number): AnswerStep {
+        if (this.phase !== "ended") {
+            this.callerGoneUntil = now + this.options.resumeWindowMilliseconds;
+        }
+        return this.step(now);
+    }
+
+    /** Ends the answer at once, for example when the caller cancels it. */
+    public cancel(now: number): AnswerStep {
+        if (this.phase !== "ended") {
+            this.abandonAttempt();
+            this.failWith(this.fault("cancelled", "the request was cancelled"));
+        }
+        return this.step(now);
+    }
+
+    /** Checks deadlines; the driver calls it at the step's `nextTick`. */
+    public tick(now: number): AnswerStep {
+        if (this.phase === "ended") {
+            return this.step(now);
+        }
+        if (now >= this.options.deadline) {
+            this.abandonAttempt();
+            this.failWith(
+                this.fault("deadlinePassed", "the request's deadline passed before its answer's end"),
+            );
+        } else if (this.callerGoneUntil !== undefined && now >= this.callerGoneUntil) {
+            this.abandonAttempt();
+            this.failWith(this.fault("cancelled", "the caller left and did not come back"));
+        } else if (this.phase === "waiting" && now >= this.restartAt) {
+            this.restart(now);
+        } else if (this.phase === "streaming" && now >= this.pace.stalledAt()) {
+            this.abandonAttempt();
+            this.streamLost(this.fault("streamLost", "the engine's stream stalled"), now);
+        }
+        return this.step(now);
+    }
+
+    // An attempt that has not said that it ran nothing may have run.
+    private abandonAttempt(): void {
+        this.mayHaveRun = this.mayHaveRun || this.phase !== "waiting";
+    }
+
+    private receiveOwn(event: EngineEvent, now: number): void {
+        switch (event.kind) {
+            case "accepted":
+                this.mayHaveRun = true;
+                return;
+            case "token":
+                this.mayHaveRun = true;
+                this.receiveStep(this.sequence.takeToken(event.offset, event.text), now);
+                return;
+            case "finished":
+                this.mayHaveRun = true;
+                this.receiveStep(this.sequence.takeEnd(event), now);
+                return;
+            case "failed":
+                this.mayHaveRun = this.mayHaveRun || !event.fault.notRun;
+                this.streamLost(event.fault, now);
+        }
+    }
+
+    private receiveStep(step: SequenceStep, now: number): void {
+        for (const { offset, text } of step.tokens) {
+            this.commands.push({ kind: "deliver", offset, text });
+            this.delivered = this.delivered === undefined ? undefined : this.delivered + text;
+            this.recordProgress(now);
+        }
+        if (step.problem !== undefined) {
+            this.streamLost(this.fault("streamLost", step.problem), now);
+            return;
+        }
+        this.endIfComplete();
+        this.detachIfBehind();
+    }
+
+    private recordProgress(now: number): void {
+        this.pace = this.pace.progressed(now);
+        this.failuresWithoutProgress = 0;
+        this.resumedWithoutProgress = false;
+    }
+
+    private endIfComplete(): void {
+        const end = this.sequence.completedEnd();
+        if (end !== undefined) {
+            this.phase = "ended";
+            this.commands.push({ kind: "finish", reason: end.reason, nextOffset: end.nextOffset });
+        }
+    }
+
+    private detachIfBehind(): void {
+        const behind = this.sequence.nextOffset() - this.takenOffset;
+        if (this.phase === "streaming" && behind >= this.options.maximumUntakenTokens) {
+            this.phase = "detached";
+            this.sequence.forgetAttempt();
+            this.commands.push({ kind: "detach", attempt: this.attempt });
+        }
+    }
+
+    private streamLost(fault: Fault, now: number): void {
+        this.sequence.forgetAttempt();
+        this.failuresWithoutProgress += 1;
+        const tooMany = this.failuresWithoutProgress > this.options.maximumFailuresWithoutProgress;
+        if (tooMany || permanentCodes.has(fault.code)) {
+            this.failWith(this.rules.lossFault({ ...fault, notRun: !this.mayHaveRun }));
+            return;
+        }
+        if (this.rules.mayResume && this.mayHaveRun && !this.resumedWithoutProgress && !isGone(fault)) {
+            this.resumedWithoutProgress = true;
+            this.commands.push({ kind: "detach", attempt: this.attempt });
+            this.resume(now);
+            return;
+        }
+        this.planRestart(fault, now);
+    }
+
+    private planRestart(fault: Fault, now: number): void {
+        if (this.delivered === undefined) {
+            this.failWith(
+                this.fault("streamLost", "the stream is gone and its text is not known: start again"),
+            );
+            return;
+        }
+        if (!this.options.mayRetry(now, this.sequence.nextOffset())) {
+            this.failWith(this.rules.lossFault({ ...fault, notRun: !this.mayHaveRun }));
+            return;
+        }
+        this.commands.push({ kind: "cancel", attempt: this.attempt });
+        const delay = this.options.restartDelay(this.failuresWithoutProgress);
+        this.restartAt = Math.max(now + delay, fault.retryAt ?? 0);
+        this.phase = "waiting";
+        if (this.restartAt <= now) {
+            this.restart(now);
+        }
+    }
+
+    private resume(now: number): void {
+        this.beginAttempt(now);
+        this.commands.push({ kind: "resume", attempt: this.attempt, fromOffset: this.sequence.nextOffset() });
+    }
+
+    private restart(now: number): void {
+        this.beginAttempt(now);
+        this.commands.push({
+            kind: "restart",
+            attempt: this.attempt,
+            fromOffset: this.sequence.nextOffset(),
+            delivered: this.delivered ?? "",
+        });
+    }
+
+    private beginAttempt(now: number): void {
+        this.attempt += 1;
+        this.phase = "streaming";
+        this.pace = this.pace.restarted(now);
+    }
+
+    private failWith(fault: Fault | undefined): void {
+        const wasAttached = this.phase === "streaming" || this.phase === "detached";
+        this.phase = "ended";
+        if (wasAttached) {
+            this.commands.push({ kind: "cancel", attempt: this.attempt });
+        }
+        if (fault !== undefined) {
+            this.commands.push({ kind: "fail", fault });
+        }
+    }
+
+    private fault(code: FaultCode, message: string): Fault {
+        return { code, message, step: "stream", notRun: !this.mayHaveRun };
+    }
+
+    private step(now: number): AnswerStep {
+        const commands = this.commands;
+        this.commands = [];
+        return { commands, nextTick: this.nextTick(now) };
+    }
+
+    private nextTick(now: number): number | undefined {
+        if (this.phase === "ended") {
+            return undefined;
+        }
+        const times = [this.options.deadline, this.callerGoneUntil ?? Infinity];
+        if (this.phase === "streaming") {
+            times.push(this.pace.stalledAt());
+        }
+        if (this.phase === "waiting") {
+            times.push(this.restartAt);
+        }
+        return Math.max(now, Math.min(...times));
+    }
+}
+
+function isGone(fault: Fault): boolean {
+    return fault.notRun || streamGoneCodes.has(fault.code);
+}
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,4 +1,8 @@
 /** The library surface of chervilrouter's decisions, free of input, output and clocks. */
+export * as answers from "./answers.js";
+export * as answersCommands from "./answers-commands.js";
+export * as answersOptions from "./answers-options.js";
+export * as answersPaces from "./answers-paces.js";
 export * as endpoints from "./endpoints.js";
 export * as errors from "./errors.js";
 export * as events from "./events.js";
@@ -8,4 +12,6 @@
 export * as randomNumbers from "./random-numbers.js";
 export * as replicaGroups from "./replica-groups.js";
 export * as requests from "./requests.js";
+export * as resumeTokens from "./resume-tokens.js";
+export * as retries from "./retries.js";
 export * as teams from "./teams.js";
--- /dev/null
+++ b/src/core/tests/answers.test.ts
@@ -0,0 +1,112 @@
+import test from "ava";
+import type { EngineEvent } from "../../contracts/engines.js";
+import { AnswerLog } from "../answers.js";
+import type { AnswerOptions } from "../answers-options.js";
+import { defaultAnswerOptions } from "../answers-options.js";
+
+function createLog(options: Partial<AnswerOptions> = {}): AnswerLog {
+    return AnswerLog.create({ ...defaultAnswerOptions, request: "r", deadline: 60_000, ...options }, 0);
+}
+
+function token(offset: number, attempt = 1, request = "r") {
+    return { request, attempt, event: { kind: "token", offset, text: `t${offset} ` } satisfies EngineEvent };
+}
+
+function finished(nextOffset: number, attempt = 1) {
+    return {
+        request: "r",
+        attempt,
+        event: { kind: "finished", reason: "stop", nextOffset } satisfies EngineEvent,
+    };
+}
+
+function failed(code: "endpointFailed" | "invalidRequest" | "notFound", attempt = 1, notRun = false) {
+    const fault = { code, message: "", step: "stream", notRun } as const;
+    return { request: "r", attempt, event: { kind: "failed", fault } satisfies EngineEvent };
+}
+
+test("tokens are delivered once and in order; gaps are waited for, also by the end", t => {
+    const log = createLog();
+    t.deepEqual(log.receive(token(1), 1).commands, []);
+    t.deepEqual(log.receive(finished(3), 2).commands, []);
+    t.deepEqual(log.receive(token(0, 1, "other"), 3).commands, []);
+    const step = log.receive(token(0), 4);
+    t.deepEqual(
+        step.commands.map(command => command.kind),
+        ["deliver", "deliver"],
+    );
+    t.deepEqual(log.receive(token(1), 5).commands, []);
+    t.deepEqual(log.receive(token(2), 6).commands, [
+        { kind: "deliver", offset: 2, text: "t2 " },
+        { kind: "finish", reason: "stop", nextOffset: 3 },
+    ]);
+    t.deepEqual(log.receive(token(3), 7), { commands: [], nextTick: undefined });
+});
+
+test("a lost stream is resumed at its engine first and then elsewhere with the delivered text", t => {
+    const log = createLog();
+    log.receive(token(0), 1);
+    t.deepEqual(log.streamClosed(1, 2).commands, [
+        { kind: "detach", attempt: 1 },
+        { kind: "resume", attempt: 2, fromOffset: 1 },
+    ]);
+    t.deepEqual(log.receive(token(1, 1), 3).commands, [], "an older attempt says nothing");
+    t.deepEqual(log.receive(failed("notFound", 2), 4).commands, [
+        { kind: "cancel", attempt: 2 },
+        { kind: "restart", attempt: 3, fromOffset: 1, delivered: "t0 " },
+    ]);
+    t.is(log.receive(token(1, 3), 5).commands[0]?.kind, "deliver");
+});
+
+test("silence far beyond the stream's own pace is a stall", t => {
+    const log = createLog();
+    for (let offset = 0; offset < 20; offset += 1) {
+        log.receive(token(offset), 100 + offset * 50);
+    }
+    t.deepEqual(log.tick(1_500).commands, []);
+    t.is(log.tick(2_200).commands[1]?.kind, "resume");
+});
+
+test("a request of which nothing ran fails as not run; one that may have run never does", t => {
+    const options = { maximumFailuresWithoutProgress: 1, restartDelay: () => 10 };
+    const refused = createLog(options);
+    t.deepEqual(refused.receive(failed("endpointFailed", 1, true), 1).nextTick, 11);
+    t.is(refused.tick(11).commands[0]?.kind, "restart");
+    const [, end] = refused.receive(failed("endpointFailed", 2, true), 12).commands;
+    t.like(end, { kind: "fail", fault: { notRun: true } });
+    const accepted = createLog({ ...options, maximumFailuresWithoutProgress: 0 });
+    accepted.receive({ request: "r", attempt: 1, event: { kind: "accepted" } }, 1);
+    t.like(accepted.receive(failed("endpointFailed", 1, true), 2).commands[1], { fault: { notRun: false } });
+    const silent = createLog(options);
+    t.is(silent.tick(10_000).commands[1]?.kind, "resume", "an attempt that stalled may have run");
+    t.like(silent.receive(failed("endpointFailed", 2, true), 10_001).commands[1], {
+        fault: { notRun: false },
+    });
+    t.like(createLog().receive(failed("invalidRequest", 1, true), 2).commands[1], { kind: "fail" });
+});
+
+test("a caller that is behind detaches the stream, and taking tokens resumes it", t => {
+    const log = createLog({ maximumUntakenTokens: 2 });
+    log.receive(token(0), 1);
+    t.deepEqual(log.receive(token(1), 2).commands[1], { kind: "detach", attempt: 1 });
+    t.deepEqual(log.tick(50_000).commands, [], "a detached stream does not stall");
+    t.deepEqual(log.callerTook(2, 50_001).commands, [{ kind: "resume", attempt: 2, fromOffset: 2 }]);
+});
+
+test("without the text so far, a stream that is gone ends in an explicit fault", t => {
+    const log = createLog({ fromOffset: 5, delivered: undefined });
+    const [, end] = log.receive(failed("notFound"), 1).commands;
+    t.like(end, { kind: "fail", fault: { code: "streamLost", notRun: false } });
+});
+
+test("deadline, cancellation and a caller that stays away end the answer explicitly", t => {
+    t.like(createLog().tick(60_000).commands[1], { fault: { code: "deadlinePassed", notRun: false } });
+    t.like(createLog().cancel(1).commands[1], { fault: { code: "cancelled" } });
+    const left = createLog({ resumeWindowMilliseconds: 100 });
+    left.callerLeft(10);
+    t.deepEqual(left.tick(109).commands, []);
+    t.deepEqual(
+        left.tick(110).commands.map(command => command.kind),
+        ["cancel", "fail"],
+    );
+});
