--- a/benchmarks/loops.ts
+++ b/benchmarks/loops.ts
@@ -45,14 +45,33 @@
 
     /** Runs all actions up to and including `end`, then sets the time to `end`. */
     public runUntil(end: number): void {
-        for (let next = this.heap[0]; next !== undefined && next.at <= end; next = this.heap[0]) {
-            this.pop();
-            this.time = next.at;
-            next.action();
+        while (this.step(end)) {
+            // Each step runs one action.
         }
         this.time = Math.max(this.time, end);
     }
 
+    /** Like `runUntil`, and lets promises settle after each action. */
+    public async runUntilSettled(end: number): Promise<void> {
+        await settlePromises();
+        while (this.step(end)) {
+            await settlePromises();
+        }
+        this.time = Math.max(this.time, end);
+    }
+
+    /** Runs the next action if its time is not after `end`; returns false if there is none. */
+    public step(end: number): boolean {
+        const next = this.heap[0];
+        if (next === undefined || next.at > end) {
+            return false;
+        }
+        this.pop();
+        this.time = next.at;
+        next.action();
+        return true;
+    }
+
     private push(item: ScheduledAction): void {
         this.heap.push(item);
         let index = this.heap.length - 1;
@@ -102,6 +121,15 @@
     }
 }
 
+// Longer than any chain of promises between two timers.
+const microtasksPerAction = 12;
+
+async function settlePromises(): Promise<void> {
+    for (let count = 0; count < microtasksPerAction; count += 1) {
+        await Promise.resolve();
+    }
+}
+
 function isBefore(left: ScheduledAction, right: ScheduledAction): boolean {
     return left.at < right.at || (left.at === right.at && left.order < right.order);
 }
--- /dev/null
+++ b/src/core/claim-operations.ts
@@ -0,0 +1,103 @@
+/** Operations on one value of claims, and their effect on it. */
+import type { ClaimRecord, ClaimTable } from "./claim-records.js";
+import { formatClaims, maximumClaimedLength, maximumValueLength } from "./claim-records.js";
+
+/** What a machine wants done to one record. `nonce` is that of the claim attempt. */
+export type ClaimOperation =
+    | { readonly kind: "claim"; readonly key: string; readonly nonce: string; readonly record: ClaimRecord }
+    | { readonly kind: "settle"; readonly key: string; readonly nonce: string; readonly record: ClaimRecord }
+    | { readonly kind: "release"; readonly key: string; readonly nonce: string };
+
+/** What became of an operation. "taken": another attempt's record stands in the way of a claim. */
+export type OperationOutcome =
+    | { readonly kind: "written" }
+    | { readonly kind: "taken"; readonly record: ClaimRecord }
+    | { readonly kind: "gone" }
+    | { readonly kind: "full" };
+
+/** An operation whose outcome is known. */
+export interface ResolvedOperation {
+    readonly operation: ClaimOperation;
+    readonly outcome: OperationOutcome;
+}
+
+/** Operations that need a write, the value that they make, and those that need none. */
+export interface ClaimDraft {
+    readonly table: ClaimTable;
+    readonly text: string;
+    readonly writes: readonly ClaimOperation[];
+    readonly resolved: readonly ResolvedOperation[];
+}
+
+/** Effect of one operation on a table: a record to set or delete, or an outcome without a write. */
+type Effect = { readonly set: ClaimRecord | undefined } | { readonly outcome: OperationOutcome };
+
+/** How an operation meets the record in the table; checkers replace it by broken ones. */
+export type MeetRecord = (operation: ClaimOperation, existing: ClaimRecord | undefined) => Effect;
+
+/** The rule in force: only an attempt's own record is changed, and only an absent one is claimed. */
+export const meetRecord: MeetRecord = (operation, existing) => {
+    const isOwn = existing?.nonce === operation.nonce;
+    switch (operation.kind) {
+        case "claim":
+            if (existing === undefined) {
+                return { set: operation.record };
+            }
+            return { outcome: isOwn ? { kind: "written" } : { kind: "taken", record: existing } };
+        case "settle":
+            return isOwn ? { set: operation.record } : { outcome: { kind: "gone" } };
+        case "release":
+            return isOwn && existing.state === "claimed" ? { set: undefined } : { outcome: { kind: "gone" } };
+    }
+};
+
+/** Applies operations to a table, in order. `isFenced` false turns a release without effect into a write. */
+export function draftClaims(
+    table: ClaimTable,
+    operations: readonly ClaimOperation[],
+    options: { readonly writer: string; readonly isFenced: boolean; readonly meet: MeetRecord },
+): ClaimDraft {
+    const draft = new Map(table);
+    const writes: ClaimOperation[] = [];
+    const resolved: ResolvedOperation[] = [];
+    const isFull = formatClaims(table, options.writer).length > maximumClaimedLength;
+    for (const operation of operations) {
+        const effect = options.meet(operation, draft.get(operation.key));
+        if ("outcome" in effect) {
+            const mustFence = operation.kind === "release" && !options.isFenced;
+            if (mustFence) {
+                writes.push(operation);
+            } else {
+                resolved.push({ operation, outcome: effect.outcome });
+            }
+        } else if (operation.kind === "claim" && isFull) {
+            resolved.push({ operation, outcome: { kind: "full" } });
+        } else {
+            replace(draft, operation.key, effect.set);
+            writes.push(operation);
+        }
+    }
+    return { table: draft, text: formatWithin(draft, options.writer), writes, resolved };
+}
+
+function replace(draft: Map<string, ClaimRecord>, key: string, record: ClaimRecord | undefined): void {
+    if (record === undefined) {
+        draft.delete(key);
+    } else {
+        draft.set(key, record);
+    }
+}
+
+// Bodies give way when a value would outgrow its bound; status and digest stay.
+function formatWithin(draft: Map<string, ClaimRecord>, writer: string): string {
+    const text = formatClaims(draft, writer);
+    if (text.length <= maximumValueLength) {
+        return text;
+    }
+    for (const [key, record] of draft) {
+        if (record.answer !== undefined) {
+            draft.set(key, { ...record, answer: { ...record.answer, body: "", bodyOmitted: true } });
+        }
+    }
+    return formatClaims(draft, writer);
+}
--- /dev/null
+++ b/src/core/claim-shard-sets.ts
@@ -0,0 +1,126 @@
+/** All values of claims that one entry instance works on, and whether the store can be used. */
+import type { ReadAnswer, SwapOutcome } from "../contracts/key-value-stores.js";
+import type { ClaimOperation, ResolvedOperation } from "./claim-operations.js";
+import type { ClaimTable } from "./claim-records.js";
+import { emptyClaimTable } from "./claim-records.js";
+import type { ClaimCommand, ClaimOptions, ClaimRules, Moment } from "./claim-rules.js";
+import type { ShardCall, ShardStep } from "./claim-shards.js";
+import { ClaimShard } from "./claim-shards.js";
+import type { Result } from "./errors.js";
+
+/** Calls that are due, and operations that were settled without one. */
+export interface PumpStep {
+    readonly calls: readonly ClaimCommand[];
+    readonly resolved: readonly ResolvedOperation[];
+}
+
+/** Shards by store key, the most recently used last. */
+export class ClaimShardSet {
+    private readonly shards = new Map<string, ClaimShard>();
+    private failures = 0;
+    private unreachableUntil = -Infinity;
+
+    private constructor(private readonly options: ClaimOptions & ClaimRules) {}
+
+    public static create(options: ClaimOptions & ClaimRules): ClaimShardSet {
+        return new ClaimShardSet(options);
+    }
+
+    /** True if the store failed just now and is left alone. */
+    public isUnreachable(now: number): boolean {
+        return now < this.unreachableUntil;
+    }
+
+    /** Time at which the store is tried again. */
+    public retryAt(now: number): number {
+        return Math.max(now, this.unreachableUntil);
+    }
+
+    /** True if no operation waits or is in flight. */
+    public isIdle(): boolean {
+        return [...this.shards.values()].every(shard => shard.isIdle());
+    }
+
+    /** Number of operations that wait. */
+    public unwritten(): number {
+        let count = 0;
+        for (const shard of this.shards.values()) {
+            count += shard.unwritten();
+        }
+        return count;
+    }
+
+    /** The records of a value as far as they are known here. */
+    public known(storeKey: string): ClaimTable {
+        return this.shards.get(storeKey)?.known() ?? emptyClaimTable;
+    }
+
+    /** Adds an operation on one value. */
+    public add(storeKey: string, operation: ClaimOperation): void {
+        const shard = this.shards.get(storeKey) ?? ClaimShard.create(storeKey, this.options);
+        this.shards.delete(storeKey);
+        this.shards.set(storeKey, shard);
+        shard.add(operation);
+        this.evict();
+    }
+
+    /** Gives a claim up; a release follows if it may be written. */
+    public withdraw(storeKey: string, key: string, nonce: string): void {
+        this.shards.get(storeKey)?.withdraw(key, nonce);
+    }
+
+    public readDone(storeKey: string, result: Result<ReadAnswer>, at: Moment): ShardStep {
+        return this.note(this.shards.get(storeKey)?.readDone(result), at);
+    }
+
+    public swapDone(storeKey: string, outcome: SwapOutcome, at: Moment): ShardStep {
+        return this.note(this.shards.get(storeKey)?.swapDone(outcome), at);
+    }
+
+    /** Starts every call that is due. */
+    public pump(at: Moment): PumpStep {
+        if (this.isUnreachable(at.now)) {
+            return { calls: [], resolved: [] };
+        }
+        const calls: ClaimCommand[] = [];
+        const resolved: ResolvedOperation[] = [];
+        for (const shard of this.shards.values()) {
+            if (shard.isWaiting()) {
+                const call = shard.next();
+                resolved.push(...shard.take());
+                calls.push(...(call === undefined ? [] : [this.toCommand(shard.storeKey, call, at)]));
+            }
+        }
+        return { calls, resolved };
+    }
+
+    private toCommand(storeKey: string, call: ShardCall, at: Moment): ClaimCommand {
+        const deadline = at.now + this.options.storeMilliseconds;
+        if (call.kind === "read") {
+            return { kind: "read", storeKey, deadline };
+        }
+        const { expectedRevision, value } = call;
+        return { kind: "swap", swap: { key: storeKey, expectedRevision, value }, deadline };
+    }
+
+    private note(step: ShardStep | undefined, at: Moment): ShardStep {
+        if (step?.fault === undefined) {
+            this.failures = 0;
+            return step ?? { resolved: [] };
+        }
+        this.failures += 1;
+        this.unreachableUntil = at.now + this.options.storeDelay(this.failures);
+        return step;
+    }
+
+    private evict(): void {
+        for (const [storeKey, shard] of this.shards) {
+            if (this.shards.size <= this.options.maximumCachedValues) {
+                return;
+            }
+            if (shard.isIdle()) {
+                this.shards.delete(storeKey);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/claim-shards.ts
@@ -0,0 +1,260 @@
+/**
+ * One value of claims as one entry instance works on it: many operations per compare-and-swap, one call in flight.
+ *
+ * Safety rests on the compare-and-swap alone. A write whose answer was lost is ambiguous: the value is read back, and
+ * the operations are tried again with the same nonces. Such a write may still take effect after the read; it can do so
+ * only at the revision that it expected, so any later write at that revision fences it.
+ */
+import type { KeyValueEntry, ReadAnswer, SwapOutcome } from "../contracts/key-value-stores.js";
+import type { ClaimDraft, ClaimOperation, MeetRecord, ResolvedOperation } from "./claim-operations.js";
+import { draftClaims } from "./claim-operations.js";
+import type { ClaimTable } from "./claim-records.js";
+import { emptyClaimTable, safeParseClaims } from "./claim-records.js";
+import type { Fault, Result } from "./errors.js";
+
+/** The next call to the store. */
+export type ShardCall =
+    | { readonly kind: "read" }
+    | { readonly kind: "swap"; readonly expectedRevision: number; readonly value: string };
+
+/** What an answer of the store settled; `fault` is set if the store could not be used. */
+export interface ShardStep {
+    readonly resolved: readonly ResolvedOperation[];
+    readonly fault?: Fault;
+}
+
+/** How shards treat lost answers; checkers replace it by broken ones. */
+export interface ShardRules {
+    readonly meet: MeetRecord;
+    /** What an ambiguous write counts as. */
+    readonly ambiguousCountsAs: "unknown" | "written" | "failed";
+}
+
+/** The rules in force. */
+export type ShardOptions = ShardRules & {
+    /** Operations per write. */
+    readonly maximumBatch: number;
+    /** Returns a text that no other write has. */
+    readonly createNonce: () => string;
+};
+
+interface Pending {
+    readonly operation: ClaimOperation;
+    /** True if a write with this operation may be in the store, or may still reach it. */
+    mayBeWritten: boolean;
+    /** True if the table is newer than the operation. */
+    informed: boolean;
+    withdrawn: boolean;
+}
+
+interface Flight {
+    readonly kind: "read" | "swap";
+    readonly batch: readonly Pending[];
+    readonly draft?: ClaimDraft;
+}
+
+/** The state of one value at one entry instance. */
+export class ClaimShard {
+    private table: ClaimTable = emptyClaimTable;
+    private revision = 0;
+    private mustRead = false;
+    /** Expected revision of a write whose answer was lost and that may still take effect. */
+    private unfencedRevision: number | undefined;
+    private pending: Pending[] = [];
+    private flight: Flight | undefined;
+    private settled: ResolvedOperation[] = [];
+
+    private constructor(
+        public readonly storeKey: string,
+        private readonly options: ShardOptions,
+    ) {}
+
+    public static create(storeKey: string, options: ShardOptions): ClaimShard {
+        return new ClaimShard(storeKey, options);
+    }
+
+    /** True if nothing is to be done, so that the shard may be forgotten. */
+    public isIdle(): boolean {
+        return this.flight === undefined && this.pending.length === 0;
+    }
+
+    /** True if operations wait for a call. */
+    public isWaiting(): boolean {
+        return this.flight === undefined && this.pending.length > 0;
+    }
+
+    /** Number of operations that wait or are in flight. */
+    public unwritten(): number {
+        return this.pending.length + (this.flight?.batch.length ?? 0);
+    }
+
+    /** Records the shard knows of, for refusals while the store is away. */
+    public known(): ClaimTable {
+        return this.table;
+    }
+
+    /** Adds an operation to the next write. */
+    public add(operation: ClaimOperation): void {
+        this.pending.push({ operation, mayBeWritten: false, informed: false, withdrawn: false });
+    }
+
+    /** Gives up a claim that was not resolved yet, and releases it if it may be or become written. */
+    public withdraw(key: string, nonce: string): void {
+        const isClaim = ({ operation }: Pending) =>
+            operation.kind === "claim" && operation.key === key && operation.nonce === nonce;
+        const entry = this.pending.find(isClaim) ?? this.flight?.batch.find(isClaim);
+        if (entry === undefined) {
+            return;
+        }
+        entry.withdrawn = true;
+        this.pending = this.pending.filter(other => other !== entry);
+        const isInFlight = this.flight?.kind === "swap" && this.flight.batch.includes(entry);
+        if (entry.mayBeWritten || isInFlight) {
+            this.add({ kind: "release", key, nonce });
+        }
+    }
+
+    /** Returns the next call, if one is due and none is in flight; operations that need no call are in `take`. */
+    public next(): ShardCall | undefined {
+        if (!this.isWaiting()) {
+            return undefined;
+        }
+        if (this.mustRead) {
+            return this.startRead();
+        }
+        const batch = this.pending.slice(0, this.options.maximumBatch);
+        const draft = this.draft(batch);
+        if (this.hasStaleRefusal(draft, batch)) {
+            return this.startRead();
+        }
+        this.pending = this.pending.slice(batch.length);
+        this.settled.push(...draft.resolved);
+        if (draft.writes.length === 0) {
+            return this.next();
+        }
+        const writing = batch.filter(entry => draft.writes.includes(entry.operation));
+        this.flight = { kind: "swap", batch: writing, draft };
+        return { kind: "swap", expectedRevision: this.revision, value: draft.text };
+    }
+
+    /** Returns and forgets what `next` settled without a call. */
+    public take(): readonly ResolvedOperation[] {
+        const settled = this.settled;
+        this.settled = [];
+        return settled;
+    }
+
+    /** Takes the answer to a read. */
+    public readDone(result: Result<ReadAnswer>): ShardStep {
+        const batch = this.land();
+        this.requeue(batch);
+        if (!result.success) {
+            return { resolved: [], fault: result.fault };
+        }
+        return this.load(result.data.entries[0], batch);
+    }
+
+    /** Takes the answer to a swap. */
+    public swapDone(outcome: SwapOutcome): ShardStep {
+        const { draft } = this.flight ?? {};
+        const batch = this.land();
+        switch (outcome.kind) {
+            case "swapped":
+                this.accept(draft, outcome.revision);
+                return { resolved: batch.map(asWritten) };
+            case "conflict":
+                this.requeue(batch);
+                return this.load(outcome.current, batch);
+            case "notSent":
+                this.requeue(batch);
+                return { resolved: [], fault: outcome.fault };
+            case "ambiguous":
+                return this.lostAnswer(batch, outcome.fault);
+        }
+    }
+
+    private startRead(): ShardCall {
+        this.flight = { kind: "read", batch: this.pending };
+        this.pending = [];
+        return { kind: "read" };
+    }
+
+    private draft(batch: readonly Pending[]): ClaimDraft {
+        return draftClaims(
+            this.table,
+            batch.map(entry => entry.operation),
+            {
+                writer: this.options.createNonce(),
+                isFenced: this.unfencedRevision !== this.revision,
+                meet: this.options.meet,
+            },
+        );
+    }
+
+    // A record that another attempt still may change is read again before a claim is refused because of it.
+    private hasStaleRefusal(draft: ClaimDraft, batch: readonly Pending[]): boolean {
+        return draft.resolved.some(({ operation, outcome }) => {
+            const isOpen = outcome.kind === "taken" && outcome.record.state !== "done";
+            return isOpen && batch.some(entry => entry.operation === operation && !entry.informed);
+        });
+    }
+
+    private land(): readonly Pending[] {
+        const batch = this.flight?.batch ?? [];
+        this.flight = undefined;
+        return batch;
+    }
+
+    private requeue(batch: readonly Pending[]): void {
+        this.pending = [...batch.filter(entry => !entry.withdrawn), ...this.pending];
+    }
+
+    private accept(draft: ClaimDraft | undefined, revision: number): void {
+        if (draft !== undefined) {
+            this.table = draft.table;
+            this.revision = revision;
+            this.unfencedRevision = undefined;
+        }
+    }
+
+    private lostAnswer(batch: readonly Pending[], fault: Fault): ShardStep {
+        this.mustRead = true;
+        this.unfencedRevision = this.revision;
+        if (this.options.ambiguousCountsAs === "written") {
+            return { resolved: batch.map(asWritten) };
+        }
+        for (const entry of batch) {
+            entry.mayBeWritten = this.options.ambiguousCountsAs === "unknown";
+        }
+        this.requeue(batch);
+        return { resolved: [], fault: this.options.ambiguousCountsAs === "failed" ? fault : undefined };
+    }
+
+    private load(entry: KeyValueEntry | undefined, batch: readonly Pending[]): ShardStep {
+        const parsed = entry === undefined ? undefined : safeParseClaims(entry.value);
+        if (parsed !== undefined && !parsed.success) {
+            this.mustRead = true;
+            return { resolved: [], fault: parsed.fault };
+        }
+        // A value that was there and is gone was lost or expired: nothing may be claimed on what is left.
+        if (entry === undefined && this.revision > 0) {
+            this.mustRead = true;
+            const message = "a value of claims is gone";
+            return { resolved: [], fault: { code: "storeConflict", message, step: "claim", notRun: false } };
+        }
+        this.table = parsed?.data ?? emptyClaimTable;
+        this.revision = entry?.modRevision ?? 0;
+        this.mustRead = false;
+        if (this.unfencedRevision !== this.revision) {
+            this.unfencedRevision = undefined;
+        }
+        for (const waiting of batch) {
+            waiting.informed = true;
+        }
+        return { resolved: [] };
+    }
+}
+
+function asWritten({ operation }: Pending): ResolvedOperation {
+    return { operation, outcome: { kind: "written" } };
+}
--- /dev/null
+++ b/src/core/claims.ts
@@ -0,0 +1,292 @@
+/**
+ * At most once: the claim machine of one entry instance. Before a byte of a keyed call is sent, a claim is written to
+ * the key-value service by compare-and-swap; only the attempt whose nonce the store holds may send, and only before
+ * its deadline. Safety needs neither lease nor owner nor clock; the wall clock only bounds how long claims are kept.
+ */
+import type { ReadAnswer, SwapOutcome } from "../contracts/key-value-stores.js";
+import { ClaimAttempt } from "./claim-attempts.js";
+import type { ResolvedOperation } from "./claim-operations.js";
+import type { ClaimRecord, RecordedAnswer } from "./claim-records.js";
+import { recordAnswer } from "./claim-records.js";
+import * as refusals from "./claim-refusals.js";
+import type { ClaimCommand, ClaimOptions, ClaimRequest, ClaimRules, Moment } from "./claim-rules.js";
+import type { SentOutcome } from "./claim-rules.js";
+import { claimRules } from "./claim-rules.js";
+import type { ShardStep } from "./claim-shards.js";
+import { ClaimShardSet } from "./claim-shard-sets.js";
+import type { Fault, Result } from "./errors.js";
+import {
+    checkKeyWindow,
+    claimStoreKey,
+    isKeyForgotten,
+    safeParseIdempotencyKey,
+} from "./idempotency-keys.js";
+import type { IdempotencyKey } from "./idempotency-keys.js";
+import type { RequestId } from "./requests.js";
+
+/** The claims of one entry instance. */
+export class ClaimMachine {
+    private readonly attempts = new Map<RequestId, ClaimAttempt>();
+    private readonly attemptsByKey = new Map<string, ClaimAttempt>();
+    private readonly attemptsByNonce = new Map<string, ClaimAttempt>();
+    private readonly shards: ClaimShardSet;
+    private commands: ClaimCommand[] = [];
+
+    private constructor(
+        private readonly options: ClaimOptions,
+        private readonly rules: ClaimRules,
+    ) {
+        this.shards = ClaimShardSet.create({ ...options, ...rules });
+    }
+
+    public static create(options: ClaimOptions, rules: ClaimRules = claimRules): ClaimMachine {
+        return new ClaimMachine(options, rules);
+    }
+
+    /** True if no request runs and nothing waits to be written. */
+    public isIdle(): boolean {
+        return this.attempts.size === 0 && this.shards.isIdle();
+    }
+
+    /** Takes a new request. */
+    public claim(request: ClaimRequest, at: Moment): readonly ClaimCommand[] {
+        const key = safeParseIdempotencyKey(request.key);
+        const fault = key.success ? checkKeyWindow(key.data, this.options, at.wallNow) : key.fault;
+        if (!key.success || fault !== undefined) {
+            this.refuse(request, fault ?? refusals.outcomeUnknown);
+        } else {
+            this.claimKey(request, key.data, at);
+        }
+        return this.step(at);
+    }
+
+    /**
+     * The last check before a byte is sent: undefined if the request may be sent now. Otherwise the claim is being
+     * released and the request is refused by a command. The driver sends in the same turn.
+     */
+    public startSending(request: RequestId, at: Moment): readonly ClaimCommand[] | undefined {
+        const attempt = this.attempts.get(request);
+        if (attempt === undefined || attempt.state !== "granted") {
+            return [];
+        }
+        if (
+            !this.rules.isInTime(attempt.request.deadline, at.now) ||
+            isKeyForgotten(attempt.key, this.options, at.wallNow)
+        ) {
+            return this.release(request, refusals.grantedTooLate, at);
+        }
+        attempt.state = "sent";
+        return undefined;
+    }
+
+    /** The service, or the connection, proved that the call did not run: it may be sent again or released. */
+    public notRun(request: RequestId): void {
+        const attempt = this.attempts.get(request);
+        if (attempt?.state === "sent") {
+            attempt.state = "granted";
+        }
+    }
+
+    /** Gives a granted request up; it is refused once the key is free again, or at its deadline. */
+    public release(request: RequestId, fault: Fault, at: Moment): readonly ClaimCommand[] {
+        const attempt = this.attempts.get(request);
+        if (attempt?.state === "granted") {
+            this.startRelease(attempt, fault);
+            this.commands.push(...(at.now < attempt.request.deadline ? [] : attempt.refuseAll(fault)));
+        }
+        return this.step(at);
+    }
+
+    /** Takes the outcome of a sent request. The caller need not wait for its record. */
+    public settle(request: RequestId, outcome: SentOutcome, at: Moment): readonly ClaimCommand[] {
+        const attempt = this.attempts.get(request);
+        if (attempt?.state === "sent") {
+            this.settleAttempt(attempt, outcome);
+        }
+        return this.step(at);
+    }
+
+    /** Takes the answer to a read. */
+    public readDone(storeKey: string, result: Result<ReadAnswer>, at: Moment): readonly ClaimCommand[] {
+        this.storeAnswered(storeKey, this.shards.readDone(storeKey, result, at), at);
+        return this.step(at);
+    }
+
+    /** Takes the answer to a swap. */
+    public swapDone(storeKey: string, outcome: SwapOutcome, at: Moment): readonly ClaimCommand[] {
+        this.storeAnswered(storeKey, this.shards.swapDone(storeKey, outcome, at), at);
+        return this.step(at);
+    }
+
+    /** Refuses what is late, and tries the store again when that is due. */
+    public tick(at: Moment): readonly ClaimCommand[] {
+        for (const attempt of [...this.attempts.values()]) {
+            this.expire(attempt, at);
+        }
+        return this.step(at);
+    }
+
+    private claimKey(request: ClaimRequest, key: IdempotencyKey, at: Moment): void {
+        const storeKey = claimStoreKey(key, this.options);
+        const known = this.shards.known(storeKey).get(key.text);
+        const running = this.attemptsByKey.get(key.text);
+        if (running !== undefined) {
+            this.join(request, running);
+        } else if (known?.state === "done" || (known !== undefined && this.shards.isUnreachable(at.now))) {
+            this.commands.push(refusals.answerFromRecord(request, known, this.rules, at));
+        } else if (this.shards.isUnreachable(at.now)) {
+            this.refuse(request, refusals.refuseUnreachable(request, this.shards.retryAt(at.now)));
+        } else if (this.shards.unwritten() > this.options.maximumUnwrittenOutcomes) {
+            const retryAt = at.now + this.options.storeDelay(0);
+            this.refuse(request, refusals.refuseUnwritten(request, retryAt));
+        } else {
+            this.startClaim(request, key, storeKey, at);
+        }
+    }
+
+    private startClaim(request: ClaimRequest, key: IdempotencyKey, storeKey: string, at: Moment): void {
+        const nonce = this.options.createNonce();
+        const attempt = ClaimAttempt.create(request, key, storeKey, nonce, at);
+        this.attempts.set(request.request, attempt);
+        this.attemptsByKey.set(key.text, attempt);
+        this.attemptsByNonce.set(nonce, attempt);
+        if (!this.rules.requiresClaim) {
+            this.grant(attempt);
+            return;
+        }
+        const record = { digest: request.digest, nonce, state: "claimed", until: attempt.until } as const;
+        this.shards.add(storeKey, { kind: "claim", key: key.text, nonce, record });
+    }
+
+    private join(request: ClaimRequest, running: ClaimAttempt): void {
+        if (!this.rules.isSameCall(request.digest, running.request.digest)) {
+            this.refuse(request, refusals.keyMismatch);
+        } else if (running.answer !== undefined) {
+            this.replay(request, running.answer);
+        } else if (running.state === "settling") {
+            this.refuse(request, refusals.outcomeUnknown);
+        } else {
+            running.follow(request);
+        }
+    }
+
+    private grant(attempt: ClaimAttempt): void {
+        attempt.state = "granted";
+        this.commands.push({ kind: "granted", request: attempt.request.request });
+    }
+
+    private settleAttempt(attempt: ClaimAttempt, outcome: SentOutcome): void {
+        if (outcome.kind === "answered") {
+            attempt.answer = recordAnswer(outcome.answer);
+            this.commands.push(...attempt.answerFollowers(outcome.answer));
+        } else {
+            this.commands.push(...attempt.refuseAll(refusals.outcomeUnknown));
+        }
+        if (outcome.kind === "unknown" && this.rules.unansweredBecomes === "released") {
+            this.startRelease(attempt, refusals.outcomeUnknown);
+            return;
+        }
+        attempt.state = "settling";
+        const { nonce, until, request, answer } = attempt;
+        const state = answer === undefined ? "unknown" : "done";
+        const record: ClaimRecord = { digest: request.digest, nonce, state, until, answer };
+        this.shards.add(attempt.storeKey, { kind: "settle", key: attempt.key.text, nonce, record });
+    }
+
+    private startRelease(attempt: ClaimAttempt, fault: Fault): void {
+        attempt.state = "releasing";
+        attempt.refusal = fault;
+        const { storeKey, key, nonce } = attempt;
+        this.shards.add(storeKey, { kind: "release", key: key.text, nonce });
+    }
+
+    private expire(attempt: ClaimAttempt, at: Moment): void {
+        this.commands.push(...attempt.expire(at.now));
+        const isLate = at.now >= attempt.request.deadline;
+        if (attempt.state === "claiming" && isLate) {
+            this.giveUpClaim(attempt, refusals.refuseLate);
+        } else if (attempt.state === "releasing" && isLate && attempt.refusal !== undefined) {
+            this.commands.push(...attempt.refuseAll(attempt.refusal));
+        }
+        if (attempt.state === "settling" && isKeyForgotten(attempt.key, this.options, at.wallNow)) {
+            this.forget(attempt);
+        }
+    }
+
+    // The claim may have been written, or may still be: a release follows it in the shard.
+    private giveUpClaim(attempt: ClaimAttempt, toFault: (request: ClaimRequest) => Fault): void {
+        this.shards.withdraw(attempt.storeKey, attempt.key.text, attempt.nonce);
+        this.commands.push(...attempt.refuseEach(toFault));
+        this.forget(attempt);
+    }
+
+    private storeAnswered(storeKey: string, step: ShardStep, at: Moment): void {
+        this.resolve(step.resolved, at);
+        if (step.fault === undefined) {
+            return;
+        }
+        const retryAt = this.shards.retryAt(at.now);
+        for (const attempt of [...this.attempts.values()]) {
+            if (attempt.storeKey !== storeKey) {
+                continue;
+            }
+            if (attempt.state === "claiming") {
+                this.giveUpClaim(attempt, request => refusals.refuseUnreachable(request, retryAt));
+            } else if (attempt.state === "releasing" && attempt.refusal !== undefined) {
+                this.commands.push(...attempt.refuseAll(attempt.refusal));
+            }
+        }
+    }
+
+    private resolve(resolved: readonly ResolvedOperation[], at: Moment): void {
+        for (const { operation, outcome } of resolved) {
+            const attempt = this.attemptsByNonce.get(operation.nonce);
+            if (attempt === undefined) {
+                continue;
+            }
+            if (attempt.state !== "claiming") {
+                this.commands.push(...attempt.refuseAll(attempt.refusal ?? refusals.outcomeUnknown));
+                this.forget(attempt);
+            } else if (outcome.kind === "written") {
+                this.grant(attempt);
+            } else {
+                this.refuseClaim(attempt, outcome.kind === "taken" ? outcome.record : undefined, at);
+            }
+        }
+    }
+
+    private refuseClaim(attempt: ClaimAttempt, record: ClaimRecord | undefined, at: Moment): void {
+        this.forget(attempt);
+        if (record === undefined) {
+            this.commands.push(...attempt.refuseAll(refusals.claimsFull));
+            return;
+        }
+        for (const request of attempt.takeWaiting()) {
+            this.commands.push(refusals.answerFromRecord(request, record, this.rules, at));
+        }
+    }
+
+    private forget(attempt: ClaimAttempt): void {
+        this.attempts.delete(attempt.request.request);
+        this.attemptsByNonce.delete(attempt.nonce);
+        if (this.attemptsByKey.get(attempt.key.text) === attempt) {
+            this.attemptsByKey.delete(attempt.key.text);
+        }
+    }
+
+    private refuse({ request }: ClaimRequest, fault: Fault): void {
+        this.commands.push({ kind: "refused", request, fault });
+    }
+
+    private replay({ request }: ClaimRequest, answer: RecordedAnswer): void {
+        this.commands.push({ kind: "replay", request, answer });
+    }
+
+    private step(at: Moment): readonly ClaimCommand[] {
+        const { calls, resolved } = this.shards.pump(at);
+        this.resolve(resolved, at);
+        const commands = [...this.commands, ...calls];
+        this.commands = [];
+        return commands;
+    }
+}
--- a/src/core/requests.ts
+++ b/src/core/requests.ts
@@ -36,5 +36,7 @@
     readonly idempotent: boolean;
     /** The caller's Idempotency-Key: a UUIDv7 in lower case. */
     readonly key?: string;
+    /** True if the caller says that it has sent this key before; such a call is never "not run" unread. */
+    readonly isRepeat?: boolean;
     readonly deadline: number;
 }
--- /dev/null
+++ b/src/daemons/entry/claim-inputs.ts
@@ -0,0 +1,67 @@
+/** Inputs of the service calls' loop. A store or service that throws against its contract becomes a fault. */
+import type { Observable } from "rxjs";
+import { catchError, defer, map, of } from "rxjs";
+import type { KeyValueStore, Swap, SwapOutcome } from "../../contracts/key-value-stores.js";
+import type { SendOutcome, SendToService } from "../../contracts/services.js";
+import type { ClaimCommand, Moment } from "../../core/claim-rules.js";
+import type { ClaimMachine } from "../../core/claims.js";
+import { fail, toFault } from "../../core/errors.js";
+import type { Instance } from "../../core/instances.js";
+import type { RunningCall } from "./claim-calls.js";
+
+/** One event of the loop. */
+export type ServiceCallEvent =
+    | { readonly kind: "call"; readonly running: RunningCall }
+    | {
+          readonly kind: "store";
+          readonly apply: (machine: ClaimMachine, at: Moment) => readonly ClaimCommand[];
+      }
+    | {
+          readonly kind: "sent";
+          readonly running: RunningCall;
+          readonly instance: Instance;
+          readonly outcome: SendOutcome;
+      }
+    | { readonly kind: "tick" };
+
+/** Reads a value of claims. */
+export function readClaims(
+    store: KeyValueStore,
+    storeKey: string,
+    deadline: number,
+): Observable<ServiceCallEvent> {
+    return defer(() => store.get(storeKey, { deadline, priority: "claim" })).pipe(
+        catchError((thrown: unknown) => of(fail(toFault(thrown, "store")))),
+        map(result => ({
+            kind: "store",
+            apply: (machine, at) => machine.readDone(storeKey, result, at),
+        })),
+    );
+}
+
+/** Writes a value of claims. */
+export function swapClaims(store: KeyValueStore, swap: Swap, deadline: number): Observable<ServiceCallEvent> {
+    return defer(() => store.compareAndSwap(swap, { deadline, priority: "claim" })).pipe(
+        catchError((thrown: unknown) =>
+            of<SwapOutcome>({ kind: "ambiguous", fault: toFault(thrown, "store") }),
+        ),
+        map(outcome => ({
+            kind: "store",
+            apply: (machine, at) => machine.swapDone(swap.key, outcome, at),
+        })),
+    );
+}
+
+/** Sends a call to an instance, once. */
+export function sendCall(
+    send: SendToService,
+    running: RunningCall,
+    instance: Instance,
+): Observable<ServiceCallEvent> {
+    return defer(() => send(running.call, instance)).pipe(
+        catchError((thrown: unknown) =>
+            of<SendOutcome>({ kind: "unknown", fault: toFault(thrown, "send", instance.id) }),
+        ),
+        map(outcome => ({ kind: "sent", running, instance, outcome })),
+    );
+}
--- /dev/null
+++ b/src/daemons/entry/claim-loops.ts
@@ -0,0 +1,280 @@
+/** The loop behind the service calls; see service-calls.ts. */
+import type { Observable } from "rxjs";
+import { Subject, mergeMap, observeOn, of, queueScheduler } from "rxjs";
+import type { ClaimCommand, Moment } from "../../core/claim-rules.js";
+import { claimRules, defaultClaimOptions } from "../../core/claim-rules.js";
+import { ClaimMachine } from "../../core/claims.js";
+import type { Fault } from "../../core/errors.js";
+import { callDigest } from "../../core/idempotency-keys.js";
+import type { RequestId, ServiceCall } from "../../core/requests.js";
+import { RetryBudget } from "../../core/retries.js";
+import type { Schedule, SendRules, ServiceOutcome } from "./claim-calls.js";
+import { RunningCall, createNonce, sendRules, systemSchedule } from "./claim-calls.js";
+import type { ServiceCallEvent } from "./claim-inputs.js";
+import { readClaims, sendCall, swapClaims } from "./claim-inputs.js";
+import type { ServiceCallsOptions } from "./claim-options.js";
+
+/** One loop on one thread; every input passes its one stream. */
+export class ServiceCallLoop {
+    private readonly machine: ClaimMachine;
+    private readonly retries: RetryBudget;
+    private readonly schedule: Schedule;
+    private readonly sendRules: SendRules;
+    private readonly inputs = new Subject<Observable<ServiceCallEvent>>();
+    private readonly calls = new Map<RequestId, RunningCall>();
+    private readonly idleWaiters: (() => void)[] = [];
+    private isTicking = false;
+
+    private constructor(private readonly options: ServiceCallsOptions) {
+        this.retries = options.retries ?? RetryBudget.create();
+        this.schedule = options.schedule ?? systemSchedule(options.clock);
+        this.sendRules = options.rules?.sends ?? sendRules;
+        const nonce = () => createNonce(options.random);
+        const claimOptions = { ...defaultClaimOptions, createNonce: nonce, ...options.claims };
+        this.machine = ClaimMachine.create(claimOptions, options.rules?.claims ?? claimRules);
+        const events = this.inputs.pipe(
+            mergeMap(input => input),
+            observeOn(queueScheduler),
+        );
+        events.subscribe(event => this.handle(event));
+    }
+
+    public static create(options: ServiceCallsOptions): ServiceCallLoop {
+        return new ServiceCallLoop(options);
+    }
+
+    public run(call: ServiceCall): Promise<ServiceOutcome> {
+        return new Promise(resolve => {
+            this.emit({ kind: "call", running: RunningCall.create(call, resolve) });
+        });
+    }
+
+    public idle(): Promise<void> {
+        return new Promise(resolve => {
+            this.idleWaiters.push(resolve);
+            this.emit({ kind: "tick" });
+        });
+    }
+
+    private emit(event: ServiceCallEvent): void {
+        this.inputs.next(of(event));
+    }
+
+    private moment(): Moment {
+        const { clock } = this.options;
+        return { now: clock.monotonicMilliseconds(), wallNow: clock.wallMilliseconds() };
+    }
+
+    private handle(event: ServiceCallEvent): void {
+        switch (event.kind) {
+            case "call":
+                this.begin(event.running);
+                break;
+            case "store":
+                this.execute(event.apply(this.machine, this.moment()));
+                break;
+            case "sent":
+                this.sent(event);
+                break;
+            case "tick":
+                this.execute(this.machine.tick(this.moment()));
+                this.expireUnclaimed();
+                break;
+        }
+        this.keepTicking();
+    }
+
+    private begin(running: RunningCall): void {
+        const { call } = running;
+        if (this.calls.has(call.id)) {
+            running.refuse("invalidRequest", "a request with this id is running", false);
+            return;
+        }
+        this.calls.set(call.id, running);
+        this.retries.recordFirstAttempt();
+        if (!running.isClaimed() || call.key === undefined) {
+            this.send(running);
+            return;
+        }
+        if (this.sendRules.sendsBeforeClaim) {
+            this.send(running);
+        }
+        const { id, key, deadline, isRepeat = false } = call;
+        const request = { request: id, key, digest: callDigest(call), deadline, isRepeat };
+        this.execute(this.machine.claim(request, this.moment()));
+    }
+
+    private execute(commands: readonly ClaimCommand[]): void {
+        for (const command of commands) {
+            this.executeOne(command);
+        }
+    }
+
+    private executeOne(command: ClaimCommand): void {
+        switch (command.kind) {
+            case "read":
+                this.inputs.next(readClaims(this.options.store, command.storeKey, command.deadline));
+                return;
+            case "swap":
+                this.inputs.next(swapClaims(this.options.store, command.swap, command.deadline));
+                return;
+            case "granted":
+                this.granted(command.request);
+                return;
+            case "replay":
+                this.finish(command.request, running => running.answer(command.answer, true));
+                return;
+            case "refused":
+                this.finish(command.request, running => running.fail(command.fault));
+        }
+    }
+
+    private granted(request: RequestId): void {
+        const running = this.calls.get(request);
+        const key = running?.call.key;
+        if (key !== undefined) {
+            this.options.record({ kind: "claimWritten", request, key });
+        }
+        if (running === undefined) {
+            const fault = {
+                code: "cancelled",
+                message: "the call is gone",
+                step: "send",
+                notRun: true,
+            } as const;
+            this.execute(this.machine.release(request, fault, this.moment()));
+        } else if (!running.wasSent()) {
+            this.send(running);
+        }
+    }
+
+    // Routes, checks the deadline last and sends in the same turn.
+    private send(running: RunningCall): void {
+        const { call } = running;
+        const instance = this.options.route(call, running.tried());
+        if (instance === undefined) {
+            this.sendFailed(running, running.notRunFault("noEndpoint", "no instance can take the call"));
+            return;
+        }
+        const at = this.moment();
+        if (running.isClaimed() && !this.sendRules.sendsBeforeClaim) {
+            const refusal = this.machine.startSending(call.id, at);
+            if (refusal !== undefined) {
+                this.execute(refusal);
+                return;
+            }
+        } else if (at.now >= call.deadline) {
+            this.sendFailed(
+                running,
+                running.notRunFault("deadlinePassed", "the deadline passed before a send"),
+            );
+            return;
+        }
+        running.startSend(instance);
+        const attempt = running.tried().length;
+        this.options.record({ kind: "requestDispatched", request: call.id, attempt, instance: instance.id });
+        this.inputs.next(sendCall(this.options.send, running, instance));
+    }
+
+    private sent({ running, instance, outcome }: Extract<ServiceCallEvent, { kind: "sent" }>): void {
+        running.endSend(outcome);
+        if (outcome.kind === "answered") {
+            running.answer(outcome.answer, false);
+            this.settle(running);
+            return;
+        }
+        const request = running.call.id;
+        const { code } = outcome.fault;
+        this.options.record({ kind: "attemptFailed", request, attempt: running.tried().length, code });
+        if (this.mayRepeat(running, outcome.kind)) {
+            this.machine.notRun(request);
+            this.send(running);
+        } else if (outcome.kind === "notRun") {
+            this.machine.notRun(request);
+            this.sendFailed(running, { ...outcome.fault, peer: instance.id, notRun: true });
+        } else {
+            this.settle(running);
+        }
+    }
+
+    private mayRepeat(running: RunningCall, outcome: "notRun" | "unknown"): boolean {
+        const { call } = running;
+        if (running.isAnswered() || !this.sendRules.mayRepeat(call, outcome)) {
+            return false;
+        }
+        if (this.options.route(call, running.tried()) === undefined) {
+            return false;
+        }
+        const { now } = this.moment();
+        const request = { deadline: call.deadline, expectedMilliseconds: 0, isRetry: false };
+        return this.retries.tryTake(request, now);
+    }
+
+    // There was no send, or the last one proved that it ran nothing.
+    private sendFailed(running: RunningCall, fault: Fault): void {
+        if (running.isClaimed()) {
+            this.forgetIfAnswered(running);
+            this.execute(this.machine.release(running.call.id, fault, this.moment()));
+            return;
+        }
+        running.fail({ ...fault, notRun: fault.notRun && !running.mayHaveRun() });
+        this.calls.delete(running.call.id);
+    }
+
+    private forgetIfAnswered(running: RunningCall): void {
+        if (running.isAnswered()) {
+            this.calls.delete(running.call.id);
+        }
+    }
+
+    private settle(running: RunningCall): void {
+        const { call } = running;
+        const outcome = running.outcome();
+        this.calls.delete(call.id);
+        if (running.isClaimed() && call.key !== undefined) {
+            this.execute(this.machine.settle(call.id, outcome, this.moment()));
+            const { record } = this.options;
+            record({ kind: "claimSettled", request: call.id, key: call.key, outcome: outcome.kind });
+        }
+        if (outcome.kind === "unknown") {
+            running.fail(outcome.fault);
+        }
+    }
+
+    private finish(request: RequestId, end: (running: RunningCall) => void): void {
+        const running = this.calls.get(request);
+        if (running === undefined) {
+            return;
+        }
+        end(running);
+        if (!running.isSending()) {
+            this.calls.delete(request);
+        }
+    }
+
+    // The machine does this for claimed calls.
+    private expireUnclaimed(): void {
+        const { now } = this.moment();
+        for (const running of this.calls.values()) {
+            if (!running.isClaimed() && !running.isAnswered() && now >= running.call.deadline) {
+                running.refuse("outcomeUnknown", "the deadline passed before the service answered", false);
+            }
+        }
+    }
+
+    private keepTicking(): void {
+        if (this.calls.size === 0 && this.machine.isIdle()) {
+            this.idleWaiters.splice(0).forEach(resolve => resolve());
+            return;
+        }
+        if (this.isTicking) {
+            return;
+        }
+        this.isTicking = true;
+        const milliseconds = this.options.claims?.tickMilliseconds ?? defaultClaimOptions.tickMilliseconds;
+        this.schedule(this.moment().now + milliseconds, () => {
+            this.isTicking = false;
+            this.emit({ kind: "tick" });
+        });
+    }
+}
--- /dev/null
+++ b/tests/histories/claims-stores.ts
@@ -0,0 +1,115 @@
+/** A model of the key-value service in virtual time, with links that lose, delay and double calls. */
+import { NEVER } from "rxjs";
+import type { VirtualLoop } from "../../benchmarks/loops.js";
+import type {
+    KeyValueEntry,
+    KeyValueStore,
+    ReadAnswer,
+    Swap,
+    SwapOutcome,
+} from "../../src/contracts/key-value-stores.js";
+import type { Fault, Result } from "../../src/core/errors.js";
+import { fail, succeed } from "../../src/core/errors.js";
+
+const lost: Fault = { code: "storeAmbiguous", message: "no answer", step: "store", notRun: false };
+const refused: Fault = { code: "storeUnavailable", message: "no connection", step: "store", notRun: true };
+
+/** What the network does to one call. */
+export interface CallFate {
+    /** Milliseconds until the call takes effect; may lie after its deadline. Undefined: it never does. */
+    readonly effectAfter: number | undefined;
+    /** Milliseconds from the effect to the answer; undefined: the answer is lost. */
+    readonly answerAfter: number | undefined;
+    /** True if the call takes effect a second time, and that answer is the one that arrives. */
+    readonly isDoubled: boolean;
+    /** True if the connection fails at once. */
+    readonly isRefused: boolean;
+}
+
+/** The shared values and the counts of calls. */
+export class ModelStore {
+    private readonly values = new Map<string, KeyValueEntry>();
+    private revision = 1;
+    public reads = 0;
+    public swaps = 0;
+    public conflicts = 0;
+
+    private constructor() {}
+
+    public static create(): ModelStore {
+        return new ModelStore();
+    }
+
+    public read(key: string): ReadAnswer {
+        this.reads += 1;
+        const entry = this.values.get(key);
+        return { revision: this.revision, entries: entry === undefined ? [] : [entry] };
+    }
+
+    public swap({ key, expectedRevision, value }: Swap): SwapOutcome {
+        this.swaps += 1;
+        const current = this.values.get(key);
+        if ((current?.modRevision ?? 0) !== expectedRevision) {
+            this.conflicts += 1;
+            return { kind: "conflict", revision: this.revision, current };
+        }
+        this.revision += 1;
+        if (value === undefined) {
+            this.values.delete(key);
+        } else {
+            this.values.set(key, { key, value, modRevision: this.revision });
+        }
+        return { kind: "swapped", revision: this.revision };
+    }
+
+    /** Longest value, in characters. */
+    public longestValue(): number {
+        return Math.max(0, ...[...this.values.values()].map(entry => entry.value.length));
+    }
+}
+
+/** The store as one client reaches it. `deliver` brings answers to the client, which may be paused or gone. */
+export function connectStore(
+    store: ModelStore,
+    loop: VirtualLoop,
+    nextFate: () => CallFate,
+    deliver: (action: () => void) => void,
+): KeyValueStore {
+    function call<T>(deadline: number, effect: () => T, onLost: T, onRefused: T): Promise<T> {
+        const fate = nextFate();
+        return new Promise(resolve => {
+            if (fate.isRefused) {
+                loop.after(1, () => deliver(() => resolve(onRefused)));
+                return;
+            }
+            loop.at(deadline, () => deliver(() => resolve(onLost)));
+            if (fate.effectAfter === undefined) {
+                return;
+            }
+            loop.after(fate.effectAfter, () => {
+                const first = effect();
+                const answer = fate.isDoubled ? effect() : first;
+                if (fate.answerAfter !== undefined) {
+                    loop.after(fate.answerAfter, () => deliver(() => resolve(answer)));
+                }
+            });
+        });
+    }
+    const unused = () => Promise.resolve(fail(refused));
+    return {
+        get: (key, { deadline }) =>
+            call<Result<ReadAnswer>>(deadline, () => succeed(store.read(key)), fail(lost), fail(refused)),
+        compareAndSwap: (swap, { deadline }) =>
+            call<SwapOutcome>(
+                deadline,
+                () => store.swap(swap),
+                { kind: "ambiguous", fault: lost },
+                { kind: "notSent", fault: refused },
+            ),
+        list: unused,
+        grantLease: unused,
+        renewLease: unused,
+        revokeLease: unused,
+        watch: () => NEVER,
+    };
+}
--- /dev/null
+++ b/tests/histories/claims-worlds.ts
@@ -0,0 +1,220 @@
+/** Several entry instances over one model store and one model service, in virtual time. */
+import { VirtualLoop } from "../../benchmarks/loops.js";
+import type { SendOutcome } from "../../src/contracts/services.js";
+import type { ClaimOptions, ClaimRules } from "../../src/core/claim-rules.js";
+import type { Fault } from "../../src/core/errors.js";
+import type { Instance } from "../../src/core/instances.js";
+import { createRandomNumber } from "../../src/core/random-numbers.js";
+import type { ServiceCall } from "../../src/core/requests.js";
+import type { SendRules, ServiceOutcome } from "../../src/daemons/entry/claim-calls.js";
+import type { ServiceCalls } from "../../src/daemons/entry/service-calls.js";
+import { createServiceCalls } from "../../src/daemons/entry/service-calls.js";
+import type { CallFate } from "./claims-stores.js";
+import { ModelStore, connectStore } from "./claims-stores.js";
+
+export const wallStart = 1_800_000_000_000;
+
+/** One run of a call at the service. */
+export interface Execution {
+    readonly request: string;
+    readonly key: string;
+    readonly at: number;
+    readonly answer: string;
+}
+
+/** One request and what became of it. */
+export interface Attempt {
+    readonly call: ServiceCall;
+    readonly entry: number;
+    told?: ServiceOutcome;
+    toldAt?: number;
+    sentAt?: number;
+    /** True if a send of this attempt lost its answer. */
+    isUnknown: boolean;
+}
+
+export interface WorldOptions {
+    readonly seed: number;
+    readonly entries: number;
+    /** Chance of each kind of loss on each call. */
+    readonly lossRate: number;
+    readonly rules?: { readonly claims?: ClaimRules; readonly sends?: SendRules };
+    readonly claims?: Partial<ClaimOptions>;
+}
+
+interface Entry {
+    calls: ServiceCalls;
+    pausedUntil: number;
+    cutUntil: number;
+    incarnation: number;
+}
+
+function serviceInstance(number: number): Instance {
+    return {
+        id: `service-${number}`,
+        address: `127.0.0.1:${9000 + number}`,
+        failureDomain: "a",
+        fabricDomain: "a",
+        role: "service",
+        service: "depot",
+        state: "live",
+    };
+}
+
+const instances = [0, 1, 2].map(serviceInstance);
+const fault: Fault = { code: "endpointFailed", message: "lost", step: "send", notRun: false };
+
+/** The world of one history. */
+export class ClaimWorld {
+    public readonly loop = VirtualLoop.create();
+    public readonly store = ModelStore.create();
+    public readonly executions: Execution[] = [];
+    public readonly attempts: Attempt[] = [];
+    public readonly crashedEntries = new Set<number>();
+    public isCalm = false;
+    public storeDownUntil = -1;
+    private readonly random: () => number;
+    private readonly entries: Entry[] = [];
+
+    private constructor(private readonly options: WorldOptions) {
+        this.random = createRandomNumber(options.seed);
+        for (let index = 0; index < options.entries; index += 1) {
+            this.entries.push({ calls: undefined!, pausedUntil: -1, cutUntil: -1, incarnation: 0 });
+            this.start(index);
+        }
+    }
+
+    public static create(options: WorldOptions): ClaimWorld {
+        return new ClaimWorld(options);
+    }
+
+    /** Sends a request to an entry; a repeat of the same key is another attempt. */
+    public request(index: number, call: Omit<ServiceCall, "id" | "deadline">, remaining: number): void {
+        this.deliver(index, this.entries[index]!.incarnation, () => {
+            const id = `attempt-${this.attempts.length}`;
+            const deadline = this.loop.now() + remaining;
+            const attempt: Attempt = { call: { ...call, id, deadline }, entry: index, isUnknown: false };
+            this.attempts.push(attempt);
+            void this.entries[index]!.calls.run(attempt.call).then(told => {
+                attempt.told = told;
+                attempt.toldAt = this.loop.now();
+            });
+        });
+    }
+
+    /** Freezes an entry's process. */
+    public pause(index: number, milliseconds: number): void {
+        this.entries[index]!.pausedUntil = this.loop.now() + milliseconds;
+    }
+
+    /** Cuts an entry off from the store. */
+    public cut(index: number, milliseconds: number): void {
+        this.entries[index]!.cutUntil = this.loop.now() + milliseconds;
+    }
+
+    /** Kills an entry's process and starts another in its place. */
+    public crash(index: number): void {
+        this.crashedEntries.add(index);
+        this.entries[index]!.incarnation += 1;
+        this.start(index);
+    }
+
+    /** Entries that do not come to rest. */
+    public async restless(): Promise<readonly number[]> {
+        const idle = new Set<number>();
+        this.entries.forEach((entry, index) => void entry.calls.idle().then(() => idle.add(index)));
+        await this.loop.runUntilSettled(this.loop.now() + 10_000);
+        return this.entries.map((_, index) => index).filter(index => !idle.has(index));
+    }
+
+    private start(index: number): void {
+        const { incarnation } = this.entries[index]!;
+        const deliver = (action: () => void) => this.deliver(index, incarnation, action);
+        const clock = {
+            monotonicMilliseconds: () => this.loop.now(),
+            wallMilliseconds: () => wallStart + this.loop.now(),
+        };
+        this.entries[index]!.calls = createServiceCalls({
+            store: connectStore(this.store, this.loop, () => this.storeFate(index), deliver),
+            send: (call, instance) => this.send(call, instance, deliver),
+            route: (_, tried) => instances.find(({ id }) => !tried.includes(id)),
+            clock,
+            random: this.random,
+            record: () => undefined,
+            claims: { storeMilliseconds: 300, shards: 1, ...this.options.claims },
+            schedule: (at, action) => this.loop.at(at, () => deliver(action)),
+            rules: this.options.rules,
+        });
+    }
+
+    private deliver(index: number, incarnation: number, action: () => void): void {
+        const entry = this.entries[index]!;
+        if (entry.incarnation !== incarnation) {
+            return;
+        }
+        if (this.loop.now() < entry.pausedUntil) {
+            this.loop.at(entry.pausedUntil, () => this.deliver(index, incarnation, action));
+            return;
+        }
+        action();
+    }
+
+    private isLost(): boolean {
+        return !this.isCalm && this.random() < this.options.lossRate;
+    }
+
+    private storeFate(index: number): CallFate {
+        const isAway =
+            this.loop.now() < Math.max(this.storeDownUntil, this.entries[index]!.cutUntil) && !this.isCalm;
+        const delay = 1 + this.random() * 10;
+        const isLate = this.isLost();
+        const isNever = this.isLost() || (isAway && this.random() < 0.5);
+        return {
+            effectAfter: isNever ? undefined : isLate ? 200 + this.random() * 1_500 : delay,
+            answerAfter: this.isLost() ? undefined : delay,
+            isDoubled: this.isLost(),
+            isRefused: isAway && this.random() < 0.5,
+        };
+    }
+
+    private send(
+        call: ServiceCall,
+        instance: Instance,
+        deliver: (action: () => void) => void,
+    ): Promise<SendOutcome> {
+        const attempt = this.attempts.find(candidate => candidate.call.id === call.id)!;
+        attempt.sentAt = this.loop.now();
+        return new Promise(resolve => {
+            const answer = (milliseconds: number, outcome: SendOutcome) => {
+                attempt.isUnknown ||= outcome.kind === "unknown";
+                this.loop.after(milliseconds, () => deliver(() => resolve(outcome)));
+            };
+            if (this.isLost()) {
+                answer(1, { kind: "notRun", fault: { ...fault, notRun: true, peer: instance.id } });
+                return;
+            }
+            if (this.isLost()) {
+                answer(50, { kind: "unknown", fault });
+                return;
+            }
+            const delay = this.isLost() ? 500 + this.random() * 2_000 : 1 + this.random() * 20;
+            const isAnswerLost = this.isLost();
+            if (isAnswerLost) {
+                answer(this.random() * 100, { kind: "unknown", fault });
+            }
+            this.loop.after(delay, () => {
+                const body = this.execute(call);
+                if (!isAnswerLost) {
+                    answer(delay, { kind: "answered", answer: { status: 201, body } });
+                }
+            });
+        });
+    }
+
+    private execute(call: ServiceCall): string {
+        const answer = `run ${this.executions.length} of ${call.body}`;
+        const key = call.key ?? call.id;
+        this.executions.push({ request: call.id, key, at: this.loop.now(), answer });
+        return answer;
+    }
+}
--- /dev/null
+++ b/tests/histories/claims.ts
@@ -0,0 +1,200 @@
+/** Histories of keyed calls under faults, and broken variants that the checker must catch. */
+import fc from "fast-check";
+import type { ClaimRules } from "../../src/core/claim-rules.js";
+import { claimRules } from "../../src/core/claim-rules.js";
+import type { ServiceCall } from "../../src/core/requests.js";
+import type { SendRules } from "../../src/daemons/entry/claim-calls.js";
+import { sendRules } from "../../src/daemons/entry/claim-calls.js";
+import type { MutantResult, Proof, ProofFailure, ProofOptions, ProofResult } from "../proofs.js";
+import { checkClaims, countUnmarkedRepeats } from "./claims-checkers.js";
+import { ClaimWorld, wallStart } from "./claims-worlds.js";
+
+const faultsEndAt = 8_000;
+const finalsAt = 14_000;
+const finalRemaining = 4_000;
+const maximumEntries = 4;
+const mutantHistories = 4_000;
+
+const operation = fc.record({
+    at: fc.integer({ min: 0, max: 5_000 }),
+    key: fc.nat({ max: 2 }),
+    entry: fc.nat({ max: maximumEntries - 1 }),
+    /** 1 in 8 requests has another body, or another subscriber, than the key's other requests. */
+    variant: fc.nat({ max: 15 }),
+    remaining: fc.integer({ min: 20, max: 3_000 }),
+});
+
+const disturbance = fc.record({
+    at: fc.integer({ min: 0, max: 6_000 }),
+    kind: fc.constantFrom("pause", "crash", "cut", "storeDown"),
+    entry: fc.nat({ max: maximumEntries - 1 }),
+    milliseconds: fc.integer({ min: 10, max: 3_000 }),
+});
+
+const scenario = fc.record({
+    seed: fc.integer(),
+    entries: fc.integer({ min: 1, max: maximumEntries }),
+    lossRate: fc.constantFrom(0, 0.05, 0.15, 0.3),
+    marksRepeats: fc.boolean(),
+    maximumBatch: fc.constantFrom(1, 4, 256),
+    operations: fc.array(operation, { minLength: 1, maxLength: 12 }),
+    disturbances: fc.array(disturbance, { maxLength: 5 }),
+});
+
+type Scenario = typeof scenario extends fc.Arbitrary<infer T> ? T : never;
+
+interface Rules {
+    readonly claims?: ClaimRules;
+    readonly sends?: SendRules;
+}
+
+function keyOf(index: number): string {
+    const time = (wallStart - 1_000 + index).toString(16).padStart(12, "0");
+    return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-00000000000${index}`;
+}
+
+function callOf(key: number, variant: number, isRepeat: boolean): Omit<ServiceCall, "id" | "deadline"> {
+    return {
+        caller: { team: "kelani", subscriber: variant === 1 ? "driver-2" : "driver-1" },
+        service: "depot",
+        method: "POST",
+        path: "/bookings",
+        body: variant === 0 ? `other ${key}` : `booking ${key}`,
+        idempotent: false,
+        key: keyOf(key),
+        isRepeat,
+    };
+}
+
+function disturb(world: ClaimWorld, { kind, entry, milliseconds }: Scenario["disturbances"][number]): void {
+    switch (kind) {
+        case "pause":
+            return world.pause(entry, milliseconds);
+        case "cut":
+            return world.cut(entry, milliseconds);
+        case "crash":
+            return world.crash(entry);
+        case "storeDown":
+            world.storeDownUntil = world.loop.now() + milliseconds;
+    }
+}
+
+function schedule(world: ClaimWorld, history: Scenario): void {
+    const used = new Set<number>();
+    const operations = [...history.operations].sort((left, right) => left.at - right.at);
+    for (const { at, key, entry, variant, remaining } of operations) {
+        const call = callOf(key, variant, history.marksRepeats && used.has(key));
+        used.add(key);
+        world.loop.at(at, () => world.request(entry % history.entries, call, remaining));
+    }
+    for (const entry of history.disturbances) {
+        world.loop.at(entry.at, () => disturb(world, { ...entry, entry: entry.entry % history.entries }));
+    }
+}
+
+interface HistoryResult {
+    readonly problem: string | undefined;
+    readonly counts: Readonly<Record<string, number>>;
+}
+
+/** Runs one history and checks it. */
+async function runHistory(history: Scenario, rules: Rules): Promise<HistoryResult> {
+    const { seed, entries, lossRate, maximumBatch } = history;
+    const world = ClaimWorld.create({ seed, entries, lossRate, rules, claims: { maximumBatch } });
+    schedule(world, history);
+    await world.loop.runUntilSettled(faultsEndAt);
+    world.isCalm = true;
+    await world.loop.runUntilSettled(finalsAt);
+    const before = world.attempts.length;
+    const keys = new Set(history.operations.map(({ key }) => key));
+    for (const key of keys) {
+        world.request(0, callOf(key, 2, true), finalRemaining);
+    }
+    await world.loop.runUntilSettled(finalsAt + 2 * finalRemaining);
+    const restless = await world.restless();
+    const hasPauses = history.disturbances.some(({ kind }) => kind === "pause");
+    const finals = world.attempts.slice(before);
+    const problem =
+        restless.length > 0
+            ? `entries ${restless.join()} never rest`
+            : checkClaims(world, finals, { hasPauses });
+    return { problem, counts: countHistory(world) };
+}
+
+function countHistory(world: ClaimWorld): Readonly<Record<string, number>> {
+    const told = (isCounted: (attempt: (typeof world.attempts)[number]) => boolean) =>
+        world.attempts.filter(isCounted).length;
+    return {
+        requests: world.attempts.length,
+        runs: world.executions.length,
+        answered: told(attempt => attempt.told?.kind === "answered"),
+        notRun: told(({ told: t }) => t?.kind === "refused" && t.fault.notRun),
+        unknown: told(({ told: t }) => t?.kind === "refused" && !t.fault.notRun),
+        unmarkedRepeatsToldNotRun: countUnmarkedRepeats(world),
+        conflicts: world.store.conflicts,
+    };
+}
+
+/** Runs histories until one fails; returns how many ran and what failed. */
+export async function searchClaims(options: ProofOptions, rules: Rules = {}) {
+    const counts: Record<string, number> = {};
+    let histories = 0;
+    const property = fc.asyncProperty(scenario, async history => {
+        const result = await runHistory(history, rules);
+        histories += 1;
+        for (const [name, count] of Object.entries(result.counts)) {
+            counts[name] = (counts[name] ?? 0) + count;
+        }
+        if (result.problem !== undefined) {
+            throw new Error(result.problem);
+        }
+    });
+    const details = await fc.check(property, {
+        seed: options.seed,
+        numRuns: options.histories,
+        endOnFailure: true,
+    });
+    const error = details.errorInstance instanceof Error ? details.errorInstance.message : "";
+    const failures: ProofFailure[] = details.failed
+        ? [{ seed: options.seed, message: `${error}: ${JSON.stringify(details.counterexample)}` }]
+        : [];
+    return { histories, counts, failures, error };
+}
+
+/** Broken variants. */
+export const claimMutants: Readonly<Record<string, Rules>> = {
+    claimSkipped: { claims: { ...claimRules, requiresClaim: false } },
+    claimAfterSend: { sends: { ...sendRules, sendsBeforeClaim: true } },
+    ambiguousWriteTakenAsDone: { claims: { ...claimRules, ambiguousCountsAs: "written" } },
+    ambiguousWriteTakenAsFailed: { claims: { ...claimRules, ambiguousCountsAs: "failed" } },
+    deadlineNotRechecked: { claims: { ...claimRules, isInTime: () => true } },
+    releasedAfterSend: { claims: { ...claimRules, unansweredBecomes: "released" } },
+    repeatedOnUnknown: { sends: { ...sendRules, mayRepeat: () => true } },
+    foreignClaimOverwritten: {
+        claims: {
+            ...claimRules,
+            meet: (operation, existing) =>
+                operation.kind === "claim" ? { set: operation.record } : claimRules.meet(operation, existing),
+        },
+    },
+    digestNotCompared: { claims: { ...claimRules, isSameCall: () => true } },
+};
+
+async function runMutants(seed: number): Promise<readonly MutantResult[]> {
+    const results: MutantResult[] = [];
+    for (const [name, rules] of Object.entries(claimMutants)) {
+        const found = await searchClaims({ seed, histories: mutantHistories }, rules);
+        const caught = found.failures.length > 0;
+        results.push({ name, caught, histories: found.histories, message: found.error });
+    }
+    return results;
+}
+
+/** The proof of "at most once" and of "not run". */
+export const claimsProof: Proof = {
+    name: "claims",
+    run: async (options: ProofOptions): Promise<ProofResult> => {
+        const { histories, failures, counts } = await searchClaims(options);
+        return { histories, failures, counts, mutants: await runMutants(options.seed) };
+    },
+};
