Prove whole answers by histories, and wait for engines that ran nothing until the deadline

Histories of one caller over dying entry instances, dying and stalling engines, and links that lose, delay, double and mix events. The text of each model token holds the hash of all text before it, so that a gap, a doubled or a foreign token or a wrong middle shows. With that change the checker no longer met a lost answer's end, and the mutant silentEnd was not caught; the rule now covers every fault.

--- a/src/core/answers-options.ts
+++ b/src/core/answers-options.ts
@@ -21,10 +21,10 @@
     readonly maximumUntakenTokens: number;
     /** How long a stream is kept after its caller left, in milliseconds. */
     readonly resumeWindowMilliseconds: number;
-    /** Lost attempts in a row, with no new token between them, after which the answer fails. */
-    readonly maximumFailuresWithoutProgress: number;
-    /** Milliseconds to wait before the restart that follows this many failures without progress. */
-    readonly restartDelay: (failures: number) => number;
+    /** Attempts lost in a row after an engine began them, with no new token, after which the answer fails. */
+    readonly maximumLossesAfterStart: number;
+    /** Milliseconds to wait before the restart that follows this many losses without a new token. */
+    readonly restartDelay: (losses: number) => number;
     /**
      * Asked before each restart; false ends the answer with a fault. A retry budget should refuse only answers that
      * have delivered nothing (`nextOffset` is 0): refusing others would break them.
@@ -41,8 +41,8 @@
     maximumBufferedTokens: 256,
     maximumUntakenTokens: 512,
     resumeWindowMilliseconds: 15_000,
-    maximumFailuresWithoutProgress: 8,
-    restartDelay: (failures: number) => (failures <= 2 ? 0 : Math.min(2_000, 50 * 2 ** (failures - 3))),
+    maximumLossesAfterStart: 8,
+    restartDelay: (losses: number) => (losses <= 2 ? 0 : Math.min(2_000, 50 * 2 ** (losses - 3))),
     mayRetry: () => true,
 } as const;
 
@@ -61,7 +61,7 @@
     /** Whether a lost stream is resumed at the same engine first. */
     readonly mayResume: boolean;
     /** Fault that the caller is told; undefined would be a silent end. */
-    readonly lossFault: (fault: Fault) => Fault | undefined;
+    readonly endFault: (fault: Fault) => Fault | undefined;
 }
 
 /** The rules in force. */
@@ -71,5 +71,5 @@
     isNext: (offset, nextOffset) => offset === nextOffset,
     isComplete: (nextOffset, endOffset) => nextOffset === endOffset,
     mayResume: true,
-    lossFault: fault => fault,
+    endFault: fault => fault,
 };
--- a/src/core/answers.ts
+++ b/src/core/answers.ts
@@ -9,6 +9,7 @@
 import type { AnswerCommand, AnswerStep, AttemptEvent } from "./answers-commands.js";
 import type { AnswerOptions, AnswerRules } from "./answers-options.js";
 import { answerRules } from "./answers-options.js";
+import { LossCounter } from "./answers-losses.js";
 import { StreamPace } from "./answers-paces.js";
 import type { SequenceStep } from "./answers-sequences.js";
 import { TokenSequence } from "./answers-sequences.js";
@@ -17,17 +18,6 @@
 /** What the log waits for. */
 type Phase = "streaming" | "detached" | "waiting" | "ended";
 
-// After these faults the engine no longer has the stream, so a resume would be lost time.
-const streamGoneCodes: ReadonlySet<FaultCode> = new Set([
-    "notFound",
-    "staleEpoch",
-    "noReplica",
-    "noEndpoint",
-]);
-
-// After these faults no replica would answer otherwise.
-const permanentCodes: ReadonlySet<FaultCode> = new Set(["invalidRequest", "requestTooLarge", "forbidden"]);
-
 /** The answer log of one request at one entry instance. */
 export class AnswerLog {
     private phase: Phase = "streaming";
@@ -36,8 +26,7 @@
     private takenOffset: number;
     private delivered: string | undefined;
     private pace: StreamPace;
-    private failuresWithoutProgress = 0;
-    private resumedWithoutProgress = false;
+    private readonly losses: LossCounter;
     private mayHaveRun: boolean;
     private restartAt = 0;
     private callerGoneUntil: number | undefined;
@@ -54,6 +43,7 @@
         this.delivered = options.delivered;
         this.mayHaveRun = options.fromOffset > 0 || options.attempt > 1;
         this.pace = StreamPace.create(options.pace, now);
+        this.losses = LossCounter.create(options.maximumLossesAfterStart);
     }
 
     /** Starts a log for an attempt that the driver has just begun. */
@@ -183,8 +173,7 @@
 
     private recordProgress(now: number): void {
         this.pace = this.pace.progressed(now);
-        this.failuresWithoutProgress = 0;
-        this.resumedWithoutProgress = false;
+        this.losses.reset();
     }
 
     private endIfComplete(): void {
@@ -206,19 +195,17 @@
 
     private streamLost(fault: Fault, now: number): void {
         this.sequence.forgetAttempt();
-        this.failuresWithoutProgress += 1;
-        const tooMany = this.failuresWithoutProgress > this.options.maximumFailuresWithoutProgress;
-        if (tooMany || permanentCodes.has(fault.code)) {
-            this.failWith(this.rules.lossFault({ ...fault, notRun: !this.mayHaveRun }));
-            return;
-        }
-        if (this.rules.mayResume && this.mayHaveRun && !this.resumedWithoutProgress && !isGone(fault)) {
-            this.resumedWithoutProgress = true;
-            this.commands.push({ kind: "detach", attempt: this.attempt });
-            this.resume(now);
-            return;
+        switch (this.losses.next(fault, this.rules.mayResume && this.mayHaveRun)) {
+            case "resume":
+                this.commands.push({ kind: "detach", attempt: this.attempt });
+                this.resume(now);
+                return;
+            case "restart":
+                this.planRestart(fault, now);
+                return;
+            case "fail":
+                this.failWith({ ...fault, notRun: !this.mayHaveRun });
         }
-        this.planRestart(fault, now);
     }
 
     private planRestart(fault: Fault, now: number): void {
@@ -229,11 +216,11 @@
             return;
         }
         if (!this.options.mayRetry(now, this.sequence.nextOffset())) {
-            this.failWith(this.rules.lossFault({ ...fault, notRun: !this.mayHaveRun }));
+            this.failWith({ ...fault, notRun: !this.mayHaveRun });
             return;
         }
         this.commands.push({ kind: "cancel", attempt: this.attempt });
-        const delay = this.options.restartDelay(this.failuresWithoutProgress);
+        const delay = this.options.restartDelay(this.losses.count());
         this.restartAt = Math.max(now + delay, fault.retryAt ?? 0);
         this.phase = "waiting";
         if (this.restartAt <= now) {
@@ -262,14 +249,15 @@
         this.pace = this.pace.restarted(now);
     }
 
-    private failWith(fault: Fault | undefined): void {
+    private failWith(fault: Fault): void {
         const wasAttached = this.phase === "streaming" || this.phase === "detached";
         this.phase = "ended";
         if (wasAttached) {
             this.commands.push({ kind: "cancel", attempt: this.attempt });
         }
-        if (fault !== undefined) {
-            this.commands.push({ kind: "fail", fault });
+        const told = this.rules.endFault(fault);
+        if (told !== undefined) {
+            this.commands.push({ kind: "fail", fault: told });
         }
     }
 
@@ -297,7 +285,3 @@
         return Math.max(now, Math.min(...times));
     }
 }
-
-function isGone(fault: Fault): boolean {
-    return fault.notRun || streamGoneCodes.has(fault.code);
-}
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,6 +1,7 @@
 /** The library surface of chervilrouter's decisions, free of input, output and clocks. */
 export * as answers from "./answers.js";
 export * as answersCommands from "./answers-commands.js";
+export * as answersLosses from "./answers-losses.js";
 export * as answersOptions from "./answers-options.js";
 export * as answersPaces from "./answers-paces.js";
 export * as claimRecords from "./claim-records.js";
--- /dev/null
+++ b/tests/histories/answers-worlds.ts
@@ -0,0 +1,245 @@
+/** One caller, entry instances that die, and model engines, in virtual time. */
+import { VirtualLoop } from "../../benchmarks/loops.js";
+import { AnswerLog } from "../../src/core/answers.js";
+import type { AnswerCommand, AnswerStep } from "../../src/core/answers-commands.js";
+import type { AnswerOptions, AnswerRules } from "../../src/core/answers-options.js";
+import { defaultAnswerOptions } from "../../src/core/answers-options.js";
+import type { Fault } from "../../src/core/errors.js";
+import { createRandomNumber } from "../../src/core/random-numbers.js";
+import type { Subscriber } from "./answers-engines.js";
+import { ModelEngine, tokenText } from "./answers-engines.js";
+
+const engineCount = 3;
+const pace = {
+    firstTokenMilliseconds: 300,
+    minimumStallMilliseconds: 150,
+    maximumStallMilliseconds: 1_000,
+    stallFactor: 10,
+};
+
+export interface AnswerWorldOptions {
+    readonly seed: number;
+    readonly tokens: number;
+    readonly faultRate: number;
+    /** Milliseconds that the caller needs for each token. */
+    readonly takeMilliseconds: number;
+    /** Whether a caller that comes back sends the text that it has. */
+    readonly keepsText: boolean;
+    readonly remaining: number;
+    readonly rules: AnswerRules;
+    readonly answer?: Partial<AnswerOptions>;
+}
+
+/** What the caller was told at the end. */
+export type AnswerEnd = { readonly kind: "finished" } | { readonly kind: "failed"; readonly fault: Fault };
+
+/** The world of one answer. */
+export class AnswerWorld {
+    public readonly loop = VirtualLoop.create();
+    public readonly received: { readonly offset: number; readonly text: string }[] = [];
+    public readonly ends: AnswerEnd[] = [];
+    public entryDeaths = 0;
+    public isCalm = false;
+    public readonly engines: readonly ModelEngine[];
+    private readonly random: () => number;
+    private readonly deadline: number;
+    private connection = 0;
+    private attempt = 0;
+    private engine = 0;
+
+    private constructor(private readonly options: AnswerWorldOptions) {
+        this.random = createRandomNumber(options.seed);
+        this.deadline = options.remaining;
+        const { loop, random } = this;
+        const faultRate = () => (this.isCalm ? 0 : options.faultRate);
+        const engineOptions = { loop, random, faultRate, tokens: options.tokens };
+        this.engines = Array.from({ length: engineCount }, (_, index) =>
+            ModelEngine.create(index, engineOptions),
+        );
+    }
+
+    public static create(options: AnswerWorldOptions): AnswerWorld {
+        const world = new AnswerWorld(options);
+        world.connect();
+        return world;
+    }
+
+    /** Kills the caller's entry instance; the caller comes back to another one. */
+    public killEntry(): void {
+        if (this.ends.length > 0) {
+            return;
+        }
+        this.entryDeaths += 1;
+        this.connection += 1;
+        const { connection } = this;
+        this.loop.after(50, () => connection === this.connection && this.connect());
+    }
+
+    /** Text that the caller has. */
+    public text(): string {
+        return this.received.map(({ text }) => text).join("");
+    }
+
+    private connect(): void {
+        const { connection } = this;
+        const isFirst = this.attempt === 0;
+        this.attempt += 1;
+        const log = AnswerLog.create(
+            {
+                ...defaultAnswerOptions,
+                pace,
+                maximumBufferedTokens: 8,
+                maximumUntakenTokens: 6,
+                ...this.options.answer,
+                request: "r",
+                attempt: this.attempt,
+                fromOffset: this.received.length,
+                delivered: isFirst || this.options.keepsText ? this.text() : undefined,
+                deadline: this.deadline,
+            },
+            this.loop.now(),
+            this.options.rules,
+        );
+        const driver = new LogDriver(this, log, connection);
+        driver.begin(isFirst);
+    }
+
+    public isConnected(connection: number): boolean {
+        return connection === this.connection;
+    }
+
+    public currentEngine(): ModelEngine {
+        return this.engines[this.engine]!;
+    }
+
+    public moveToNextEngine(): ModelEngine {
+        this.engine = (this.engine + 1) % engineCount;
+        return this.currentEngine();
+    }
+
+    public noteAttempt(attempt: number): void {
+        this.attempt = Math.max(this.attempt, attempt);
+    }
+
+    public takeDelay(): number {
+        return this.options.takeMilliseconds;
+    }
+}
+
+/** Carries out the commands of one log, as an entry daemon does. */
+class LogDriver {
+    private subscriber: Subscriber | undefined;
+    private takenAt = 0;
+    private plannedTick: number | undefined;
+
+    public constructor(
+        private readonly world: AnswerWorld,
+        private readonly log: AnswerLog,
+        private readonly connection: number,
+    ) {}
+
+    public begin(isFirst: boolean): void {
+        const subscriber = this.subscribe(this.log.currentAttempt());
+        if (isFirst) {
+            this.world.currentEngine().start(subscriber, "", 0);
+        } else {
+            this.world.currentEngine().resume(subscriber, this.log.offset());
+        }
+        this.run(() => this.log.tick(this.world.loop.now()));
+    }
+
+    private subscribe(attempt: number): Subscriber {
+        const now = () => this.world.loop.now();
+        this.world.noteAttempt(attempt);
+        this.subscriber = {
+            request: "r",
+            attempt,
+            receive: (request, number, event) =>
+                this.run(() => this.log.receive({ request, attempt: number, event }, now())),
+            closed: number => this.run(() => this.log.streamClosed(number, now())),
+        };
+        return this.subscriber;
+    }
+
+    // A dead entry instance does nothing any more.
+    private run(step: () => AnswerStep): void {
+        if (!this.world.isConnected(this.connection)) {
+            return;
+        }
+        const { commands, nextTick } = step();
+        commands.forEach(command => this.execute(command));
+        this.plannedTick = nextTick;
+        if (nextTick !== undefined) {
+            this.world.loop.at(nextTick, () => this.tickIfPlanned(nextTick));
+        }
+    }
+
+    // A later step may have planned another tick instead.
+    private tickIfPlanned(at: number): void {
+        if (this.plannedTick === at) {
+            this.run(() => this.log.tick(this.world.loop.now()));
+        }
+    }
+
+    private execute(command: AnswerCommand): void {
+        switch (command.kind) {
+            case "deliver":
+                this.inOrder(this.world.takeDelay(), () => {
+                    this.world.received.push(command);
+                    this.run(() => this.log.callerTook(command.offset + 1, this.world.loop.now()));
+                });
+                return;
+            case "resume":
+                this.world.currentEngine().resume(this.subscribe(command.attempt), command.fromOffset);
+                return;
+            case "restart": {
+                const engine = this.world.moveToNextEngine();
+                engine.start(this.subscribe(command.attempt), command.delivered, command.fromOffset);
+                return;
+            }
+            case "detach":
+                if (this.subscriber !== undefined) {
+                    this.world.currentEngine().detach(this.subscriber);
+                }
+                return;
+            case "cancel":
+                this.world.currentEngine().cancel("r");
+                return;
+            case "finish":
+                this.inOrder(0, () => this.world.ends.push({ kind: "finished" }));
+                return;
+            case "fail":
+                this.inOrder(0, () => this.world.ends.push({ kind: "failed", fault: command.fault }));
+        }
+    }
+
+    // The caller takes what it is sent in order; what a dead entry instance had sent before is lost with it.
+    private inOrder(milliseconds: number, take: () => void): void {
+        const { loop } = this.world;
+        this.takenAt = Math.max(this.takenAt, loop.now()) + milliseconds;
+        loop.at(this.takenAt, () => (this.world.isConnected(this.connection) ? take() : undefined));
+    }
+}
+
+/** Returns the first promise that the answer broke; undefined if none. */
+export function checkAnswer(world: AnswerWorld, tokens: number): string | undefined {
+    let before = "";
+    for (const [index, { offset, text }] of world.received.entries()) {
+        const engine = Number(text.split(".")[2]);
+        if (offset !== index || text !== tokenText("r", index, engine, before)) {
+            return `token ${index} of the caller is "${text}" at offset ${offset}`;
+        }
+        before += text;
+    }
+    const [end, ...more] = world.ends;
+    if (end === undefined || more.length > 0) {
+        return `the answer has ${world.ends.length} ends`;
+    }
+    if (end.kind === "finished" && world.received.length !== tokens) {
+        return `finished after ${world.received.length} of ${tokens} tokens`;
+    }
+    if (end.kind === "failed" && end.fault.notRun && world.engines.some(({ starts }) => starts > 0)) {
+        return `"not run" although an engine ran it: ${end.fault.message}`;
+    }
+    return undefined;
+}
--- /dev/null
+++ b/tests/histories/answers.ts
@@ -0,0 +1,103 @@
+/** Histories of one streamed answer under faults, and broken variants that the checker must catch. */
+import fc from "fast-check";
+import type { AnswerRules } from "../../src/core/answers-options.js";
+import { answerRules } from "../../src/core/answers-options.js";
+import type { Proof, ProofOptions } from "../proofs.js";
+import { AnswerWorld, checkAnswer } from "./answers-worlds.js";
+import type { HistoryResult } from "./searches.js";
+import { searchHistories, searchMutants } from "./searches.js";
+
+const faultsEndAt = 4_000;
+const remaining = 20_000;
+const slack = 1_000;
+
+const disturbance = fc.record({
+    at: fc.integer({ min: 0, max: 2_500 }),
+    kind: fc.constantFrom("engineDeath", "allEnginesDeath", "stall", "entryDeath"),
+    engine: fc.nat({ max: 2 }),
+    milliseconds: fc.integer({ min: 10, max: 2_000 }),
+});
+
+const scenario = fc.record({
+    seed: fc.integer(),
+    tokens: fc.integer({ min: 0, max: 40 }),
+    faultRate: fc.constantFrom(0, 0.02, 0.1, 0.25),
+    takeMilliseconds: fc.constantFrom(0, 5, 40),
+    keepsText: fc.boolean(),
+    disturbances: fc.array(disturbance, { maxLength: 4 }),
+});
+
+type Scenario = typeof scenario extends fc.Arbitrary<infer T> ? T : never;
+
+function disturb(world: AnswerWorld, change: Scenario["disturbances"][number]): void {
+    const { kind, engine, milliseconds } = change;
+    switch (kind) {
+        case "engineDeath":
+            return world.engines[engine]!.die(milliseconds);
+        case "allEnginesDeath":
+            return world.engines.forEach(each => each.die(milliseconds));
+        case "stall":
+            return world.engines[engine]!.stall();
+        case "entryDeath":
+            return world.killEntry();
+    }
+}
+
+async function runHistory(history: Scenario, rules: AnswerRules): Promise<HistoryResult> {
+    const world = AnswerWorld.create({ ...history, remaining, rules });
+    for (const change of history.disturbances) {
+        world.loop.at(change.at, () => disturb(world, change));
+    }
+    world.loop.runUntil(faultsEndAt);
+    world.isCalm = true;
+    world.loop.runUntil(remaining + slack);
+    const hadFaults = history.faultRate > 0 || history.disturbances.length > 0;
+    const [end] = world.ends;
+    const unexplained = end?.kind === "failed" && !hadFaults ? `failed: ${end.fault.message}` : undefined;
+    const isFinished = end?.kind === "finished";
+    return {
+        problem: checkAnswer(world, history.tokens) ?? unexplained,
+        counts: {
+            finished: isFinished ? 1 : 0,
+            failedWithText: end?.kind === "failed" && history.keepsText ? 1 : 0,
+            failedWithoutText: end?.kind === "failed" && !history.keepsText ? 1 : 0,
+            entryDeaths: world.entryDeaths,
+            engineStarts: world.engines.reduce((sum, { starts }) => sum + starts, 0),
+        },
+    };
+}
+
+/** Runs histories of answers until one fails. */
+export function searchAnswers(options: ProofOptions, rules: AnswerRules = answerRules) {
+    return searchHistories(scenario, history => runHistory(history, rules), options);
+}
+
+/** Broken variants. */
+export const answerMutants: Readonly<Record<string, AnswerRules>> = {
+    gapSkipped: { ...answerRules, isNext: (offset, next) => offset >= next },
+    doubledTokenDelivered: {
+        ...answerRules,
+        isDelivered: () => false,
+        isNext: (offset, next) => offset <= next,
+    },
+    foreignEventDelivered: {
+        ...answerRules,
+        isOwn: (expected, event) => event.attempt === expected.attempt,
+    },
+    olderAttemptDelivered: {
+        ...answerRules,
+        isOwn: (expected, event) => event.request === expected.request,
+    },
+    finishedBeforeGap: { ...answerRules, isComplete: () => true },
+    silentEnd: { ...answerRules, endFault: () => undefined },
+};
+
+/** The proof of whole answers. */
+export const answersProof: Proof = {
+    name: "answers",
+    run: async options => {
+        const { histories, failures, counts } = await searchAnswers(options);
+        const mutants = await searchMutants(answerMutants, searchAnswers, options.seed);
+        return { histories, failures, counts, mutants };
+    },
+};
