Add configuration: schemas per path, values and the follower

A follower holds the hierarchy at one store revision and only moves up; the held revision is the tombstone of absent paths, so no list of tombstones is needed for safety. KeyValueEntry has an optional createRevision now, so that a value from before a deletion never stands in for an invalid one made later.

ChervilError could not be thrown: modern-errors builds instances of classes made by subclass() only. A test of the throwing form failed with that message; the class is made by subclass() with a custom class now.

--- a/src/contracts/key-value-stores.ts
+++ b/src/contracts/key-value-stores.ts
@@ -10,6 +10,8 @@
     readonly key: string;
     readonly value: string;
     readonly modRevision: number;
+    /** Store revision at which the key was last created; undefined if the service does not say. */
+    readonly createRevision?: number;
 }
 
 /** A read; `revision` is the store's revision at the time of the read. */
--- /dev/null
+++ b/src/core/configuration-schemas.ts
@@ -0,0 +1,224 @@
+/**
+ * Strict schemas of the operators' values, one for each path of the hierarchy under `config/`. Every field carries the
+ * description that docs/CONFIGURATION.md shows.
+ */
+import { z } from "zod";
+
+const namePart = "([A-Za-z0-9][A-Za-z0-9._-]{0,63})";
+
+const milliseconds = z.int().min(1).max(3_600_000);
+const count = z.int().min(0).max(1_000_000);
+const names = z.array(z.string().min(1).max(64)).max(1_000);
+
+const teamLimits = z.strictObject({
+    queuedPerSubscriber: count
+        .default(16)
+        .describe("Requests of one subscriber that may wait at one entry instance."),
+    queuedPerTeam: count.default(256).describe("Requests of the team that may wait at one entry instance."),
+    requestMilliseconds: milliseconds
+        .default(120_000)
+        .describe("Longest time from arrival to the last token; then the request ends with an error."),
+    maximumTokens: z.int().min(1).max(1_000_000).default(4_096).describe("Most tokens of one answer."),
+});
+
+const subscriber = z.strictObject({
+    credentialHash: z
+        .string()
+        .regex(/^[0-9a-f]{64}$/, "expected a lower-case hexadecimal SHA-256")
+        .describe("SHA-256 of the bearer credential; the credential itself is never stored."),
+});
+
+const model = z.strictObject({
+    version: z.string().min(1).max(128).describe("Version that engines load."),
+    instancesPerReplica: z.int().min(1).max(64).default(8).describe("Instances that hold one copy together."),
+    floor: count.default(1).describe("Replicas that placement keeps even without demand."),
+    demand: z.number().min(0).max(1_000_000).default(1).describe("Weight of the model's claim on instances."),
+    promptBlockTokens: z
+        .int()
+        .min(1)
+        .max(4_096)
+        .default(64)
+        .describe("Tokens of one block of the engines' prefix cache."),
+});
+
+const service = z.strictObject({
+    idempotentMethods: z
+        .array(z.enum(["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]))
+        .default(["GET", "HEAD", "OPTIONS"])
+        .describe("Methods whose calls may be repeated."),
+    idempotentRoutes: z
+        .array(z.string().regex(/^[A-Z]+ \/\S*$/, 'expected "METHOD /path", with * for one part'))
+        .max(1_000)
+        .default([])
+        .describe(
+            'Routes whose calls may be repeated, as "METHOD /path"; * stands for one part of the path.',
+        ),
+    timeoutMilliseconds: milliseconds.default(10_000).describe("Longest time of one call."),
+});
+
+const placementPolicy = z.strictObject({
+    weights: z
+        .strictObject({
+            groupDowntime: z.number().min(0).max(1_000).default(1).describe("Price of a group-second down."),
+            strandedAccelerators: z
+                .number()
+                .min(0)
+                .max(1_000)
+                .default(0.1)
+                .describe("Price of a second of one accelerator outside a serving group."),
+        })
+        .prefault({}),
+    healthMilliseconds: milliseconds
+        .default(4_000)
+        .describe("A member whose last probe is older than this is missing."),
+    orderMilliseconds: milliseconds.default(3_000).describe("An order is dropped after this time."),
+    pauseMilliseconds: milliseconds
+        .default(5_000)
+        .describe("Longest pause of a placer that a new lease holder waits out."),
+    leaseSeconds: z.int().min(2).max(300).default(9).describe("Time of a placer's lease."),
+    enginesCheckFencing: z
+        .boolean()
+        .default(false)
+        .describe("True if every engine refuses an order with an old epoch."),
+    weightLoadsAtOnce: z
+        .int()
+        .min(1)
+        .max(10_000)
+        .default(8)
+        .describe("Instances that may load from the weight store at once."),
+});
+
+const requestLimits = z.strictObject({
+    bodyBytes: z.int().min(1_024).max(67_108_864).default(1_048_576).describe("Largest request body."),
+    headerBytes: z.int().min(1_024).max(1_048_576).default(16_384).describe("Largest request head."),
+    headerMilliseconds: milliseconds.default(10_000).describe("Time in which the whole head must arrive."),
+    bodyMilliseconds: milliseconds.default(30_000).describe("Time in which the whole body must arrive."),
+    connections: z.int().min(1).max(1_000_000).default(4_096).describe("Open connections of one process."),
+    jsonDepth: z.int().min(1).max(1_000).default(32).describe("Deepest nesting of a JSON body."),
+});
+
+const streamLimits = z.strictObject({
+    resumeWindowMilliseconds: milliseconds
+        .default(30_000)
+        .describe("Time for which a stream without its caller goes on."),
+    stallMilliseconds: milliseconds
+        .default(5_000)
+        .describe("Shortest silence of a stream that counts as a stall."),
+    bufferedTokens: z.int().min(1).max(1_000_000).default(1_024).describe("Tokens held for a slow caller."),
+});
+
+const keyLimits = z.strictObject({
+    windowMilliseconds: z
+        .int()
+        .min(60_000)
+        .max(604_800_000)
+        .default(86_400_000)
+        .describe("Age after which an Idempotency-Key is refused."),
+    skewMilliseconds: milliseconds
+        .default(60_000)
+        .describe("Difference of wall clocks that key windows allow for."),
+});
+
+const retryLimits = z.strictObject({
+    fraction: z.number().min(0).max(1).default(0.1).describe("Retries as a fraction of first attempts."),
+    attempts: z.int().min(1).max(10).default(3).describe("Most attempts of one request."),
+});
+
+const sealingKeys = z
+    .strictObject({
+        current: z.string().min(1).max(64).describe("Id of the key that seals new tokens."),
+        keys: z
+            .array(
+                z.strictObject({
+                    id: z.string().min(1).max(64).describe("Name of the key inside tokens."),
+                    secret: z
+                        .string()
+                        .regex(/^[A-Za-z0-9+/]{43}=$/, "expected 32 bytes in base64")
+                        .describe("The key; never shown or logged."),
+                }),
+            )
+            .min(1)
+            .max(16)
+            .describe("Keys that open tokens; keep an old one until its tokens have run out."),
+    })
+    .refine(value => value.keys.some(key => key.id === value.current), {
+        path: ["current"],
+        message: "names no key of the list",
+    })
+    .refine(value => new Set(value.keys.map(key => key.id)).size === value.keys.length, {
+        path: ["keys"],
+        message: "has an id twice",
+    });
+
+/** One kind of path with the schema of its value; `<...>` in the pattern stands for a name. */
+export const pathSchemas = {
+    teamShare: {
+        pattern: "config/teams/<team>/share",
+        schema: z
+            .number()
+            .positive()
+            .max(1_000_000)
+            .default(1)
+            .describe("Weight of the team's claim on shared capacity."),
+    },
+    teamRank: {
+        pattern: "config/teams/<team>/rank",
+        schema: z.int().min(0).max(100).default(1).describe("Requests of a lower rank go first."),
+    },
+    teamModels: {
+        pattern: "config/teams/<team>/models",
+        schema: names.default([]).describe("Models that the team may use."),
+    },
+    teamServices: {
+        pattern: "config/teams/<team>/services",
+        schema: names.default([]).describe("Plain services that the team may use."),
+    },
+    teamLimits: { pattern: "config/teams/<team>/limits", schema: teamLimits },
+    subscriber: { pattern: "config/teams/<team>/subscribers/<subscriber>", schema: subscriber },
+    model: { pattern: "config/models/<model>", schema: model },
+    service: { pattern: "config/services/<service>", schema: service },
+    placementPolicy: { pattern: "config/placement/policy", schema: placementPolicy },
+    requestLimits: { pattern: "config/limits/requests", schema: requestLimits },
+    streamLimits: { pattern: "config/limits/streams", schema: streamLimits },
+    keyLimits: { pattern: "config/limits/keys", schema: keyLimits },
+    retryLimits: { pattern: "config/limits/retries", schema: retryLimits },
+    sealingKeys: { pattern: "config/keys/resume", schema: sealingKeys },
+} as const;
+
+/** Name of a kind of path. */
+export type PathKind = keyof typeof pathSchemas;
+
+/** The checked value of one kind of path, defaults filled in. */
+export type PathValue<Kind extends PathKind> = Readonly<z.output<(typeof pathSchemas)[Kind]["schema"]>>;
+
+/** How an operator's model, service, placement policy and so on read after the check. */
+export type ModelSettings = PathValue<"model">;
+export type ServiceSettings = PathValue<"service">;
+export type PlacementPolicy = PathValue<"placementPolicy">;
+export type RequestLimits = PathValue<"requestLimits">;
+export type StreamLimits = PathValue<"streamLimits">;
+export type KeyLimits = PathValue<"keyLimits">;
+export type RetryLimits = PathValue<"retryLimits">;
+export type SealingKeys = PathValue<"sealingKeys">;
+
+/** A path taken apart: its kind and the names in it, in order. */
+export interface ParsedPath {
+    readonly kind: PathKind;
+    readonly names: readonly string[];
+}
+
+const expressions = (Object.keys(pathSchemas) as PathKind[]).map(kind => ({
+    kind,
+    expression: new RegExp(`^${pathSchemas[kind].pattern.replace(/<\w+>/g, namePart)}$`),
+}));
+
+/** Takes a path apart; undefined if no schema is known for it. */
+export function parsePath(path: string): ParsedPath | undefined {
+    for (const { kind, expression } of expressions) {
+        const match = expression.exec(path);
+        if (match !== null) {
+            return { kind, names: match.slice(1) };
+        }
+    }
+    return undefined;
+}
--- /dev/null
+++ b/src/core/configurations.ts
@@ -0,0 +1,298 @@
+/**
+ * Follows the operators' configuration. A follower holds the state of the hierarchy at one store revision and moves to
+ * higher revisions only, whether they come from a snapshot, a watch or a peer. A path that is absent at the held
+ * revision was absent or deleted then, so an older value of it is never taken back: the held revision is its tombstone.
+ */
+import type { ReadAnswer, WatchEvent } from "../contracts/key-value-stores.js";
+import type {
+    ConfigurationChange,
+    ConfigurationDeletion,
+    ConfigurationDigest,
+    ConfigurationEntry,
+    ConfigurationRejection,
+    ConfigurationUpdate,
+} from "./configuration-updates.js";
+import { toConfigurationEntry } from "./configuration-updates.js";
+import type { Configuration, ConfigurationValue } from "./configuration-values.js";
+import { assembleConfiguration, safeParseConfigurationValue } from "./configuration-values.js";
+import { hashText } from "./hashes.js";
+
+/** Deletions kept for updates to peers; a peer further behind gets the whole configuration. */
+const maxDeletions = 1_024;
+
+interface StandingValue {
+    readonly text: string;
+    readonly modRevision: number;
+    readonly parsed: ConfigurationValue;
+}
+
+interface HeldEntry {
+    readonly text: string;
+    readonly modRevision: number;
+    readonly createRevision: number;
+    /** Why `text` is invalid; undefined if it is valid. */
+    readonly reason: string | undefined;
+    /** The value in force. */
+    readonly standing: StandingValue | undefined;
+}
+
+const unchanged: ConfigurationChange = { changed: false, rejections: [], stale: false };
+const staleInput: ConfigurationChange = { changed: false, rejections: [], stale: true };
+
+/** Holds the configuration in force; free of input, output and clocks. */
+export class ConfigurationFollower {
+    private revision = 0;
+    private readonly entries = new Map<string, HeldEntry>();
+    private readonly deletions: ConfigurationDeletion[] = [];
+    /** A peer at this revision or a later one can be served with a difference. */
+    private differenceFloor = 0;
+    private assembled: Configuration = assembleConfiguration(0, []);
+    private digested: ConfigurationDigest | undefined;
+
+    private constructor() {}
+
+    public static create(): ConfigurationFollower {
+        return new ConfigurationFollower();
+    }
+
+    /** Store revision up to which every accepted change is in force; 0 before the first snapshot. */
+    public get revisionInForce(): number {
+        return this.revision;
+    }
+
+    /** The configuration in force; its `revision` is the one at which its content last changed here. */
+    public get configuration(): Configuration {
+        return this.assembled;
+    }
+
+    /** Values that are not in force because they are invalid. */
+    public get rejections(): readonly ConfigurationRejection[] {
+        return [...this.entries.keys()].flatMap(path => this.rejectionOf(path) ?? []);
+    }
+
+    public get digest(): ConfigurationDigest {
+        this.digested ??= this.computeDigest();
+        return this.digested;
+    }
+
+    /** Takes a read of the whole prefix; a read at the held revision or before it is dropped. */
+    public applySnapshot(answer: ReadAnswer): ConfigurationChange {
+        return this.applyWhole(answer.revision, answer.entries.map(toConfigurationEntry));
+    }
+
+    /** Takes changes or progress of a watch that began at the held revision or before it. */
+    public applyWatch(event: WatchEvent): ConfigurationChange {
+        if (event.kind === "gap" || event.revision <= this.revision) {
+            return unchanged;
+        }
+        if (event.kind === "progress") {
+            this.advance(event.revision);
+            return unchanged;
+        }
+        return this.applyDifference({
+            from: this.revision,
+            revision: event.revision,
+            entries: event.puts.map(toConfigurationEntry),
+            deletions: event.deletes.map(path => ({ path, revision: event.revision })),
+        });
+    }
+
+    /** Takes a peer's update; one that starts after the held revision is dropped as it would leave a gap. */
+    public applyUpdate(update: ConfigurationUpdate): ConfigurationChange {
+        const applied = this.applyUpdateEntries(update);
+        const adopted = this.adoptStanding(update.entries);
+        return adopted ? { ...applied, changed: true } : applied;
+    }
+
+    /** Takes a peer's digest: the same entries at a later revision show that nothing changed up to it. */
+    public applyDigest(digest: ConfigurationDigest): void {
+        if (this.revision > 0 && digest.revision > this.revision && digest.hash === this.digest.hash) {
+            this.advance(digest.revision);
+        }
+    }
+
+    /** The update that brings a peer with the given digest to what is held here; undefined if it needs none. */
+    public updateFor(digest: ConfigurationDigest): ConfigurationUpdate | undefined {
+        const own = this.digest;
+        if (digest.revision > own.revision || own.revision === 0) {
+            return undefined;
+        }
+        if (digest.hash === own.hash && digest.revision > 0) {
+            return digest.standingHash === own.standingHash
+                ? undefined
+                : this.difference(digest.revision, entry => entry.reason !== undefined);
+        }
+        if (digest.revision === own.revision) {
+            return undefined;
+        }
+        return digest.revision < Math.max(1, this.differenceFloor)
+            ? { from: 0, revision: this.revision, entries: this.list(() => true), deletions: [] }
+            : this.difference(digest.revision, entry => entry.modRevision > digest.revision);
+    }
+
+    /** True if a peer with the given digest holds something that this follower lacks. */
+    public isBehind(digest: ConfigurationDigest): boolean {
+        const own = this.digest;
+        if (digest.revision > own.revision) {
+            return own.revision === 0 || digest.hash !== own.hash || digest.standingHash !== own.standingHash;
+        }
+        return digest.hash === own.hash && digest.standingHash !== own.standingHash;
+    }
+
+    private applyUpdateEntries(update: ConfigurationUpdate): ConfigurationChange {
+        if (update.revision <= this.revision) {
+            return unchanged;
+        }
+        if (update.from === 0) {
+            return this.applyWhole(update.revision, update.entries);
+        }
+        return update.from > this.revision ? staleInput : this.applyDifference(update);
+    }
+
+    private applyWhole(revision: number, entries: readonly ConfigurationEntry[]): ConfigurationChange {
+        if (revision < this.revision || this.contradicts(entries)) {
+            return staleInput;
+        }
+        if (revision === this.revision) {
+            return unchanged;
+        }
+        const present = new Set(entries.map(entry => entry.path));
+        const gone = [...this.entries.keys()].filter(path => !present.has(path));
+        if (this.revision === 0) {
+            this.differenceFloor = revision;
+        }
+        return this.applyDifference({
+            from: this.revision,
+            revision,
+            entries,
+            deletions: gone.map(path => ({ path, revision })),
+        });
+    }
+
+    /** A read that claims a later revision but shows an older value of a held path is an old read. */
+    private contradicts(entries: readonly ConfigurationEntry[]): boolean {
+        return entries.some(entry => entry.modRevision < (this.entries.get(entry.path)?.modRevision ?? 0));
+    }
+
+    private applyDifference(update: ConfigurationUpdate): ConfigurationChange {
+        const later = update.entries.filter(entry => entry.modRevision > this.revision);
+        const put = new Set(update.entries.map(entry => entry.path));
+        const deletions = update.deletions.filter(
+            deletion => deletion.revision > this.revision && !put.has(deletion.path),
+        );
+        for (const deletion of deletions) {
+            this.remove(deletion);
+        }
+        const rejections = later.flatMap(entry => this.put(entry) ?? []);
+        this.advance(update.revision);
+        const changed = later.length > 0 || deletions.length > 0;
+        if (changed) {
+            this.refresh();
+        }
+        return { changed, rejections, stale: false };
+    }
+
+    private put(entry: ConfigurationEntry): ConfigurationRejection | undefined {
+        const parsed = safeParseConfigurationValue(entry.path, entry.text);
+        const { text, modRevision, createRevision } = entry;
+        if (parsed.success) {
+            const standing = { text, modRevision, parsed: parsed.data };
+            this.entries.set(entry.path, { text, modRevision, createRevision, reason: undefined, standing });
+            return undefined;
+        }
+        const previous = this.entries.get(entry.path)?.standing;
+        const standing =
+            previous !== undefined && previous.modRevision >= createRevision ? previous : undefined;
+        const reason = parsed.fault.message;
+        this.entries.set(entry.path, { text, modRevision, createRevision, reason, standing });
+        return this.rejectionOf(entry.path);
+    }
+
+    private remove(deletion: ConfigurationDeletion): void {
+        this.entries.delete(deletion.path);
+        this.deletions.push(deletion);
+        for (const dropped of this.deletions.splice(0, Math.max(0, this.deletions.length - maxDeletions))) {
+            this.differenceFloor = Math.max(this.differenceFloor, dropped.revision);
+        }
+    }
+
+    private adoptStanding(offered: readonly ConfigurationEntry[]): boolean {
+        let adopted = false;
+        for (const entry of offered) {
+            adopted = this.adoptStandingOf(entry) || adopted;
+        }
+        if (adopted) {
+            this.refresh();
+        }
+        return adopted;
+    }
+
+    /** A process that never saw the last valid value of a path takes it from a peer. */
+    private adoptStandingOf(entry: ConfigurationEntry): boolean {
+        const held = this.entries.get(entry.path);
+        const offered = entry.standing;
+        if (held?.reason === undefined || offered === undefined || held.modRevision !== entry.modRevision) {
+            return false;
+        }
+        const floor = Math.max(held.createRevision, (held.standing?.modRevision ?? 0) + 1);
+        const parsed = safeParseConfigurationValue(entry.path, offered.text);
+        if (offered.modRevision < floor || offered.modRevision >= held.modRevision || !parsed.success) {
+            return false;
+        }
+        const standing = { text: offered.text, modRevision: offered.modRevision, parsed: parsed.data };
+        this.entries.set(entry.path, { ...held, standing });
+        return true;
+    }
+
+    private advance(revision: number): void {
+        this.revision = Math.max(this.revision, revision);
+        this.digested = this.digested && { ...this.digested, revision: this.revision };
+    }
+
+    private refresh(): void {
+        this.digested = undefined;
+        const values = [...this.entries.values()].flatMap(entry => entry.standing?.parsed ?? []);
+        this.assembled = assembleConfiguration(this.revision, values);
+    }
+
+    private difference(from: number, select: (entry: HeldEntry) => boolean): ConfigurationUpdate {
+        const deletions = this.deletions.filter(deletion => deletion.revision > from);
+        return { from, revision: this.revision, entries: this.list(select), deletions };
+    }
+
+    private list(select: (entry: HeldEntry) => boolean): readonly ConfigurationEntry[] {
+        return [...this.entries]
+            .filter(([, entry]) => select(entry))
+            .map(([path, { text, modRevision, createRevision, reason, standing }]) => ({
+                path,
+                text,
+                modRevision,
+                createRevision,
+                standing:
+                    reason !== undefined && standing !== undefined
+                        ? { text: standing.text, modRevision: standing.modRevision }
+                        : undefined,
+            }));
+    }
+
+    private rejectionOf(path: string): ConfigurationRejection | undefined {
+        const held = this.entries.get(path);
+        if (held?.reason === undefined) {
+            return undefined;
+        }
+        const { modRevision: revision, reason, standing } = held;
+        return { path, revision, reason, standingRevision: standing?.modRevision };
+    }
+
+    private computeDigest(): ConfigurationDigest {
+        const paths = [...this.entries.keys()].sort();
+        const lines = paths.map(path => `${path}@${this.entries.get(path)!.modRevision}`);
+        const invalid = paths.filter(path => this.entries.get(path)!.reason !== undefined);
+        const standing = invalid.map(path => `${path}@${this.entries.get(path)!.standing?.modRevision ?? 0}`);
+        return {
+            revision: this.revision,
+            hash: hashText(lines.join("\n")),
+            standingHash: hashText(standing.join("\n")),
+        };
+    }
+}
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -69,20 +69,28 @@
     readonly retryAt?: number;
 }
 
-/** A fault in its throwing form. */
-export class ChervilError extends ModernError {
-    public readonly fault: Fault;
+class FaultError extends ModernError {
+    public readonly fault: Fault | undefined;
 
-    public constructor(fault: Fault) {
-        super(fault.message);
-        this.fault = fault;
+    public constructor(message: string, options?: ErrorOptions & { readonly fault?: Fault }) {
+        super(message, options);
+        this.fault = options?.fault;
     }
 
     public static create(fault: Fault): ChervilError {
-        return new ChervilError(fault);
+        return new ChervilClass(fault.message, { fault }) as unknown as ChervilError;
     }
 }
 
+/** modern-errors only builds instances of classes that it made itself; it passes static members on. */
+const ChervilClass = ModernError.subclass("ChervilError", { custom: FaultError });
+
+/** A fault in its throwing form. */
+export type ChervilError = Error & { readonly fault: Fault };
+export const ChervilError = ChervilClass as unknown as (abstract new (
+    ...parameters: never
+) => ChervilError) & { readonly create: (fault: Fault) => ChervilError };
+
 /** Success with data, or a fault. */
 export type Result<T> =
     { readonly success: true; readonly data: T } | { readonly success: false; readonly fault: Fault };
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,4 +1,7 @@
 /** The library surface of chervilrouter's decisions, free of input, output and clocks. */
+export * as configurationSchemas from "./configuration-schemas.js";
+export * as configurationValues from "./configuration-values.js";
+export * as configurations from "./configurations.js";
 export * as endpoints from "./endpoints.js";
 export * as errors from "./errors.js";
 export * as events from "./events.js";
