--- a/src/contracts/engines.ts
+++ b/src/contracts/engines.ts
@@ -59,8 +59,10 @@
 export interface Engines {
     readonly probe: (instance: Instance, deadline: number) => Promise<Result<EndpointReport>>;
     readonly order: (instance: Instance, order: EngineOrder) => Promise<Result<OrderAnswer>>;
-    readonly start: (dispatch: EngineDispatch) => Observable<EngineEvent>;
-    readonly resume: (dispatch: EngineDispatch) => Observable<EngineEvent>;
+    /** Starts an attempt; no byte is read from the engine while the last value of `paused` is true. */
+    readonly start: (dispatch: EngineDispatch, paused?: Observable<boolean>) => Observable<EngineEvent>;
+    /** Attaches to a running stream from `dispatch.fromOffset` on. */
+    readonly resume: (dispatch: EngineDispatch, paused?: Observable<boolean>) => Observable<EngineEvent>;
     readonly cancel: (leader: Instance, request: string, deadline: number) => Promise<Result<undefined>>;
     readonly cacheEvents: (
         leader: Instance,
--- /dev/null
+++ b/src/links/admin-servers.ts
@@ -0,0 +1,69 @@
+/** The admin port of a daemon: its status, and its events for the time line. */
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Timeline } from "../core/timelines.js";
+
+/** What the admin port shows. */
+export interface AdminSource {
+    readonly timeline: Timeline;
+    readonly status: () => unknown;
+}
+
+/** A listening server. */
+export interface ListeningServer {
+    /** Host and port in use. */
+    readonly address: string;
+    /** Stops listening and closes idle connections. */
+    readonly close: () => Promise<void>;
+}
+
+/** Starts the admin port on host:port; port 0 takes a free one. */
+export function startAdminServer(listen: string, source: AdminSource): Promise<ListeningServer> {
+    const server = http.createServer((request, response) => {
+        const url = new URL(request.url ?? "/", "http://admin");
+        if (request.method === "GET" && url.pathname === "/status") {
+            sendJson(response, 200, source.status());
+            return;
+        }
+        if (request.method === "GET" && url.pathname === "/events") {
+            const after = Number(url.searchParams.get("after") ?? 0);
+            sendJson(response, 200, source.timeline.page(Number.isFinite(after) ? after : 0));
+            return;
+        }
+        sendJson(response, 404, {
+            error: { code: "notFound", message: `path "${url.pathname}" does not exist` },
+        });
+    });
+    return listenOn(server, listen);
+}
+
+/** Sends one JSON body. */
+export function sendJson(
+    response: http.ServerResponse,
+    status: number,
+    body: unknown,
+    headers: Readonly<Record<string, string>> = {},
+): void {
+    const text = JSON.stringify(body);
+    response.writeHead(status, { "content-type": "application/json", ...headers });
+    response.end(text);
+}
+
+/** Listens on host:port and resolves once connections are accepted; rejects if the port is taken. */
+export function listenOn(server: http.Server, listen: string): Promise<ListeningServer> {
+    const [host, port] = listen.split(":");
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(Number(port), host, () => {
+            const bound = server.address() as AddressInfo;
+            resolve({ address: `${bound.address}:${bound.port}`, close: () => closeServer(server) });
+        });
+    });
+}
+
+function closeServer(server: http.Server): Promise<void> {
+    return new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+    });
+}
--- /dev/null
+++ b/src/links/engine-streams.ts
@@ -0,0 +1,179 @@
+/** Token streams of engines as observables, with backpressure. */
+import type { IncomingMessage } from "node:http";
+import { StringDecoder } from "node:string_decoder";
+import { Observable } from "rxjs";
+import type { Subscriber } from "rxjs";
+import type { EngineDispatch, EngineEvent } from "../contracts/engines.js";
+import type { Fault } from "../core/errors.js";
+import { finishedSchema, refusalSchema, tokenSchema } from "./endpoint-schemas.js";
+import type { HttpClient, HttpRequest } from "./http-clients.js";
+import { openRequest, readBody } from "./http-clients.js";
+import { parseJson } from "./json.js";
+import type { ServerSentEvent } from "./server-sent-events.js";
+import { ServerSentEventParser } from "./server-sent-events.js";
+
+const maximumEventLength = 100_000;
+const maximumRefusalLength = 10_000;
+
+/**
+ * Opens or resumes the stream of one attempt. Faults arrive as events of kind "failed"; `notRun` is true only if the
+ * request never left, or if the engine said that it did not run it. Unsubscribing closes the connection and leaves
+ * the stream on the engine.
+ */
+export function openEngineStream(
+    client: HttpClient,
+    mode: "start" | "resume",
+    dispatch: EngineDispatch,
+    paused?: Observable<boolean>,
+): Observable<EngineEvent> {
+    return new Observable(subscriber => {
+        const outgoing = mode === "start" ? startRequest(client, dispatch) : resumeRequest(dispatch);
+        const { request, mayHaveBeenSent } = openRequest(client, outgoing);
+        const connection = StreamConnection.create(dispatch.leader.id, subscriber);
+        request.on("error", error => connection.fail(error.message, !mayHaveBeenSent()));
+        request.on("response", response => connection.accept(response, paused));
+        request.end(outgoing.body);
+        return () => {
+            connection.close();
+            request.destroy();
+        };
+    });
+}
+
+function startRequest(client: HttpClient, dispatch: EngineDispatch): HttpRequest {
+    const { request, attempt, group, epoch, leader, delivered, fromOffset } = dispatch;
+    const remaining = Math.max(0, Math.floor(request.deadline - client.clock.monotonicMilliseconds()));
+    return {
+        address: leader.address,
+        method: "POST",
+        path: "/v1/completions",
+        headers: {
+            "content-type": "application/json",
+            "x-chervil-request": request.id,
+            "x-chervil-attempt": String(attempt),
+            "x-chervil-group": group,
+            "x-chervil-epoch": String(epoch),
+            "x-chervil-priority": String(request.priority),
+            "x-chervil-from-offset": String(fromOffset),
+            "x-chervil-remaining": String(remaining),
+        },
+        body: JSON.stringify({
+            model: request.model,
+            prompt: request.prompt + delivered,
+            max_tokens: request.maximumTokens,
+            stream: true,
+        }),
+        deadline: request.deadline,
+    };
+}
+
+function resumeRequest(dispatch: EngineDispatch): HttpRequest {
+    const { request, leader, fromOffset } = dispatch;
+    return {
+        address: leader.address,
+        method: "GET",
+        path: `/v1/streams/${encodeURIComponent(request.id)}?from=${fromOffset}`,
+        deadline: request.deadline,
+    };
+}
+
+/** Turns the bytes of one answer into events; ends exactly once. */
+class StreamConnection {
+    private readonly parser = ServerSentEventParser.create(maximumEventLength);
+    private readonly decoder = new StringDecoder("utf8");
+    private ended = false;
+    private closeFlow: () => void = () => undefined;
+
+    private constructor(
+        private readonly peer: string,
+        private readonly subscriber: Subscriber<EngineEvent>,
+    ) {}
+
+    public static create(peer: string, subscriber: Subscriber<EngineEvent>): StreamConnection {
+        return new StreamConnection(peer, subscriber);
+    }
+
+    public accept(response: IncomingMessage, paused: Observable<boolean> | undefined): void {
+        if (response.statusCode !== 200) {
+            this.refuse(response);
+            return;
+        }
+        this.subscriber.next({ kind: "accepted" });
+        response.on("data", (piece: Buffer) => this.read(piece));
+        response.on("error", error => this.fail(error.message, false));
+        response.on("close", () => this.fail("the stream ended without its terminal event", false));
+        const flow = paused?.subscribe(isPaused => (isPaused ? response.pause() : response.resume()));
+        this.closeFlow = () => flow?.unsubscribe();
+    }
+
+    public fail(message: string, notRun: boolean): void {
+        this.endWith({ code: "endpointFailed", message, step: "stream", peer: this.peer, notRun });
+    }
+
+    public close(): void {
+        this.ended = true;
+        this.closeFlow();
+    }
+
+    private refuse(response: IncomingMessage): void {
+        const status = response.statusCode ?? 0;
+        readBody(response, maximumRefusalLength).then(
+            body => {
+                const parsed = refusalSchema.safeParse(parseJson(body));
+                const notRun = parsed.success && parsed.data.error.notRun;
+                const code = status === 409 ? "staleEpoch" : status === 404 ? "streamLost" : "endpointFailed";
+                const detail = parsed.success ? parsed.data.error.message : "";
+                const message = `answered with status ${status}: ${detail}`;
+                this.endWith({ code, message, step: "stream", peer: this.peer, notRun });
+            },
+            (error: Error) => this.fail(error.message, false),
+        );
+    }
+
+    private read(piece: Buffer): void {
+        try {
+            for (const event of this.parser.push(this.decoder.write(piece))) {
+                this.take(event);
+            }
+        } catch (thrown) {
+            this.fail(thrown instanceof Error ? thrown.message : String(thrown), false);
+        }
+    }
+
+    private take(event: ServerSentEvent): void {
+        if (this.ended) {
+            return;
+        }
+        const data = parseJson(event.data);
+        if (event.event === "finished") {
+            this.finish(data);
+            return;
+        }
+        const token = tokenSchema.safeParse(data);
+        if (!token.success) {
+            this.fail(`token event is invalid: ${token.error.message}`, false);
+            return;
+        }
+        this.subscriber.next({ kind: "token", offset: token.data.offset, text: token.data.text });
+    }
+
+    private finish(data: unknown): void {
+        const parsed = finishedSchema.safeParse(data);
+        if (!parsed.success) {
+            this.fail(`terminal event is invalid: ${parsed.error.message}`, false);
+            return;
+        }
+        this.close();
+        this.subscriber.next({ kind: "finished", ...parsed.data });
+        this.subscriber.complete();
+    }
+
+    private endWith(fault: Fault): void {
+        if (this.ended) {
+            return;
+        }
+        this.close();
+        this.subscriber.next({ kind: "failed", fault });
+        this.subscriber.complete();
+    }
+}
--- /dev/null
+++ b/src/links/engines.ts
@@ -0,0 +1,92 @@
+/** Engines over HTTP: probes, orders, cache events and cancellation. Streams are in engine-streams. */
+import type { z } from "zod";
+import type { Clock } from "../contracts/clocks.js";
+import type { Engines } from "../contracts/engines.js";
+import type { Fault, Result, Step } from "../core/errors.js";
+import { fail, succeed } from "../core/errors.js";
+import type { Instance } from "../core/instances.js";
+import { cacheEventsSchema, endpointReportSchema, orderAnswerSchema } from "./endpoint-schemas.js";
+import { openEngineStream } from "./engine-streams.js";
+import type { HttpClient, HttpOutcome } from "./http-clients.js";
+import { exchange } from "./http-clients.js";
+import { createAgent } from "./http-agents.js";
+import { parseJson } from "./json.js";
+
+const maximumAnswerLength = 1_000_000;
+
+/** Returns the functions of engines over HTTP with connections kept open. */
+export function createEngines(clock: Clock): Engines {
+    const client: HttpClient = { clock, agent: createAgent(), maximumBodyLength: maximumAnswerLength };
+    return {
+        probe: async (instance, deadline) => {
+            const outcome = await exchange(client, {
+                address: instance.address,
+                method: "GET",
+                path: "/probe",
+                deadline,
+            });
+            return parseAnswer(outcome, endpointReportSchema, [200], "probe", instance);
+        },
+        order: async (instance, order) => {
+            const { kind, group, epoch, model, members, deadline } = order;
+            const remainingMilliseconds = deadline - clock.monotonicMilliseconds();
+            const outcome = await exchange(client, {
+                address: instance.address,
+                method: "POST",
+                path: "/orders",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify({ kind, group, epoch, model, members, remainingMilliseconds }),
+                deadline,
+            });
+            return parseAnswer(outcome, orderAnswerSchema, [200, 409], "order", instance);
+        },
+        start: (dispatch, paused) => openEngineStream(client, "start", dispatch, paused),
+        resume: (dispatch, paused) => openEngineStream(client, "resume", dispatch, paused),
+        cancel: async (leader, request, deadline) => {
+            const path = `/v1/streams/${encodeURIComponent(request)}`;
+            const outcome = await exchange(client, {
+                address: leader.address,
+                method: "DELETE",
+                path,
+                deadline,
+            });
+            return outcome.kind === "answered"
+                ? succeed(undefined)
+                : fail(endpointFault("stream", leader, outcome.message));
+        },
+        cacheEvents: async (leader, after, deadline) => {
+            const path = `/cache-events?after=${after}`;
+            const outcome = await exchange(client, {
+                address: leader.address,
+                method: "GET",
+                path,
+                deadline,
+            });
+            const parsed = parseAnswer(outcome, cacheEventsSchema, [200], "probe", leader);
+            return parsed.success ? succeed(parsed.data.events) : parsed;
+        },
+    };
+}
+
+function endpointFault(step: Step, instance: Instance, message: string): Fault {
+    return { code: "endpointFailed", message, step, peer: instance.id, notRun: false };
+}
+
+function parseAnswer<Schema extends z.ZodType>(
+    outcome: HttpOutcome,
+    schema: Schema,
+    statuses: readonly number[],
+    step: Step,
+    instance: Instance,
+): Result<z.infer<Schema>> {
+    if (outcome.kind !== "answered") {
+        return fail(endpointFault(step, instance, outcome.message));
+    }
+    if (!statuses.includes(outcome.answer.status)) {
+        return fail(endpointFault(step, instance, `answered with status ${outcome.answer.status}`));
+    }
+    const parsed = schema.safeParse(parseJson(outcome.answer.body));
+    return parsed.success
+        ? succeed(parsed.data)
+        : fail(endpointFault(step, instance, `answer is invalid: ${parsed.error.message}`));
+}
--- /dev/null
+++ b/src/links/server-sent-events.ts
@@ -0,0 +1,45 @@
+/** Parsing of server-sent events, in pieces of any size. */
+
+/** One event as it stood in the stream. */
+export interface ServerSentEvent {
+    readonly id?: string;
+    readonly event?: string;
+    readonly data: string;
+}
+
+/** Splits a text stream into server-sent events. */
+export class ServerSentEventParser {
+    private rest = "";
+
+    private constructor(private readonly maximumLength: number) {}
+
+    /** `maximumLength` bounds one event, in characters. */
+    public static create(maximumLength: number): ServerSentEventParser {
+        return new ServerSentEventParser(maximumLength);
+    }
+
+    /** Returns the events that `piece` completes; throws an Error if one event is too long. */
+    public push(piece: string): readonly ServerSentEvent[] {
+        this.rest += piece;
+        const blocks = this.rest.split("\n\n");
+        this.rest = blocks.pop() ?? "";
+        if (this.rest.length > this.maximumLength) {
+            throw new Error(`a server-sent event is longer than ${this.maximumLength} characters`);
+        }
+        return blocks.map(parseBlock).filter(event => event.data !== "");
+    }
+}
+
+function parseBlock(block: string): ServerSentEvent {
+    const fields = new Map<string, string>();
+    for (const line of block.split("\n")) {
+        const colon = line.indexOf(":");
+        if (colon <= 0) {
+            continue;
+        }
+        const name = line.slice(0, colon);
+        const value = line.slice(colon + 1).replace(/^ /, "");
+        fields.set(name, name === "data" && fields.has(name) ? `${fields.get(name)}\n${value}` : value);
+    }
+    return { id: fields.get("id"), event: fields.get("event"), data: fields.get("data") ?? "" };
+}
--- /dev/null
+++ b/src/links/services.ts
@@ -0,0 +1,61 @@
+/** Plain services over HTTP. */
+import type { Clock } from "../contracts/clocks.js";
+import type { SendOutcome, SendToService } from "../contracts/services.js";
+import type { Fault } from "../core/errors.js";
+import type { Instance } from "../core/instances.js";
+import type { ServiceCall } from "../core/requests.js";
+import { createAgent } from "./http-agents.js";
+import type { HttpClient, HttpOutcome } from "./http-clients.js";
+import { exchange } from "./http-clients.js";
+
+const maximumAnswerLength = 4_000_000;
+
+/**
+ * Returns the function that sends one call once. Calls that are not idempotent get a connection of their own: on a
+ * kept connection that the service closes meanwhile, it could not be told whether the call ran.
+ */
+export function createSendToService(clock: Clock): SendToService {
+    const kept: HttpClient = { clock, agent: createAgent(), maximumBodyLength: maximumAnswerLength };
+    const fresh: HttpClient = { clock, maximumBodyLength: maximumAnswerLength };
+    return async (call, instance) => {
+        const client = call.idempotent ? kept : fresh;
+        const outcome = await exchange(client, {
+            address: instance.address,
+            method: call.method,
+            path: call.path,
+            headers: callHeaders(call),
+            body: call.body === "" ? undefined : call.body,
+            deadline: call.deadline,
+        });
+        return toSendOutcome(outcome, instance);
+    };
+}
+
+function callHeaders(call: ServiceCall): Readonly<Record<string, string>> {
+    return {
+        "x-chervil-request": call.id,
+        ...(call.contentType === undefined ? {} : { "content-type": call.contentType }),
+        ...(call.key === undefined ? {} : { "idempotency-key": call.key }),
+    };
+}
+
+function toSendOutcome(outcome: HttpOutcome, instance: Instance): SendOutcome {
+    if (outcome.kind === "notSent") {
+        return { kind: "notRun", fault: sendFault(instance, outcome.message, true) };
+    }
+    if (outcome.kind === "lost") {
+        return { kind: "unknown", fault: sendFault(instance, outcome.message, false) };
+    }
+    const { status, headers, body } = outcome.answer;
+    if (status === 503 && headers["x-not-run"] === "true") {
+        return {
+            kind: "notRun",
+            fault: sendFault(instance, "the service said that it did not run the call", true),
+        };
+    }
+    return { kind: "answered", answer: { status, contentType: headers["content-type"], body } };
+}
+
+function sendFault(instance: Instance, message: string, notRun: boolean): Fault {
+    return { code: "endpointFailed", message, step: "send", peer: instance.id, notRun };
+}
