--- /dev/null
+++ b/src/daemons/entry/completion-answers.ts
@@ -0,0 +1,146 @@
+/** Answers to completion callers: server-sent events or one whole body, in OpenAI's forms. */
+import type * as http from "node:http";
+import type { Clock } from "../../contracts/clocks.js";
+import type { Fault } from "../../core/errors.js";
+import type { RequestId } from "../../core/requests.js";
+import { sendJson } from "../../links/admin-servers.js";
+import { faultBody, sendFault } from "../../links/fault-answers.js";
+import type { CompletionBody, CompletionForm } from "./completion-bodies.js";
+
+/** What one answer needs to know. */
+export interface CompletionAnswerOptions {
+    readonly response: http.ServerResponse;
+    readonly body: CompletionBody;
+    readonly request: RequestId;
+    readonly promptTokens: number;
+    readonly clock: Clock;
+    /** Called when the caller's connection has taken every token below an offset. */
+    readonly took: (offset: number) => void;
+    /** Called once if the caller goes away before the end. */
+    readonly left: () => void;
+}
+
+const finishNames = { stop: "stop", length: "length" } as const;
+
+/** One caller's answer; ends exactly once. */
+export class CompletionAnswer {
+    private text = "";
+    private resumeToken: string | undefined;
+    private ended = false;
+
+    private constructor(private readonly options: CompletionAnswerOptions) {
+        options.response.on("close", () => {
+            if (!this.ended) {
+                this.ended = true;
+                options.left();
+            }
+        });
+    }
+
+    public static create(options: CompletionAnswerOptions): CompletionAnswer {
+        return new CompletionAnswer(options);
+    }
+
+    /** Gives the caller what it needs to go on at another entry instance. */
+    public offerResumeToken(token: string): void {
+        this.resumeToken = token;
+        if (this.options.response.headersSent && this.options.body.stream && !this.ended) {
+            this.options.response.write(`event: resume-token\ndata: ${JSON.stringify({ token })}\n\n`);
+        }
+    }
+
+    public deliver(offset: number, text: string): void {
+        if (this.ended) {
+            return;
+        }
+        if (!this.options.body.stream) {
+            this.text += text;
+            this.options.took(offset + 1);
+            return;
+        }
+        this.startStream();
+        const data = JSON.stringify(this.chunk(text, undefined));
+        this.options.response.write(`id: ${offset}\ndata: ${data}\n\n`, () => this.options.took(offset + 1));
+    }
+
+    public finish(reason: "stop" | "length", nextOffset: number): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        if (!this.options.body.stream) {
+            sendJson(this.options.response, 200, this.whole(reason, nextOffset), this.headers());
+            return;
+        }
+        this.startStream();
+        this.options.response.write(`data: ${JSON.stringify(this.chunk("", finishNames[reason]))}\n\n`);
+        this.options.response.end("data: [DONE]\n\n");
+    }
+
+    /** Ends with an explicit fault: as a status before the first token, as an event after it. */
+    public fail(fault: Fault): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        const { response, clock } = this.options;
+        if (!response.headersSent) {
+            sendFault(response, fault, clock);
+            return;
+        }
+        response.end(`event: error\ndata: ${JSON.stringify(faultBody(fault, clock))}\n\n`);
+    }
+
+    private startStream(): void {
+        if (this.options.response.headersSent) {
+            return;
+        }
+        this.options.response.writeHead(200, {
+            "content-type": "text/event-stream",
+            "cache-control": "no-store",
+            ...this.headers(),
+        });
+    }
+
+    private headers(): Readonly<Record<string, string>> {
+        const resume = this.resumeToken === undefined ? {} : { "x-chervil-resume": this.resumeToken };
+        return { "x-chervil-request": this.options.request, ...resume };
+    }
+
+    private chunk(text: string, finishReason: string | undefined): unknown {
+        const { request, body } = this.options;
+        const choice = chunkChoice(body.form, text, finishReason);
+        return { id: request, object: objectName(body.form, true), model: body.model, choices: [choice] };
+    }
+
+    private whole(reason: "stop" | "length", nextOffset: number): unknown {
+        const { request, body, promptTokens } = this.options;
+        const content =
+            body.form === "chat"
+                ? { message: { role: "assistant", content: this.text } }
+                : { text: this.text };
+        return {
+            id: request,
+            object: objectName(body.form, false),
+            model: body.model,
+            choices: [{ index: 0, ...content, finish_reason: finishNames[reason] }],
+            usage: {
+                prompt_tokens: promptTokens,
+                completion_tokens: nextOffset,
+                total_tokens: promptTokens + nextOffset,
+            },
+        };
+    }
+}
+
+function objectName(form: CompletionForm, isChunk: boolean): string {
+    if (form === "chat") {
+        return isChunk ? "chat.completion.chunk" : "chat.completion";
+    }
+    return "text_completion";
+}
+
+function chunkChoice(form: CompletionForm, text: string, finishReason: string | undefined): unknown {
+    const content = form === "chat" ? { delta: text === "" ? {} : { content: text } } : { text };
+    return { index: 0, ...content, ...(finishReason === undefined ? {} : { finish_reason: finishReason }) };
+}
--- a/src/links/engine-streams.ts
+++ b/src/links/engine-streams.ts
@@ -121,7 +121,7 @@
             body => {
                 const parsed = refusalSchema.safeParse(parseJson(body));
                 const notRun = parsed.success && parsed.data.error.notRun;
-                const code = status === 409 ? "staleEpoch" : status === 404 ? "streamLost" : "endpointFailed";
+                const code = status === 409 ? "staleEpoch" : status === 404 ? "notFound" : "endpointFailed";
                 const detail = parsed.success ? parsed.data.error.message : "";
                 const message = `answered with status ${status}: ${detail}`;
                 this.endWith({ code, message, step: "stream", peer: this.peer, notRun });
