--- a/src/daemons/entry/completion-answers.ts
+++ b/src/daemons/entry/completion-answers.ts
@@ -103,8 +103,8 @@
     }
 
     private headers(): Readonly<Record<string, string>> {
-        const resume = this.resumeToken === undefined ? {} : { "x-chervil-resume": this.resumeToken };
-        return { "x-chervil-request": this.options.request, ...resume };
+        const named = { "x-chervil-request": this.options.request };
+        return this.resumeToken === undefined ? named : { ...named, "x-chervil-resume": this.resumeToken };
     }
 
     private chunk(text: string, finishReason: string | undefined): unknown {
