--- /dev/null
+++ b/src/core/placement-values.ts
@@ -0,0 +1,140 @@
+/**
+ * The value of the key `placement/<fabric domain>`: every replica group and spare of one fabric domain. One key holds
+ * all of them, so that one compare-and-swap keeps an instance out of two groups.
+ */
+import { z } from "zod";
+import type { Fault, Result } from "./errors.js";
+import { fail, succeed, unwrap } from "./errors.js";
+import type { FabricDomainId } from "./failure-domains.js";
+import type { InstanceId } from "./instances.js";
+import type { ReplicaGroup } from "./replica-groups.js";
+
+/** Prefix of the keys that hold placements. */
+export const placementPrefix = "placement/";
+
+/** Prefix of the keys that hold the leases of placers. */
+export const placementLeasePrefix = "placement-lease/";
+
+/** Returns the key of a fabric domain's placement. */
+export function placementKey(fabricDomain: FabricDomainId): string {
+    return `${placementPrefix}${fabricDomain}`;
+}
+
+/** Returns the key whose holder may act for a fabric domain. */
+export function placementLeaseKey(fabricDomain: FabricDomainId): string {
+    return `${placementLeasePrefix}${fabricDomain}`;
+}
+
+/** A replica group as its fabric domain's value holds it. */
+export interface PlacedGroup extends ReplicaGroup {
+    /** The epoch at which the members were last told to load; a member that loaded at another epoch must load again. */
+    readonly loadEpoch: number;
+}
+
+/** All groups and spares of one fabric domain. An instance stands in at most one of the three lists. */
+export interface FabricPlacement {
+    readonly fabricDomain: FabricDomainId;
+    /** Distinguishes each write, so that an ambiguous one can be resolved by reading back. */
+    readonly nonce: string;
+    /** The highest epoch given out in this fabric domain; epochs of all its groups come from this one counter. */
+    readonly epoch: number;
+    /** Number of the next group to be created. */
+    readonly nextGroup: number;
+    readonly groups: readonly PlacedGroup[];
+    /** Instances that were read back as idle and belong to no group. */
+    readonly spares: readonly InstanceId[];
+    /** Instances that left a group without acknowledging it; unusable until they have been read back. */
+    readonly quarantined: readonly InstanceId[];
+}
+
+const wholeNumber = z.number().int().nonnegative();
+const modelSchema = z.strictObject({ model: z.string().min(1), version: z.string().min(1) });
+const groupSchema = z.strictObject({
+    id: z.string().min(1),
+    model: modelSchema,
+    fabricDomain: z.string().min(1),
+    members: z.array(z.string().min(1)).min(1),
+    epoch: wholeNumber,
+    loadEpoch: wholeNumber,
+    state: z.enum(["forming", "loading", "serving", "draining", "dissolved"]),
+});
+
+/** Schema of the value; refuses a value that names an instance twice. */
+export const fabricPlacementSchema = z
+    .strictObject({
+        fabricDomain: z.string().min(1),
+        nonce: z.string(),
+        epoch: wholeNumber,
+        nextGroup: wholeNumber,
+        groups: z.array(groupSchema),
+        spares: z.array(z.string().min(1)),
+        quarantined: z.array(z.string().min(1)),
+    })
+    .superRefine((placement, context) => {
+        const repeated = findRepeatedInstance(placement);
+        if (repeated !== undefined) {
+            context.addIssue({ code: "custom", message: `instance "${repeated}" is named twice` });
+        }
+        const late = placement.groups.find(group => group.epoch > placement.epoch);
+        if (late !== undefined) {
+            context.addIssue({ code: "custom", message: `epoch of group "${late.id}" was never given out` });
+        }
+    });
+
+/** Returns an instance that stands in more than one place of the value, or undefined if there is none. */
+export function findRepeatedInstance(
+    placement: Pick<FabricPlacement, "groups" | "spares" | "quarantined">,
+): InstanceId | undefined {
+    const seen = new Set<InstanceId>();
+    for (const instance of instancesOf(placement)) {
+        if (seen.has(instance)) {
+            return instance;
+        }
+        seen.add(instance);
+    }
+    return undefined;
+}
+
+/** Returns every instance that the value names. */
+export function instancesOf(
+    placement: Pick<FabricPlacement, "groups" | "spares" | "quarantined">,
+): readonly InstanceId[] {
+    const members = placement.groups.flatMap(group => group.members);
+    return [...members, ...placement.spares, ...placement.quarantined];
+}
+
+/** Returns the placement of a fabric domain that has no value yet. */
+export function createFabricPlacement(fabricDomain: FabricDomainId): FabricPlacement {
+    return { fabricDomain, nonce: "", epoch: 0, nextGroup: 1, groups: [], spares: [], quarantined: [] };
+}
+
+/** Returns the text that the key-value service stores. */
+export function formatFabricPlacement(placement: FabricPlacement): string {
+    return JSON.stringify(placement);
+}
+
+/** Checks a stored value; the fault names the path of the first problem. */
+export function safeParseFabricPlacement(text: string): Result<FabricPlacement> {
+    let document: unknown;
+    try {
+        document = JSON.parse(text);
+    } catch {
+        return fail(invalidPlacement("the placement is not valid JSON", []));
+    }
+    const parsed = fabricPlacementSchema.safeParse(document);
+    if (parsed.success) {
+        return succeed(parsed.data);
+    }
+    const issue = parsed.error.issues[0];
+    const path = (issue?.path ?? []).map(part => (typeof part === "number" ? part : String(part)));
+    return fail(invalidPlacement(issue?.message ?? "the placement is invalid", path));
+}
+
+/** Checks a stored value; throws a ChervilError. */
+export function parseFabricPlacement(text: string): FabricPlacement {
+    return unwrap(safeParseFabricPlacement(text));
+}
+
+function invalidPlacement(message: string, path: readonly (string | number)[]): Fault {
+    return { code: "invalidConfiguration", message, step: "place", path, notRun: true };
+}
