--- /dev/null
+++ b/src/core/fair-queues.ts
@@ -0,0 +1,260 @@
+/**
+ * Virtual-time fair queueing of the waiting requests of one model: teams by share and rank, then the subscribers of
+ * a team equally. Virtual time of a team is tokens divided by share; of a subscriber, tokens.
+ */
+import type { HeapItem } from "./admission-heaps.js";
+import { IndexedHeap } from "./admission-heaps.js";
+import type { Caller, RequestId } from "./requests.js";
+import type { SubscriberId, TeamId } from "./teams.js";
+
+/** Head start, in tokens per unit of share, that a team has over a team of the next rank. */
+export const rankHeadStart = 2_000;
+
+/** Share and rank of one team. */
+export interface TeamWeight {
+    readonly share: number;
+    readonly rank: number;
+}
+
+/** A request that waits. */
+export interface QueuedItem {
+    readonly id: RequestId;
+    readonly caller: Caller;
+}
+
+/** Waiting requests in the order in which they may start. */
+export interface RequestQueue {
+    readonly size: number;
+    readonly enqueue: (item: QueuedItem) => void;
+    /** Puts back a request that was taken and could not start; it goes first among its subscriber's. */
+    readonly putBack: (item: QueuedItem) => void;
+    readonly peek: () => QueuedItem | undefined;
+    readonly take: () => QueuedItem | undefined;
+    readonly remove: (item: QueuedItem) => boolean;
+    /** Charges tokens to a caller; a negative number gives back what was charged before. */
+    readonly charge: (caller: Caller, tokens: number) => void;
+    /** Charges a subscriber alone; its team's charge is known apart. */
+    readonly chargeSubscriber: (caller: Caller, tokens: number) => void;
+    /** Charges a whole team for tokens whose subscribers are not known. */
+    readonly chargeTeam: (team: TeamId, tokens: number) => void;
+    readonly applyTeam: (team: TeamId, weight: TeamWeight) => void;
+}
+
+class SubscriberNode implements HeapItem {
+    public position = -1;
+    public virtualTime = 0;
+    /** Waiting requests; insertion order is arrival order. */
+    public items = new Map<RequestId, QueuedItem>();
+
+    public constructor(public readonly id: SubscriberId) {}
+}
+
+class TeamNode implements HeapItem {
+    public position = -1;
+    public virtualTime = 0;
+    /** Virtual time of the subscriber served last. */
+    public servedTime = 0;
+    public readonly subscribers = new Map<SubscriberId, SubscriberNode>();
+    public readonly waiting = IndexedHeap.create<SubscriberNode>(
+        (left, right) => left.virtualTime < right.virtualTime,
+    );
+
+    public constructor(public weight: TeamWeight) {}
+
+    public get order(): number {
+        return this.virtualTime + this.weight.rank * rankHeadStart;
+    }
+}
+
+const defaultWeight: TeamWeight = { share: 1, rank: 0 };
+const idleSubscribersKept = 20_000;
+
+/** The fair order. */
+export class FairQueue implements RequestQueue {
+    private count = 0;
+    /** Virtual time of the team served last. */
+    private servedTime = 0;
+    private readonly teams = new Map<TeamId, TeamNode>();
+    private readonly waiting = IndexedHeap.create<TeamNode>((left, right) => left.order < right.order);
+
+    private constructor() {}
+
+    public static create(): FairQueue {
+        return new FairQueue();
+    }
+
+    public get size(): number {
+        return this.count;
+    }
+
+    public enqueue(item: QueuedItem): void {
+        const { team, subscriber } = this.activate(item.caller);
+        subscriber.items.set(item.id, item);
+        this.count += 1;
+        team.waiting.put(subscriber);
+        this.waiting.put(team);
+    }
+
+    public putBack(item: QueuedItem): void {
+        const subscriber = this.subscriberOf(this.teamOf(item.caller.team), item.caller.subscriber);
+        const later = [...subscriber.items.values()];
+        subscriber.items = new Map([[item.id, item]]);
+        for (const waiting of later) {
+            subscriber.items.set(waiting.id, waiting);
+        }
+        this.count += 1;
+        const team = this.teamOf(item.caller.team);
+        team.waiting.put(subscriber);
+        this.waiting.put(team);
+    }
+
+    public peek(): QueuedItem | undefined {
+        const subscriber = this.waiting.peek()?.waiting.peek();
+        return subscriber?.items.values().next().value;
+    }
+
+    public take(): QueuedItem | undefined {
+        const team = this.waiting.peek();
+        const subscriber = team?.waiting.peek();
+        const item = subscriber?.items.values().next().value;
+        if (team === undefined || subscriber === undefined || item === undefined) {
+            return undefined;
+        }
+        this.servedTime = Math.max(this.servedTime, team.virtualTime);
+        team.servedTime = Math.max(team.servedTime, subscriber.virtualTime);
+        this.remove(item);
+        return item;
+    }
+
+    public remove(item: QueuedItem): boolean {
+        const team = this.teams.get(item.caller.team);
+        const subscriber = team?.subscribers.get(item.caller.subscriber);
+        if (team === undefined || subscriber === undefined || !subscriber.items.delete(item.id)) {
+            return false;
+        }
+        this.count -= 1;
+        if (subscriber.items.size === 0) {
+            team.waiting.remove(subscriber);
+        }
+        if (team.waiting.size === 0) {
+            this.waiting.remove(team);
+        }
+        return true;
+    }
+
+    public charge(caller: Caller, tokens: number): void {
+        this.chargeTeam(caller.team, tokens);
+        this.chargeSubscriber(caller, tokens);
+    }
+
+    public chargeSubscriber(caller: Caller, tokens: number): void {
+        const team = this.teamOf(caller.team);
+        const subscriber = this.subscriberOf(team, caller.subscriber);
+        subscriber.virtualTime += tokens;
+        team.waiting.update(subscriber);
+    }
+
+    public chargeTeam(teamId: TeamId, tokens: number): void {
+        const team = this.teamOf(teamId);
+        team.virtualTime += tokens / team.weight.share;
+        this.waiting.update(team);
+    }
+
+    public applyTeam(teamId: TeamId, weight: TeamWeight): void {
+        const team = this.teamOf(teamId);
+        team.weight = weight;
+        this.waiting.update(team);
+    }
+
+    /** Raises callers that were idle to the present virtual time: unused share is lent, not saved up. */
+    private activate(caller: Caller): { readonly team: TeamNode; readonly subscriber: SubscriberNode } {
+        const team = this.teamOf(caller.team);
+        if (team.waiting.size === 0) {
+            team.virtualTime = Math.max(team.virtualTime, this.servedTime);
+        }
+        const subscriber = this.subscriberOf(team, caller.subscriber);
+        if (subscriber.items.size === 0) {
+            subscriber.virtualTime = Math.max(subscriber.virtualTime, team.servedTime);
+        }
+        return { team, subscriber };
+    }
+
+    private teamOf(id: TeamId): TeamNode {
+        let team = this.teams.get(id);
+        if (team === undefined) {
+            team = new TeamNode(defaultWeight);
+            team.virtualTime = this.servedTime;
+            this.teams.set(id, team);
+        }
+        return team;
+    }
+
+    private subscriberOf(team: TeamNode, id: SubscriberId): SubscriberNode {
+        let subscriber = team.subscribers.get(id);
+        if (subscriber === undefined) {
+            if (team.subscribers.size >= idleSubscribersKept) {
+                forgetIdleSubscribers(team);
+            }
+            subscriber = new SubscriberNode(id);
+            subscriber.virtualTime = team.servedTime;
+            team.subscribers.set(id, subscriber);
+        }
+        return subscriber;
+    }
+}
+
+/** Drops the subscribers that wait for nothing and that have no lead to remember. */
+function forgetIdleSubscribers(team: TeamNode): void {
+    for (const [id, subscriber] of team.subscribers) {
+        if (subscriber.items.size === 0 && subscriber.virtualTime <= team.servedTime) {
+            team.subscribers.delete(id);
+        }
+    }
+}
+
+/** Arrival order; the baseline. */
+export class ArrivalQueue implements RequestQueue {
+    private items = new Map<RequestId, QueuedItem>();
+
+    private constructor() {}
+
+    public static create(): ArrivalQueue {
+        return new ArrivalQueue();
+    }
+
+    public get size(): number {
+        return this.items.size;
+    }
+
+    public enqueue(item: QueuedItem): void {
+        this.items.set(item.id, item);
+    }
+
+    public putBack(item: QueuedItem): void {
+        this.items = new Map([[item.id, item], ...this.items]);
+    }
+
+    public peek(): QueuedItem | undefined {
+        return this.items.values().next().value;
+    }
+
+    public take(): QueuedItem | undefined {
+        const item = this.peek();
+        if (item !== undefined) {
+            this.items.delete(item.id);
+        }
+        return item;
+    }
+
+    public remove(item: QueuedItem): boolean {
+        return this.items.delete(item.id);
+    }
+
+    public charge(): void {}
+
+    public chargeSubscriber(): void {}
+
+    public chargeTeam(): void {}
+
+    public applyTeam(): void {}
+}
--- a/src/core/hashes.ts
+++ b/src/core/hashes.ts
@@ -22,3 +22,21 @@
     weighted.sort((left, right) => right.weight - left.weight || (left.candidate < right.candidate ? -1 : 1));
     return weighted.map(entry => entry.candidate);
 }
+
+/** A running XXH64; `digest` may be read at any point. */
+export interface TextHash {
+    readonly update: (text: string) => void;
+    /** 16 hexadecimal digits. */
+    readonly digest: () => string;
+}
+
+/** Returns a running XXH64 of a text that is given in pieces. */
+export function createTextHash(): TextHash {
+    const hash = hasher.create64();
+    return {
+        update: text => {
+            hash.update(text);
+        },
+        digest: () => hash.digest().toString(16).padStart(16, "0"),
+    };
+}
--- /dev/null
+++ b/src/core/prefix-indexes.ts
@@ -0,0 +1,117 @@
+/**
+ * Which replicas hold which prompt blocks, from their cache events (late, with gaps) and from what was sent to them.
+ * An entry that no event confirms lapses after a while; a gap in a replica's events makes its entries unconfirmed.
+ */
+import type { CacheEvent } from "../contracts/engines.js";
+import type { ReplicaGroupId } from "./replica-groups.js";
+
+/** Time in milliseconds for which an unconfirmed block is believed to be held. */
+export const unconfirmedMilliseconds = 10_000;
+/** Blocks remembered per replica; the oldest are forgotten first. */
+export const blocksPerReplica = 8_192;
+
+interface HeldBlocks {
+    sequence: number;
+    /** Deadline by block, Infinity once confirmed; oldest first. */
+    readonly deadlines: Map<string, number>;
+}
+
+/** Held blocks of all replicas. */
+export class PrefixIndex {
+    private readonly replicas = new Map<ReplicaGroupId, HeldBlocks>();
+
+    private constructor() {}
+
+    public static create(): PrefixIndex {
+        return new PrefixIndex();
+    }
+
+    /** Sequence number of the last event seen from a replica; 0 if there was none. */
+    public sequenceOf(replica: ReplicaGroupId): number {
+        return this.replicas.get(replica)?.sequence ?? 0;
+    }
+
+    /** Notes that a prompt was sent to a replica, which will soon hold its blocks. */
+    public sent(replica: ReplicaGroupId, blocks: readonly string[], now: number): void {
+        const held = this.heldBy(replica);
+        for (const block of blocks) {
+            if (held.deadlines.get(block) !== Infinity) {
+                remember(held, block, now + unconfirmedMilliseconds);
+            }
+        }
+    }
+
+    /** Applies cache events; repeated and old ones have no effect. */
+    public apply(replica: ReplicaGroupId, events: readonly CacheEvent[], now: number): void {
+        const held = this.heldBy(replica);
+        for (const event of events) {
+            if (event.sequence <= held.sequence) {
+                continue;
+            }
+            if (event.sequence > held.sequence + 1) {
+                makeUnconfirmed(held, now);
+            }
+            held.sequence = event.sequence;
+            applyEvent(held, event);
+        }
+    }
+
+    /** Forgets a replica, for example when its engine has restarted. */
+    public forget(replica: ReplicaGroupId): void {
+        this.replicas.delete(replica);
+    }
+
+    /** Returns how many of the first blocks a replica is believed to hold. */
+    public matchOf(replica: ReplicaGroupId, blocks: readonly string[], now: number): number {
+        const held = this.replicas.get(replica);
+        if (held === undefined) {
+            return 0;
+        }
+        let matched = 0;
+        while (matched < blocks.length && (held.deadlines.get(blocks[matched]!) ?? 0) > now) {
+            matched += 1;
+        }
+        return matched;
+    }
+
+    private heldBy(replica: ReplicaGroupId): HeldBlocks {
+        let held = this.replicas.get(replica);
+        if (held === undefined) {
+            held = { sequence: 0, deadlines: new Map() };
+            this.replicas.set(replica, held);
+        }
+        return held;
+    }
+}
+
+function applyEvent(held: HeldBlocks, event: CacheEvent): void {
+    switch (event.kind) {
+        case "stored":
+            remember(held, event.block, Infinity);
+            return;
+        case "evicted":
+            held.deadlines.delete(event.block);
+            return;
+        case "cleared":
+            held.deadlines.clear();
+            return;
+    }
+}
+
+function remember(held: HeldBlocks, block: string, deadline: number): void {
+    held.deadlines.delete(block);
+    held.deadlines.set(block, deadline);
+    if (held.deadlines.size <= blocksPerReplica) {
+        return;
+    }
+    for (const oldest of held.deadlines.keys()) {
+        held.deadlines.delete(oldest);
+        return;
+    }
+}
+
+function makeUnconfirmed(held: HeldBlocks, now: number): void {
+    for (const [block, deadline] of held.deadlines) {
+        held.deadlines.set(block, Math.min(deadline, now + unconfirmedMilliseconds));
+    }
+}
--- /dev/null
+++ b/src/core/routes.ts
@@ -0,0 +1,358 @@
+/**
+ * Routing: how many requests of a model may be sent now, and to which replica group the next one goes. Pure: time,
+ * serving gate and randomness are arguments. Times are local monotonic milliseconds.
+ */
+import type { RandomNumber } from "../contracts/clocks.js";
+import type { CacheEvent } from "../contracts/engines.js";
+import { creditOf } from "./credits.js";
+import type { EndpointLoad } from "./endpoints.js";
+import type { Fault, Result } from "./errors.js";
+import { fail, succeed } from "./errors.js";
+import type { FailureDomainId } from "./failure-domains.js";
+import { rankByRendezvous } from "./hashes.js";
+import { blockTokens, blocksOf } from "./prefix-blocks.js";
+import { PrefixIndex } from "./prefix-indexes.js";
+import type { ReplicaGroup, ReplicaGroupId } from "./replica-groups.js";
+import type { RequestId } from "./requests.js";
+import { ReplicaLoad } from "./route-loads.js";
+import type { ChooseRoute, RouteCandidate } from "./route-policies.js";
+import { chooseByEstimate } from "./route-policies.js";
+import { Stragglers } from "./stragglers.js";
+
+/** A replica group and the failure domain that it stands in. */
+export interface RoutedGroup {
+    readonly group: ReplicaGroup;
+    readonly failureDomain: FailureDomainId;
+}
+
+/** What routing must know of a request. */
+export interface RouteRequest {
+    readonly id: RequestId;
+    readonly model: string;
+    readonly prompt: string;
+    readonly promptTokens: number;
+    /** True if the caller may have unused capacity only. */
+    readonly borrowed: boolean;
+    /** Groups that this request must not go to again. */
+    readonly excluded?: readonly ReplicaGroupId[];
+}
+
+/** What varies between routers. */
+export interface RouterOptions {
+    /** This entry process's name, the same as in `applyEntries`. */
+    readonly entry: string;
+    readonly failureDomain: FailureDomainId;
+    /** The serving gate; asked again at every choice. */
+    readonly isOpen: (group: ReplicaGroup, now: number) => boolean;
+    readonly random: RandomNumber;
+    /** `chooseByEstimate()` unless given. */
+    readonly choose?: ChooseRoute;
+    /** False to treat all replicas as equally fast. */
+    readonly watchesPace?: boolean;
+    /** False to send to any replica with a free slot, without credits. */
+    readonly usesCredits?: boolean;
+}
+
+/** Slots of a replica that has not reported any. */
+export const unreportedSlots = 1;
+/** Part of a replica's slots that borrowing callers leave free. */
+export const reservedFraction = 0.01;
+/** Requests beyond a replica's slots, as a part of these, that callers within their fair part may add. */
+export const overcommitFraction = 0.05;
+/** Time in milliseconds for which the answers of the serving gate count in `capacity`. */
+const gateMilliseconds = 50;
+
+interface RouteState {
+    routed: RoutedGroup;
+    readonly load: ReplicaLoad;
+    credit: number;
+    isOpen: boolean;
+    gateUntil: number;
+}
+
+interface Flight {
+    readonly group: ReplicaGroupId;
+    readonly model: string;
+    lastTokenAt: number | undefined;
+}
+
+/** Routing of one entry process. */
+export class Router {
+    private readonly groups = new Map<ReplicaGroupId, RouteState>();
+    private byModel = new Map<string, readonly RouteState[]>();
+    private readonly paces = new Map<string, Stragglers>();
+    private readonly flights = new Map<RequestId, Flight>();
+    private readonly prefixes = PrefixIndex.create();
+    private entries: readonly string[];
+
+    private constructor(private readonly options: RouterOptions) {
+        this.entries = [options.entry];
+    }
+
+    public static create(options: RouterOptions): Router {
+        return new Router(options);
+    }
+
+    /** Requests in flight at all groups. */
+    public get inFlight(): number {
+        return this.flights.size;
+    }
+
+    /** Own requests in flight at one group. */
+    public inFlightAt(group: ReplicaGroupId): number {
+        return this.groups.get(group)?.load.ownRequests ?? 0;
+    }
+
+    /** Puts the present groups in force; what is known of groups that stay is kept. */
+    public applyGroups(routed: readonly RoutedGroup[]): void {
+        const present = new Set(routed.map(next => next.group.id));
+        for (const [id, state] of this.groups) {
+            if (!present.has(id)) {
+                this.forget(id, state.routed.group.model.model);
+            }
+        }
+        for (const next of routed) {
+            this.applyGroup(next);
+        }
+        this.byModel = indexByModel(this.groups.values());
+    }
+
+    /** Puts the entry processes in force that are reachable and share the replicas with this one. */
+    public applyEntries(entries: readonly string[]): void {
+        this.entries = entries.includes(this.options.entry) ? entries : [...entries, this.options.entry];
+        for (const state of this.groups.values()) {
+            state.credit = this.creditAt(state);
+        }
+    }
+
+    /** Takes a load report of a group's leader. */
+    public observe(group: ReplicaGroupId, load: EndpointLoad, now: number): void {
+        const state = this.groups.get(group);
+        if (state === undefined) {
+            return;
+        }
+        const slotsBefore = state.load.slots;
+        state.load.observe(load.running, load.waiting, load.slots, now);
+        if (slotsBefore !== load.slots) {
+            state.credit = this.creditAt(state);
+        }
+    }
+
+    /** Takes cache events of a group's leader. */
+    public applyCacheEvents(group: ReplicaGroupId, events: readonly CacheEvent[], now: number): void {
+        this.prefixes.apply(group, events, now);
+    }
+
+    /** Sequence number after which the next cache events of a group are wanted. */
+    public cacheSequenceOf(group: ReplicaGroupId): number {
+        return this.prefixes.sequenceOf(group);
+    }
+
+    /** Returns how many more requests of a model may be sent now. */
+    public capacity(model: string, borrowed: boolean, now: number): number {
+        let sum = 0;
+        for (const state of this.byModel.get(model) ?? []) {
+            if (this.isOpenLately(state, now)) {
+                sum += this.roomAt(state, borrowed, now);
+            }
+        }
+        return sum;
+    }
+
+    /** Chooses a group whose serving gate is open now, or says why there is none. */
+    public choose(request: RouteRequest, now: number): Result<RoutedGroup> {
+        const states = this.openStates(request, now);
+        if (states.length === 0) {
+            return fail(noReplica(request.model));
+        }
+        const roomy = states.filter(state => this.roomAt(state, request.borrowed, now) > 0);
+        const candidates = this.candidatesOf(request, roomy.length > 0 ? roomy : states, now);
+        const choice = this.options.choose ?? defaultChoice;
+        const chosen = choice(candidates, request.promptTokens, this.options.random);
+        return succeed(this.groups.get(chosen.group)!.routed);
+    }
+
+    /** Notes that a request was sent to a group; an earlier attempt of it no longer counts. */
+    public dispatched(request: RouteRequest, group: ReplicaGroupId, now: number): void {
+        this.end(request.id, "abandoned", now);
+        const state = this.groups.get(group);
+        if (state === undefined) {
+            return;
+        }
+        this.flights.set(request.id, { group, model: request.model, lastTokenAt: undefined });
+        state.load.change(1, now);
+        this.paceOf(request.model).started(group, now);
+        this.prefixes.sent(group, blocksOf(request.prompt), now);
+    }
+
+    /** Notes that a token of a request has arrived. */
+    public progress(request: RequestId, now: number): void {
+        const flight = this.flights.get(request);
+        if (flight === undefined) {
+            return;
+        }
+        const gap = flight.lastTokenAt === undefined ? undefined : now - flight.lastTokenAt;
+        flight.lastTokenAt = now;
+        this.paceOf(flight.model).progress(flight.group, gap, now);
+    }
+
+    public finished(request: RequestId, now: number): void {
+        this.end(request, "finished", now);
+    }
+
+    public failed(request: RequestId, now: number): void {
+        this.end(request, "failed", now);
+    }
+
+    /** Ends a request whose caller has gone; it says nothing about the replica. */
+    public abandoned(request: RequestId, now: number): void {
+        this.end(request, "abandoned", now);
+    }
+
+    private end(request: RequestId, outcome: "finished" | "failed" | "abandoned", now: number): void {
+        const flight = this.flights.get(request);
+        if (flight === undefined) {
+            return;
+        }
+        this.flights.delete(request);
+        const state = this.groups.get(flight.group);
+        if (state !== undefined) {
+            state.load.change(-1, now);
+            this.paceOf(flight.model).ended(flight.group, outcome, now);
+        }
+    }
+
+    private openStates(request: RouteRequest, now: number): readonly RouteState[] {
+        const open = (this.byModel.get(request.model) ?? []).filter(
+            state =>
+                request.excluded?.includes(state.routed.group.id) !== true &&
+                this.options.isOpen(state.routed.group, now),
+        );
+        const used = open.filter(state => state.credit > 0);
+        const reachable = used.length > 0 ? used : open;
+        const serving = reachable.filter(state => this.isInService(state, now));
+        return serving.length > 0 ? serving : reachable;
+    }
+
+    private isInService(state: RouteState, now: number): boolean {
+        const { id, model } = state.routed.group;
+        return (
+            this.options.watchesPace === false || this.paceOf(model.model).serviceOf(id, now) !== "ejected"
+        );
+    }
+
+    private roomAt(state: RouteState, borrowed: boolean, now: number): number {
+        const { id, model } = state.routed.group;
+        const service =
+            this.options.watchesPace === false ? "full" : this.paceOf(model.model).serviceOf(id, now);
+        if (service !== "full") {
+            return service === "trial" ? 1 : 0;
+        }
+        return this.slotsLeft(state, borrowed);
+    }
+
+    private slotsLeft(state: RouteState, borrowed: boolean): number {
+        const slots = state.load.slots ?? unreportedSlots;
+        const { ownRequests, allRequests } = state.load;
+        if (this.options.usesCredits === false) {
+            return Math.max(0, slots - ownRequests);
+        }
+        const ownCredit = Math.max(0, state.credit - ownRequests);
+        if (borrowed) {
+            const free = Math.floor(slots - allRequests - Math.max(1, slots * reservedFraction));
+            const part = Math.ceil(free / Math.max(1, this.entries.length));
+            return Math.max(0, Math.min(free, Math.max(ownCredit, part)));
+        }
+        const free = Math.floor(slots - allRequests);
+        const overcommit = Math.floor(free + Math.max(1, slots * overcommitFraction));
+        return Math.max(0, Math.min(overcommit, Math.max(ownCredit, free)));
+    }
+
+    private isOpenLately(state: RouteState, now: number): boolean {
+        if (now >= state.gateUntil) {
+            state.gateUntil = now + gateMilliseconds;
+            state.isOpen = this.options.isOpen(state.routed.group, now);
+        }
+        return state.isOpen;
+    }
+
+    private candidatesOf(
+        request: RouteRequest,
+        states: readonly RouteState[],
+        now: number,
+    ): readonly RouteCandidate[] {
+        const blocks = blocksOf(request.prompt);
+        const ids = states.map(state => state.routed.group.id);
+        const preferred = blocks.length === 0 ? undefined : rankByRendezvous(blocks[0]!, ids)[0];
+        return states.map(state => {
+            const { id, model } = state.routed.group;
+            const pace = this.paceOf(model.model);
+            return {
+                group: id,
+                isLocal: state.routed.failureDomain === this.options.failureDomain,
+                slots: state.load.slots ?? unreportedSlots,
+                ownRequests: state.load.ownRequests,
+                allRequests: state.load.allRequests,
+                slowdown: this.options.watchesPace === false ? 1 : pace.slowdownOf(id, now),
+                cachedTokens: this.prefixes.matchOf(id, blocks, now) * blockTokens,
+                isPreferred: id === preferred,
+            };
+        });
+    }
+
+    private applyGroup(routed: RoutedGroup): void {
+        const known = this.groups.get(routed.group.id);
+        if (known !== undefined) {
+            known.routed = routed;
+            known.gateUntil = -Infinity;
+            return;
+        }
+        const state: RouteState = {
+            routed,
+            load: ReplicaLoad.create(),
+            credit: 0,
+            isOpen: false,
+            gateUntil: -Infinity,
+        };
+        state.credit = this.creditAt(state);
+        this.groups.set(routed.group.id, state);
+    }
+
+    private forget(id: ReplicaGroupId, model: string): void {
+        this.groups.delete(id);
+        this.prefixes.forget(id);
+        this.paceOf(model).forget(id);
+    }
+
+    private creditAt(state: RouteState): number {
+        const slots = state.load.slots ?? unreportedSlots;
+        return creditOf(this.options.entry, state.routed.group.id, slots, this.entries);
+    }
+
+    private paceOf(model: string): Stragglers {
+        let pace = this.paces.get(model);
+        if (pace === undefined) {
+            pace = Stragglers.create();
+            this.paces.set(model, pace);
+        }
+        return pace;
+    }
+}
+
+const defaultChoice = chooseByEstimate();
+
+function indexByModel(states: Iterable<RouteState>): Map<string, readonly RouteState[]> {
+    const index = new Map<string, RouteState[]>();
+    for (const state of states) {
+        const model = state.routed.group.model.model;
+        const known = index.get(model) ?? [];
+        known.push(state);
+        index.set(model, known);
+    }
+    return index;
+}
+
+function noReplica(model: string): Fault {
+    const message = `no replica of model "${model}" serves now`;
+    return { code: "noReplica", message, step: "route", notRun: true };
+}
--- /dev/null
+++ b/src/core/stragglers.ts
@@ -0,0 +1,196 @@
+/**
+ * Replicas that are far slower than their peers. A replica's pace is compared with the median of all; a slow one is
+ * discounted, a very slow, silent or failing one is ejected, and comes back by a trial with one request.
+ */
+
+/** A replica this many times slower than the median is ejected. */
+export const ejectionRatio = 3.3;
+/** Differences of pace below this ratio come from load and are not discounted. */
+export const toleratedRatio = 1.5;
+/** Failures in a row after which a replica is ejected. */
+export const failuresToEject = 3;
+/** Largest part of the replicas that may be ejected at a time; one always may, the last never. */
+export const ejectedFraction = 0.1;
+/** First time in milliseconds out of service; doubled each time a trial fails. */
+export const ejectionMilliseconds = 5_000;
+export const longestEjectionMilliseconds = 60_000;
+/** Silence in milliseconds of a replica with running requests that counts as a stall. */
+export const stallMilliseconds = 2_000;
+
+/** Gaps observed before a replica is judged. */
+const gapsNeeded = 20;
+const gapWeight = 0.05;
+const referenceMilliseconds = 250;
+
+/** Service of a replica: all requests, one at a time, or none. */
+export type ReplicaService = "full" | "trial" | "ejected";
+
+interface ReplicaPace {
+    gapMilliseconds: number;
+    gaps: number;
+    failures: number;
+    lastProgressAt: number;
+    running: number;
+    ejectedUntil: number | undefined;
+    ejectionLength: number;
+}
+
+/** Paces of the replicas of one model. */
+export class Stragglers {
+    private readonly replicas = new Map<string, ReplicaPace>();
+    private referenceGap = 0;
+    private referenceUntil = -Infinity;
+    private ejectedCount = 0;
+
+    private constructor() {}
+
+    public static create(): Stragglers {
+        return new Stragglers();
+    }
+
+    public started(replica: string, now: number): void {
+        const pace = this.paceOf(replica, now);
+        if (pace.running === 0) {
+            pace.lastProgressAt = now;
+        }
+        pace.running += 1;
+    }
+
+    /** Notes a token; `gapMilliseconds` is the time since the stream's token before, if there was one. */
+    public progress(replica: string, gapMilliseconds: number | undefined, now: number): void {
+        const pace = this.paceOf(replica, now);
+        pace.lastProgressAt = now;
+        pace.failures = 0;
+        if (gapMilliseconds === undefined) {
+            return;
+        }
+        pace.gaps += 1;
+        const weight = Math.max(gapWeight, 1 / pace.gaps);
+        pace.gapMilliseconds += weight * (gapMilliseconds - pace.gapMilliseconds);
+    }
+
+    /** Notes the end of a request; a trial that went well returns the replica to service. */
+    public ended(replica: string, outcome: "finished" | "failed" | "abandoned", now: number): void {
+        const pace = this.paceOf(replica, now);
+        pace.running = Math.max(0, pace.running - 1);
+        if (outcome === "failed") {
+            pace.failures += 1;
+        }
+        if (pace.ejectedUntil !== undefined) {
+            this.endTrial(replica, pace, outcome, now);
+            return;
+        }
+        if (pace.failures >= failuresToEject) {
+            this.eject(pace, now);
+        }
+    }
+
+    /** Returns the factor by which the replica is slower than its peers, 1 if not noticeably. */
+    public slowdownOf(replica: string, now: number): number {
+        const pace = this.replicas.get(replica);
+        if (pace === undefined) {
+            return 1;
+        }
+        const ratio = this.ratioOf(pace, now);
+        return ratio > toleratedRatio ? ratio : 1;
+    }
+
+    /** Returns how the replica may be used now; ejects it if it has become far too slow. */
+    public serviceOf(replica: string, now: number): ReplicaService {
+        const pace = this.replicas.get(replica);
+        if (pace === undefined) {
+            return "full";
+        }
+        if (pace.ejectedUntil === undefined && this.ratioOf(pace, now) >= ejectionRatio) {
+            this.eject(pace, now);
+        }
+        if (pace.ejectedUntil === undefined) {
+            return "full";
+        }
+        return now >= pace.ejectedUntil && pace.running === 0 ? "trial" : "ejected";
+    }
+
+    public forget(replica: string): void {
+        if (this.replicas.get(replica)?.ejectedUntil !== undefined) {
+            this.ejectedCount -= 1;
+        }
+        this.replicas.delete(replica);
+    }
+
+    private endTrial(replica: string, pace: ReplicaPace, outcome: string, now: number): void {
+        if (now < pace.ejectedUntil! || outcome === "abandoned") {
+            return;
+        }
+        if (outcome === "failed" || this.ratioOf(pace, now) >= toleratedRatio) {
+            pace.ejectionLength = Math.min(2 * pace.ejectionLength, longestEjectionMilliseconds);
+            pace.ejectedUntil = now + pace.ejectionLength;
+            restartMeasurement(pace);
+            return;
+        }
+        this.ejectedCount -= 1;
+        this.replicas.set(replica, { ...newPace(now), running: pace.running });
+    }
+
+    private eject(pace: ReplicaPace, now: number): void {
+        const most = Math.max(1, Math.floor(this.replicas.size * ejectedFraction));
+        if (this.ejectedCount >= most || this.replicas.size < 2) {
+            return;
+        }
+        this.ejectedCount += 1;
+        pace.ejectedUntil = now + pace.ejectionLength;
+        restartMeasurement(pace);
+    }
+
+    private ratioOf(pace: ReplicaPace, now: number): number {
+        const reference = this.reference(now);
+        if (reference <= 0) {
+            return 1;
+        }
+        const silence = pace.running > 0 ? now - pace.lastProgressAt : 0;
+        const silenceRatio = silence > stallMilliseconds ? silence / reference : 1;
+        const paceRatio = pace.gaps >= gapsNeeded ? pace.gapMilliseconds / reference : 1;
+        return Math.max(silenceRatio, paceRatio);
+    }
+
+    /** Median gap of the replicas in service. */
+    private reference(now: number): number {
+        if (now < this.referenceUntil) {
+            return this.referenceGap;
+        }
+        const gaps = [...this.replicas.values()]
+            .filter(pace => pace.gaps >= gapsNeeded && pace.ejectedUntil === undefined)
+            .map(pace => pace.gapMilliseconds)
+            .sort((left, right) => left - right);
+        this.referenceGap = gaps[(gaps.length - 1) >> 1] ?? 0;
+        this.referenceUntil = now + referenceMilliseconds;
+        return this.referenceGap;
+    }
+
+    private paceOf(replica: string, now: number): ReplicaPace {
+        let pace = this.replicas.get(replica);
+        if (pace === undefined) {
+            pace = newPace(now);
+            this.replicas.set(replica, pace);
+        }
+        return pace;
+    }
+}
+
+function newPace(now: number): ReplicaPace {
+    return {
+        gapMilliseconds: 0,
+        gaps: 0,
+        failures: 0,
+        lastProgressAt: now,
+        running: 0,
+        ejectedUntil: undefined,
+        ejectionLength: ejectionMilliseconds,
+    };
+}
+
+/** A trial is judged by its own gaps alone. */
+function restartMeasurement(pace: ReplicaPace): void {
+    pace.gaps = 0;
+    pace.gapMilliseconds = 0;
+    pace.failures = 0;
+}
--- /dev/null
+++ b/src/core/usages.ts
@@ -0,0 +1,256 @@
+/**
+ * Recent use of one model by teams and subscribers, and the counters that entry processes exchange about it. A
+ * caller that uses more than its fair part borrows: it gives way to callers that use less.
+ */
+import type { Caller } from "./requests.js";
+import type { SubscriberId, TeamId } from "./teams.js";
+
+/** Time in milliseconds after which use counts for 1/e of what it did. */
+export const usageMemoryMilliseconds = 10_000;
+/** A caller borrows when its recent use is above this multiple of its fair part. */
+export const borrowingFactor = 1.5;
+
+interface RecentUse {
+    tokens: number;
+    at: number;
+}
+
+interface TeamUse extends RecentUse {
+    share: number;
+    /** Least recently active first. */
+    readonly subscribers: Map<SubscriberId, RecentUse>;
+}
+
+/** Recent use by all callers of one model. */
+export class RecentUsage {
+    private readonly teams = new Map<TeamId, TeamUse>();
+
+    private constructor() {}
+
+    public static create(): RecentUsage {
+        return new RecentUsage();
+    }
+
+    public applyTeam(team: TeamId, share: number): void {
+        this.teamOf(team, 0).share = share;
+    }
+
+    public add(caller: Caller, tokens: number, now: number): void {
+        this.addToTeam(caller.team, tokens, now);
+        this.addToSubscriber(caller, tokens, now);
+    }
+
+    /** Adds use of a subscriber alone; its team's use is known apart. */
+    public addToSubscriber(caller: Caller, tokens: number, now: number): void {
+        const team = this.teamOf(caller.team, now);
+        const known = team.subscribers.get(caller.subscriber) ?? { tokens: 0, at: now };
+        team.subscribers.delete(caller.subscriber);
+        team.subscribers.set(caller.subscriber, known);
+        addDecayed(known, tokens, now);
+        forgetInactive(team, now);
+    }
+
+    /** Adds use of a team whose subscribers are not known. */
+    public addToTeam(teamId: TeamId, tokens: number, now: number): void {
+        addDecayed(this.teamOf(teamId, now), tokens, now);
+    }
+
+    /** Returns true if the caller has lately used clearly more than its fair part. */
+    public isBorrowing(caller: Caller, now: number): boolean {
+        const team = this.teams.get(caller.team);
+        const subscriber = team?.subscribers.get(caller.subscriber);
+        if (team === undefined || subscriber === undefined) {
+            return false;
+        }
+        const fairPart = this.fairPartOf(team, now) / Math.max(1, team.subscribers.size);
+        return decayed(subscriber, now) > borrowingFactor * fairPart;
+    }
+
+    /** What the team may use of the total: its share among the teams that are active. */
+    private fairPartOf(team: TeamUse, now: number): number {
+        let total = 0;
+        let shares = 0;
+        for (const other of this.teams.values()) {
+            if (other === team || other.subscribers.size > 0) {
+                total += decayed(other, now);
+                shares += other.share;
+            }
+        }
+        return (total * team.share) / shares;
+    }
+
+    private teamOf(id: TeamId, now: number): TeamUse {
+        let team = this.teams.get(id);
+        if (team === undefined) {
+            team = { share: 1, tokens: 0, at: now, subscribers: new Map<SubscriberId, RecentUse>() };
+            this.teams.set(id, team);
+        }
+        return team;
+    }
+}
+
+function decayed(use: RecentUse, now: number): number {
+    return use.tokens * Math.exp((use.at - now) / usageMemoryMilliseconds);
+}
+
+function addDecayed(use: RecentUse, tokens: number, now: number): void {
+    use.tokens = Math.max(0, decayed(use, now) + tokens);
+    use.at = now;
+}
+
+function forgetInactive(team: TeamUse, now: number): void {
+    for (const [id, use] of team.subscribers) {
+        if (use.at > now - usageMemoryMilliseconds) {
+            return;
+        }
+        team.subscribers.delete(id);
+    }
+}
+
+/** Tokens that one process has charged since its incarnation began. */
+export interface UsageTotal {
+    readonly model: string;
+    readonly team: TeamId;
+    /** Undefined for the total of the whole team. */
+    readonly subscriber?: SubscriberId;
+    readonly tokens: number;
+    /** The part of `tokens` that was charged since the snapshot before. */
+    readonly recentTokens: number;
+}
+
+/** What one process tells its peers. */
+export interface UsageSnapshot {
+    readonly totals: readonly UsageTotal[];
+}
+
+/** One charge that follows from a peer's counters. */
+export interface PeerCharge {
+    readonly model: string;
+    readonly team: TeamId;
+    readonly subscriber?: SubscriberId;
+    readonly tokens: number;
+}
+
+/** Most subscribers that one snapshot names. */
+export const snapshotSubscribers = 32;
+/** After this silence in milliseconds a peer's counters start anew: its use took nothing from here. */
+export const peerUsageExpiryMilliseconds = 10_000;
+
+interface LocalTotal {
+    readonly model: string;
+    readonly team: TeamId;
+    readonly subscriber?: SubscriberId;
+    tokens: number;
+    reported: number;
+}
+
+interface PeerTotals {
+    readonly incarnation: number;
+    seenAt: number;
+    readonly tokens: Map<string, number>;
+}
+
+/** Counters of this process, and the last counters of its peers by process and incarnation. */
+export class UsageExchange {
+    private readonly local = new Map<string, LocalTotal>();
+    private readonly peers = new Map<string, PeerTotals>();
+
+    private constructor() {}
+
+    public static create(): UsageExchange {
+        return new UsageExchange();
+    }
+
+    /** Number of peers whose counters are kept. */
+    public get peerCount(): number {
+        return this.peers.size;
+    }
+
+    public add(model: string, caller: Caller, tokens: number): void {
+        this.addTo(totalKey(model, caller.team), { model, team: caller.team }, tokens);
+        this.addTo(totalKey(model, caller.team, caller.subscriber), { model, ...caller }, tokens);
+    }
+
+    /** Totals of the teams and of the heaviest subscribers since the snapshot before. */
+    public snapshot(): UsageSnapshot {
+        const changed = [...this.local.values()].filter(total => total.tokens !== total.reported);
+        const heaviest = changed
+            .filter(total => total.subscriber !== undefined)
+            .sort((left, right) => right.tokens - right.reported - (left.tokens - left.reported))
+            .slice(0, snapshotSubscribers);
+        const totals = [...changed.filter(total => total.subscriber === undefined), ...heaviest].map(
+            reportTotal,
+        );
+        for (const total of changed) {
+            total.reported = total.tokens;
+        }
+        return { totals };
+    }
+
+    /** Returns what a peer's counters add since its counters before. Older incarnations add nothing. */
+    public applyPeer(
+        process: string,
+        incarnation: number,
+        snapshot: UsageSnapshot,
+        now: number,
+    ): readonly PeerCharge[] {
+        const peer = this.peerOf(process, incarnation, now);
+        if (peer === undefined) {
+            return [];
+        }
+        return snapshot.totals.flatMap(total => chargeOf(peer, total));
+    }
+
+    /** Forgets the peers that have been silent for long. */
+    public expire(now: number): void {
+        for (const [process, peer] of this.peers) {
+            if (peer.seenAt + 10 * peerUsageExpiryMilliseconds <= now) {
+                this.peers.delete(process);
+            }
+        }
+    }
+
+    private peerOf(process: string, incarnation: number, now: number): PeerTotals | undefined {
+        const known = this.peers.get(process);
+        if (known !== undefined && known.incarnation > incarnation) {
+            return undefined;
+        }
+        const isFresh =
+            known?.incarnation === incarnation && known.seenAt + peerUsageExpiryMilliseconds > now;
+        const peer = isFresh ? known : { incarnation, seenAt: now, tokens: new Map<string, number>() };
+        peer.seenAt = now;
+        this.peers.set(process, peer);
+        return peer;
+    }
+
+    private addTo(key: string, names: Omit<LocalTotal, "tokens" | "reported">, tokens: number): void {
+        const total = this.local.get(key);
+        if (total === undefined) {
+            this.local.set(key, { ...names, tokens, reported: 0 });
+            return;
+        }
+        total.tokens += tokens;
+    }
+}
+
+function totalKey(model: string, team: TeamId, subscriber?: SubscriberId): string {
+    return JSON.stringify([model, team, subscriber]);
+}
+
+function reportTotal(total: LocalTotal): UsageTotal {
+    const { model, team, subscriber, tokens, reported } = total;
+    return { model, team, subscriber, tokens, recentTokens: tokens - reported };
+}
+
+/** Counters only grow; a total that is not above the one before is a late or repeated snapshot. */
+function chargeOf(peer: PeerTotals, total: UsageTotal): readonly PeerCharge[] {
+    const { model, team, subscriber } = total;
+    const key = totalKey(model, team, subscriber);
+    const before = peer.tokens.get(key) ?? total.tokens - total.recentTokens;
+    const tokens = total.tokens - before;
+    if (tokens <= 0) {
+        return [];
+    }
+    peer.tokens.set(key, total.tokens);
+    return [{ model, team, subscriber, tokens }];
+}
