--- /dev/null
+++ b/src/core/entries.ts
@@ -0,0 +1,181 @@
+/**
+ * The whole decision of one entry process about completion requests: admission, routing, retries and answers. Pure:
+ * events come in with the present time (local monotonic milliseconds), commands go out.
+ */
+import type { EngineEvent } from "../contracts/engines.js";
+import type { StartedRequest } from "./admissions.js";
+import type { AnswerStart, EntryCommand, EntryOptions, HeldStream } from "./entry-commands.js";
+import { EntryRequest } from "./entry-requests.js";
+import type { Fault } from "./errors.js";
+import type { EventBody } from "./events.js";
+import type { CompletionRequest, RequestId } from "./requests.js";
+
+/** Longest time between two ticks, in milliseconds; waiting requests and lost members are looked at on each. */
+export const longestTickMilliseconds = 50;
+
+/** Decides for all completion requests of one entry process. */
+export class EntryCore {
+    private readonly requests = new Map<RequestId, EntryRequest>();
+    private commands: EntryCommand[] = [];
+    private pumping = false;
+
+    private constructor(private readonly options: EntryOptions) {}
+
+    public static create(options: EntryOptions): EntryCore {
+        return new EntryCore(options);
+    }
+
+    /** Number of requests that have not ended. */
+    public get size(): number {
+        return this.requests.size;
+    }
+
+    /** A new request, or one that a returning caller sent again with the text it has. */
+    public arrive(request: CompletionRequest, start: AnswerStart, now: number): readonly EntryCommand[] {
+        const { id, caller, model, promptTokens, maximumTokens: expectedTokens, deadline } = request;
+        this.record({ kind: "requestReceived", request: id, team: caller.team, target: model });
+        const offered = { id, caller, model, promptTokens, expectedTokens, deadline };
+        const offer = this.options.admission.offer(offered, now);
+        if (offer.kind === "refused") {
+            this.refuse(request, offer.fault);
+            return this.take();
+        }
+        this.options.retries.recordFirstAttempt();
+        const entry = this.create(request, start);
+        this.pump(now);
+        if (!entry.isStarted()) {
+            this.record({ kind: "requestQueued", request: id, team: caller.team });
+        }
+        return this.take();
+    }
+
+    /** A returning caller whose stream may still be on an engine; it takes no queue place, for it runs already. */
+    public reattach(
+        request: CompletionRequest,
+        start: AnswerStart,
+        held: HeldStream,
+        now: number,
+    ): readonly EntryCommand[] {
+        this.requests.get(request.id)?.release(now);
+        this.create(request, start).attach(held.group, held.leader, held.attempt + 1, now);
+        return this.take();
+    }
+
+    /** An event of an engine's stream. */
+    public engineEvent(
+        id: RequestId,
+        attempt: number,
+        event: EngineEvent,
+        now: number,
+    ): readonly EntryCommand[] {
+        this.requests.get(id)?.receive(attempt, event, now);
+        return this.take();
+    }
+
+    /** The caller has taken every token below `offset`. */
+    public callerTook(id: RequestId, offset: number, now: number): readonly EntryCommand[] {
+        this.requests.get(id)?.callerTook(offset, now);
+        return this.take();
+    }
+
+    /** The caller's connection is gone: its stream is kept for the resume window, its queue place is not. */
+    public callerLeft(id: RequestId, now: number): readonly EntryCommand[] {
+        const entry = this.requests.get(id);
+        if (entry?.isStarted() === true) {
+            entry.callerLeft(now);
+        } else if (entry !== undefined) {
+            this.options.admission.abandon(id, now);
+            this.requests.delete(id);
+        }
+        return this.take();
+    }
+
+    /** Checks all deadlines, starts what can start and moves what must move. */
+    public tick(now: number): readonly EntryCommand[] {
+        for (const refusal of this.options.admission.expire(now)) {
+            this.refuseWaiting(refusal.id, refusal.fault);
+        }
+        for (const entry of [...this.requests.values()]) {
+            entry.moveIfMissing(now);
+            entry.tick(now);
+        }
+        this.pump(now);
+        return this.take();
+    }
+
+    /** Local monotonic milliseconds of the next needed tick. */
+    public nextTick(now: number): number {
+        let next = now + longestTickMilliseconds;
+        for (const entry of this.requests.values()) {
+            next = Math.min(next, entry.nextTick() ?? next);
+        }
+        return Math.max(next, now + 1);
+    }
+
+    private create(request: CompletionRequest, start: AnswerStart): EntryRequest {
+        const entry = EntryRequest.create(request, start, {
+            options: this.options,
+            emit: command => this.commands.push(command),
+            ended: (ended, now) => this.ended(ended, now),
+        });
+        this.requests.set(request.id, entry);
+        return entry;
+    }
+
+    private ended(entry: EntryRequest, now: number): void {
+        this.requests.delete(entry.request.id);
+        this.options.admission.finish(entry.request.id, now);
+        this.pump(now);
+    }
+
+    /** Starts waiting requests while replicas have room. */
+    private pump(now: number): void {
+        if (this.pumping) {
+            return;
+        }
+        this.pumping = true;
+        const { admission, router } = this.options;
+        const capacityOf = (model: string, borrowed: boolean): number =>
+            router.capacity(model, borrowed, now);
+        for (const started of admission.startable(now, capacityOf)) {
+            this.start(started, now);
+        }
+        this.pumping = false;
+    }
+
+    private start(started: StartedRequest, now: number): void {
+        const { id } = started;
+        const entry = this.requests.get(id);
+        if (entry === undefined) {
+            this.options.admission.finish(id, now);
+            return;
+        }
+        if (!entry.tryStart(started, now)) {
+            this.options.admission.putBack(id, now);
+        }
+    }
+
+    private refuseWaiting(id: RequestId, fault: Fault): void {
+        const entry = this.requests.get(id);
+        if (entry !== undefined) {
+            this.requests.delete(id);
+            this.refuse(entry.request, fault);
+        }
+    }
+
+    private refuse(request: CompletionRequest, fault: Fault): void {
+        const { code, notRun } = fault;
+        this.record({ kind: "requestRefused", request: request.id, team: request.caller.team, code, notRun });
+        this.commands.push({ kind: "fail", request: request.id, fault });
+    }
+
+    private record(event: EventBody): void {
+        this.commands.push({ kind: "record", event });
+    }
+
+    private take(): readonly EntryCommand[] {
+        const commands = this.commands;
+        this.commands = [];
+        return commands;
+    }
+}
--- /dev/null
+++ b/src/core/entry-requests.ts
@@ -0,0 +1,327 @@
+/**
+ * One completion request at one entry process, from its start on a replica to its end: which replica holds its stream,
+ * and where the stream goes on after a loss. Times are local monotonic milliseconds.
+ */
+import type { EngineEvent } from "../contracts/engines.js";
+import type { StartedRequest } from "./admissions.js";
+import type { AnswerCommand, AnswerStep } from "./answers-commands.js";
+import { AnswerLog } from "./answers.js";
+import type { AnswerStart, EntryCommand, EntryOptions } from "./entry-commands.js";
+import type { Fault } from "./errors.js";
+import type { EventBody } from "./events.js";
+import type { Instance } from "./instances.js";
+import type { ReplicaGroup, ReplicaGroupId } from "./replica-groups.js";
+import type { CompletionRequest } from "./requests.js";
+import type { RouteRequest } from "./routes.js";
+
+/** Options, and where commands and the end of the request go. */
+export interface EntryRequestContext {
+    readonly options: EntryOptions;
+    readonly emit: (command: EntryCommand) => void;
+    /** Called exactly once, before the last command. */
+    readonly ended: (request: EntryRequest, now: number) => void;
+}
+
+type RestartCommand = Extract<AnswerCommand, { kind: "restart" }>;
+type DeliverCommand = Extract<AnswerCommand, { kind: "deliver" }>;
+
+/** A request and the stream that answers it. */
+export class EntryRequest {
+    private log: AnswerLog | undefined;
+    private tickAt: number | undefined;
+    private group: ReplicaGroup | undefined;
+    private leader: Instance | undefined;
+    private avoided: ReplicaGroupId | undefined;
+    /** A restart that no replica could take yet. */
+    private unplaced: RestartCommand | undefined;
+    private hasFirstToken = false;
+    private borrowed = false;
+
+    private constructor(
+        private current: CompletionRequest,
+        private readonly start: AnswerStart,
+        private readonly context: EntryRequestContext,
+    ) {}
+
+    public static create(
+        request: CompletionRequest,
+        start: AnswerStart,
+        context: EntryRequestContext,
+    ): EntryRequest {
+        return new EntryRequest(request, start, context);
+    }
+
+    /** The request, with the engine priority that admission gave it. */
+    public get request(): CompletionRequest {
+        return this.current;
+    }
+
+    /** True once a replica was chosen for the first time. */
+    public isStarted(): boolean {
+        return this.log !== undefined;
+    }
+
+    /** Time of the next needed tick; undefined while the request waits in admission. */
+    public nextTick(): number | undefined {
+        return this.tickAt;
+    }
+
+    /** Sends the request to a replica; false if none can take it. */
+    public tryStart({ priority, borrowed }: StartedRequest, now: number): boolean {
+        this.current = { ...this.current, priority };
+        this.borrowed = borrowed;
+        const chosen = this.choose(now);
+        if (chosen === undefined) {
+            return false;
+        }
+        const { fromOffset, delivered } = this.start;
+        const attempt = fromOffset > 0 ? 2 : 1;
+        this.openLog(attempt, now);
+        this.place(chosen.group, chosen.leader, now);
+        this.send("start", attempt, fromOffset, delivered ?? "");
+        return true;
+    }
+
+    /** Attaches to a stream that an engine already holds. */
+    public attach(group: ReplicaGroup, leader: Instance, attempt: number, now: number): void {
+        this.openLog(attempt, now);
+        this.place(group, leader, now);
+        this.send("resume", attempt, this.start.fromOffset, "");
+    }
+
+    /** Takes one event of an engine's stream. */
+    public receive(attempt: number, event: EngineEvent, now: number): void {
+        if (this.log === undefined) {
+            return;
+        }
+        if (event.kind === "failed" && attempt === this.log.currentAttempt()) {
+            const instance = this.leader?.id;
+            const code = event.fault.code;
+            this.record({ kind: "attemptFailed", request: this.request.id, attempt, code, instance });
+        }
+        this.follow(this.log.receive({ request: this.request.id, attempt, event }, now), now);
+    }
+
+    /** The caller has taken every token below `offset`. */
+    public callerTook(offset: number, now: number): void {
+        if (this.log !== undefined) {
+            this.follow(this.log.callerTook(offset, now), now);
+        }
+    }
+
+    /** The caller's connection is gone; its stream is kept for the resume window. */
+    public callerLeft(now: number): void {
+        if (this.log !== undefined) {
+            this.follow(this.log.callerLeft(now), now);
+        }
+    }
+
+    /** Leaves the stream on its engine, for the caller has come back on another connection. */
+    public release(now: number): void {
+        this.context.emit({
+            kind: "detach",
+            request: this.request.id,
+            attempt: this.log?.currentAttempt() ?? 0,
+        });
+        this.end("abandoned", now);
+    }
+
+    /** Checks the deadlines that have come, and looks again for a replica if none could take a restart. */
+    public tick(now: number): void {
+        if (this.unplaced !== undefined) {
+            this.restart(this.unplaced, now);
+        }
+        if (this.log !== undefined && this.tickAt !== undefined && this.tickAt <= now) {
+            this.follow(this.log.tick(now), now);
+        }
+    }
+
+    /** Moves the stream away if its replica group has lost a member. */
+    public moveIfMissing(now: number): void {
+        const missing =
+            this.group === undefined ? undefined : this.context.options.missingMember(this.group, now);
+        if (missing !== undefined && this.group !== undefined) {
+            this.loseReplica(`replica group "${this.group.id}" lost its member "${missing}"`, now);
+        }
+    }
+
+    private openLog(attempt: number, now: number): void {
+        const { answerOptions, retries } = this.context.options;
+        const { id, deadline } = this.request;
+        const retry = { deadline, expectedMilliseconds: 0, isRetry: false };
+        const options = {
+            ...answerOptions(),
+            request: id,
+            attempt,
+            fromOffset: this.start.fromOffset,
+            delivered: this.start.delivered,
+            deadline,
+            mayRetry: (time: number) => retries.tryTake(retry, time),
+        };
+        this.log = AnswerLog.create(options, now);
+        this.tickAt = now;
+    }
+
+    private choose(now: number): { readonly group: ReplicaGroup; readonly leader: Instance } | undefined {
+        const { router, instanceOf } = this.context.options;
+        const route = this.routeRequest();
+        const other = router.choose(
+            { ...route, excluded: this.avoided === undefined ? [] : [this.avoided] },
+            now,
+        );
+        const result = other.success ? other : router.choose(route, now);
+        if (!result.success) {
+            return undefined;
+        }
+        const { group } = result.data;
+        const leader = instanceOf(group.members[0]!);
+        return leader === undefined ? undefined : { group, leader };
+    }
+
+    private routeRequest(): RouteRequest {
+        const { id, model, prompt, promptTokens } = this.current;
+        return { id, model, prompt, promptTokens, borrowed: this.borrowed };
+    }
+
+    private place(group: ReplicaGroup, leader: Instance, now: number): void {
+        this.group = group;
+        this.leader = leader;
+        this.unplaced = undefined;
+        this.context.options.router.dispatched(this.routeRequest(), group.id, now);
+    }
+
+    private unplace(outcome: "finished" | "failed" | "abandoned", now: number): void {
+        if (this.group !== undefined) {
+            this.context.options.router[outcome](this.request.id, now);
+            this.avoided = this.group.id;
+            this.group = undefined;
+        }
+    }
+
+    private send(kind: "start" | "resume", attempt: number, fromOffset: number, delivered: string): void {
+        const { request, group, leader } = this;
+        if (group === undefined || leader === undefined) {
+            return;
+        }
+        const { id, epoch } = group;
+        const dispatch = { request, attempt, group: id, epoch, leader, delivered, fromOffset };
+        this.context.emit({ kind, dispatch });
+        const instance = leader.id;
+        this.record({ kind: "requestDispatched", request: request.id, attempt, group: id, epoch, instance });
+    }
+
+    private follow(step: AnswerStep, now: number): void {
+        this.tickAt = step.nextTick;
+        for (const command of step.commands) {
+            this.followOne(command, now);
+        }
+    }
+
+    private followOne(command: AnswerCommand, now: number): void {
+        const request = this.request.id;
+        switch (command.kind) {
+            case "deliver":
+                this.deliver(command, now);
+                return;
+            case "resume":
+                this.resume(command.attempt, command.fromOffset, now);
+                return;
+            case "restart":
+                this.restart(command, now);
+                return;
+            case "detach":
+                this.context.emit({ kind: "detach", request, attempt: command.attempt });
+                return;
+            case "cancel":
+                this.cancel(command.attempt, now);
+                return;
+            case "finish":
+                this.end("finished", now);
+                this.record({ kind: "requestCompleted", request, tokens: command.nextOffset });
+                this.context.emit({ ...command, request });
+                return;
+            case "fail":
+                this.end("failed", now);
+                this.fail(command.fault);
+        }
+    }
+
+    private deliver(command: DeliverCommand, now: number): void {
+        const { options, emit } = this.context;
+        const request = this.request.id;
+        if (!this.hasFirstToken) {
+            this.hasFirstToken = true;
+            this.record({ kind: "firstToken", request, attempt: this.log?.currentAttempt() ?? 0 });
+        }
+        options.admission.charge(request, 1, now);
+        options.router.progress(request, now);
+        emit({ kind: "deliver", request, offset: command.offset, text: command.text });
+    }
+
+    private resume(attempt: number, fromOffset: number, now: number): void {
+        if (this.group === undefined) {
+            this.loseReplica("the replica that held the stream is gone", now);
+            return;
+        }
+        this.record({ kind: "requestResumed", request: this.request.id, attempt, offset: fromOffset });
+        this.send("resume", attempt, fromOffset, "");
+    }
+
+    private restart(command: RestartCommand, now: number): void {
+        this.unplaced = undefined;
+        if (command.attempt !== this.log?.currentAttempt()) {
+            return;
+        }
+        this.unplace("failed", now);
+        const chosen = this.choose(now);
+        if (chosen === undefined) {
+            this.unplaced = command;
+            return;
+        }
+        const { attempt, fromOffset, delivered } = command;
+        this.place(chosen.group, chosen.leader, now);
+        this.record({ kind: "requestResumed", request: this.request.id, attempt, offset: fromOffset });
+        this.send("start", attempt, fromOffset, delivered);
+    }
+
+    private cancel(attempt: number, now: number): void {
+        if (this.leader !== undefined && this.group !== undefined) {
+            this.context.emit({ kind: "cancel", request: this.request.id, attempt, leader: this.leader });
+            this.unplace("abandoned", now);
+        }
+    }
+
+    private loseReplica(message: string, now: number): void {
+        const attempt = this.log?.currentAttempt() ?? 0;
+        const fault: Fault = {
+            code: "noReplica",
+            message,
+            step: "stream",
+            peer: this.leader?.id,
+            notRun: false,
+        };
+        this.receive(attempt, { kind: "failed", fault }, now);
+    }
+
+    private end(outcome: "finished" | "failed" | "abandoned", now: number): void {
+        this.unplace(outcome, now);
+        this.tickAt = undefined;
+        this.context.ended(this, now);
+    }
+
+    private fail(fault: Fault): void {
+        const { id, caller } = this.request;
+        this.record({
+            kind: "requestRefused",
+            request: id,
+            team: caller.team,
+            code: fault.code,
+            notRun: fault.notRun,
+        });
+        this.context.emit({ kind: "fail", request: id, fault });
+    }
+
+    private record(event: EventBody): void {
+        this.context.emit({ kind: "record", event });
+    }
+}
--- /dev/null
+++ b/src/daemons/entry/caller-handlers.ts
@@ -0,0 +1,146 @@
+/** The callers' API: paths, authentication and bodies; what is well formed goes on to its handler. */
+import type * as http from "node:http";
+import type { Clock } from "../../contracts/clocks.js";
+import type { RequestLimits } from "../../core/configuration-schemas.js";
+import type { Fault } from "../../core/errors.js";
+import { sendJson } from "../../links/admin-servers.js";
+import { readCallerBody } from "../../links/caller-servers.js";
+import { sendFault } from "../../links/fault-answers.js";
+import type { SystemView } from "../views.js";
+import type { CompletionForm } from "./completion-bodies.js";
+import { safeParseCompletion } from "./completion-bodies.js";
+import type { CompletionExchange } from "./completions.js";
+import type { Credentials } from "./credentials.js";
+import type { ServiceExchange } from "./service-routes.js";
+
+/** Health of the process as the balancer asks for it. */
+export type Readiness = "starting" | "ready" | "leaving";
+
+/** What the API works with. */
+export interface CallerHandlerOptions {
+    readonly view: SystemView;
+    readonly clock: Clock;
+    readonly credentials: () => Credentials;
+    readonly readiness: () => Readiness;
+    readonly completion: (exchange: CompletionExchange) => Fault | undefined;
+    readonly service: (exchange: ServiceExchange) => Promise<void>;
+}
+
+/** Time after which a caller refused by a leaving or starting process may come back, in milliseconds. */
+const comeBackMilliseconds = 1_000;
+
+const completionPaths: Readonly<Record<string, CompletionForm>> = {
+    "/v1/completions": "completion",
+    "/v1/chat/completions": "chat",
+};
+
+/** Returns the handler of the callers' port. */
+export function createCallerHandler(
+    options: CallerHandlerOptions,
+): (request: http.IncomingMessage, response: http.ServerResponse) => void {
+    return (request, response) => {
+        const path = (request.url ?? "/").split("?")[0] ?? "/";
+        if (path.startsWith("/health/")) {
+            answerHealth(path, options.readiness(), response);
+            return;
+        }
+        handleCaller(options, request, response, path).catch((thrown: unknown) => {
+            const message = thrown instanceof Error ? thrown.message : String(thrown);
+            refuse(options, request, response, { code: "internal", message, step: "parse", notRun: false });
+        });
+    };
+}
+
+function answerHealth(path: string, readiness: Readiness, response: http.ServerResponse): void {
+    if (path === "/health/live") {
+        sendJson(response, 200, { live: true });
+        return;
+    }
+    if (path === "/health/ready") {
+        sendJson(response, readiness === "ready" ? 200 : 503, { ready: readiness === "ready", readiness });
+        return;
+    }
+    sendJson(response, 404, { error: { code: "notFound", message: `path "${path}" does not exist` } });
+}
+
+async function handleCaller(
+    options: CallerHandlerOptions,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    path: string,
+): Promise<void> {
+    const configuration = options.view.configuration();
+    if (options.readiness() !== "ready" || configuration === undefined) {
+        refuse(options, request, response, notReady(options));
+        return;
+    }
+    const caller = options.credentials().authenticate(request.headers.authorization);
+    if (!caller.success) {
+        refuse(options, request, response, caller.fault);
+        return;
+    }
+    const limits = configuration.limits.requests;
+    const body = await readCallerBody(request, limits.bodyBytes);
+    if (!body.success) {
+        refuse(options, request, response, body.fault);
+        return;
+    }
+    const form = completionPaths[path];
+    if (form !== undefined && request.method === "POST") {
+        complete(options, { caller: caller.data, request, response, form, text: body.data, limits });
+        return;
+    }
+    if (path.startsWith("/services/")) {
+        await options.service({ caller: caller.data, request, response, body: body.data });
+        return;
+    }
+    const message = `${request.method ?? "GET"} ${path} does not exist`;
+    refuse(options, request, response, { code: "notFound", message, step: "parse", notRun: true });
+}
+
+interface CompletionCall {
+    readonly caller: CompletionExchange["caller"];
+    readonly request: http.IncomingMessage;
+    readonly response: http.ServerResponse;
+    readonly form: CompletionForm;
+    readonly text: string;
+    readonly limits: RequestLimits;
+}
+
+function complete(options: CallerHandlerOptions, call: CompletionCall): void {
+    const { caller, request, response, form, text, limits } = call;
+    const parsed = safeParseCompletion(form, text, limits.jsonDepth);
+    const fault = parsed.success
+        ? options.completion({ caller, body: parsed.data, headers: request.headers, response })
+        : parsed.fault;
+    if (fault !== undefined) {
+        refuse(options, request, response, fault);
+    }
+}
+
+function notReady(options: CallerHandlerOptions): Fault {
+    const retryAt = options.clock.monotonicMilliseconds() + comeBackMilliseconds;
+    const isLeaving = options.readiness() === "leaving";
+    const message = isLeaving
+        ? "this entry instance is shutting down"
+        : "this entry instance is not ready yet";
+    const code = isLeaving ? "shuttingDown" : "storeUnavailable";
+    return { code, message, step: isLeaving ? "shutdown" : "configure", notRun: true, retryAt };
+}
+
+/** Answers at once; a connection whose request was not read to its end is closed after the answer. */
+function refuse(
+    options: CallerHandlerOptions,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    fault: Fault,
+): void {
+    if (response.headersSent) {
+        response.destroy();
+        return;
+    }
+    if (!request.complete) {
+        response.setHeader("connection", "close");
+    }
+    sendFault(response, fault, options.clock);
+}
--- a/src/daemons/entry/completion-answers.ts
+++ b/src/daemons/entry/completion-answers.ts
@@ -91,6 +91,12 @@
         response.end(`event: error\ndata: ${JSON.stringify(faultBody(fault, clock))}\n\n`);
     }
 
+    /** Ends silently an answer whose caller has come back on another connection. */
+    public abandon(): void {
+        this.ended = true;
+        this.options.response.destroy();
+    }
+
     private startStream(): void {
         if (this.options.response.headersSent) {
             return;
--- /dev/null
+++ b/src/daemons/entry/entry-loops.ts
@@ -0,0 +1,211 @@
+/** The one loop of an entry process: merges all inputs into one stream, feeds the core, carries out its commands. */
+import { Subject, observeOn, queueScheduler } from "rxjs";
+import type { Clock } from "../../contracts/clocks.js";
+import type { Engines } from "../../contracts/engines.js";
+import type { EngineEvent } from "../../contracts/engines.js";
+import type { EntryCore } from "../../core/entries.js";
+import type { AnswerStart, EntryCommand, HeldStream } from "../../core/entry-commands.js";
+import type { RecordEvent } from "../../core/events.js";
+import type { CompletionRequest, RequestId } from "../../core/requests.js";
+import type { Metrics } from "../../links/metrics.js";
+import type { CompletionAnswer } from "./completion-answers.js";
+import { StreamDriver } from "./stream-drivers.js";
+
+/** A tick that comes later than this after its time means that the process was frozen, in milliseconds. */
+const lateTickMilliseconds = 1_000;
+
+/** Everything that can happen to an entry process. */
+type EntryInput =
+    | {
+          readonly kind: "arrive";
+          readonly request: CompletionRequest;
+          readonly start: AnswerStart;
+          readonly held: HeldStream | undefined;
+      }
+    | {
+          readonly kind: "engineEvent";
+          readonly request: RequestId;
+          readonly attempt: number;
+          readonly event: EngineEvent;
+      }
+    | { readonly kind: "callerTook"; readonly request: RequestId; readonly offset: number }
+    | { readonly kind: "callerLeft"; readonly request: RequestId }
+    | { readonly kind: "tick" };
+
+/** What the loop works with. */
+export interface EntryLoopOptions {
+    readonly core: EntryCore;
+    readonly engines: Engines;
+    readonly clock: Clock;
+    readonly record: RecordEvent;
+    readonly metrics: Metrics;
+    /** Returns the token with which the caller can go on with a stream elsewhere. */
+    readonly sealResume: (command: Extract<EntryCommand, { kind: "start" | "resume" }>) => string;
+}
+
+interface WaitingCaller {
+    readonly answer: CompletionAnswer;
+    readonly arrivedAt: number;
+    hasFirstToken: boolean;
+}
+
+/** Runs the core of one process. */
+export class EntryLoop {
+    private readonly inputs = new Subject<EntryInput>();
+    private readonly callers = new Map<RequestId, WaitingCaller>();
+    private readonly streams: StreamDriver;
+    private timer: NodeJS.Timeout | undefined;
+    private nextTickAt: number;
+
+    private constructor(private readonly options: EntryLoopOptions) {
+        this.streams = StreamDriver.create(options.engines, options.clock, (request, attempt, event) =>
+            this.inputs.next({ kind: "engineEvent", request, attempt, event }),
+        );
+        this.nextTickAt = options.clock.monotonicMilliseconds();
+        this.inputs.pipe(observeOn(queueScheduler)).subscribe(input => this.step(input));
+        this.planTick();
+    }
+
+    public static create(options: EntryLoopOptions): EntryLoop {
+        return new EntryLoop(options);
+    }
+
+    /** Number of requests that have not ended. */
+    public get size(): number {
+        return this.options.core.size;
+    }
+
+    /** Takes in a request; its answer is written to `answer`. */
+    public arrive(
+        request: CompletionRequest,
+        start: AnswerStart,
+        held: HeldStream | undefined,
+        answer: CompletionAnswer,
+    ): void {
+        const arrivedAt = this.options.clock.monotonicMilliseconds();
+        this.callers.get(request.id)?.answer.abandon();
+        this.callers.set(request.id, { answer, arrivedAt, hasFirstToken: false });
+        this.options.metrics.count("chervil.request.received");
+        this.inputs.next({ kind: "arrive", request, start, held });
+    }
+
+    public callerTook(request: RequestId, offset: number): void {
+        this.inputs.next({ kind: "callerTook", request, offset });
+    }
+
+    public callerLeft(request: RequestId): void {
+        this.inputs.next({ kind: "callerLeft", request });
+    }
+
+    /** Looks at once at what a change of the system view allows or demands. */
+    public lookAgain(): void {
+        this.inputs.next({ kind: "tick" });
+    }
+
+    public close(): void {
+        clearTimeout(this.timer);
+        this.inputs.complete();
+    }
+
+    private planTick(): void {
+        const now = this.options.clock.monotonicMilliseconds();
+        this.nextTickAt = this.options.core.nextTick(now);
+        this.timer = setTimeout(() => {
+            this.noteLateTick();
+            this.inputs.next({ kind: "tick" });
+            this.planTick();
+        }, this.nextTickAt - now);
+    }
+
+    private noteLateTick(): void {
+        const late = this.options.clock.monotonicMilliseconds() - this.nextTickAt;
+        if (late > lateTickMilliseconds) {
+            this.options.record({ kind: "lateTick", gapMilliseconds: Math.round(late) });
+            this.options.metrics.timing("chervil.loop.late", late);
+        }
+    }
+
+    private step(input: EntryInput): void {
+        const now = this.options.clock.monotonicMilliseconds();
+        for (const command of this.decide(input, now)) {
+            this.carryOut(command, now);
+        }
+    }
+
+    private decide(input: EntryInput, now: number): readonly EntryCommand[] {
+        const { core } = this.options;
+        switch (input.kind) {
+            case "arrive":
+                return input.held === undefined
+                    ? core.arrive(input.request, input.start, now)
+                    : core.reattach(input.request, input.start, input.held, now);
+            case "engineEvent":
+                return core.engineEvent(input.request, input.attempt, input.event, now);
+            case "callerTook":
+                return core.callerTook(input.request, input.offset, now);
+            case "callerLeft":
+                this.callers.delete(input.request);
+                return core.callerLeft(input.request, now);
+            case "tick":
+                return core.tick(now);
+        }
+    }
+
+    private carryOut(command: EntryCommand, now: number): void {
+        switch (command.kind) {
+            case "start":
+            case "resume":
+                this.callers
+                    .get(command.dispatch.request.id)
+                    ?.answer.offerResumeToken(this.options.sealResume(command));
+                this.streams.begin(command.kind, command.dispatch);
+                return;
+            case "detach":
+                this.streams.detach(command.request, command.attempt);
+                return;
+            case "cancel":
+                this.streams.cancel(command.request, command.attempt, command.leader);
+                return;
+            case "deliver":
+                this.deliver(command.request, command.offset, command.text, now);
+                return;
+            case "finish":
+                this.options.metrics.count("chervil.request.completed");
+                this.endCaller(command.request)?.finish(command.reason, command.nextOffset);
+                return;
+            case "fail":
+                this.countFault(command);
+                this.endCaller(command.request)?.fail(command.fault);
+                return;
+            case "record":
+                this.options.record(command.event);
+        }
+    }
+
+    private deliver(request: RequestId, offset: number, text: string, now: number): void {
+        const caller = this.callers.get(request);
+        this.options.metrics.count("chervil.tokens.delivered");
+        if (caller === undefined) {
+            return;
+        }
+        if (!caller.hasFirstToken) {
+            caller.hasFirstToken = true;
+            this.options.metrics.timing("chervil.first_token", now - caller.arrivedAt);
+        }
+        caller.answer.deliver(offset, text);
+    }
+
+    private endCaller(request: RequestId): CompletionAnswer | undefined {
+        this.streams.leave(request);
+        const caller = this.callers.get(request);
+        this.callers.delete(request);
+        return caller?.answer;
+    }
+
+    private countFault(command: Extract<EntryCommand, { kind: "fail" }>): void {
+        const { code, notRun } = command.fault;
+        this.options.metrics.count(notRun ? "chervil.request.refused" : "chervil.request.failed", 1, {
+            code,
+        });
+    }
+}
--- /dev/null
+++ b/src/daemons/entry/service-routes.ts
@@ -0,0 +1,114 @@
+/** Callers' calls of plain services under `/services/<service>/...`. */
+import type * as http from "node:http";
+import { randomUUID } from "node:crypto";
+import type { Clock } from "../../contracts/clocks.js";
+import type { ServiceSettings } from "../../core/configuration-schemas.js";
+import type { Fault, Result } from "../../core/errors.js";
+import { fail, succeed } from "../../core/errors.js";
+import type { Caller, ServiceCall } from "../../core/requests.js";
+import { sendFault } from "../../links/fault-answers.js";
+import type { SystemView } from "../views.js";
+import { invalidRequest } from "./completion-bodies.js";
+import type { ServiceOutcome } from "./service-calls.js";
+
+/** One authenticated call. */
+export interface ServiceExchange {
+    readonly caller: Caller;
+    readonly request: http.IncomingMessage;
+    readonly response: http.ServerResponse;
+    readonly body: string;
+}
+
+/** What the handler works with. */
+export interface ServiceRoutesOptions {
+    readonly view: SystemView;
+    readonly clock: Clock;
+    readonly run: (call: ServiceCall) => Promise<ServiceOutcome>;
+}
+
+/** Returns the function that answers one call. */
+export function createServiceHandler(
+    options: ServiceRoutesOptions,
+): (exchange: ServiceExchange) => Promise<void> {
+    return async exchange => {
+        const call = toServiceCall(options, exchange);
+        if (!call.success) {
+            sendFault(exchange.response, call.fault, options.clock);
+            return;
+        }
+        const outcome = await options.run(call.data);
+        if (outcome.kind === "refused") {
+            sendFault(exchange.response, outcome.fault, options.clock);
+            return;
+        }
+        const { status, contentType, body } = outcome.answer;
+        exchange.response.writeHead(status, {
+            "x-chervil-request": call.data.id,
+            ...(contentType === undefined ? {} : { "content-type": contentType }),
+        });
+        exchange.response.end(body);
+    };
+}
+
+function toServiceCall(options: ServiceRoutesOptions, exchange: ServiceExchange): Result<ServiceCall> {
+    const { caller, request, body } = exchange;
+    const match = /^\/services\/([A-Za-z0-9._-]+)(\/.*)$/.exec(request.url ?? "");
+    const service = match?.[1];
+    const path = match?.[2];
+    if (service === undefined || path === undefined) {
+        return fail(invalidRequest("expected a path /services/<service>/..."));
+    }
+    const configuration = options.view.configuration();
+    const settings = configuration?.services.get(service);
+    const allowed = configuration?.teams.get(caller.team)?.services.includes(service) ?? false;
+    if (settings === undefined || !allowed) {
+        return fail(unusable(service, caller, settings));
+    }
+    const method = request.method ?? "GET";
+    const contentType = request.headers["content-type"];
+    const key = request.headers["idempotency-key"];
+    return succeed({
+        id: randomUUID(),
+        caller,
+        service,
+        method,
+        path,
+        body,
+        contentType,
+        idempotent: isIdempotent(settings, method, path),
+        key: key === undefined ? undefined : String(key).toLowerCase(),
+        deadline: options.clock.monotonicMilliseconds() + settings.timeoutMilliseconds,
+    });
+}
+
+function unusable(service: string, caller: Caller, settings: ServiceSettings | undefined): Fault {
+    if (settings === undefined) {
+        return {
+            code: "notFound",
+            message: `service "${service}" does not exist`,
+            step: "parse",
+            notRun: true,
+        };
+    }
+    const message = `team "${caller.team}" may not use service "${service}"`;
+    return { code: "forbidden", message, step: "authenticate", notRun: true };
+}
+
+/** True if the method or one of the configured routes allows repeating the call. */
+export function isIdempotent(settings: ServiceSettings, method: string, path: string): boolean {
+    if ((settings.idempotentMethods as readonly string[]).includes(method)) {
+        return true;
+    }
+    const parts = (path.split("?")[0] ?? "").split("/");
+    return settings.idempotentRoutes.some(route => matchesRoute(route, method, parts));
+}
+
+function matchesRoute(route: string, method: string, parts: readonly string[]): boolean {
+    const [routeMethod, routePath] = route.split(" ");
+    const routeParts = (routePath ?? "").split("/");
+    return (
+        routeMethod === method &&
+        routeParts.length === parts.length &&
+        routeParts.every((part, index) => part === "*" || part === parts[index])
+    );
+}
