Add the key-value service's link, the instance list and the platform stand-in

The link speaks the etcd v3 JSON gateway's subset of docs/PROTOCOLS.md. Ruled out: taking a refused status for "not sent" (a store may answer 503 after a write took effect).

--- /dev/null
+++ b/src/links/instance-lists.ts
@@ -0,0 +1,135 @@
+/** The platform's instance list, followed by snapshot and watch. It lags, and is one input to membership. */
+import { Observable } from "rxjs";
+import type { Subscriber, Subscription } from "rxjs";
+import { z } from "zod";
+import type { Clock } from "../contracts/clocks.js";
+import type { KeyValueEntry, KeyValueStore, WatchEvent } from "../contracts/key-value-stores.js";
+import type { Fault } from "../core/errors.js";
+import type { Instance } from "../core/instances.js";
+
+/** Prefix of the instance list's keys. */
+export const instancePrefix = "platform/instances/";
+
+const snapshotMilliseconds = 2000;
+const millisecondsBeforeRetry = 500;
+
+const instanceSchema = z.object({
+    id: z.string().min(1),
+    address: z.string().min(1),
+    failureDomain: z.string().min(1),
+    fabricDomain: z.string().min(1),
+    role: z.enum(["entry", "engine", "service"]),
+    service: z.string().optional(),
+    state: z.enum(["live", "leaving"]),
+});
+
+/** Options of the instance list. */
+export interface InstanceListOptions {
+    readonly store: KeyValueStore;
+    readonly clock: Clock;
+    /** Called when the list cannot be read; the instances known so far stay. */
+    readonly onFault?: (fault: Fault) => void;
+}
+
+/** Reads one entry of the list; undefined if it is not valid. */
+export function parseInstance(value: string): Instance | undefined {
+    try {
+        return instanceSchema.safeParse(JSON.parse(value)).data;
+    } catch {
+        return undefined;
+    }
+}
+
+/** The instances, in order of their ids; each emission is the whole list. */
+export function followInstances(options: InstanceListOptions): Observable<readonly Instance[]> {
+    return new Observable(subscriber => {
+        const follower = new InstanceFollower(options, subscriber);
+        follower.readSnapshot();
+        return () => follower.close();
+    });
+}
+
+class InstanceFollower {
+    private readonly options: InstanceListOptions;
+    private readonly subscriber: Subscriber<readonly Instance[]>;
+    private known = new Map<string, Instance>();
+    private revision = 0;
+    private watch: Subscription | undefined;
+    private timer: NodeJS.Timeout | undefined;
+    private closed = false;
+
+    public constructor(options: InstanceListOptions, subscriber: Subscriber<readonly Instance[]>) {
+        this.options = options;
+        this.subscriber = subscriber;
+    }
+
+    public readSnapshot(): void {
+        const { store, clock } = this.options;
+        const deadline = clock.monotonicMilliseconds() + snapshotMilliseconds;
+        void store.list(instancePrefix, { deadline, priority: "other" }).then(answer => {
+            if (this.closed) {
+                return;
+            }
+            if (!answer.success) {
+                this.retry(answer.fault);
+                return;
+            }
+            this.takeSnapshot(answer.data.revision, answer.data.entries);
+        });
+    }
+
+    public close(): void {
+        this.closed = true;
+        clearTimeout(this.timer);
+        this.watch?.unsubscribe();
+    }
+
+    /** A snapshot older than what is known comes from a stale read and is left out. */
+    private takeSnapshot(revision: number, entries: readonly KeyValueEntry[]): void {
+        if (revision >= this.revision) {
+            this.known = new Map();
+            this.revision = revision;
+            entries.forEach(entry => this.put(entry));
+            this.emit();
+        }
+        this.watch = this.options.store
+            .watch(instancePrefix, this.revision + 1)
+            .subscribe(event => this.takeEvent(event));
+    }
+
+    private takeEvent(event: WatchEvent): void {
+        switch (event.kind) {
+            case "changes":
+                event.puts.forEach(entry => this.put(entry));
+                event.deletes.forEach(key => this.known.delete(key));
+                this.revision = Math.max(this.revision, event.revision);
+                this.emit();
+                break;
+            case "progress":
+                this.revision = Math.max(this.revision, event.revision);
+                break;
+            case "gap":
+                this.retry(event.fault);
+                break;
+        }
+    }
+
+    private put(entry: KeyValueEntry): void {
+        const instance = parseInstance(entry.value);
+        if (instance !== undefined) {
+            this.known.set(entry.key, instance);
+        }
+    }
+
+    private retry(fault: Fault): void {
+        this.options.onFault?.(fault);
+        clearTimeout(this.timer);
+        this.timer = setTimeout(() => this.readSnapshot(), millisecondsBeforeRetry);
+    }
+
+    private emit(): void {
+        const instances = [...this.known.values()];
+        instances.sort((left, right) => (left.id < right.id ? -1 : 1));
+        this.subscriber.next(instances);
+    }
+}
--- /dev/null
+++ b/src/links/key-value-calls.ts
@@ -0,0 +1,154 @@
+/** HTTP calls to the key-value service: several addresses tried in order, each call bounded by its deadline. */
+import { Agent, request } from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
+import type { Clock } from "../contracts/clocks.js";
+
+/** Header by which the service tells its clients apart. */
+export const processHeader = "x-chervil-process";
+
+/** The longest answer that is read, in bytes. */
+const maximumAnswerBytes = 64 * 1024 * 1024;
+
+/** Where the service is and who asks. */
+export interface StoreConnection {
+    readonly addresses: readonly string[];
+    readonly process: string;
+    readonly clock: Clock;
+    readonly agent: Agent;
+}
+
+/** Outcome of one call. `written` is false only if no byte of the request can have reached the service. */
+export type CallOutcome =
+    | { readonly kind: "answered"; readonly status: number; readonly body: string; readonly address: string }
+    | {
+          readonly kind: "failed";
+          readonly written: boolean;
+          readonly message: string;
+          readonly address: string;
+      };
+
+export function createStoreAgent(): Agent {
+    return new Agent({ keepAlive: true });
+}
+
+/** Opens a POST; the caller writes nothing more to it. `onWritable` runs once its connection stands. */
+export function openPost(
+    connection: StoreConnection,
+    address: string,
+    path: string,
+    body: unknown,
+    onWritable: () => void,
+): ClientRequest {
+    const [host, port] = splitAddress(address);
+    const text = JSON.stringify(body);
+    const outgoing = request({
+        host,
+        port,
+        path,
+        method: "POST",
+        agent: connection.agent,
+        headers: {
+            "content-type": "application/json",
+            "content-length": Buffer.byteLength(text),
+            [processHeader]: connection.process,
+        },
+    });
+    outgoing.once("socket", socket => {
+        if (socket.connecting) {
+            socket.once("connect", onWritable);
+        } else {
+            onWritable();
+        }
+    });
+    outgoing.end(text);
+    return outgoing;
+}
+
+/** Makes one call to one address until the deadline (local monotonic milliseconds). */
+export function callOnce(
+    connection: StoreConnection,
+    address: string,
+    path: string,
+    body: unknown,
+    deadline: number,
+): Promise<CallOutcome> {
+    return new Promise(resolve => {
+        let written = false;
+        const outgoing = openPost(connection, address, path, body, () => {
+            written = true;
+        });
+        const remaining = Math.max(0, deadline - connection.clock.monotonicMilliseconds());
+        const timer = setTimeout(
+            () => outgoing.destroy(new Error("no answer before the deadline")),
+            remaining,
+        );
+        const fail = (error: Error): void => {
+            clearTimeout(timer);
+            resolve({ kind: "failed", written, message: `${address}: ${error.message}`, address });
+        };
+        outgoing.once("error", fail);
+        outgoing.once("response", response => {
+            readBody(response, fail, text => {
+                clearTimeout(timer);
+                resolve({ kind: "answered", status: response.statusCode ?? 0, body: text, address });
+            });
+        });
+    });
+}
+
+function readBody(
+    response: IncomingMessage,
+    onError: (error: Error) => void,
+    onText: (text: string) => void,
+): void {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    response.on("data", (chunk: Buffer) => {
+        bytes += chunk.length;
+        chunks.push(chunk);
+        if (bytes > maximumAnswerBytes) {
+            response.destroy(new Error("the answer is too large"));
+        }
+    });
+    response.once("error", onError);
+    response.once("end", () => onText(Buffer.concat(chunks).toString("utf8")));
+    response.once("close", () => onError(new Error("the answer was cut off")));
+}
+
+/**
+ * Makes a call at the addresses in order. Each address gets an equal part of the time that remains. Another address
+ * is tried after a failure if `repeatable`, otherwise only if nothing was written.
+ */
+export async function callInOrder(
+    connection: StoreConnection,
+    path: string,
+    body: unknown,
+    deadline: number,
+    repeatable: boolean,
+): Promise<CallOutcome> {
+    let outcome: CallOutcome = {
+        kind: "failed",
+        written: false,
+        message: "the deadline has passed",
+        address: connection.addresses[0] ?? "",
+    };
+    for (const [index, address] of connection.addresses.entries()) {
+        const now = connection.clock.monotonicMilliseconds();
+        if (now >= deadline) {
+            return outcome;
+        }
+        const part = (deadline - now) / (connection.addresses.length - index);
+        outcome = await callOnce(connection, address, path, body, now + part);
+        const settled = outcome.kind === "answered" && outcome.status < 500;
+        const mayRepeat = repeatable || (outcome.kind === "failed" && !outcome.written);
+        if (settled || !mayRepeat) {
+            return outcome;
+        }
+    }
+    return outcome;
+}
+
+function splitAddress(address: string): readonly [string, number] {
+    const colon = address.lastIndexOf(":");
+    return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/src/links/key-value-messages.ts
@@ -0,0 +1,120 @@
+/** Messages of the etcd v3 JSON gateway: keys and values in base64, 64-bit numbers as strings. */
+import { z } from "zod";
+import type { KeyValueEntry, Swap, WatchEvent } from "../contracts/key-value-stores.js";
+
+const wholeNumber = z.union([z.string().regex(/^-?\d+$/), z.number()]).transform(Number);
+const header = z.object({ revision: wholeNumber });
+const keyValue = z.object({
+    key: z.string(),
+    value: z.string().default(""),
+    mod_revision: wholeNumber.default(0),
+});
+
+/** Answer of `/v3/kv/range`. */
+export const rangeAnswerSchema = z.object({ header, kvs: z.array(keyValue).default([]) });
+/** Answer of `/v3/kv/txn`; `responses` holds the range on failure. */
+export const transactionAnswerSchema = z.object({
+    header,
+    succeeded: z.boolean().default(false),
+    responses: z
+        .array(z.object({ response_range: z.object({ kvs: z.array(keyValue).default([]) }).optional() }))
+        .default([]),
+});
+/** Answer of `/v3/lease/grant`; a 64-bit id stays a string. */
+export const leaseGrantAnswerSchema = z.object({ ID: z.string(), TTL: wholeNumber });
+/** Answer of `/v3/lease/keepalive`; a time to live of 0 means that the lease has lapsed. */
+export const leaseRenewalAnswerSchema = z.object({ result: z.object({ TTL: wholeNumber.default(0) }) });
+/** Answer of `/v3/lease/revoke`. */
+export const leaseRevocationAnswerSchema = z.object({ header: header.optional() });
+/** One line of `/v3/watch`. */
+export const watchLineSchema = z.object({
+    result: z.object({
+        header: header.optional(),
+        created: z.boolean().default(false),
+        canceled: z.boolean().default(false),
+        cancel_reason: z.string().optional(),
+        compact_revision: wholeNumber.optional(),
+        events: z
+            .array(z.object({ type: z.enum(["PUT", "DELETE"]).default("PUT"), kv: keyValue }))
+            .default([]),
+    }),
+});
+
+type KeyValueMessage = z.infer<typeof keyValue>;
+type WatchLine = z.infer<typeof watchLineSchema>;
+
+/** What one line of a watch means. */
+export type WatchMessage =
+    | { readonly kind: "event"; readonly event: WatchEvent }
+    | { readonly kind: "ended"; readonly reason: string };
+
+export function encodeText(text: string): string {
+    return Buffer.from(text, "utf8").toString("base64");
+}
+
+function decodeText(text: string): string {
+    return Buffer.from(text, "base64").toString("utf8");
+}
+
+/** The smallest key after every key that starts with `prefix`; "\0" stands for the end of all keys. */
+export function endOfPrefix(prefix: string): string {
+    const bytes = Buffer.from(prefix, "utf8");
+    for (let index = bytes.length - 1; index >= 0; index -= 1) {
+        if (bytes[index]! < 0xff) {
+            const end = Buffer.from(bytes.subarray(0, index + 1));
+            end[index]! += 1;
+            return end.toString("base64");
+        }
+    }
+    return encodeText("\0");
+}
+
+export function decodeEntry(message: KeyValueMessage): KeyValueEntry {
+    return {
+        key: decodeText(message.key),
+        value: decodeText(message.value),
+        modRevision: message.mod_revision,
+    };
+}
+
+/** A transaction of one comparison, with one put or delete on success and one range on failure. */
+export function encodeSwap(swap: Swap): unknown {
+    const key = encodeText(swap.key);
+    const change =
+        swap.value === undefined
+            ? { request_delete_range: { key } }
+            : { request_put: { key, value: encodeText(swap.value), lease: swap.lease } };
+    return {
+        compare: [{ key, target: "MOD", result: "EQUAL", mod_revision: String(swap.expectedRevision) }],
+        success: [change],
+        failure: [{ request_range: { key } }],
+    };
+}
+
+export function encodeWatch(prefix: string, fromRevision: number): unknown {
+    return {
+        create_request: {
+            key: encodeText(prefix),
+            range_end: endOfPrefix(prefix),
+            start_revision: String(fromRevision),
+            progress_notify: true,
+        },
+    };
+}
+
+/** A line may change a key several times; only its last change counts. */
+export function decodeWatchLine(line: WatchLine): WatchMessage {
+    const { result } = line;
+    if (result.canceled || result.compact_revision !== undefined) {
+        return { kind: "ended", reason: result.cancel_reason ?? "the watch was cancelled" };
+    }
+    const revision = result.header?.revision ?? 0;
+    if (result.events.length === 0) {
+        return { kind: "event", event: { kind: "progress", revision } };
+    }
+    const lastOfKey = new Map(result.events.map(event => [event.kv.key, event]));
+    const last = [...lastOfKey.values()];
+    const puts = last.filter(event => event.type === "PUT").map(event => decodeEntry(event.kv));
+    const deletes = last.filter(event => event.type === "DELETE").map(event => decodeText(event.kv.key));
+    return { kind: "event", event: { kind: "changes", revision, puts, deletes } };
+}
--- /dev/null
+++ b/src/links/key-value-watches.ts
@@ -0,0 +1,140 @@
+/** Watches of the key-value service: a streamed answer of one JSON object a line. */
+import type { ClientRequest } from "node:http";
+import { Observable } from "rxjs";
+import type { Subscriber } from "rxjs";
+import type { WatchEvent } from "../contracts/key-value-stores.js";
+import type { Fault } from "../core/errors.js";
+import type { StoreConnection } from "./key-value-calls.js";
+import { openPost } from "./key-value-calls.js";
+import * as messages from "./key-value-messages.js";
+
+/** The longest line that is kept, in characters. */
+const maximumLineLength = 16 * 1024 * 1024;
+
+/** Options of one watch. */
+export interface WatchOptions {
+    readonly connection: StoreConnection;
+    readonly prefix: string;
+    readonly fromRevision: number;
+    /** A stream without any line for so many milliseconds counts as dead. */
+    readonly silenceMilliseconds: number;
+    /** Called with 1 when the watch opens and with -1 when it ends. */
+    readonly onCount: (difference: number) => void;
+}
+
+/** Opens a watch at the first address that takes it; every end of the stream is reported as a "gap". */
+export function openWatch(options: WatchOptions): Observable<WatchEvent> {
+    return new Observable(subscriber => {
+        const watch = new WatchStream(options, subscriber);
+        watch.start(0);
+        return () => watch.close();
+    });
+}
+
+class WatchStream {
+    private readonly options: WatchOptions;
+    private readonly subscriber: Subscriber<WatchEvent>;
+    private outgoing: ClientRequest | undefined;
+    private silence: NodeJS.Timeout | undefined;
+    private rest = "";
+    private ended = false;
+
+    public constructor(options: WatchOptions, subscriber: Subscriber<WatchEvent>) {
+        this.options = options;
+        this.subscriber = subscriber;
+        options.onCount(1);
+    }
+
+    /** Tries the address at `index`, then the following ones while no answer has begun. */
+    public start(index: number): void {
+        const { connection, prefix, fromRevision } = this.options;
+        const address = connection.addresses[index];
+        if (address === undefined) {
+            this.end("no address of the store takes the watch");
+            return;
+        }
+        const body = messages.encodeWatch(prefix, fromRevision);
+        const outgoing = openPost(connection, address, "/v3/watch", body, () => undefined);
+        this.outgoing = outgoing;
+        let begun = false;
+        this.expectLine();
+        outgoing.once("response", response => {
+            begun = true;
+            if (response.statusCode !== 200) {
+                this.end(`the store answered a watch with ${response.statusCode}`);
+                return;
+            }
+            response.setEncoding("utf8");
+            response.on("data", (chunk: string) => this.take(chunk));
+            response.once("error", error => this.end(error.message));
+            response.once("close", () => this.end("the watch was cut off"));
+        });
+        outgoing.once("error", error =>
+            begun || this.ended ? this.end(error.message) : this.start(index + 1),
+        );
+    }
+
+    public close(): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        clearTimeout(this.silence);
+        this.options.onCount(-1);
+        this.outgoing?.destroy();
+    }
+
+    private take(chunk: string): void {
+        this.expectLine();
+        const lines = (this.rest + chunk).split("\n");
+        this.rest = lines.pop() ?? "";
+        if (this.rest.length > maximumLineLength) {
+            this.end("a line of the watch is too long");
+        }
+        for (const line of lines) {
+            if (!this.ended && line.trim() !== "") {
+                this.takeLine(line);
+            }
+        }
+    }
+
+    private takeLine(line: string): void {
+        const parsed = parseLine(line);
+        if (parsed === undefined) {
+            this.end("a line of the watch is not valid");
+            return;
+        }
+        const message = messages.decodeWatchLine(parsed);
+        if (message.kind === "ended") {
+            this.end(message.reason);
+            return;
+        }
+        this.subscriber.next(message.event);
+    }
+
+    private expectLine(): void {
+        clearTimeout(this.silence);
+        this.silence = setTimeout(
+            () => this.end("the watch has been silent past its deadline"),
+            this.options.silenceMilliseconds,
+        );
+    }
+
+    private end(reason: string): void {
+        if (this.ended) {
+            return;
+        }
+        this.close();
+        const fault: Fault = { code: "storeUnavailable", message: reason, step: "store", notRun: true };
+        this.subscriber.next({ kind: "gap", fault });
+        this.subscriber.complete();
+    }
+}
+
+function parseLine(line: string): ReturnType<typeof messages.watchLineSchema.parse> | undefined {
+    try {
+        return messages.watchLineSchema.safeParse(JSON.parse(line)).data;
+    } catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/stand-ins/faults.ts
@@ -0,0 +1,91 @@
+/** Fault switches: each fault is on for a target until its deadline (local monotonic milliseconds). */
+
+/** One fault of one target. */
+export interface SwitchedFault {
+    /** An instance, a service, a failure or fabric domain, a process, or a part ("platform", "engines"). */
+    readonly target: string;
+    readonly fault: string;
+    readonly deadline: number;
+    /** Size of the fault where it has one, for example a delay in milliseconds. */
+    readonly milliseconds?: number;
+}
+
+/** Told of each fault when it is switched on and when it ends. */
+export type FaultListener = (fault: SwitchedFault, on: boolean) => void;
+
+/** All faults of the stand-ins. */
+export class FaultSwitches {
+    private readonly now: () => number;
+    private readonly faults: SwitchedFault[] = [];
+    private readonly listeners: FaultListener[] = [];
+    private readonly timers = new Set<NodeJS.Timeout>();
+
+    private constructor(now: () => number) {
+        this.now = now;
+    }
+
+    public static create(now: () => number): FaultSwitches {
+        return new FaultSwitches(now);
+    }
+
+    public onChange(listener: FaultListener): void {
+        this.listeners.push(listener);
+    }
+
+    /** Switches a fault on; a later switch of the same target and fault replaces it. */
+    public switchOn(fault: SwitchedFault): void {
+        this.remove(fault.target, fault.fault);
+        this.faults.push(fault);
+        this.tell(fault, true);
+        if (Number.isFinite(fault.deadline)) {
+            this.endAt(fault);
+        }
+    }
+
+    /** Ends a fault before its deadline. */
+    public switchOff(target: string, fault: string): void {
+        const removed = this.remove(target, fault);
+        if (removed !== undefined) {
+            this.tell(removed, false);
+        }
+    }
+
+    /** The fault that is on for any of the names, if there is one. */
+    public find(names: readonly string[], fault: string): SwitchedFault | undefined {
+        return this.faults.find(on => on.fault === fault && names.includes(on.target));
+    }
+
+    public isOn(names: readonly string[], fault: string): boolean {
+        return this.find(names, fault) !== undefined;
+    }
+
+    public list(): readonly SwitchedFault[] {
+        return this.faults;
+    }
+
+    public close(): void {
+        this.timers.forEach(timer => clearTimeout(timer));
+    }
+
+    private endAt(fault: SwitchedFault): void {
+        const timer = setTimeout(
+            () => {
+                this.timers.delete(timer);
+                if (this.faults.includes(fault)) {
+                    this.switchOff(fault.target, fault.fault);
+                }
+            },
+            Math.max(0, fault.deadline - this.now()),
+        );
+        this.timers.add(timer);
+    }
+
+    private remove(target: string, fault: string): SwitchedFault | undefined {
+        const index = this.faults.findIndex(on => on.target === target && on.fault === fault);
+        return index === -1 ? undefined : this.faults.splice(index, 1)[0];
+    }
+
+    private tell(fault: SwitchedFault, on: boolean): void {
+        this.listeners.forEach(listener => listener(fault, on));
+    }
+}
--- /dev/null
+++ b/stand-ins/key-value-data.ts
@@ -0,0 +1,178 @@
+/** The key-value service's data: revisions, leases, and a history of changes that can be compacted. */
+
+/** One key as the service holds it. */
+export interface StoredEntry {
+    readonly key: string;
+    readonly value: string;
+    readonly createRevision: number;
+    readonly modRevision: number;
+    readonly version: number;
+    readonly lease?: string;
+}
+
+/** One change; `entry` is undefined for a delete. */
+export interface StoredChange {
+    readonly key: string;
+    readonly revision: number;
+    readonly entry: StoredEntry | undefined;
+}
+
+/** A lease with the local monotonic milliseconds at which it lapses. */
+export interface StoredLease {
+    readonly id: string;
+    readonly seconds: number;
+    readonly deadline: number;
+}
+
+const maximumHistory = 20_000;
+const millisecondsPerSecond = 1000;
+
+/** All data of the service; every change has its own revision. */
+export class KeyValueData {
+    private readonly entries = new Map<string, StoredEntry>();
+    private readonly leases = new Map<string, StoredLease>();
+    private readonly listeners = new Set<(change: StoredChange) => void>();
+    private history: StoredChange[] = [];
+    private latest = 1;
+    private compacted = 0;
+    private leaseCount = 0;
+
+    private constructor() {}
+
+    public static create(): KeyValueData {
+        return new KeyValueData();
+    }
+
+    public revision(): number {
+        return this.latest;
+    }
+
+    /** Changes up to this revision are no longer in the history. */
+    public compactRevision(): number {
+        return this.compacted;
+    }
+
+    public get(key: string): StoredEntry | undefined {
+        return this.entries.get(key);
+    }
+
+    /** Entries from `key` to before `end`; without `end`, the one key. An end of "\0" means all later keys. */
+    public range(key: string, end: string | undefined): readonly StoredEntry[] {
+        return rangeOf(this.entries, key, end);
+    }
+
+    /** A copy for reads that answer from an old state. */
+    public snapshot(): { readonly revision: number; readonly entries: ReadonlyMap<string, StoredEntry> } {
+        return { revision: this.latest, entries: new Map(this.entries) };
+    }
+
+    public put(key: string, value: string, lease?: string): StoredEntry {
+        const known = this.entries.get(key);
+        this.latest += 1;
+        const entry: StoredEntry = {
+            key,
+            value,
+            createRevision: known?.createRevision ?? this.latest,
+            modRevision: this.latest,
+            version: (known?.version ?? 0) + 1,
+            lease,
+        };
+        this.entries.set(key, entry);
+        this.remember({ key, revision: this.latest, entry });
+        return entry;
+    }
+
+    public delete(key: string): boolean {
+        if (!this.entries.delete(key)) {
+            return false;
+        }
+        this.latest += 1;
+        this.remember({ key, revision: this.latest, entry: undefined });
+        return true;
+    }
+
+    public grant(seconds: number, now: number): StoredLease {
+        this.leaseCount += 1;
+        const id = String(7_000_000 + this.leaseCount);
+        const lease = { id, seconds, deadline: now + seconds * millisecondsPerSecond };
+        this.leases.set(id, lease);
+        return lease;
+    }
+
+    public hasLease(id: string): boolean {
+        return this.leases.has(id);
+    }
+
+    /** Undefined if the lease has lapsed. */
+    public renew(id: string, now: number): StoredLease | undefined {
+        const known = this.leases.get(id);
+        if (known === undefined) {
+            return undefined;
+        }
+        const lease = { ...known, deadline: now + known.seconds * millisecondsPerSecond };
+        this.leases.set(id, lease);
+        return lease;
+    }
+
+    /** Ends a lease and deletes its keys. */
+    public revoke(id: string): boolean {
+        if (!this.leases.delete(id)) {
+            return false;
+        }
+        const keys = [...this.entries.values()].filter(entry => entry.lease === id).map(entry => entry.key);
+        keys.forEach(key => this.delete(key));
+        return true;
+    }
+
+    /** Ends every lease whose deadline has passed. */
+    public lapse(now: number): void {
+        [...this.leases.values()]
+            .filter(lease => lease.deadline <= now)
+            .forEach(lease => this.revoke(lease.id));
+    }
+
+    public compact(): void {
+        this.history = [];
+        this.compacted = this.latest;
+    }
+
+    /** Changes from `revision` on; undefined if some of them were compacted. */
+    public changesFrom(revision: number): readonly StoredChange[] | undefined {
+        if (revision <= this.compacted && this.compacted > 0) {
+            return undefined;
+        }
+        return this.history.filter(change => change.revision >= revision);
+    }
+
+    /** Tells of each change from now on; returns a function that ends it. */
+    public listen(listener: (change: StoredChange) => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    private remember(change: StoredChange): void {
+        this.history.push(change);
+        if (this.history.length > maximumHistory) {
+            const dropped = this.history.splice(0, this.history.length - maximumHistory / 2);
+            this.compacted = dropped[dropped.length - 1]?.revision ?? this.compacted;
+        }
+        this.listeners.forEach(listener => listener(change));
+    }
+}
+
+/** True if `key` lies in the range. */
+export function inRange(key: string, start: string, end: string | undefined): boolean {
+    if (end === undefined || end === "") {
+        return key === start;
+    }
+    return key >= start && (end === "\0" || key < end);
+}
+
+export function rangeOf(
+    entries: ReadonlyMap<string, StoredEntry>,
+    key: string,
+    end: string | undefined,
+): readonly StoredEntry[] {
+    const found = [...entries.values()].filter(entry => inRange(entry.key, key, end));
+    return found.sort((left, right) => (left.key < right.key ? -1 : 1));
+}
--- /dev/null
+++ b/stand-ins/platform-messages.ts
@@ -0,0 +1,88 @@
+/** Requests and answers of the etcd v3 JSON gateway, as the stand-in takes and gives them. */
+import { z } from "zod";
+import type { StoredChange, StoredEntry } from "./key-value-data.js";
+
+const text = z.string().transform(value => Buffer.from(value, "base64").toString("utf8"));
+const wholeNumber = z.union([z.string().regex(/^\d+$/), z.number()]).transform(Number);
+const put = z.object({ key: text, value: text.default(""), lease: z.string().optional() });
+const keyRange = z.object({ key: text, range_end: text.optional() });
+
+/** Body of `/v3/kv/range`. */
+export const rangeSchema = keyRange;
+
+const operation = z.object({
+    request_put: put.optional(),
+    request_range: keyRange.optional(),
+    request_delete_range: keyRange.optional(),
+});
+
+/** Body of `/v3/kv/txn`: one comparison of mod_revision. */
+export const transactionSchema = z.object({
+    compare: z
+        .array(
+            z.object({
+                key: text,
+                target: z.literal("MOD"),
+                result: z.literal("EQUAL").default("EQUAL"),
+                mod_revision: wholeNumber.default(0),
+            }),
+        )
+        .length(1),
+    success: z.array(operation).default([]),
+    failure: z.array(operation).default([]),
+});
+
+/** One operation of a transaction. */
+export type Operation = z.infer<typeof operation>;
+
+export const grantSchema = z.object({ TTL: wholeNumber, ID: z.unknown().optional() });
+export const leaseSchema = z.object({ ID: z.union([z.string(), z.number()]).transform(String) });
+
+/** Body of `/v3/watch`. */
+export const watchSchema = z.object({
+    create_request: keyRange.extend({
+        start_revision: wholeNumber.default(0),
+        progress_notify: z.boolean().default(false),
+    }),
+});
+
+/** Gives every field the name with underscores, since the gateway takes both forms. */
+export function withUnderscores(value: unknown): unknown {
+    if (Array.isArray(value)) {
+        return value.map(withUnderscores);
+    }
+    if (typeof value !== "object" || !value) {
+        return value;
+    }
+    return Object.fromEntries(
+        Object.entries(value).map(([name, inner]) => [
+            name.replace(/(?<=[a-z])[A-Z]/g, letter => `_${letter.toLowerCase()}`),
+            withUnderscores(inner),
+        ]),
+    );
+}
+
+function encode(value: string): string {
+    return Buffer.from(value, "utf8").toString("base64");
+}
+
+export function encodeEntry(entry: StoredEntry): Record<string, string> {
+    return {
+        key: encode(entry.key),
+        value: encode(entry.value),
+        create_revision: String(entry.createRevision),
+        mod_revision: String(entry.modRevision),
+        version: String(entry.version),
+        ...(entry.lease === undefined ? {} : { lease: entry.lease }),
+    };
+}
+
+export function encodeChange(change: StoredChange): unknown {
+    return change.entry === undefined
+        ? { type: "DELETE", kv: { key: encode(change.key), mod_revision: String(change.revision) } }
+        : { kv: encodeEntry(change.entry) };
+}
+
+export function encodeHeader(revision: number): unknown {
+    return { cluster_id: "1", member_id: "1", revision: String(revision), raft_term: "1" };
+}
--- /dev/null
+++ b/stand-ins/platforms.ts
@@ -0,0 +1,244 @@
+/**
+ * The platform's key-value service: the etcd v3 JSON gateway's subset of docs/PROTOCOLS.md with fault switches.
+ * Faults of the target "platform" hold for all clients, faults of a process's name for that one.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ZodType } from "zod";
+import type { FaultSwitches, SwitchedFault } from "./faults.js";
+import type { StoredEntry } from "./key-value-data.js";
+import { KeyValueData, rangeOf } from "./key-value-data.js";
+import { Listener, parseJson, sendJson } from "./listeners.js";
+import { CallCounts } from "./platform-counts.js";
+import * as messages from "./platform-messages.js";
+import { PlatformWatches } from "./platform-watches.js";
+
+/** How often leases lapse and watches report progress, in milliseconds. */
+const tickMilliseconds = 100;
+/** The longest value that the service takes, in bytes. */
+const maximumValueBytes = 1024 * 1024;
+const defaultSlowMilliseconds = 1000;
+
+/** Name of the part in fault switches. */
+export const platformTarget = "platform";
+
+/** The platform as one HTTP port. */
+export class Platform {
+    public readonly data = KeyValueData.create();
+    public readonly counts = CallCounts.create();
+    private readonly faults: FaultSwitches;
+    private readonly now: () => number;
+    private readonly watches: PlatformWatches;
+    private readonly ticker: NodeJS.Timeout;
+    private listener: Listener | undefined;
+    private oldState: ReturnType<KeyValueData["snapshot"]> | undefined;
+
+    private constructor(faults: FaultSwitches, now: () => number) {
+        this.faults = faults;
+        this.now = now;
+        this.watches = PlatformWatches.create(this.data, this.counts, client =>
+            this.isOn(client, "silentWatches", "cut"),
+        );
+        this.ticker = setInterval(() => this.tick(), tickMilliseconds);
+        faults.onChange((fault, on) => this.takeFault(fault, on));
+    }
+
+    public static async create(listen: string, faults: FaultSwitches, now: () => number): Promise<Platform> {
+        const platform = new Platform(faults, now);
+        platform.listener = await Listener.create(listen, (request, response, body) =>
+            platform.receive(request, response, body),
+        );
+        return platform;
+    }
+
+    public address(): string {
+        return this.listener?.address() ?? "";
+    }
+
+    public close(): void {
+        clearInterval(this.ticker);
+        this.listener?.stop();
+    }
+
+    private tick(): void {
+        const now = this.now();
+        this.data.lapse(now);
+        this.watches.tick(now);
+    }
+
+    private takeFault(fault: SwitchedFault, on: boolean): void {
+        if (fault.target !== platformTarget) {
+            if (!on && (fault.fault === "cut" || fault.fault === "silentWatches")) {
+                this.watches.end(fault.target);
+            }
+            return;
+        }
+        switch (fault.fault) {
+            case "down":
+                this.setDown(on);
+                break;
+            case "paused":
+                this.listener?.setFrozen(on);
+                break;
+            case "oldReads":
+                this.oldState = on ? this.data.snapshot() : undefined;
+                break;
+            case "lapsedLeases":
+                this.data.lapse(on ? Infinity : 0);
+                break;
+            case "watchGap":
+                this.data.compact();
+                this.watches.cancelAll();
+                break;
+            case "silentWatches":
+                if (!on) {
+                    this.watches.end(undefined);
+                }
+                break;
+        }
+    }
+
+    private setDown(down: boolean): void {
+        if (down) {
+            this.listener?.stop();
+        } else {
+            void this.listener?.start();
+        }
+    }
+
+    private receive(request: IncomingMessage, response: ServerResponse, body: string): void {
+        const client = String(request.headers["x-chervil-process"] ?? "unknown");
+        if (this.isOn(client, "cut")) {
+            return;
+        }
+        const slow = this.faults.find([client, platformTarget], "slow");
+        const handle = (): void => this.handle(client, request, response, body);
+        if (slow === undefined) {
+            handle();
+        } else {
+            setTimeout(handle, slow.milliseconds ?? defaultSlowMilliseconds);
+        }
+    }
+
+    private handle(client: string, request: IncomingMessage, response: ServerResponse, body: string): void {
+        const path = request.url ?? "";
+        const message = messages.withUnderscores(parseJson(body));
+        const routes: Readonly<Record<string, () => unknown>> = {
+            "/v3/kv/range": () => this.range(parse(messages.rangeSchema, message)),
+            "/v3/kv/txn": () => this.transact(parse(messages.transactionSchema, message)),
+            "/v3/lease/grant": () => this.grant(parse(messages.grantSchema, message).TTL),
+            "/v3/lease/keepalive": () => this.renew(parse(messages.leaseSchema, message).ID),
+            "/v3/lease/revoke": () => this.revoke(parse(messages.leaseSchema, message).ID),
+        };
+        this.counts.count(client, path);
+        try {
+            if (path === "/v3/watch") {
+                const watch = parse(messages.watchSchema, message).create_request;
+                this.watches.open(client, watch, response, this.now());
+                return;
+            }
+            const route = routes[path];
+            if (route === undefined) {
+                sendJson(response, 404, { error: "no such call", code: 5 });
+                return;
+            }
+            const answer = route();
+            this.answer(client, path, response, answer);
+        } catch (thrown) {
+            const error = thrown instanceof Error ? thrown.message : String(thrown);
+            sendJson(response, 400, { error, code: 3 });
+        }
+    }
+
+    /** The answer of a call that took effect may be lost. */
+    private answer(client: string, path: string, response: ServerResponse, answer: unknown): void {
+        if (path !== "/v3/kv/range" && this.isOn(client, "lostAnswers")) {
+            response.socket?.destroy();
+            return;
+        }
+        sendJson(response, 200, answer);
+    }
+
+    private range(query: { readonly key: string; readonly range_end?: string }): unknown {
+        const found =
+            this.oldState === undefined
+                ? this.data.range(query.key, query.range_end)
+                : rangeOf(this.oldState.entries, query.key, query.range_end);
+        return {
+            header: messages.encodeHeader(this.oldState?.revision ?? this.data.revision()),
+            kvs: found.map(messages.encodeEntry),
+            count: String(found.length),
+        };
+    }
+
+    private transact(transaction: ReturnType<typeof messages.transactionSchema.parse>): unknown {
+        const compare = transaction.compare[0]!;
+        const succeeded = (this.data.get(compare.key)?.modRevision ?? 0) === compare.mod_revision;
+        const operations = succeeded ? transaction.success : transaction.failure;
+        operations.forEach(operation => this.checkOperation(operation));
+        const responses = operations.map(operation => this.apply(operation));
+        if (succeeded) {
+            this.counts.countWrite();
+        }
+        return { header: messages.encodeHeader(this.data.revision()), succeeded, responses };
+    }
+
+    private checkOperation(operation: messages.Operation): void {
+        const { request_put: put } = operation;
+        if (put === undefined) {
+            return;
+        }
+        if (Buffer.byteLength(put.value) > maximumValueBytes) {
+            throw new Error("request is too large");
+        }
+        if (put.lease !== undefined && put.lease !== "0" && !this.data.hasLease(put.lease)) {
+            throw new Error("requested lease not found");
+        }
+    }
+
+    private apply(operation: messages.Operation): unknown {
+        if (operation.request_put !== undefined) {
+            const { key, value, lease } = operation.request_put;
+            this.data.put(key, value, lease === "0" ? undefined : lease);
+            return { response_put: { header: messages.encodeHeader(this.data.revision()) } };
+        }
+        if (operation.request_delete_range !== undefined) {
+            const { key, range_end: end } = operation.request_delete_range;
+            const deleted = this.data.range(key, end).filter(entry => this.data.delete(entry.key));
+            return { response_delete_range: { deleted: String(deleted.length) } };
+        }
+        const range = operation.request_range;
+        const found: readonly StoredEntry[] =
+            range === undefined ? [] : this.data.range(range.key, range.range_end);
+        return { response_range: { kvs: found.map(messages.encodeEntry), count: String(found.length) } };
+    }
+
+    private grant(seconds: number): unknown {
+        const lease = this.data.grant(seconds, this.now());
+        return {
+            header: messages.encodeHeader(this.data.revision()),
+            ID: lease.id,
+            TTL: String(lease.seconds),
+        };
+    }
+
+    private renew(id: string): unknown {
+        const lease = this.data.renew(id, this.now());
+        const header = messages.encodeHeader(this.data.revision());
+        return { result: { header, ID: id, TTL: String(lease?.seconds ?? 0) } };
+    }
+
+    private revoke(id: string): unknown {
+        if (!this.data.revoke(id)) {
+            throw new Error("requested lease not found");
+        }
+        return { header: messages.encodeHeader(this.data.revision()) };
+    }
+
+    private isOn(client: string, ...faults: readonly string[]): boolean {
+        return faults.some(fault => this.faults.isOn([client, platformTarget], fault));
+    }
+}
+
+function parse<T>(schema: ZodType<T>, message: unknown): T {
+    return schema.parse(message);
+}
