Add the engine and service stand-ins with fault switches

One development process holds the key-value service, the instance list, all engine instances and the plain services. Each token of an engine's answer is a function of all text before it, so a continuation after other text than was delivered shows; executions are counted by Idempotency-Key over all replicas. A group generates nothing while a member is dead, frozen or cut off, as collective operations would hang.

--- /dev/null
+++ b/stand-ins/admin.ts
@@ -0,0 +1,148 @@
+/** The stand-ins' admin port: fault switches, and what the stand-ins have seen. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { z } from "zod";
+import { answerTokens } from "./answers.js";
+import type { Deployment } from "./deployments.js";
+import { Listener, parseJson, sendJson } from "./listeners.js";
+
+/** All faults with their meaning. */
+export const faultMeanings: Readonly<Record<string, string>> = {
+    down: "platform: refuses connections",
+    slow: "platform or one of its clients: answers late (milliseconds)",
+    lostAnswers: "platform, a client or a service: what was asked takes effect, the answer is lost",
+    lapsedLeases: "platform: all leases lapse at once",
+    watchGap: "platform: history is compacted and watches are cancelled",
+    silentWatches: "platform or a client: watches stay open and say nothing",
+    oldReads: "platform: reads answer from the state at the switch",
+    cut: "a platform client, engine or service: nothing arrives or leaves",
+    paused: "platform, engine or service: frozen; what arrives waits",
+    killed: "engine or service: dead until the deadline, then back with a new incarnation",
+    restarted: "engine or service: dies and comes back at once",
+    slowed: "engine: generates slowly",
+    leaving: "engine or service: told to leave; the instance list follows later",
+    cutStreams: "engine: its streams' connections break, the streams stay resumable",
+    lostStreams: "engine: its streams' connections break, the streams are gone",
+    doubledEvents: "engine: each token comes twice",
+    reorderedEvents: "engine: neighbouring tokens change places",
+    ignoredFencing: "engine: orders with an old fencing number are obeyed",
+    lostOrderAnswers: "engine: orders take effect, their answers are lost",
+    refusals: "service: refuses with x-not-run",
+    delayed: "service: runs the call late (milliseconds)",
+    lateAnswers: "service: answers late (milliseconds)",
+};
+
+/** Deadlines below this are remaining milliseconds, others milliseconds since 1970. */
+const firstWallDeadline = 100_000_000_000;
+const maximumAnswerTokens = 100_000;
+
+const faultSchema = z.strictObject({
+    target: z.string().min(1),
+    fault: z.string().refine(name => name in faultMeanings, {
+        message: `expected one of ${Object.keys(faultMeanings).join(", ")}`,
+    }),
+    /** Milliseconds since 1970, or remaining ones; without it the fault stays on, with 0 it ends. */
+    deadline: z.number().nonnegative().optional(),
+    milliseconds: z.number().nonnegative().optional(),
+});
+
+/** Clocks that the port needs. */
+export interface AdminClocks {
+    readonly monotonicMilliseconds: () => number;
+    readonly wallMilliseconds: () => number;
+}
+
+/** Opens the admin port. */
+export function createAdminPort(
+    listen: string,
+    deployment: Deployment,
+    clocks: AdminClocks,
+): Promise<Listener> {
+    return Listener.create(listen, (request, response, body) =>
+        answerAdmin(deployment, clocks, request, response, body),
+    );
+}
+
+function answerAdmin(
+    deployment: Deployment,
+    clocks: AdminClocks,
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+): void {
+    const url = new URL(request.url ?? "/", "http://stand-ins");
+    switch (`${request.method} ${url.pathname}`) {
+        case "GET /executions":
+            sendJson(response, 200, deployment.executions.byKey());
+            break;
+        case "GET /engines":
+            sendJson(
+                response,
+                200,
+                deployment.engines.map(engine => engine.describe()),
+            );
+            break;
+        case "GET /services":
+            sendJson(response, 200, {
+                withoutKey: deployment.executions.withoutKey(),
+                replicas: deployment.services.map(service => service.describe()),
+            });
+            break;
+        case "GET /platform":
+            sendJson(response, 200, deployment.platform().counts.report());
+            break;
+        case "GET /answer":
+            sendAnswer(response, url.searchParams);
+            break;
+        case "GET /faults":
+            sendJson(response, 200, { on: deployment.faults.list(), faults: faultMeanings });
+            break;
+        case "POST /faults":
+            switchFault(deployment, clocks, response, body);
+            break;
+        default:
+            sendJson(response, 404, { error: { code: "notFound", message: "no such call", notRun: true } });
+    }
+}
+
+function sendAnswer(response: ServerResponse, query: URLSearchParams): void {
+    const count = Math.min(maximumAnswerTokens, Number(query.get("tokens") ?? 16));
+    const tokens = answerTokens(query.get("prompt") ?? "", count);
+    sendJson(response, 200, { text: tokens.join(""), tokens });
+}
+
+function switchFault(
+    deployment: Deployment,
+    clocks: AdminClocks,
+    response: ServerResponse,
+    body: string,
+): void {
+    const parsed = faultSchema.safeParse(parseJson(body));
+    if (!parsed.success) {
+        sendInvalid(response, parsed.error.issues.map(issue => issue.message).join("; "));
+        return;
+    }
+    const { target, fault, deadline, milliseconds } = parsed.data;
+    if (!deployment.targets().has(target)) {
+        sendInvalid(response, `target "${target}" does not exist`);
+        return;
+    }
+    if (deadline === 0) {
+        deployment.faults.switchOff(target, fault);
+    } else {
+        const local = toLocalDeadline(deadline, clocks);
+        deployment.faults.switchOn({ target, fault, deadline: local, milliseconds });
+    }
+    sendJson(response, 200, { on: deployment.faults.list() });
+}
+
+function sendInvalid(response: ServerResponse, message: string): void {
+    sendJson(response, 400, { error: { code: "invalidRequest", message, step: "parse", notRun: true } });
+}
+
+function toLocalDeadline(deadline: number | undefined, clocks: AdminClocks): number {
+    if (deadline === undefined) {
+        return Infinity;
+    }
+    const remaining = deadline < firstWallDeadline ? deadline : deadline - clocks.wallMilliseconds();
+    return clocks.monotonicMilliseconds() + remaining;
+}
--- /dev/null
+++ b/stand-ins/batches.ts
@@ -0,0 +1,188 @@
+/** The continuous batch of one replica group's leader: limited slots, prefill, priorities, one token a step. */
+import { foldText, nextToken } from "./answers.js";
+import type { PrefixCache } from "./prefix-caches.js";
+import { blocksOf } from "./prefix-caches.js";
+
+/** A request for the batch; times are local monotonic milliseconds. */
+export interface BatchRequest {
+    readonly id: string;
+    readonly attempt: number;
+    readonly prompt: string;
+    readonly fromOffset: number;
+    /** The offset at which the answer ends. */
+    readonly endOffset: number;
+    /** Lower numbers go first. */
+    readonly priority: number;
+    readonly deadline: number;
+}
+
+/** One request's generated tokens. */
+export interface BatchStream {
+    readonly request: BatchRequest;
+    readonly tokens: string[];
+    readonly arrival: number;
+    state: "waiting" | "running" | "finished" | "dropped";
+    textState: number;
+    /** When the first token can come: the end of prefill. */
+    readyAt: number;
+    /** When the stream is forgotten unless a reader comes; undefined while one reads. */
+    forgottenAt: number | undefined;
+}
+
+/** Times and sizes of a batch. */
+export interface BatchOptions {
+    readonly slots: number;
+    readonly maximumWaiting: number;
+    readonly tokenMilliseconds: number;
+    readonly prefillMillisecondsPerBlock: number;
+    readonly resumeMilliseconds: number;
+    readonly cache: PrefixCache;
+    readonly now: () => number;
+    /** Factor by which the batch is slower than normal. */
+    readonly slowness: () => number;
+    /** False while a member of the group is missing: nothing is generated. */
+    readonly canRun: () => boolean;
+    /** Called when a stream has new tokens or has ended. */
+    readonly onChange: (stream: BatchStream) => void;
+}
+
+/** All streams of one engine instance. */
+export class Batch {
+    private readonly options: BatchOptions;
+    private readonly streams = new Map<string, BatchStream>();
+    private timer: NodeJS.Timeout | undefined;
+    private arrivals = 0;
+
+    private constructor(options: BatchOptions) {
+        this.options = options;
+    }
+
+    public static create(options: BatchOptions): Batch {
+        return new Batch(options);
+    }
+
+    public find(id: string): BatchStream | undefined {
+        return this.streams.get(id);
+    }
+
+    public isFull(): boolean {
+        return this.count("waiting") >= this.options.maximumWaiting;
+    }
+
+    public running(): number {
+        return this.count("running");
+    }
+
+    public waiting(): number {
+        return this.count("waiting");
+    }
+
+    public start(request: BatchRequest): BatchStream {
+        this.drop(request.id);
+        this.arrivals += 1;
+        const stream: BatchStream = {
+            request,
+            tokens: [],
+            arrival: this.arrivals,
+            state: "waiting",
+            textState: foldText(request.prompt),
+            readyAt: 0,
+            forgottenAt: undefined,
+        };
+        this.streams.set(request.id, stream);
+        this.admit();
+        this.schedule();
+        return stream;
+    }
+
+    /** Ends a stream; nothing of it can be read afterwards. */
+    public drop(id: string): void {
+        const stream = this.streams.get(id);
+        if (stream !== undefined) {
+            this.streams.delete(id);
+            stream.state = "dropped";
+            this.options.onChange(stream);
+        }
+    }
+
+    public dropAll(): void {
+        [...this.streams.keys()].forEach(id => this.drop(id));
+        clearTimeout(this.timer);
+        this.timer = undefined;
+    }
+
+    /** Notes whether anybody reads a stream. */
+    public setRead(stream: BatchStream, isRead: boolean): void {
+        stream.forgottenAt = isRead ? undefined : this.options.now() + this.options.resumeMilliseconds;
+        this.schedule();
+    }
+
+    private schedule(): void {
+        if (this.timer === undefined && this.streams.size > 0) {
+            const milliseconds = this.options.tokenMilliseconds * this.options.slowness();
+            this.timer = setTimeout(() => this.step(), milliseconds);
+        }
+    }
+
+    private step(): void {
+        this.timer = undefined;
+        const now = this.options.now();
+        this.dropOld(now);
+        if (this.options.canRun()) {
+            this.admit();
+            this.generate(now);
+        }
+        this.schedule();
+    }
+
+    private dropOld(now: number): void {
+        for (const stream of [...this.streams.values()]) {
+            const isLate = now >= stream.request.deadline && stream.state !== "finished";
+            if (isLate || (stream.forgottenAt !== undefined && now >= stream.forgottenAt)) {
+                this.drop(stream.request.id);
+            }
+        }
+    }
+
+    private admit(): void {
+        const waiting = [...this.streams.values()].filter(stream => stream.state === "waiting");
+        waiting.sort(
+            (left, right) => left.request.priority - right.request.priority || left.arrival - right.arrival,
+        );
+        const free = Math.max(0, this.options.slots - this.running());
+        waiting.slice(0, free).forEach(stream => this.prefill(stream));
+    }
+
+    private prefill(stream: BatchStream): void {
+        const now = this.options.now();
+        const blocks = blocksOf(stream.request.prompt);
+        const missing = blocks.length - this.options.cache.use(blocks, now);
+        stream.state = "running";
+        stream.readyAt = now + missing * this.options.prefillMillisecondsPerBlock * this.options.slowness();
+    }
+
+    private generate(now: number): void {
+        for (const stream of this.streams.values()) {
+            if (stream.state === "running" && now >= stream.readyAt) {
+                this.addToken(stream);
+                this.options.onChange(stream);
+            }
+        }
+    }
+
+    private addToken(stream: BatchStream): void {
+        const { fromOffset, endOffset } = stream.request;
+        if (fromOffset + stream.tokens.length < endOffset) {
+            const token = nextToken(stream.textState);
+            stream.textState = foldText(token, stream.textState);
+            stream.tokens.push(token);
+        }
+        if (fromOffset + stream.tokens.length >= endOffset) {
+            stream.state = "finished";
+        }
+    }
+
+    private count(state: BatchStream["state"]): number {
+        return [...this.streams.values()].filter(stream => stream.state === state).length;
+    }
+}
--- /dev/null
+++ b/stand-ins/deployments.ts
@@ -0,0 +1,191 @@
+/** All stand-ins of one process: the platform, engine instances, plain services, and the platform's instance list. */
+import type { Instance, InstanceState } from "../src/core/instances.js";
+import { createRandomNumber } from "../src/core/random-numbers.js";
+import { EngineMember, WeightStore } from "./engine-members.js";
+import { Engine } from "./engines.js";
+import type { SwitchedFault } from "./faults.js";
+import { FaultSwitches } from "./faults.js";
+import { Platform, platformTarget } from "./platforms.js";
+import { Executions, ServiceReplica } from "./services.js";
+import type { StandInSettings } from "./settings.js";
+
+/** Everything that the settings name, running. */
+export class Deployment {
+    public readonly faults: FaultSwitches;
+    public readonly executions = Executions.create();
+    public readonly engines: Engine[] = [];
+    public readonly services: ServiceReplica[] = [];
+    private readonly settings: StandInSettings;
+    private readonly now: () => number;
+    private readonly weights: WeightStore;
+    private readonly byId = new Map<string, Engine>();
+    private readonly timers = new Set<NodeJS.Timeout>();
+    private platformPort: Platform | undefined;
+
+    private constructor(settings: StandInSettings, now: () => number) {
+        this.settings = settings;
+        this.now = now;
+        this.faults = FaultSwitches.create(now);
+        this.weights = WeightStore.create(settings.engines.loadsAtOnce);
+    }
+
+    /** Opens all ports; `now` gives local monotonic milliseconds. */
+    public static async create(settings: StandInSettings, now: () => number): Promise<Deployment> {
+        const deployment = new Deployment(settings, now);
+        deployment.platformPort = await Platform.create(settings.platform.listen, deployment.faults, now);
+        await deployment.openEngines();
+        await deployment.openServices();
+        deployment.listEntries();
+        deployment.faults.onChange((fault, on) => void deployment.takeFault(fault, on));
+        return deployment;
+    }
+
+    public platform(): Platform {
+        if (this.platformPort === undefined) {
+            throw new Error("the platform is not open");
+        }
+        return this.platformPort;
+    }
+
+    /** Every name that a fault may be switched on for. */
+    public targets(): ReadonlySet<string> {
+        const { entries, processes } = this.settings;
+        return new Set([
+            platformTarget,
+            ...entries.map(entry => entry.id),
+            ...processes,
+            ...this.platform().counts.clients(),
+            ...this.engines.flatMap(engine => engine.names()),
+            ...this.services.flatMap(service => service.names()),
+        ]);
+    }
+
+    public close(): void {
+        this.timers.forEach(timer => clearTimeout(timer));
+        this.faults.close();
+        this.engines.forEach(engine => engine.close());
+        this.services.forEach(service => service.close());
+        this.platform().close();
+    }
+
+    private async openEngines(): Promise<void> {
+        for (const domain of this.settings.fabricDomains) {
+            const [host, firstPort] = domain.listen.split(":");
+            for (let index = 0; index < domain.engines; index += 1) {
+                const port = Number(firstPort) === 0 ? 0 : Number(firstPort) + index;
+                const id = `${domain.id}-engine-${index + 1}`;
+                await this.openEngine(`${host}:${port}`, id, domain.failureDomain, domain.id);
+            }
+        }
+    }
+
+    private async openEngine(
+        listen: string,
+        id: string,
+        failureDomain: string,
+        fabricDomain: string,
+    ): Promise<void> {
+        const settings = this.settings.engines;
+        const engine = await Engine.create(listen, {
+            id,
+            failureDomain,
+            fabricDomain,
+            settings,
+            faults: this.faults,
+            now: this.now,
+            random: createRandomNumber(this.settings.seed + this.engines.length),
+            find: other => this.byId.get(other),
+            createMember: owner =>
+                EngineMember.create({
+                    ...settings,
+                    weights: this.weights,
+                    checksFencing: () => settings.checksFencing && !owner.isOn("ignoredFencing"),
+                }),
+        });
+        this.engines.push(engine);
+        this.byId.set(id, engine);
+        this.list({
+            id,
+            address: engine.address(),
+            failureDomain,
+            fabricDomain,
+            role: "engine",
+            state: "live",
+        });
+    }
+
+    private async openServices(): Promise<void> {
+        for (const { id, service, failureDomain, listen, workMilliseconds } of this.settings.services) {
+            const replica = await ServiceReplica.create(listen, {
+                id,
+                service,
+                failureDomain,
+                workMilliseconds,
+                faults: this.faults,
+                executions: this.executions,
+                now: this.now,
+            });
+            this.services.push(replica);
+            const address = replica.address();
+            this.list({
+                id,
+                address,
+                failureDomain,
+                fabricDomain: failureDomain,
+                role: "service",
+                service,
+                state: "live",
+            });
+        }
+    }
+
+    private listEntries(): void {
+        this.settings.entries.forEach(entry => this.list({ ...entry, role: "entry", state: "live" }));
+    }
+
+    private list(instance: Instance): void {
+        this.platform().data.put(`platform/instances/${instance.id}`, JSON.stringify(instance));
+    }
+
+    private async takeFault(fault: SwitchedFault, on: boolean): Promise<void> {
+        const concerned = [...this.engines, ...this.services].filter(part =>
+            part.names().includes(fault.target),
+        );
+        for (const part of concerned) {
+            await part.takeFaults();
+            if (on && fault.fault === "restarted") {
+                await part.restart();
+            }
+            if (
+                on &&
+                part instanceof Engine &&
+                (fault.fault === "cutStreams" || fault.fault === "lostStreams")
+            ) {
+                part.cutStreams(fault.fault === "lostStreams");
+            }
+        }
+        if (fault.fault === "leaving") {
+            this.tellListLater(fault.target, on ? "leaving" : "live");
+        }
+    }
+
+    /** The instance list lags behind reality. */
+    private tellListLater(target: string, state: InstanceState): void {
+        const timer = setTimeout(() => {
+            this.timers.delete(timer);
+            this.tellList(target, state);
+        }, this.settings.platform.listLagMilliseconds);
+        this.timers.add(timer);
+    }
+
+    private tellList(target: string, state: InstanceState): void {
+        const parts = [...this.engines, ...this.services].filter(part => part.names().includes(target));
+        const ids = new Set([target, ...parts.map(part => part.options.id)]);
+        for (const entry of this.platform().data.range("platform/instances/", "platform/instances0")) {
+            const instance = JSON.parse(entry.value) as Instance;
+            if (ids.has(instance.id) && instance.state !== state) {
+                this.list({ ...instance, state });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/engine-calls.ts
@@ -0,0 +1,195 @@
+/** The HTTP calls of one engine instance. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { z } from "zod";
+import type { BatchStream } from "./batches.js";
+import type { Engine } from "./engines.js";
+import { parseJson, sendJson } from "./listeners.js";
+import { StreamReader } from "./stream-readers.js";
+
+const orderSchema = z.object({
+    kind: z.enum(["load", "serve", "drain", "release"]),
+    group: z.string(),
+    epoch: z.number(),
+    model: z.object({ model: z.string(), version: z.string() }),
+    members: z.array(z.string()),
+    remainingMilliseconds: z.number(),
+});
+const completionSchema = z.object({
+    model: z.string(),
+    prompt: z.string(),
+    max_tokens: z.number().int().positive(),
+});
+
+/** Answers the calls, and keeps the readers of streams. */
+export class EngineCalls {
+    private readonly engine: Engine;
+    private readonly readers = new Set<StreamReader>();
+
+    private constructor(engine: Engine) {
+        this.engine = engine;
+    }
+
+    public static create(engine: Engine): EngineCalls {
+        return new EngineCalls(engine);
+    }
+
+    /** Writes a stream's new tokens to its readers. */
+    public write(stream: BatchStream): void {
+        this.readers.forEach(reader => {
+            if (reader.stream === stream) {
+                reader.write();
+            }
+        });
+    }
+
+    public cutReaders(): void {
+        this.readers.forEach(reader => reader.cut());
+    }
+
+    public receive(request: IncomingMessage, response: ServerResponse, body: string): void {
+        const url = new URL(request.url ?? "/", "http://engine");
+        const stream = /^\/v1\/streams\/(.+)$/.exec(url.pathname)?.[1];
+        if (stream !== undefined) {
+            this.receiveForStream(request, response, decodeURIComponent(stream), url);
+            return;
+        }
+        switch (`${request.method} ${url.pathname}`) {
+            case "GET /probe":
+                sendJson(response, 200, this.engine.report());
+                break;
+            case "POST /orders":
+                this.receiveOrder(response, body);
+                break;
+            case "POST /v1/completions":
+                this.receiveCompletion(request, response, body);
+                break;
+            case "GET /cache-events":
+                sendJson(response, 200, { events: this.cacheEvents(Number(url.searchParams.get("after"))) });
+                break;
+            default:
+                sendError(response, 404, "notFound", "no such call");
+        }
+    }
+
+    private receiveForStream(request: IncomingMessage, response: ServerResponse, id: string, url: URL): void {
+        const stream = this.engine.batch.find(id);
+        if (request.method === "DELETE") {
+            this.engine.batch.drop(id);
+            response.writeHead(204).end();
+            return;
+        }
+        const from = Number(url.searchParams.get("from") ?? 0);
+        if (stream === undefined || from < stream.request.fromOffset) {
+            sendError(response, 404, "notFound", "the stream is gone");
+            return;
+        }
+        this.read(id, from, response);
+    }
+
+    private receiveOrder(response: ServerResponse, body: string): void {
+        const order = orderSchema.safeParse(parseJson(body));
+        if (!order.success) {
+            sendError(response, 400, "invalidRequest", order.error.message);
+            return;
+        }
+        const isLate = order.data.remainingMilliseconds <= 0;
+        const refusal = isLate
+            ? "the order's deadline has passed"
+            : this.engine.member.take(order.data, this.engine.options.now());
+        if (refusal === undefined && order.data.kind === "release") {
+            this.engine.batch.dropAll();
+        }
+        if (this.engine.isOn("lostOrderAnswers")) {
+            response.socket?.destroy();
+            return;
+        }
+        const accepted = refusal === undefined;
+        sendJson(response, accepted ? 200 : 409, {
+            accepted,
+            message: refusal,
+            report: this.engine.report(),
+        });
+    }
+
+    private receiveCompletion(request: IncomingMessage, response: ServerResponse, body: string): void {
+        const parsed = completionSchema.safeParse(parseJson(body));
+        if (!parsed.success) {
+            sendError(response, 400, "invalidRequest", parsed.error.message);
+            return;
+        }
+        const header = (name: string): string => String(request.headers[`x-chervil-${name}`] ?? "");
+        const refusal = this.refusalOf(header("group"), Number(header("epoch")), parsed.data.model);
+        if (refusal !== undefined) {
+            sendError(response, refusal.status, refusal.code, refusal.message);
+            return;
+        }
+        const id = header("request");
+        const attempt = Number(header("attempt"));
+        if ((this.engine.batch.find(id)?.request.attempt ?? 0) > attempt) {
+            sendError(response, 409, "staleEpoch", "a later attempt runs");
+            return;
+        }
+        this.engine.countAccepted();
+        const fromOffset = Number(header("from-offset"));
+        const remaining = Number(request.headers["x-chervil-remaining"] ?? Infinity);
+        this.engine.batch.start({
+            id,
+            attempt,
+            prompt: parsed.data.prompt,
+            fromOffset,
+            endOffset: parsed.data.max_tokens,
+            priority: Number(header("priority")),
+            deadline: this.engine.options.now() + remaining,
+        });
+        this.read(id, fromOffset, response);
+    }
+
+    private refusalOf(
+        group: string,
+        epoch: number,
+        model: string,
+    ): { readonly status: number; readonly code: string; readonly message: string } | undefined {
+        const { member } = this.engine;
+        if (member.group !== group || member.epoch !== epoch || member.model?.model !== model) {
+            const message = `in group ${member.group} at epoch ${member.epoch}`;
+            return { status: 409, code: "staleEpoch", message };
+        }
+        if (member.state !== "serving" || member.members[0] !== this.engine.options.id) {
+            return { status: 503, code: "endpointFailed", message: `not a serving leader: ${member.state}` };
+        }
+        return this.engine.batch.isFull()
+            ? { status: 503, code: "overloaded", message: "the queue is full" }
+            : undefined;
+    }
+
+    private read(id: string, fromOffset: number, response: ServerResponse): void {
+        const stream = this.engine.batch.find(id);
+        if (stream === undefined) {
+            sendError(response, 404, "notFound", "the stream is gone");
+            return;
+        }
+        const reader = StreamReader.create(stream, fromOffset, response, {
+            isSilent: () => this.engine.isOn("paused") || this.engine.isOn("cut"),
+            isDoubled: () => this.engine.isOn("doubledEvents"),
+            isReordered: () => this.engine.isOn("reorderedEvents"),
+        });
+        this.readers.add(reader);
+        this.engine.batch.setRead(stream, true);
+        response.once("close", () => {
+            this.readers.delete(reader);
+            const isRead = [...this.readers].some(other => other.stream === stream);
+            this.engine.batch.setRead(stream, isRead);
+        });
+        reader.write();
+    }
+
+    private cacheEvents(after: number): readonly unknown[] {
+        const events = this.engine.cache.eventsAfter(after, this.engine.options.now());
+        return events.map(({ sequence, kind, block }) => ({ sequence, kind, block }));
+    }
+}
+
+/** Sends a refusal of something that did not run. */
+export function sendError(response: ServerResponse, status: number, code: string, message: string): void {
+    sendJson(response, status, { error: { code, message, step: "stream", notRun: true } });
+}
--- /dev/null
+++ b/stand-ins/engine-members.ts
@@ -0,0 +1,152 @@
+/** What one engine instance does about orders: a state machine without input and output. */
+import type { EngineOrder } from "../src/contracts/engines.js";
+import type { EngineState } from "../src/core/endpoints.js";
+import type { ModelVersion } from "../src/core/replica-groups.js";
+
+/** An order as it arrives. */
+export type ArrivedOrder = Omit<EngineOrder, "deadline">;
+
+/** Why an order was refused; undefined if it was accepted. */
+export type Refusal = string | undefined;
+
+/** The rate-limited store of weights, shared by all engines. */
+export class WeightStore {
+    private readonly freeAt: number[];
+
+    private constructor(loadsAtOnce: number) {
+        this.freeAt = new Array<number>(loadsAtOnce).fill(0);
+    }
+
+    public static create(loadsAtOnce: number): WeightStore {
+        return new WeightStore(loadsAtOnce);
+    }
+
+    /** Queues a load; returns the time at which it is whole. */
+    public load(milliseconds: number, now: number): number {
+        const earliest = Math.min(...this.freeAt);
+        const channel = this.freeAt.indexOf(earliest);
+        const end = Math.max(now, earliest) + milliseconds;
+        this.freeAt[channel] = end;
+        return end;
+    }
+}
+
+/** Times and sizes of a member. */
+export interface MemberOptions {
+    readonly weights: WeightStore;
+    readonly loadMilliseconds: number;
+    readonly warmLoadMilliseconds: number;
+    /** Model versions that fit into one instance's memory. */
+    readonly warmVersions: number;
+    /** True if orders with an old fencing number are refused now. */
+    readonly checksFencing: () => boolean;
+}
+
+/** One engine instance, as it believes itself to be. */
+export class EngineMember {
+    public state: EngineState = "idle";
+    public group: string | undefined;
+    public epoch = 0;
+    public members: readonly string[] = [];
+    public model: ModelVersion | undefined;
+    public warm: readonly ModelVersion[] = [];
+    private readonly options: MemberOptions;
+    /** The highest fencing number seen. */
+    private fence = 0;
+    private loadedAt = 0;
+
+    private constructor(options: MemberOptions) {
+        this.options = options;
+    }
+
+    public static create(options: MemberOptions): EngineMember {
+        return new EngineMember(options);
+    }
+
+    /** Ends a load whose time has come, and a drain whose requests are done. */
+    public step(now: number): void {
+        if (this.state === "loading" && now >= this.loadedAt && this.model !== undefined) {
+            this.state = "ready";
+            this.keepWarm(this.model);
+        }
+    }
+
+    public take(order: ArrivedOrder, now: number): Refusal {
+        this.step(now);
+        if (this.options.checksFencing() && order.epoch < this.fence) {
+            return `order of epoch ${order.epoch} is older than ${this.fence}`;
+        }
+        const refusal = this.refusalOf(order);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        this.fence = Math.max(this.fence, order.epoch);
+        this.apply(order, now);
+        return undefined;
+    }
+
+    private refusalOf(order: ArrivedOrder): Refusal {
+        const own = order.group === this.group;
+        switch (order.kind) {
+            case "load":
+                return this.state === "idle" || (own && this.state !== "draining")
+                    ? undefined
+                    : `in group ${this.group} and ${this.state}`;
+            case "serve":
+                return own && (this.state === "ready" || this.state === "serving")
+                    ? undefined
+                    : `in group ${this.group} and ${this.state}`;
+            case "drain":
+                return own ? undefined : `in group ${this.group}`;
+            case "release":
+                return own || this.state === "idle" ? undefined : `in group ${this.group}`;
+        }
+    }
+
+    private apply(order: ArrivedOrder, now: number): void {
+        this.epoch = order.epoch;
+        switch (order.kind) {
+            case "load":
+                this.startLoad(order, now);
+                break;
+            case "serve":
+                this.state = "serving";
+                this.members = order.members;
+                break;
+            case "drain":
+                this.state = "draining";
+                break;
+            case "release":
+                this.state = "idle";
+                this.group = undefined;
+                this.members = [];
+                this.model = undefined;
+                break;
+        }
+    }
+
+    private startLoad(order: ArrivedOrder, now: number): void {
+        const repeated =
+            this.state === "loading" && this.group === order.group && isSame(this.model, order.model);
+        this.group = order.group;
+        this.members = order.members;
+        this.model = order.model;
+        if (repeated) {
+            return;
+        }
+        const isWarm = this.warm.some(version => isSame(version, order.model));
+        this.state = "loading";
+        this.loadedAt = isWarm
+            ? now + this.options.warmLoadMilliseconds
+            : this.options.weights.load(this.options.loadMilliseconds, now);
+    }
+
+    private keepWarm(model: ModelVersion): void {
+        const others = this.warm.filter(version => !isSame(version, model));
+        this.warm = [model, ...others].slice(0, this.options.warmVersions);
+    }
+}
+
+function isSame(left: ModelVersion | undefined, right: ModelVersion): boolean {
+    return left?.model === right.model && left.version === right.version;
+}
--- /dev/null
+++ b/stand-ins/engines.ts
@@ -0,0 +1,208 @@
+/** One engine instance on its own port; docs/PROTOCOLS.md has the calls. */
+import type { EndpointReport } from "../src/core/endpoints.js";
+import { Batch } from "./batches.js";
+import { EngineCalls } from "./engine-calls.js";
+import type { EngineMember } from "./engine-members.js";
+import type { FaultSwitches } from "./faults.js";
+import { Listener } from "./listeners.js";
+import { PrefixCache } from "./prefix-caches.js";
+import type { StandInSettings } from "./settings.js";
+
+/** Where an engine instance stands. */
+export interface EnginePlace {
+    readonly id: string;
+    readonly failureDomain: string;
+    readonly fabricDomain: string;
+}
+
+/** What an engine instance is made of. */
+export interface EngineOptions extends EnginePlace {
+    readonly settings: StandInSettings["engines"];
+    readonly faults: FaultSwitches;
+    readonly now: () => number;
+    readonly random: () => number;
+    readonly createMember: (engine: Engine) => EngineMember;
+    /** The other instances, to see whether the group is complete. */
+    readonly find: (id: string) => Engine | undefined;
+}
+
+/** One engine instance. */
+export class Engine {
+    public readonly options: EngineOptions;
+    public member: EngineMember;
+    public readonly batch: Batch;
+    public readonly cache: PrefixCache;
+    private readonly calls: EngineCalls;
+    private listener: Listener | undefined;
+    private incarnation = 1;
+    private sequence = 0;
+    private isKilled = false;
+    private isCut = false;
+    private leavingSince: number | undefined;
+    private accepted = 0;
+    private acceptedWhileIncomplete = 0;
+    private lastAcceptedAfterLeavingMilliseconds = 0;
+    private reportedLoad = { running: 0, waiting: 0 };
+    private loadReadAt = 0;
+
+    private constructor(options: EngineOptions) {
+        const { settings, now } = options;
+        this.options = options;
+        this.member = options.createMember(this);
+        this.cache = PrefixCache.create({
+            maximumBlocks: settings.cacheBlocks,
+            eventLagMilliseconds: settings.cacheEventLagMilliseconds,
+            lostEvents: settings.lostCacheEvents,
+            random: options.random,
+        });
+        this.batch = Batch.create({
+            ...settings,
+            cache: this.cache,
+            now,
+            slowness: () => (this.isOn("slowed") ? settings.slowedFactor : 1),
+            canRun: () => this.canRun(),
+            onChange: stream => this.calls.write(stream),
+        });
+        this.calls = EngineCalls.create(this);
+    }
+
+    public static async create(listen: string, options: EngineOptions): Promise<Engine> {
+        const engine = new Engine(options);
+        engine.listener = await Listener.create(listen, (request, response, body) =>
+            engine.calls.receive(request, response, body),
+        );
+        return engine;
+    }
+
+    public address(): string {
+        return this.listener?.address() ?? "";
+    }
+
+    /** Names by which faults can be switched on for this instance. */
+    public names(): readonly string[] {
+        const { id, failureDomain, fabricDomain } = this.options;
+        const names = [id, failureDomain, fabricDomain, "engines"];
+        return this.member.group === undefined ? names : [...names, this.member.group];
+    }
+
+    public isOn(fault: string): boolean {
+        return this.options.faults.isOn(this.names(), fault);
+    }
+
+    /** Takes up a change of the faults that concern this instance. */
+    public async takeFaults(): Promise<void> {
+        this.leavingSince = this.isOn("leaving") ? (this.leavingSince ?? this.options.now()) : undefined;
+        if (this.isCut && !this.isOn("cut")) {
+            this.listener?.cutConnections();
+        }
+        this.isCut = this.isOn("cut");
+        this.listener?.setFrozen(this.isCut || this.isOn("paused"));
+        if (this.isOn("killed") !== this.isKilled) {
+            await this.setKilled(!this.isKilled);
+        }
+    }
+
+    /** Ends all connections; with `forget`, the streams as well. */
+    public cutStreams(forget: boolean): void {
+        this.calls.cutReaders();
+        if (forget) {
+            this.batch.dropAll();
+        }
+    }
+
+    /** The process dies and comes back with nothing in its memory. */
+    public async restart(): Promise<void> {
+        await this.setKilled(true);
+        await this.setKilled(false);
+    }
+
+    public close(): void {
+        this.batch.dropAll();
+        this.listener?.stop();
+    }
+
+    /** What the instance believes, and what it has accepted. */
+    public describe(): unknown {
+        this.member.step(this.options.now());
+        const { id, fabricDomain, failureDomain } = this.options;
+        return {
+            instance: id,
+            address: this.address(),
+            fabricDomain,
+            failureDomain,
+            incarnation: this.incarnation,
+            group: this.member.group,
+            epoch: this.member.epoch,
+            state: this.isKilled ? "killed" : this.member.state,
+            members: this.member.members,
+            model: this.member.model,
+            requestsAccepted: this.accepted,
+            acceptedWhileIncomplete: this.acceptedWhileIncomplete,
+            lastAcceptedAfterLeavingMilliseconds: this.lastAcceptedAfterLeavingMilliseconds,
+            running: this.batch.running(),
+            waiting: this.batch.waiting(),
+        };
+    }
+
+    /** True if this instance could work for the group now. */
+    public isWorkingFor(group: string | undefined): boolean {
+        return !this.isKilled && !this.isOn("paused") && !this.isOn("cut") && this.member.group === group;
+    }
+
+    /** True if every member of the group could work now. */
+    public canRun(): boolean {
+        const isComplete = this.member.members.every(id =>
+            this.options.find(id)?.isWorkingFor(this.member.group),
+        );
+        return !this.isOn("paused") && isComplete;
+    }
+
+    /** The next answer to a probe. */
+    public report(): EndpointReport {
+        const now = this.options.now();
+        const { settings, id } = this.options;
+        this.member.step(now);
+        this.sequence += 1;
+        if (now >= this.loadReadAt + settings.loadLagMilliseconds) {
+            this.loadReadAt = now;
+            this.reportedLoad = { running: this.batch.running(), waiting: this.batch.waiting() };
+        }
+        const { state, group, epoch, warm, members } = this.member;
+        const slots = members[0] === id ? settings.slots : 0;
+        return {
+            instance: id,
+            incarnation: this.incarnation,
+            sequence: this.sequence,
+            state,
+            group,
+            epoch,
+            leaving: this.leavingSince !== undefined,
+            load: { ...this.reportedLoad, slots },
+            warm,
+        };
+    }
+
+    public countAccepted(): void {
+        this.accepted += 1;
+        if (!this.canRun()) {
+            this.acceptedWhileIncomplete += 1;
+        }
+        if (this.leavingSince !== undefined) {
+            this.lastAcceptedAfterLeavingMilliseconds = this.options.now() - this.leavingSince;
+        }
+    }
+
+    private async setKilled(killed: boolean): Promise<void> {
+        this.isKilled = killed;
+        if (killed) {
+            this.batch.dropAll();
+            this.listener?.stop();
+            return;
+        }
+        this.incarnation += 1;
+        this.sequence = 0;
+        this.member = this.options.createMember(this);
+        this.cache.clear(this.options.now());
+        await this.listener?.start();
+    }
+}
--- a/stand-ins/listeners.ts
+++ b/stand-ins/listeners.ts
@@ -79,6 +79,11 @@
         }
     }
 
+    /** Runs an action when the listener is no longer frozen. */
+    public hold(action: () => void): void {
+        this.held.push(action);
+    }
+
     private receive(request: IncomingMessage, response: ServerResponse): void {
         response.on("error", () => undefined);
         readBody(request, body => {
--- a/stand-ins/platform-counts.ts
+++ b/stand-ins/platform-counts.ts
@@ -39,6 +39,11 @@
         });
     }
 
+    /** Names of the processes that have called. */
+    public clients(): readonly string[] {
+        return [...this.processes.keys()];
+    }
+
     public report(): unknown {
         const all = [...this.processes.values()];
         const calls: Record<string, number> = {};
--- /dev/null
+++ b/stand-ins/prefix-caches.ts
@@ -0,0 +1,93 @@
+/** A prefix cache of limited blocks, with events that are published late and with gaps. */
+import { hashText } from "../src/core/hashes.js";
+
+/** Tokens in a block of a prompt. */
+export const blockTokens = 64;
+const maximumEvents = 10_000;
+
+/** A change of the cache and the time (local monotonic milliseconds) from which it can be read. */
+interface PublishedEvent {
+    readonly sequence: number;
+    readonly kind: "stored" | "evicted" | "cleared";
+    readonly block: string;
+    readonly visibleAt: number;
+}
+
+/** Bounds of one cache. */
+export interface PrefixCacheOptions {
+    readonly maximumBlocks: number;
+    readonly eventLagMilliseconds: number;
+    /** Part of the events that is never published. */
+    readonly lostEvents: number;
+    readonly random: () => number;
+}
+
+/** Hashes of the prompt's whole blocks, each over the prompt from its start to the block's end. */
+export function blocksOf(prompt: string): readonly string[] {
+    const blocks: string[] = [];
+    const token = /\S*\s+|\S+$/g;
+    let tokens = 0;
+    while (token.exec(prompt) !== null) {
+        tokens += 1;
+        if (tokens % blockTokens === 0) {
+            blocks.push(hashText(prompt.slice(0, token.lastIndex)));
+        }
+    }
+    return blocks;
+}
+
+/** The cache of one engine instance; the block used least recently is evicted first. */
+export class PrefixCache {
+    private readonly options: PrefixCacheOptions;
+    private readonly blocks = new Set<string>();
+    private events: PublishedEvent[] = [];
+    private sequence = 0;
+
+    private constructor(options: PrefixCacheOptions) {
+        this.options = options;
+    }
+
+    public static create(options: PrefixCacheOptions): PrefixCache {
+        return new PrefixCache(options);
+    }
+
+    /** Takes up a prompt's blocks; returns how many of the first ones were cached already. */
+    public use(blocks: readonly string[], now: number): number {
+        const missing = blocks.findIndex(block => !this.blocks.has(block));
+        const hits = missing === -1 ? blocks.length : missing;
+        blocks.forEach(block => this.store(block, now));
+        return hits;
+    }
+
+    public clear(now: number): void {
+        this.blocks.clear();
+        this.publish("cleared", "", now);
+    }
+
+    public eventsAfter(sequence: number, now: number): readonly PublishedEvent[] {
+        return this.events.filter(event => event.sequence > sequence && event.visibleAt <= now);
+    }
+
+    private store(block: string, now: number): void {
+        if (!this.blocks.delete(block)) {
+            this.publish("stored", block, now);
+        }
+        this.blocks.add(block);
+        const [oldest] = this.blocks;
+        if (oldest !== undefined && this.blocks.size > this.options.maximumBlocks) {
+            this.blocks.delete(oldest);
+            this.publish("evicted", oldest, now);
+        }
+    }
+
+    private publish(kind: PublishedEvent["kind"], block: string, now: number): void {
+        this.sequence += 1;
+        if (this.options.random() >= this.options.lostEvents) {
+            const visibleAt = now + this.options.eventLagMilliseconds;
+            this.events.push({ sequence: this.sequence, kind, block, visibleAt });
+        }
+        if (this.events.length > maximumEvents) {
+            this.events = this.events.slice(-maximumEvents / 2);
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/services.ts
@@ -0,0 +1,230 @@
+/**
+ * One replica of a plain service (tracker, depot) on its own port. Each execution is counted by its Idempotency-Key,
+ * over all replicas of all services.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { EndpointReport } from "../src/core/endpoints.js";
+import type { FaultSwitches } from "./faults.js";
+import { Listener, parseJson, sendJson } from "./listeners.js";
+
+/** Executions of calls that change something. */
+export class Executions {
+    private readonly counts = new Map<string, number>();
+    private keyless = 0;
+
+    private constructor() {}
+
+    public static create(): Executions {
+        return new Executions();
+    }
+
+    public add(key: string | undefined): void {
+        if (key === undefined) {
+            this.keyless += 1;
+        } else {
+            this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
+        }
+    }
+
+    /** Executions by key. */
+    public byKey(): Readonly<Record<string, number>> {
+        return Object.fromEntries(this.counts);
+    }
+
+    /** Executions of calls without a key. */
+    public withoutKey(): number {
+        return this.keyless;
+    }
+}
+
+/** What a replica is made of. */
+export interface ServiceOptions {
+    readonly id: string;
+    readonly service: string;
+    readonly failureDomain: string;
+    readonly faults: FaultSwitches;
+    readonly executions: Executions;
+    readonly now: () => number;
+    /** Time that each call takes, in milliseconds. */
+    readonly workMilliseconds: number;
+}
+
+const defaultDelayMilliseconds = 1000;
+
+/** One replica. */
+export class ServiceReplica {
+    public readonly options: ServiceOptions;
+    private listener: Listener | undefined;
+    private incarnation = 1;
+    private sequence = 0;
+    private isKilled = false;
+    private isCut = false;
+    private leavingSince: number | undefined;
+    private accepted = 0;
+    private lastAcceptedAfterLeavingMilliseconds = 0;
+
+    private constructor(options: ServiceOptions) {
+        this.options = options;
+    }
+
+    public static async create(listen: string, options: ServiceOptions): Promise<ServiceReplica> {
+        const replica = new ServiceReplica(options);
+        replica.listener = await Listener.create(listen, (request, response, body) =>
+            replica.receive(request, response, body),
+        );
+        return replica;
+    }
+
+    public address(): string {
+        return this.listener?.address() ?? "";
+    }
+
+    /** Names by which faults can be switched on for this replica. */
+    public names(): readonly string[] {
+        const { id, service, failureDomain } = this.options;
+        return [id, service, failureDomain, "services"];
+    }
+
+    public isOn(fault: string): boolean {
+        return this.options.faults.isOn(this.names(), fault);
+    }
+
+    /** Takes up a change of the faults that concern this replica. */
+    public async takeFaults(): Promise<void> {
+        this.leavingSince = this.isOn("leaving") ? (this.leavingSince ?? this.options.now()) : undefined;
+        if (this.isCut && !this.isOn("cut")) {
+            this.listener?.cutConnections();
+        }
+        this.isCut = this.isOn("cut");
+        this.listener?.setFrozen(this.isCut || this.isOn("paused"));
+        if (this.isOn("killed") !== this.isKilled) {
+            await this.setKilled(!this.isKilled);
+        }
+    }
+
+    /** The process dies and comes back. */
+    public async restart(): Promise<void> {
+        await this.setKilled(true);
+        await this.setKilled(false);
+    }
+
+    public close(): void {
+        this.listener?.stop();
+    }
+
+    public describe(): unknown {
+        return {
+            instance: this.options.id,
+            service: this.options.service,
+            address: this.address(),
+            failureDomain: this.options.failureDomain,
+            state: this.isKilled ? "killed" : "serving",
+            requestsAccepted: this.accepted,
+            lastAcceptedAfterLeavingMilliseconds: this.lastAcceptedAfterLeavingMilliseconds,
+        };
+    }
+
+    private async setKilled(killed: boolean): Promise<void> {
+        this.isKilled = killed;
+        if (killed) {
+            this.listener?.stop();
+            return;
+        }
+        this.incarnation += 1;
+        this.sequence = 0;
+        await this.listener?.start();
+    }
+
+    private receive(request: IncomingMessage, response: ServerResponse, body: string): void {
+        if (request.method === "GET" && request.url === "/probe") {
+            sendJson(response, 200, this.report());
+            return;
+        }
+        this.countAccepted();
+        if (this.isOn("refusals")) {
+            response.setHeader("x-not-run", "true");
+            sendJson(response, 503, { error: { code: "overloaded", message: "not run", notRun: true } });
+            return;
+        }
+        const { incarnation } = this;
+        setTimeout(
+            () =>
+                this.whenNotPaused(() => {
+                    if (this.incarnation === incarnation && !this.isKilled) {
+                        this.execute(request, response, body);
+                    }
+                }),
+            this.delay("delayed") + this.options.workMilliseconds,
+        );
+    }
+
+    private whenNotPaused(action: () => void): void {
+        if (this.isOn("paused")) {
+            this.listener?.hold(action);
+        } else {
+            action();
+        }
+    }
+
+    /** Runs the call; the answer may be late or lost. */
+    private execute(request: IncomingMessage, response: ServerResponse, body: string): void {
+        const key = request.headers["idempotency-key"];
+        const changes = request.method !== "GET" && request.method !== "HEAD";
+        if (changes) {
+            this.options.executions.add(key === undefined ? undefined : String(key));
+        }
+        if (this.isOn("lostAnswers")) {
+            response.socket?.destroy();
+            return;
+        }
+        const answer = changes ? this.changeAnswer(request, body) : this.readAnswer(request);
+        setTimeout(() => {
+            if (!this.isOn("cut")) {
+                sendJson(response, changes ? 201 : 200, answer);
+            }
+        }, this.delay("lateAnswers"));
+    }
+
+    private changeAnswer(request: IncomingMessage, body: string): unknown {
+        const { id, service } = this.options;
+        return {
+            service,
+            instance: id,
+            method: request.method,
+            path: request.url,
+            key: request.headers["idempotency-key"],
+            body: parseJson(body) ?? body,
+        };
+    }
+
+    private readAnswer(request: IncomingMessage): unknown {
+        const { id, service } = this.options;
+        return { service, instance: id, path: request.url, labels: ["crash", "launch"], items: [1, 2, 3] };
+    }
+
+    private delay(fault: string): number {
+        const on = this.options.faults.find(this.names(), fault);
+        return on === undefined ? 0 : (on.milliseconds ?? defaultDelayMilliseconds);
+    }
+
+    private report(): EndpointReport {
+        this.sequence += 1;
+        return {
+            instance: this.options.id,
+            incarnation: this.incarnation,
+            sequence: this.sequence,
+            state: "serving",
+            epoch: 0,
+            leaving: this.leavingSince !== undefined,
+            load: { running: 0, waiting: 0, slots: 0 },
+            warm: [],
+        };
+    }
+
+    private countAccepted(): void {
+        this.accepted += 1;
+        if (this.leavingSince !== undefined) {
+            this.lastAcceptedAfterLeavingMilliseconds = this.options.now() - this.leavingSince;
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/stream-readers.ts
@@ -0,0 +1,103 @@
+/** Writes streams of a batch to HTTP answers as server-sent events, as fast as each reader takes them. */
+import type { ServerResponse } from "node:http";
+import type { BatchStream } from "./batches.js";
+
+/** Faults of the events on their way. */
+export interface ReaderFaults {
+    /** Nothing is written now. */
+    readonly isSilent: () => boolean;
+    /** Each token is written twice. */
+    readonly isDoubled: () => boolean;
+    /** Neighbouring tokens change places. */
+    readonly isReordered: () => boolean;
+}
+
+/** One reader of one stream. */
+export class StreamReader {
+    public readonly stream: BatchStream;
+    private readonly response: ServerResponse;
+    private readonly faults: ReaderFaults;
+    /** Index of the next token to write. */
+    private position: number;
+
+    private constructor(
+        stream: BatchStream,
+        fromOffset: number,
+        response: ServerResponse,
+        faults: ReaderFaults,
+    ) {
+        this.stream = stream;
+        this.position = Math.max(0, fromOffset - stream.request.fromOffset);
+        this.response = response;
+        this.faults = faults;
+    }
+
+    public static create(
+        stream: BatchStream,
+        fromOffset: number,
+        response: ServerResponse,
+        faults: ReaderFaults,
+    ): StreamReader {
+        const reader = new StreamReader(stream, fromOffset, response, faults);
+        response.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-store" });
+        response.flushHeaders();
+        response.on("drain", () => reader.write());
+        return reader;
+    }
+
+    /** Writes what is there, until the reader is slow. */
+    public write(): void {
+        if (this.faults.isSilent() || this.response.destroyed || this.response.writableEnded) {
+            return;
+        }
+        if (this.stream.state === "dropped") {
+            this.response.destroy();
+            return;
+        }
+        while (this.position < this.stream.tokens.length && !this.response.writableNeedDrain) {
+            if (!this.writeNext()) {
+                return;
+            }
+        }
+        if (this.stream.state === "finished" && this.position >= this.stream.tokens.length) {
+            this.writeFinished();
+        }
+    }
+
+    public cut(): void {
+        this.response.destroy();
+    }
+
+    /** False if the next token waits for its neighbour. */
+    private writeNext(): boolean {
+        if (!this.faults.isReordered()) {
+            this.writeToken(this.position);
+            this.position += 1;
+            return true;
+        }
+        if (this.position + 1 >= this.stream.tokens.length) {
+            if (this.stream.state !== "finished") {
+                return false;
+            }
+            this.writeToken(this.position);
+            this.position += 1;
+            return true;
+        }
+        this.writeToken(this.position + 1);
+        this.writeToken(this.position);
+        this.position += 2;
+        return true;
+    }
+
+    private writeToken(index: number): void {
+        const offset = this.stream.request.fromOffset + index;
+        const event = `id: ${offset}\ndata: ${JSON.stringify({ offset, text: this.stream.tokens[index] })}\n\n`;
+        this.response.write(this.faults.isDoubled() ? event + event : event);
+    }
+
+    private writeFinished(): void {
+        const nextOffset = this.stream.request.fromOffset + this.stream.tokens.length;
+        const data = JSON.stringify({ reason: "length", nextOffset });
+        this.response.end(`event: finished\ndata: ${data}\n\n`);
+    }
+}
