--- /dev/null
+++ b/src/commands/control/actions.ts
@@ -0,0 +1,186 @@
+/** The actions of chervil-control on the hierarchy of named paths. */
+import type { KeyValueEntry } from "../../contracts/key-value-stores.js";
+import { configurationPrefix, safeParseConfigurationValue } from "../../core/configuration-values.js";
+import type { Fault, Result } from "../../core/errors.js";
+import type { OutputFormat } from "./outputs.js";
+import { exitCodes, formatChange, print, printFault, printWrite, showValue } from "./outputs.js";
+import type { TreeChange } from "./trees.js";
+import { diffTree, normalize, readTree } from "./trees.js";
+import type { WriteContext } from "./writes.js";
+import { writeOnce } from "./writes.js";
+
+/** What each action works with. */
+export interface ControlContext extends WriteContext {
+    readonly format: OutputFormat;
+}
+
+function readOptions(context: ControlContext): {
+    readonly deadline: number;
+    readonly priority: "configuration";
+} {
+    const deadline = context.clock.monotonicMilliseconds() + context.callMilliseconds;
+    return { deadline, priority: "configuration" };
+}
+
+/** Names may leave out the leading `config/`. */
+export function fullPath(path: string): string {
+    return path.startsWith(configurationPrefix) ? path : `${configurationPrefix}${path}`;
+}
+
+async function readPresent(
+    context: ControlContext,
+    prefix: string,
+): Promise<Result<readonly KeyValueEntry[]>> {
+    const read = await context.store.list(prefix, readOptions(context));
+    return read.success ? { success: true, data: read.data.entries } : read;
+}
+
+function showEntry(entry: KeyValueEntry): string {
+    return `${entry.key} (revision ${entry.modRevision}): ${showValue(entry.key, entry.value)}`;
+}
+
+function entryDocument(entry: KeyValueEntry): unknown {
+    return { key: entry.key, revision: entry.modRevision, value: showValue(entry.key, entry.value) };
+}
+
+/** Shows one path. */
+export async function getPath(context: ControlContext, path: string): Promise<void> {
+    const key = fullPath(path);
+    const read = await context.store.get(key, readOptions(context));
+    if (!read.success) {
+        printFault(context.format, read.fault);
+        return;
+    }
+    const entry = read.data.entries[0];
+    if (entry === undefined) {
+        printFault(context.format, missing(key));
+        return;
+    }
+    print(context.format, showEntry(entry), entryDocument(entry));
+}
+
+function missing(key: string): Fault {
+    const message = `path "${key}" does not exist`;
+    return { code: "notFound", message, step: "configure", path: [key], notRun: true };
+}
+
+/** Shows every path below a prefix. */
+export async function listPaths(context: ControlContext, prefix: string): Promise<void> {
+    const present = await readPresent(context, fullPath(prefix));
+    if (!present.success) {
+        printFault(context.format, present.fault);
+        return;
+    }
+    for (const entry of present.data) {
+        print(context.format, showEntry(entry), entryDocument(entry));
+    }
+}
+
+/** Sets one path, on the revision given or the one just read. */
+export async function setPath(
+    context: ControlContext,
+    path: string,
+    text: string | undefined,
+    seenRevision: number | undefined,
+): Promise<void> {
+    const key = fullPath(path);
+    const value = text === undefined ? undefined : normalize(text);
+    const parsed = value === undefined ? undefined : safeParseConfigurationValue(key, value);
+    if (parsed !== undefined && !parsed.success) {
+        printFault(context.format, parsed.fault, exitCodes.usage);
+        return;
+    }
+    const read = await context.store.get(key, readOptions(context));
+    if (!read.success) {
+        printFault(context.format, read.fault);
+        return;
+    }
+    const presentRevision = read.data.entries[0]?.modRevision ?? 0;
+    const write = { key, value, expectedRevision: seenRevision ?? presentRevision };
+    printWrite(context.format, write, await writeOnce(context, write));
+}
+
+async function readChanges(
+    context: ControlContext,
+    directory: string,
+): Promise<readonly TreeChange[] | undefined> {
+    const tree = readTree(directory);
+    if (!tree.success) {
+        printFault(context.format, tree.fault, exitCodes.usage);
+        return undefined;
+    }
+    const present = await readPresent(context, configurationPrefix);
+    if (!present.success) {
+        printFault(context.format, present.fault);
+        return undefined;
+    }
+    return diffTree(tree.data, present.data);
+}
+
+function printChanges(context: ControlContext, changes: readonly TreeChange[]): void {
+    for (const change of changes) {
+        const { kind, key } = change;
+        const document = {
+            kind,
+            key,
+            before: showValue(key, change.before),
+            after: showValue(key, change.value),
+        };
+        print(context.format, formatChange(change), document);
+    }
+}
+
+/** Shows what applying a directory would change; exit code 5 if there is anything. */
+export async function diffDirectory(context: ControlContext, directory: string): Promise<void> {
+    const changes = await readChanges(context, directory);
+    if (changes !== undefined) {
+        printChanges(context, changes);
+        process.exitCode = changes.length > 0 ? exitCodes.different : exitCodes.done;
+    }
+}
+
+/** Applies a directory path by path; stops at the first write that is not accepted. */
+export async function applyDirectory(
+    context: ControlContext,
+    directory: string,
+    isDryRun: boolean,
+): Promise<void> {
+    const changes = await readChanges(context, directory);
+    if (changes === undefined) {
+        return;
+    }
+    if (isDryRun) {
+        printChanges(context, changes);
+        return;
+    }
+    for (const [index, change] of changes.entries()) {
+        if (!printWrite(context.format, change, await writeOnce(context, change))) {
+            const left = changes.length - index - 1;
+            process.stderr.write(
+                `stopped: ${index} accepted, ${left} not tried; run diff to see what remains\n`,
+            );
+            return;
+        }
+    }
+    print(context.format, `${changes.length} changes accepted`, { accepted: changes.length });
+}
+
+/** Shows changes below a prefix until interrupted. */
+export async function watchPaths(context: ControlContext, prefix: string): Promise<void> {
+    const path = fullPath(prefix);
+    const read = await context.store.list(path, readOptions(context));
+    if (!read.success) {
+        printFault(context.format, read.fault);
+        return;
+    }
+    context.store.watch(path, read.data.revision + 1).subscribe(event => {
+        if (event.kind === "gap") {
+            printFault(context.format, event.fault);
+            return;
+        }
+        if (event.kind === "changes") {
+            event.puts.forEach(entry => print(context.format, showEntry(entry), entryDocument(entry)));
+            event.deletes.forEach(key => print(context.format, `${key} (deleted)`, { key, deleted: true }));
+        }
+    });
+}
--- /dev/null
+++ b/src/commands/control/outputs.ts
@@ -0,0 +1,75 @@
+/** Text and JSON output of chervil-control; secrets are never shown. */
+import type { Fault } from "../../core/errors.js";
+import type { TreeChange } from "./trees.js";
+import type { OperatorWrite, WriteOutcome } from "./writes.js";
+
+/** Exit codes of chervil-control. */
+export const exitCodes = { done: 0, failed: 1, usage: 2, lostRace: 3, notKnown: 4, different: 5 } as const;
+
+/** How results are printed. */
+export type OutputFormat = "text" | "json";
+
+const secretPrefix = "config/keys/";
+
+/** The value as it may be shown. */
+export function showValue(key: string, value: string | undefined): string {
+    if (value === undefined) {
+        return "(absent)";
+    }
+    return key.startsWith(secretPrefix) ? "(secret)" : value;
+}
+
+/** Prints one result: its text, or its JSON form in one line. */
+export function print(format: OutputFormat, text: string, document: unknown): void {
+    process.stdout.write(format === "json" ? `${JSON.stringify(document)}\n` : `${text}\n`);
+}
+
+/** Prints a fault on standard error and sets the exit code. */
+export function printFault(format: OutputFormat, fault: Fault, exitCode: number = exitCodes.failed): void {
+    process.stderr.write(format === "json" ? `${JSON.stringify({ error: fault })}\n` : `${fault.message}\n`);
+    process.exitCode = exitCode;
+}
+
+/** One change as a line of a diff. */
+export function formatChange(change: TreeChange): string {
+    const signs = { add: "+", change: "~", remove: "-" } as const;
+    const before = showValue(change.key, change.before);
+    const after = showValue(change.key, change.value);
+    return `${signs[change.kind]} ${change.key}: ${before} -> ${after}`;
+}
+
+/** Prints what became of a write, and sets the exit code; true if the write was accepted. */
+export function printWrite(format: OutputFormat, write: OperatorWrite, outcome: WriteOutcome): boolean {
+    const shown = "current" in outcome ? outcome.current : undefined;
+    const theirs = showValue(write.key, shown?.value);
+    const yours = showValue(write.key, write.value);
+    const texts: Readonly<Record<WriteOutcome["kind"], string>> = {
+        accepted: `${write.key}: accepted`,
+        superseded: `${write.key}: accepted and superseded; now ${theirs} at revision ${shown?.modRevision ?? 0}`,
+        lostRace:
+            `${write.key}: another operator was first; nothing was changed\n` +
+            `  theirs: ${theirs} at revision ${shown?.modRevision ?? 0}\n` +
+            `  yours:  ${yours} on revision ${write.expectedRevision}`,
+        notKnown: `${write.key}: not known whether the write took effect; now ${theirs}; read it again before you repeat`,
+        notSent: `${write.key}: not written: ${"fault" in outcome ? outcome.fault.message : ""}`,
+    };
+    const exits: Readonly<Record<WriteOutcome["kind"], number>> = {
+        accepted: exitCodes.done,
+        superseded: exitCodes.lostRace,
+        lostRace: exitCodes.lostRace,
+        notKnown: exitCodes.notKnown,
+        notSent: exitCodes.failed,
+    };
+    const document = {
+        key: write.key,
+        outcome: outcome.kind,
+        theirs,
+        yours,
+        theirRevision: shown?.modRevision,
+    };
+    print(format, texts[outcome.kind], document);
+    if (exits[outcome.kind] !== exitCodes.done) {
+        process.exitCode = exits[outcome.kind];
+    }
+    return outcome.kind === "accepted";
+}
--- /dev/null
+++ b/src/commands/control/trees.ts
@@ -0,0 +1,101 @@
+/** Subtrees of configuration in a directory: one file `<path below config/>.json` for each path. */
+import { readFileSync, readdirSync } from "node:fs";
+import { join, relative, sep } from "node:path";
+import type { KeyValueEntry } from "../../contracts/key-value-stores.js";
+import { configurationPrefix, safeParseConfigurationValue } from "../../core/configuration-values.js";
+import type { Fault, Result } from "../../core/errors.js";
+import { fail, succeed } from "../../core/errors.js";
+import type { OperatorWrite } from "./writes.js";
+
+const fileEnding = ".json";
+
+/** A change that applying a directory makes. */
+export interface TreeChange extends OperatorWrite {
+    readonly kind: "add" | "change" | "remove";
+    /** The value in the key-value service; undefined if the path is new. */
+    readonly before: string | undefined;
+}
+
+function invalidTree(message: string, path: readonly (string | number)[]): Fault {
+    return { code: "invalidConfiguration", message, step: "configure", path, notRun: true };
+}
+
+/** Reads and checks every file of a directory; all problems are in one fault. */
+export function readTree(directory: string): Result<ReadonlyMap<string, string>> {
+    let files: readonly string[];
+    try {
+        files = readdirSync(directory, { recursive: true, encoding: "utf8" }).filter(file =>
+            file.endsWith(fileEnding),
+        );
+    } catch {
+        return fail(invalidTree(`directory "${directory}" cannot be read`, []));
+    }
+    const values = new Map<string, string>();
+    const faults: Fault[] = [];
+    for (const file of files) {
+        const key = keyOf(directory, file);
+        const value = normalize(readFileSync(join(directory, file), "utf8"));
+        const parsed = safeParseConfigurationValue(key, value);
+        if (!parsed.success) {
+            faults.push(parsed.fault);
+        }
+        values.set(key, value);
+    }
+    if (files.length === 0) {
+        return fail(invalidTree(`directory "${directory}" holds no ${fileEnding} file`, []));
+    }
+    const [first] = faults;
+    if (first !== undefined) {
+        return fail(invalidTree(faults.map(fault => fault.message).join("; "), first.path ?? []));
+    }
+    return succeed(values);
+}
+
+function keyOf(directory: string, file: string): string {
+    const path = relative(directory, join(directory, file)).split(sep).join("/");
+    return `${configurationPrefix}${path.slice(0, -fileEnding.length)}`;
+}
+
+/** JSON in one line, so that layout makes no difference. */
+export function normalize(text: string): string {
+    try {
+        return JSON.stringify(JSON.parse(text));
+    } catch {
+        return text;
+    }
+}
+
+/** Top parts of the hierarchy that a directory speaks for; what it does not name there is removed. */
+function ownedPrefixes(keys: Iterable<string>): ReadonlySet<string> {
+    const prefixes = new Set<string>();
+    for (const key of keys) {
+        const parts = key.split("/");
+        prefixes.add(parts.slice(0, parts[1] === "teams" ? 3 : 2).join("/") + "/");
+    }
+    return prefixes;
+}
+
+/** Compares a directory with the present entries. Only subtrees that the directory has files for are touched. */
+export function diffTree(
+    wanted: ReadonlyMap<string, string>,
+    present: readonly KeyValueEntry[],
+): readonly TreeChange[] {
+    const byKey = new Map(present.map(entry => [entry.key, entry]));
+    const prefixes = [...ownedPrefixes(wanted.keys())];
+    const changes: TreeChange[] = [];
+    for (const [key, value] of wanted) {
+        const entry = byKey.get(key);
+        if (entry === undefined) {
+            changes.push({ kind: "add", key, value, before: undefined, expectedRevision: 0 });
+        } else if (normalize(entry.value) !== value) {
+            const { value: before, modRevision: expectedRevision } = entry;
+            changes.push({ kind: "change", key, value, before, expectedRevision });
+        }
+    }
+    for (const { key, value: before, modRevision: expectedRevision } of present) {
+        if (!wanted.has(key) && prefixes.some(prefix => key.startsWith(prefix))) {
+            changes.push({ kind: "remove", key, value: undefined, before, expectedRevision });
+        }
+    }
+    return changes;
+}
--- /dev/null
+++ b/src/commands/daemon-commands.ts
@@ -0,0 +1,95 @@
+/** Command line shared by the daemons: settings, checks, signals and exit codes. */
+import { cac } from "cac";
+import { ChervilError, toFault } from "../core/errors.js";
+import type { Settings } from "../daemons/settings.js";
+import { readSettings } from "../daemons/settings.js";
+import { readVersion } from "./versions.js";
+
+const exitInvalidSettings = 2;
+const exitFailed = 1;
+
+/** A running daemon. */
+export interface RunningDaemon {
+    /** Finishes what is in progress, then releases leases and ports. */
+    readonly stop: (reason: string) => Promise<void>;
+}
+
+interface DaemonOptions {
+    readonly settings?: string;
+    readonly checkSettings?: boolean;
+}
+
+/** Parses the command line and runs a daemon until it is told to stop. */
+export async function runDaemonCommand(
+    name: string,
+    description: string,
+    start: (settings: Settings) => Promise<RunningDaemon>,
+): Promise<void> {
+    const commands = cac(name);
+    commands
+        .command("", description)
+        .option("--settings <file>", "TOML settings file")
+        .option("--check-settings", "Check the settings file and exit")
+        .action((options: DaemonOptions) => runDaemon(name, options, start));
+    commands.help();
+    commands.version(readVersion());
+    try {
+        commands.parse(process.argv, { run: false });
+        await commands.runMatchedCommand();
+    } catch (thrown) {
+        fail(name, thrown, exitFailed);
+    }
+}
+
+async function runDaemon(
+    name: string,
+    options: DaemonOptions,
+    start: (settings: Settings) => Promise<RunningDaemon>,
+): Promise<void> {
+    let settings: Settings;
+    try {
+        settings = readSettings(requireFile(options.settings));
+    } catch (thrown) {
+        fail(name, thrown, exitInvalidSettings);
+        return;
+    }
+    if (options.checkSettings === true) {
+        process.stdout.write(`settings file "${String(options.settings)}" is valid\n`);
+        return;
+    }
+    stopOnSignals(name, await start(settings));
+}
+
+function requireFile(file: string | undefined): string {
+    if (file === undefined) {
+        const message = "expected --settings FILE";
+        throw ChervilError.create({ code: "invalidSettings", message, step: "settings", notRun: true });
+    }
+    return file;
+}
+
+/** The first signal stops the daemon in order; a second one ends the process at once. */
+function stopOnSignals(name: string, daemon: RunningDaemon): void {
+    let isStopping = false;
+    const stop = (signal: string): void => {
+        if (isStopping) {
+            process.exit(exitFailed);
+        }
+        isStopping = true;
+        daemon.stop(signal).then(
+            () => process.exit(0),
+            (thrown: unknown) => {
+                fail(name, thrown, exitFailed);
+                process.exit(exitFailed);
+            },
+        );
+    };
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+}
+
+function fail(name: string, thrown: unknown, exitCode: number): void {
+    const fault = toFault(thrown, "settings");
+    process.stderr.write(`${name}: ${fault.message}\n`);
+    process.exitCode = exitCode;
+}
--- /dev/null
+++ b/src/daemons/entry/usages.ts
@@ -0,0 +1,51 @@
+/** Exchange of usage counters with the other entry processes, through the mesh. */
+import { Subscription, interval } from "rxjs";
+import type { Observable } from "rxjs";
+import { z } from "zod";
+import type { Clock } from "../../contracts/clocks.js";
+import type { Admission } from "../../core/admissions.js";
+import { parseJson } from "../../links/json.js";
+import type { PeerUsage } from "../views.js";
+
+/** Time between two of a process's own snapshots, in milliseconds. */
+const snapshotMilliseconds = 1_000;
+
+const snapshotSchema = z.object({
+    totals: z
+        .array(
+            z.object({
+                model: z.string(),
+                team: z.string(),
+                subscriber: z.string().optional(),
+                tokens: z.number(),
+                recentTokens: z.number(),
+            }),
+        )
+        .max(10_000),
+});
+
+/** What the exchange works with. */
+export interface UsageExchangeOptions {
+    readonly admission: Admission;
+    readonly clock: Clock;
+    readonly publish: (payload: string) => void;
+    readonly peers: Observable<PeerUsage>;
+}
+
+/** Starts the exchange; unsubscribing ends it. */
+export function startUsageExchange(options: UsageExchangeOptions): Subscription {
+    const { admission, clock, publish, peers } = options;
+    const exchange = new Subscription();
+    exchange.add(
+        interval(snapshotMilliseconds).subscribe(() => publish(JSON.stringify(admission.usageSnapshot()))),
+    );
+    exchange.add(
+        peers.subscribe(({ process, incarnation, payload }) => {
+            const snapshot = snapshotSchema.safeParse(parseJson(payload));
+            if (snapshot.success) {
+                admission.applyPeerUsage(process, incarnation, snapshot.data, clock.monotonicMilliseconds());
+            }
+        }),
+    );
+    return exchange;
+}
--- a/src/daemons/views.ts
+++ b/src/daemons/views.ts
@@ -15,8 +15,13 @@
     readonly isLeaving: (id: InstanceId) => boolean;
     readonly healthOf: (id: InstanceId) => EndpointHealth | undefined;
     readonly placements: () => readonly FabricPlacement[];
-    /** Live entry processes, this one included. */
-    readonly entryCount: () => number;
     /** Says that any of the above has changed. */
     readonly changes: Observable<unknown>;
 }
+
+/** Opaque counters of one process. */
+export interface PeerUsage {
+    readonly process: string;
+    readonly incarnation: number;
+    readonly payload: string;
+}
