Add the placer of one fabric domain and its wiring

The placer is a pure state machine: lease by compare-and-swap on absence, takeover wait for engines that do not check epochs, read back by probes, a first write in each term that makes late writes of earlier holders conflict, then plans and orders. A group serves only when each member has been seen in it for the health deadline plus the dispatch deadline, so no entry can still hold a healthy report of a member in an earlier group.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,12 +1,20 @@
 /** The library surface of chervilrouter's decisions, free of input, output and clocks. */
+export * as drains from "./drains.js";
 export * as endpoints from "./endpoints.js";
 export * as errors from "./errors.js";
 export * as events from "./events.js";
 export * as failureDomains from "./failure-domains.js";
 export * as hashes from "./hashes.js";
 export * as instances from "./instances.js";
+export * as placementDomains from "./placement-domains.js";
+export * as placementLeases from "./placement-leases.js";
+export * as placementMessages from "./placement-messages.js";
+export * as placementPolicies from "./placement-policies.js";
+export * as placementShares from "./placement-shares.js";
 export * as placementValues from "./placement-values.js";
+export * as placements from "./placements.js";
 export * as randomNumbers from "./random-numbers.js";
+export * as repairs from "./repairs.js";
 export * as replicaGroups from "./replica-groups.js";
 export * as requests from "./requests.js";
 export * as servingGates from "./serving-gates.js";
--- /dev/null
+++ b/src/core/placement-domains.ts
@@ -0,0 +1,183 @@
+/**
+ * The placers of one failure domain: one for each of its fabric domains. Passes each event to the placers that it
+ * concerns, and divides the demand between fabric domains.
+ */
+import type { EndpointHealth } from "./endpoints.js";
+import type { FabricDomainId, FailureDomainId } from "./failure-domains.js";
+import { rankByRendezvous } from "./hashes.js";
+import type { Instance, InstanceId } from "./instances.js";
+import type { PlacementShare, PlacerCommand, PlacerEvent } from "./placement-messages.js";
+import type { PlacementPolicy } from "./placement-policies.js";
+import { divideGroups } from "./placement-shares.js";
+import { Placer } from "./placements.js";
+import type { DecideRepair } from "./repairs.js";
+
+/** Options of the placers of one failure domain. */
+export interface DomainPlacersOptions {
+    readonly failureDomain: FailureDomainId;
+    /** The entry instance that this process runs on. */
+    readonly instance: InstanceId;
+    /** Names this process and its start. */
+    readonly holder: string;
+    readonly createNonce: () => string;
+    readonly decideRepair: DecideRepair;
+}
+
+/** A command of one fabric domain's placer. */
+export interface DomainCommand {
+    readonly fabricDomain: FabricDomainId;
+    readonly command: PlacerCommand;
+}
+
+/** Inputs that concern every fabric domain; answers carry the fabric domain whose command they answer. */
+export type DomainEvent =
+    | { readonly kind: "tick" }
+    | { readonly kind: "instances"; readonly instances: readonly Instance[] }
+    | { readonly kind: "health"; readonly health: EndpointHealth }
+    | { readonly kind: "policy"; readonly policy: PlacementPolicy }
+    | { readonly kind: "answer"; readonly fabricDomain: FabricDomainId; readonly event: PlacerEvent };
+
+const shareMilliseconds = 1_000;
+/** An instance that has been silent for longer no longer counts as capacity of its fabric domain. */
+const capacityMilliseconds = 30_000;
+
+/** All placers of one process. Times are local monotonic milliseconds. */
+export class DomainPlacers {
+    private readonly placers = new Map<FabricDomainId, Placer>();
+    private readonly fabricOf = new Map<InstanceId, FabricDomainId>();
+    private readonly healthyUntil = new Map<InstanceId, number>();
+    private engines: readonly Instance[] = [];
+    private entries: readonly InstanceId[] = [];
+    private policy: PlacementPolicy | undefined;
+    private shareAt = 0;
+
+    private constructor(private readonly options: DomainPlacersOptions) {}
+
+    public static create(options: DomainPlacersOptions): DomainPlacers {
+        return new DomainPlacers(options);
+    }
+
+    /** The placer of a fabric domain, if the fabric domain is known. */
+    public placerOf(fabricDomain: FabricDomainId): Placer | undefined {
+        return this.placers.get(fabricDomain);
+    }
+
+    public get fabricDomains(): readonly FabricDomainId[] {
+        return [...this.placers.keys()];
+    }
+
+    public step(event: DomainEvent, now: number): readonly DomainCommand[] {
+        switch (event.kind) {
+            case "tick":
+                return [...this.updateShares(now), ...this.stepAll(event, now)];
+            case "instances":
+                return this.handleInstances(event.instances, now);
+            case "health":
+                return this.handleHealth(event.health, now);
+            case "policy":
+                this.policy = event.policy;
+                this.shareAt = now;
+                return this.updateShares(now);
+            case "answer":
+                return this.stepOne(event.fabricDomain, event.event, now);
+        }
+    }
+
+    /** Gives up every lease before the process exits. */
+    public stop(now: number): readonly DomainCommand[] {
+        return [...this.placers].flatMap(([fabricDomain, placer]) =>
+            placer.stop(now).map(command => ({ fabricDomain, command })),
+        );
+    }
+
+    private handleInstances(instances: readonly Instance[], now: number): readonly DomainCommand[] {
+        const own = instances.filter(each => each.failureDomain === this.options.failureDomain);
+        this.engines = own.filter(each => each.role === "engine");
+        this.entries = own.filter(each => each.role === "entry").map(each => each.id);
+        this.fabricOf.clear();
+        this.engines.forEach(each => this.fabricOf.set(each.id, each.fabricDomain));
+        [...this.healthyUntil.keys()]
+            .filter(instance => !this.fabricOf.has(instance))
+            .forEach(instance => this.healthyUntil.delete(instance));
+        for (const fabricDomain of new Set(this.fabricOf.values())) {
+            if (!this.placers.has(fabricDomain)) {
+                this.placers.set(fabricDomain, this.createPlacer(fabricDomain));
+            }
+        }
+        this.shareAt = now;
+        return [...this.stepAll({ kind: "instances", instances: own }, now), ...this.updateShares(now)];
+    }
+
+    private createPlacer(fabricDomain: FabricDomainId): Placer {
+        const { holder, createNonce, decideRepair, instance } = this.options;
+        return Placer.create({
+            fabricDomain,
+            holder,
+            createNonce,
+            decideRepair,
+            leaseSeconds: () => this.policy?.leaseSeconds ?? 10,
+            rank: () => {
+                const place = rankByRendezvous(fabricDomain, this.entries).indexOf(instance);
+                return place < 0 ? this.entries.length : place;
+            },
+        });
+    }
+
+    private handleHealth(health: EndpointHealth, now: number): readonly DomainCommand[] {
+        const { instance } = health.report;
+        const fabricDomain = this.fabricOf.get(instance);
+        if (fabricDomain === undefined) {
+            return [];
+        }
+        this.healthyUntil.set(instance, Math.max(health.healthyUntil, this.healthyUntil.get(instance) ?? 0));
+        return this.stepOne(fabricDomain, { kind: "health", health }, now);
+    }
+
+    private updateShares(now: number): readonly DomainCommand[] {
+        if (this.policy === undefined || now < this.shareAt) {
+            return [];
+        }
+        this.shareAt = now + shareMilliseconds;
+        const policy = this.policy;
+        const capacities = this.countCapacities(now);
+        const shares = new Map(
+            policy.models.map(model => {
+                const size = model.instancesPerReplica;
+                const floor = divideGroups(model.floor, size, capacities);
+                const demand = divideGroups(model.demand, size, capacities);
+                return [model.model, { floor, demand }];
+            }),
+        );
+        return [...this.placers.keys()].flatMap(fabricDomain => {
+            const share: PlacementShare = {
+                policy,
+                of: model => ({
+                    floor: shares.get(model)?.floor.get(fabricDomain) ?? 0,
+                    demand: shares.get(model)?.demand.get(fabricDomain) ?? 0,
+                }),
+            };
+            return this.stepOne(fabricDomain, { kind: "share", share }, now);
+        });
+    }
+
+    private countCapacities(now: number): readonly { fabricDomain: FabricDomainId; instances: number }[] {
+        const counts = new Map([...this.placers.keys()].map(fabricDomain => [fabricDomain, 0]));
+        for (const engine of this.engines) {
+            const until = this.healthyUntil.get(engine.id);
+            const isUsable = until === undefined || now < until + capacityMilliseconds;
+            if (engine.state === "live" && isUsable) {
+                counts.set(engine.fabricDomain, (counts.get(engine.fabricDomain) ?? 0) + 1);
+            }
+        }
+        return [...counts].map(([fabricDomain, instances]) => ({ fabricDomain, instances }));
+    }
+
+    private stepAll(event: PlacerEvent, now: number): readonly DomainCommand[] {
+        return [...this.placers.keys()].flatMap(fabricDomain => this.stepOne(fabricDomain, event, now));
+    }
+
+    private stepOne(fabricDomain: FabricDomainId, event: PlacerEvent, now: number): readonly DomainCommand[] {
+        const commands = this.placers.get(fabricDomain)?.step(event, now) ?? [];
+        return commands.map(command => ({ fabricDomain, command }));
+    }
+}
--- /dev/null
+++ b/src/core/placement-loads.ts
@@ -0,0 +1,51 @@
+/**
+ * Turns at the weight store. Its rate is shared, so loading all groups at once would complete all of them late; the group
+ * with the least left to load goes first instead.
+ */
+import type { InstanceId } from "./instances.js";
+import type { PlacementDraft } from "./placement-drafts.js";
+import type { PlacementPolicy } from "./placement-policies.js";
+import type { PlacedGroup } from "./placement-values.js";
+import type { PlacementView } from "./placement-views.js";
+import { isWarm, reportOf } from "./placement-views.js";
+
+/** Moves forming groups on to loading, as far as the weight store's limit allows. */
+export function startLoads(draft: PlacementDraft, view: PlacementView, now: number): void {
+    let loading = countLoads(draft, view, now);
+    const forming = draft.groups.filter(group => group.state === "forming");
+    const coldOf = new Map(forming.map(group => [group.id, coldMembers(group, view).length]));
+    const cold = (group: PlacedGroup): number => coldOf.get(group.id) ?? 0;
+    for (const group of [...forming].sort((left, right) => cold(left) - cold(right))) {
+        const fits = loading === 0 || loading + cold(group) <= view.policy.weightStoreLoadsAtOnce;
+        const isReachable = group.members.every(member => reportOf(view, member, now) !== undefined);
+        if (isReachable && (cold(group) === 0 || fits)) {
+            loading += cold(group);
+            draft.moveGroup(group, "loading");
+        }
+    }
+}
+
+/** Returns how many instances load from the weight store now. */
+export function countLoads(draft: PlacementDraft, view: PlacementView, now: number): number {
+    const loading = draft.groups.filter(group => group.state === "loading");
+    return loading.flatMap(group =>
+        coldMembers(group, view).filter(member => reportOf(view, member, now)?.state !== "ready"),
+    ).length;
+}
+
+/** Returns how long a further cold load would wait for its turn, in milliseconds. */
+export function queueMilliseconds(
+    draft: PlacementDraft,
+    view: PlacementView,
+    policy: PlacementPolicy,
+    now: number,
+): number {
+    const forming = draft.groups.filter(group => group.state === "forming");
+    const waiting = forming.flatMap(group => coldMembers(group, view)).length;
+    const turns = Math.floor((countLoads(draft, view, now) + waiting) / policy.weightStoreLoadsAtOnce);
+    return turns * policy.repair.coldLoadMilliseconds;
+}
+
+function coldMembers(group: PlacedGroup, view: PlacementView): readonly InstanceId[] {
+    return group.members.filter(member => !isWarm(view, member, group.model));
+}
--- /dev/null
+++ b/src/core/placement-observations.ts
@@ -0,0 +1,95 @@
+/** What one placer has seen of engine instances, and the orders to them that may still take effect. */
+import type { EndpointHealth, EndpointReport } from "./endpoints.js";
+import { isLaterReport } from "./endpoints.js";
+import type { InstanceId } from "./instances.js";
+
+/** A group, epoch and incarnation that an instance was seen in. */
+interface Sighting {
+    readonly group: string | undefined;
+    readonly epoch: number;
+    readonly incarnation: number;
+    readonly since: number;
+}
+
+/** An order without an answer. */
+interface OutstandingOrder {
+    readonly call: number;
+    /** Local monotonic milliseconds after which the order can no longer take effect. */
+    readonly settledAt: number;
+}
+
+/** Reports by instance, the latest only. Times are local monotonic milliseconds. */
+export class PlacementObservations {
+    private readonly health = new Map<InstanceId, EndpointHealth>();
+    private readonly sightings = new Map<InstanceId, Sighting>();
+    private readonly outstanding = new Map<InstanceId, OutstandingOrder>();
+    private readonly retryAt = new Map<InstanceId, number>();
+
+    private constructor() {}
+
+    public static create(): PlacementObservations {
+        return new PlacementObservations();
+    }
+
+    public healthOf(instance: InstanceId): EndpointHealth | undefined {
+        return this.health.get(instance);
+    }
+
+    /** Takes a report unless a later one is known. */
+    public applyReport(report: EndpointReport, healthyUntil: number, now: number): void {
+        if (!isLaterReport(report, this.health.get(report.instance)?.report)) {
+            return;
+        }
+        this.health.set(report.instance, { report, healthyUntil });
+        const { group, epoch, incarnation } = report;
+        const known = this.sightings.get(report.instance);
+        if (known?.group !== group || known?.epoch !== epoch || known?.incarnation !== incarnation) {
+            this.sightings.set(report.instance, { group, epoch, incarnation, since: now });
+        }
+    }
+
+    /** Since when the instance has been seen in its present group and epoch. */
+    public seenSince(instance: InstanceId): number | undefined {
+        return this.sightings.get(instance)?.since;
+    }
+
+    /** Treats every report as too old to count as health, and every sighting as interrupted. */
+    public expire(): void {
+        for (const [instance, health] of this.health) {
+            this.health.set(instance, { report: health.report, healthyUntil: Number.NEGATIVE_INFINITY });
+        }
+        this.sightings.clear();
+    }
+
+    public startOrder(instance: InstanceId, call: number, settledAt: number): void {
+        this.outstanding.set(instance, { call, settledAt });
+    }
+
+    /** An answered order can take no further effect. A refused one is not repeated before `retryAt`. */
+    public finishOrder(instance: InstanceId, call: number, retryAt: number): void {
+        if (this.outstanding.get(instance)?.call === call) {
+            this.outstanding.delete(instance);
+        }
+        this.retryAt.set(instance, retryAt);
+    }
+
+    public hasUnsettledOrder(instance: InstanceId, now: number): boolean {
+        const order = this.outstanding.get(instance);
+        return order !== undefined && now < order.settledAt;
+    }
+
+    public mayOrder(instance: InstanceId, now: number): boolean {
+        return !this.hasUnsettledOrder(instance, now) && now >= (this.retryAt.get(instance) ?? now);
+    }
+
+    /** Drops what is known of instances that are no longer listed. */
+    public keepOnly(instances: ReadonlySet<InstanceId>): void {
+        for (const known of [this.health, this.sightings, this.retryAt, this.outstanding]) {
+            for (const instance of known.keys()) {
+                if (!instances.has(instance)) {
+                    known.delete(instance);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/placement-orders.ts
@@ -0,0 +1,116 @@
+/** Which order an engine instance needs next, so that it does what the placement says. */
+import type { OrderKind } from "../contracts/engines.js";
+import type { EndpointReport } from "./endpoints.js";
+import type { InstanceId } from "./instances.js";
+import type { FabricPlacement, PlacedGroup } from "./placement-values.js";
+import type { PlacementView } from "./placement-views.js";
+import { reportOf } from "./placement-views.js";
+import type { ModelVersion, ReplicaGroupId } from "./replica-groups.js";
+
+/** An order without its deadline, which is set when it is sent. */
+export interface PlannedOrder {
+    readonly instance: InstanceId;
+    readonly kind: OrderKind;
+    readonly group: ReplicaGroupId;
+    readonly epoch: number;
+    readonly model: ModelVersion;
+    readonly members: readonly InstanceId[];
+}
+
+/** Returns every order that the placement calls for now. */
+export function planOrders(
+    placement: FabricPlacement,
+    view: PlacementView,
+    now: number,
+): readonly PlannedOrder[] {
+    const inGroups = new Set(placement.groups.flatMap(group => group.members));
+    const orders = placement.groups.flatMap(group => planGroupOrders(group, view, now));
+    for (const instance of view.instances.keys()) {
+        const report = reportOf(view, instance, now);
+        if (!inGroups.has(instance) && report?.group !== undefined) {
+            orders.push(releaseStray(instance, report.group, placement.epoch));
+        }
+    }
+    return orders.filter(order => !view.hasUnsettledOrder(order.instance));
+}
+
+function planGroupOrders(group: PlacedGroup, view: PlacementView, now: number): PlannedOrder[] {
+    const mayRelease = group.state === "draining" && isDrained(group, view, now);
+    const orders: PlannedOrder[] = [];
+    for (const instance of group.members) {
+        const report = reportOf(view, instance, now);
+        const kind = report === undefined ? undefined : orderFor(group, report, mayRelease);
+        if (kind !== undefined) {
+            const { id, epoch, model, members } = group;
+            orders.push({ instance, kind, group: id, epoch, model, members });
+        }
+    }
+    return orders;
+}
+
+/** Returns what a reporting member of a group must be told, if anything. */
+export function orderFor(
+    group: PlacedGroup,
+    report: EndpointReport,
+    mayRelease: boolean,
+): OrderKind | undefined {
+    switch (group.state) {
+        case "loading":
+            return orderToLoad(group, report);
+        case "serving":
+            return orderToServe(group, report);
+        case "draining":
+            return orderToDrain(group, report, mayRelease);
+        case "forming":
+        case "dissolved":
+            return undefined;
+    }
+}
+
+function orderToLoad(group: PlacedGroup, report: EndpointReport): OrderKind | undefined {
+    if (report.group === undefined) {
+        return "load";
+    }
+    const loads = report.state === "loading" || report.state === "ready";
+    return report.group === group.id && report.epoch === group.epoch && loads ? undefined : "release";
+}
+
+function orderToServe(group: PlacedGroup, report: EndpointReport): OrderKind | undefined {
+    const loaded = report.group === group.id && report.epoch === group.loadEpoch;
+    return loaded && report.state === "ready" ? "serve" : undefined;
+}
+
+function orderToDrain(
+    group: PlacedGroup,
+    report: EndpointReport,
+    mayRelease: boolean,
+): OrderKind | undefined {
+    if (report.group === undefined) {
+        return undefined;
+    }
+    if (report.group !== group.id || mayRelease || report.state === "loading" || report.state === "ready") {
+        return "release";
+    }
+    return report.state === "serving" ? "drain" : undefined;
+}
+
+/** Returns true if releasing the members of a draining group cuts no stream that could still finish. */
+export function isDrained(group: PlacedGroup, view: PlacementView, now: number): boolean {
+    const since = view.drainingSince(group);
+    if (since !== undefined && now >= since + view.policy.leavingMilliseconds) {
+        return true;
+    }
+    const reports = group.members.map(member => reportOf(view, member, now));
+    if (reports.some(report => report?.group !== group.id)) {
+        return true;
+    }
+    return reports.every(
+        report => report?.state !== "serving" && report?.load.running === 0 && report.load.waiting === 0,
+    );
+}
+
+/** An instance that the placement has in no group, but which says that it is in one, is released. */
+function releaseStray(instance: InstanceId, group: ReplicaGroupId, epoch: number): PlannedOrder {
+    const model = { model: "none", version: "none" };
+    return { instance, kind: "release", group, epoch, model, members: [instance] };
+}
--- /dev/null
+++ b/src/core/placement-records.ts
@@ -0,0 +1,143 @@
+/**
+ * One holder's view of the stored placement: at most one call at a time, and no decision on a value that may have been
+ * replaced. An ambiguous write is resolved by reading; the value says what is in force, whoever wrote it.
+ */
+import type { KeyValueEntry, ReadAnswer, SwapOutcome } from "../contracts/key-value-stores.js";
+import type { Fault, Result } from "./errors.js";
+import type { FabricDomainId } from "./failure-domains.js";
+import type { PlacerCommand } from "./placement-messages.js";
+import type { FabricPlacement, PlacedGroup } from "./placement-values.js";
+import {
+    createFabricPlacement,
+    formatFabricPlacement,
+    safeParseFabricPlacement,
+} from "./placement-values.js";
+
+/** A placement that the key-value service holds. */
+interface StoredPlacement {
+    readonly placement: FabricPlacement;
+    readonly revision: number;
+}
+
+const retryMilliseconds = 500;
+
+/** State machine of the value `placement/<fabric domain>` for one lease term. */
+export class PlacementRecord {
+    private stored: StoredPlacement | undefined;
+    private proposed: FabricPlacement | undefined;
+    private awaitedCall: number | undefined;
+    private retryAt = 0;
+    private isOwn = false;
+
+    private constructor(private readonly fabricDomain: FabricDomainId) {}
+
+    public static create(fabricDomain: FabricDomainId): PlacementRecord {
+        return new PlacementRecord(fabricDomain);
+    }
+
+    public get placement(): FabricPlacement | undefined {
+        return this.stored?.placement;
+    }
+
+    /** True once a write of this holder is the value, so that no earlier write can still take effect. */
+    public get isFenced(): boolean {
+        return this.isOwn;
+    }
+
+    /** True if a new call may be started at `now`. */
+    public isIdle(now: number): boolean {
+        return this.awaitedCall === undefined && now >= this.retryAt;
+    }
+
+    /** True while a write may be in progress: nothing may be ordered on the known value. */
+    public get isBusy(): boolean {
+        return this.awaitedCall !== undefined;
+    }
+
+    public read(call: number): PlacerCommand {
+        this.awaitedCall = call;
+        return { kind: "readPlacement", call };
+    }
+
+    /** Proposes the next value; the swap must be sent before `notAfter`. */
+    public swap(call: number, next: FabricPlacement, notAfter: number): PlacerCommand {
+        this.awaitedCall = call;
+        this.proposed = next;
+        const expectedRevision = this.stored?.revision ?? 0;
+        return {
+            kind: "swapPlacement",
+            call,
+            expectedRevision,
+            value: formatFabricPlacement(next),
+            notAfter,
+        };
+    }
+
+    public handleRead(call: number, result: Result<ReadAnswer>, now: number): readonly PlacerCommand[] {
+        if (call !== this.awaitedCall) {
+            return [];
+        }
+        this.awaitedCall = undefined;
+        return result.success ? this.adopt(result.data.entries[0], now) : this.retry(result.fault, now);
+    }
+
+    public handleSwapped(call: number, outcome: SwapOutcome, now: number): readonly PlacerCommand[] {
+        const next = this.proposed;
+        if (call !== this.awaitedCall || next === undefined) {
+            return [];
+        }
+        this.awaitedCall = undefined;
+        this.proposed = undefined;
+        switch (outcome.kind) {
+            case "swapped":
+                this.isOwn = true;
+                return this.replace({ placement: next, revision: outcome.revision });
+            case "conflict":
+                this.isOwn = false;
+                return this.adopt(outcome.current, now);
+            case "ambiguous":
+                this.isOwn = false;
+                this.stored = undefined;
+                return this.retry(outcome.fault, now);
+            case "notSent":
+                return this.retry(outcome.fault, now);
+        }
+    }
+
+    /** Takes a value that was read. An unreadable one is left alone: nothing is decided until it is mended. */
+    private adopt(entry: KeyValueEntry | undefined, now: number): readonly PlacerCommand[] {
+        if (entry === undefined) {
+            return this.replace({ placement: createFabricPlacement(this.fabricDomain), revision: 0 });
+        }
+        const parsed = safeParseFabricPlacement(entry.value);
+        if (!parsed.success) {
+            this.stored = undefined;
+            return this.retry(parsed.fault, now);
+        }
+        return this.replace({ placement: parsed.data, revision: entry.modRevision });
+    }
+
+    private retry(fault: Fault, now: number): readonly PlacerCommand[] {
+        this.retryAt = now + retryMilliseconds;
+        return [{ kind: "record", body: { kind: "storeFailed", code: fault.code } }];
+    }
+
+    private replace(next: StoredPlacement): readonly PlacerCommand[] {
+        const before = this.stored?.placement;
+        this.stored = next;
+        return before === undefined ? [] : describeChanges(before, next.placement);
+    }
+}
+
+/** Returns the events of every group that changed. */
+function describeChanges(before: FabricPlacement, after: FabricPlacement): readonly PlacerCommand[] {
+    const known = new Map(before.groups.map(group => [group.id, group.epoch]));
+    const changed = after.groups.filter(group => known.get(group.id) !== group.epoch);
+    const current = new Set(after.groups.map(group => group.id));
+    const gone = before.groups.filter(group => !current.has(group.id));
+    const dissolved = gone.map((group): PlacedGroup => ({ ...group, state: "dissolved" }));
+    return [...changed, ...dissolved].map(({ id, epoch, state }) => ({
+        kind: "record",
+        body: { kind: "groupChanged", group: id, epoch, state },
+    }));
+}
--- /dev/null
+++ b/src/core/placement-repairs.ts
@@ -0,0 +1,144 @@
+/** Applies the repair decision to every group that lost members. */
+import type { InstanceId } from "./instances.js";
+import type { PlacementDraft } from "./placement-drafts.js";
+import { queueMilliseconds } from "./placement-loads.js";
+import { countComingSpares, freeSpares } from "./placement-spares.js";
+import type { PlacedGroup } from "./placement-values.js";
+import type { PlacementView } from "./placement-views.js";
+import { assessMember, isWarm } from "./placement-views.js";
+import type { DecideRepair, RepairSituation } from "./repairs.js";
+
+/** The members of a broken group by what became of them. */
+interface BrokenGroup {
+    readonly group: PlacedGroup;
+    readonly silent: readonly InstanceId[];
+    readonly lostWeights: readonly InstanceId[];
+    /** How long the member that has been silent the longest has been so, in milliseconds. */
+    readonly silentMilliseconds: number;
+}
+
+/** Decides about each broken group, the one with the fewest lost members first. */
+export function planRepairs(
+    draft: PlacementDraft,
+    view: PlacementView,
+    decide: DecideRepair,
+    now: number,
+): void {
+    const broken = findBrokenGroups(draft, view, now);
+    const merged = new Set<string>();
+    let coming = countComingSpares(draft, view, now);
+    for (const each of broken) {
+        const free = freeSpares(draft, view, each.group.model, now).length;
+        const isWaitingForSpares = free < each.silent.length && free + coming >= each.silent.length;
+        if (isWaitingForSpares) {
+            coming -= each.silent.length - free;
+        } else if (!merged.has(each.group.id)) {
+            repairGroup(draft, view, decide, each, broken, merged, now);
+        }
+    }
+}
+
+function repairGroup(
+    draft: PlacementDraft,
+    view: PlacementView,
+    decide: DecideRepair,
+    each: BrokenGroup,
+    broken: readonly BrokenGroup[],
+    merged: Set<string>,
+    now: number,
+): void {
+    const donor = findDonor(each, broken, merged);
+    const situation = describe(draft, view, each, donor !== undefined, now);
+    switch (decide(situation, view.policy)) {
+        case "wait":
+            return;
+        case "warmSpare":
+        case "coldSpare":
+            replaceMembers(draft, view, each, now);
+            return;
+        case "merge": {
+            const dissolved = donor ?? each;
+            merged.add(dissolved.group.id);
+            draft.moveGroup(dissolved.group, "draining");
+            return;
+        }
+    }
+}
+
+/** Returns the groups that cannot serve as they are, the one with the fewest lost members first. */
+export function findBrokenGroups(
+    draft: PlacementDraft,
+    view: PlacementView,
+    now: number,
+): readonly BrokenGroup[] {
+    const broken: BrokenGroup[] = [];
+    for (const group of draft.groups.filter(each => each.state !== "draining")) {
+        const conditions = group.members.map(member => assessMember(view, group, member, now));
+        const silent = group.members.filter((_, index) => conditions[index] === "silent");
+        const lostWeights = group.members.filter((_, index) => conditions[index] === "lostWeights");
+        const lengths = silent.map(member => now - (view.silentSince(member) ?? now));
+        if (silent.length + lostWeights.length > 0) {
+            broken.push({ group, silent, lostWeights, silentMilliseconds: Math.max(0, ...lengths) });
+        }
+    }
+    return broken.sort((left, right) => left.silent.length - right.silent.length);
+}
+
+/** The group that has lost the most and whose survivors would complete `each`. */
+function findDonor(
+    each: BrokenGroup,
+    broken: readonly BrokenGroup[],
+    merged: ReadonlySet<string>,
+): BrokenGroup | undefined {
+    const others = broken.filter(
+        other =>
+            other.group.id !== each.group.id &&
+            !merged.has(other.group.id) &&
+            other.group.model.model === each.group.model.model &&
+            other.silent.length > 0 &&
+            other.group.members.length - other.silent.length >= each.silent.length,
+    );
+    return others.at(-1);
+}
+
+function describe(
+    draft: PlacementDraft,
+    view: PlacementView,
+    each: BrokenGroup,
+    survivorsComplete: boolean,
+    now: number,
+): RepairSituation {
+    const spares = freeSpares(draft, view, each.group.model, now);
+    const warmSpares = spares.filter(spare => isWarm(view, spare, each.group.model)).length;
+    return {
+        instances: each.group.members.length,
+        silent: each.silent.length,
+        lostWeights: each.lostWeights.length,
+        silentMilliseconds: each.silentMilliseconds,
+        warmSpares,
+        coldSpares: spares.length - warmSpares,
+        queueMilliseconds: queueMilliseconds(draft, view, view.policy, now),
+        survivorsComplete,
+    };
+}
+
+/** Puts spares in the place of silent members, and warm ones in the place of members that lost their weights. */
+function replaceMembers(draft: PlacementDraft, view: PlacementView, each: BrokenGroup, now: number): void {
+    const spares = [...freeSpares(draft, view, each.group.model, now)];
+    if (spares.length < each.silent.length) {
+        return;
+    }
+    const replacement = new Map<InstanceId, InstanceId>();
+    for (const member of each.silent) {
+        replacement.set(member, spares.shift() ?? member);
+    }
+    for (const member of each.lostWeights) {
+        const spare = spares[0];
+        if (spare !== undefined && isWarm(view, spare, each.group.model)) {
+            replacement.set(member, spare);
+            spares.shift();
+        }
+    }
+    const members = each.group.members.map(member => replacement.get(member) ?? member);
+    draft.reformGroup(each.group, members);
+}
--- /dev/null
+++ b/src/core/placement-spares.ts
@@ -0,0 +1,26 @@
+/** Spares that can be put into a group now. */
+import type { InstanceId } from "./instances.js";
+import type { PlacementDraft } from "./placement-drafts.js";
+import type { PlacementView } from "./placement-views.js";
+import { isFree, isLeaving, isWarm, reportOf } from "./placement-views.js";
+import type { ModelVersion } from "./replica-groups.js";
+
+/** Returns the spares that can be used now, those that hold the model version first. */
+export function freeSpares(
+    draft: PlacementDraft,
+    view: PlacementView,
+    model: ModelVersion,
+    now: number,
+): readonly InstanceId[] {
+    const free = draft.spares.filter(instance => isFree(view, instance, now));
+    const warm = free.filter(instance => isWarm(view, instance, model));
+    return [...warm, ...free.filter(instance => !isWarm(view, instance, model))];
+}
+
+/** Returns how many instances become spares once the groups that drain now are released. */
+export function countComingSpares(draft: PlacementDraft, view: PlacementView, now: number): number {
+    const draining = draft.groups.filter(group => group.state === "draining");
+    return draining
+        .flatMap(group => group.members)
+        .filter(member => reportOf(view, member, now) !== undefined && !isLeaving(view, member)).length;
+}
