--- a/stand-ins/batches.ts
+++ b/stand-ins/batches.ts
@@ -1,7 +1,7 @@
 /** The continuous batch of one replica group's leader: limited slots, prefill, priorities, one token a step. */
+import { blocksOf } from "../src/core/prefix-blocks.js";
 import { foldText, nextToken } from "./answers.js";
 import type { PrefixCache } from "./prefix-caches.js";
-import { blocksOf } from "./prefix-caches.js";
 
 /** A request for the batch; times are local monotonic milliseconds. */
 export interface BatchRequest {
@@ -155,7 +155,7 @@
 
     private prefill(stream: BatchStream): void {
         const now = this.options.now();
-        const blocks = blocksOf(stream.request.prompt);
+        const blocks = blocksOf(stream.request.prompt, Infinity);
         const missing = blocks.length - this.options.cache.use(blocks, now);
         stream.state = "running";
         stream.readyAt = now + missing * this.options.prefillMillisecondsPerBlock * this.options.slowness();
--- a/stand-ins/prefix-caches.ts
+++ b/stand-ins/prefix-caches.ts
@@ -1,8 +1,5 @@
 /** A prefix cache of limited blocks, with events that are published late and with gaps. */
-import { hashText } from "../src/core/hashes.js";
 
-/** Tokens in a block of a prompt. */
-export const blockTokens = 64;
 const maximumEvents = 10_000;
 
 /** A change of the cache and the time (local monotonic milliseconds) from which it can be read. */
@@ -22,20 +19,6 @@
     readonly random: () => number;
 }
 
-/** Hashes of the prompt's whole blocks, each over the prompt from its start to the block's end. */
-export function blocksOf(prompt: string): readonly string[] {
-    const blocks: string[] = [];
-    const token = /\S*\s+|\S+$/g;
-    let tokens = 0;
-    while (token.exec(prompt) !== null) {
-        tokens += 1;
-        if (tokens % blockTokens === 0) {
-            blocks.push(hashText(prompt.slice(0, token.lastIndex)));
-        }
-    }
-    return blocks;
-}
-
 /** The cache of one engine instance; the block used least recently is evicted first. */
 export class PrefixCache {
     private readonly options: PrefixCacheOptions;
