--- /dev/null
+++ b/benchmarks/fakes/worlds.ts
@@ -0,0 +1,287 @@
+/** Entries behind a random balancer, engines, load reports, cache events and the exchange of usage: one run. */
+import type { AdmissionOptions } from "../../src/core/admissions.js";
+import { Admission } from "../../src/core/admissions.js";
+import { ArrivalQueue } from "../../src/core/fair-queues.js";
+import { createRandomNumber } from "../../src/core/random-numbers.js";
+import type { Caller } from "../../src/core/requests.js";
+import { chooseInTurn, chooseLeastInFlight } from "../../src/core/route-policies.js";
+import type { RoutedGroup, RouterOptions } from "../../src/core/routes.js";
+import { Router } from "../../src/core/routes.js";
+import type { Team } from "../../src/core/teams.js";
+import { VirtualLoop } from "../loops.js";
+import type { Arrival } from "./callers.js";
+import type { EngineShape } from "./engines.js";
+import { FakeEngine, defaultShape } from "./engines.js";
+import type { MayRetry, OnRefused } from "./entries.js";
+import { FakeEntry, callerMilliseconds } from "./entries.js";
+import { Figures } from "./figures.js";
+
+/** The functions that make one policy. */
+export interface Policy {
+    readonly name: string;
+    readonly admission: Partial<AdmissionOptions>;
+    /** Made anew for each entry. */
+    readonly createRouting: () => Partial<RouterOptions>;
+    readonly exchangesUsage: boolean;
+}
+
+/** The chosen policy. */
+export const fairPolicy: Policy = {
+    name: "fair",
+    admission: {},
+    createRouting: () => ({}),
+    exchangesUsage: true,
+};
+
+const plainAdmission: Partial<AdmissionOptions> = {
+    createQueue: ArrivalQueue.create,
+    borrowing: false,
+    refusesLateStarts: false,
+};
+
+/** First come first served, each replica in turn. */
+export const roundRobinPolicy: Policy = {
+    name: "FIFO + round robin",
+    admission: plainAdmission,
+    createRouting: () => ({ choose: chooseInTurn(), watchesPace: false, usesCredits: false }),
+    exchangesUsage: false,
+};
+
+/** First come first served, the replica with the fewest own requests. */
+export const leastInFlightPolicy: Policy = {
+    name: "FIFO + least in flight",
+    admission: plainAdmission,
+    createRouting: () => ({ choose: chooseLeastInFlight, watchesPace: false, usesCredits: false }),
+    exchangesUsage: false,
+};
+
+/** The chosen policy without the exchange of usage. */
+export const localPolicy: Policy = { ...fairPolicy, name: "local limits only", exchangesUsage: false };
+
+/** One run's set-up; times in milliseconds. */
+export interface WorldOptions {
+    readonly policy: Policy;
+    readonly seed: number;
+    readonly arrivals: readonly Arrival[];
+    readonly teams: readonly Team[];
+    readonly isHeavy?: (caller: Caller) => boolean;
+    readonly engines?: number;
+    readonly entries?: number;
+    readonly failureDomains?: number;
+    readonly shape?: EngineShape;
+    readonly warmUp?: number;
+    readonly end: number;
+    readonly expectedTokens?: number;
+    readonly onRefused?: (world: World) => OnRefused;
+    readonly mayRetry?: MayRetry;
+    /** Entry that the balancer gives an arrival to; random unless given. */
+    readonly balance?: (arrival: Arrival, entries: number, random: () => number) => number;
+    /** Schedules faults. */
+    readonly prepare?: (world: World) => void;
+}
+
+const reportEvery = 1_000;
+const exchangeEvery = 1_000;
+const lostCacheEvents = 0.05;
+const sampleEvery = 50;
+
+/** One run. */
+export class World {
+    public readonly loop = VirtualLoop.create();
+    public readonly engines = new Map<string, FakeEngine>();
+    public readonly entries: FakeEntry[] = [];
+    public readonly figures: Figures;
+    /** Failure domain of each entry and engine. */
+    public readonly domains = new Map<string, string>();
+    /** Failure domain that is cut off from all others. */
+    public cutDomain: string | undefined;
+    /** Groups whose serving gate is closed. */
+    public readonly closed = new Set<string>();
+    /** Samples with a request waiting at an entry: their number, and the free part of all slots. */
+    public waitingSamples = 0;
+    public idleWhileWaiting = 0;
+    public samples = 0;
+    public busyFraction = 0;
+    private readonly random: () => number;
+
+    private constructor(private readonly options: WorldOptions) {
+        this.random = createRandomNumber(options.seed);
+        this.figures = Figures.create(options.warmUp ?? 0, options.isHeavy ?? (() => false));
+    }
+
+    public static create(options: WorldOptions): World {
+        const world = new World(options);
+        world.addEngines();
+        world.addEntries();
+        world.schedule();
+        options.prepare?.(world);
+        return world;
+    }
+
+    /** Runs to the end. */
+    public run(): World {
+        this.loop.runUntil(this.options.end);
+        return this;
+    }
+
+    /** Sends a request through the balancer. */
+    public send(arrival: Arrival): void {
+        const { balance } = this.options;
+        const count = this.entries.length;
+        const index = balance?.(arrival, count, this.random) ?? Math.floor(this.random() * count);
+        this.loop.after(callerMilliseconds, () => {
+            this.entries[index]!.receive(arrival);
+        });
+    }
+
+    public canReach(from: string, to: string): boolean {
+        const left = this.domains.get(from);
+        const right = this.domains.get(to);
+        return left === right || (left !== this.cutDomain && right !== this.cutDomain);
+    }
+
+    /** Idle part of all slots while a request waited. */
+    public get idleFraction(): number {
+        return this.waitingSamples === 0 ? 0 : this.idleWhileWaiting / this.waitingSamples;
+    }
+
+    private addEngines(): void {
+        for (let index = 0; index < (this.options.engines ?? 4); index += 1) {
+            const name = `group-${index}`;
+            this.engines.set(name, FakeEngine.create(this.loop, this.options.shape ?? defaultShape));
+            this.domains.set(name, `domain-${index % (this.options.failureDomains ?? 1)}`);
+        }
+    }
+
+    private addEntries(): void {
+        const count = this.options.entries ?? 4;
+        const names = Array.from(Array(count).keys(), index => `entry-${index}`);
+        for (const [index, name] of names.entries()) {
+            this.domains.set(name, `domain-${index % (this.options.failureDomains ?? 1)}`);
+            this.entries.push(this.createEntry(name, index, names));
+        }
+    }
+
+    private createEntry(name: string, index: number, names: readonly string[]): FakeEntry {
+        const { policy, seed, teams, onRefused, mayRetry, expectedTokens } = this.options;
+        const random = createRandomNumber(seed * 1_009 + index);
+        const admission = Admission.create({ random, ...policy.admission });
+        admission.applyTeams(teams);
+        const router = Router.create({
+            entry: name,
+            failureDomain: this.domains.get(name)!,
+            isOpen: group => !this.closed.has(group.id) && this.canReach(name, group.id),
+            random,
+            ...policy.createRouting(),
+        });
+        router.applyGroups([...this.engines.keys()].map(id => this.routedGroup(id)));
+        router.applyEntries(names);
+        for (const [id, engine] of this.engines) {
+            router.observe(id, engine.load, 0);
+        }
+        return FakeEntry.create({
+            loop: this.loop,
+            admission,
+            router,
+            engines: this.engines,
+            figures: this.figures,
+            onRefused: onRefused?.(this) ?? (() => {}),
+            mayRetry: mayRetry ?? (() => false),
+            expectedTokens: expectedTokens ?? 256,
+        });
+    }
+
+    private routedGroup(id: string): RoutedGroup {
+        const model = { model: "model", version: "1" };
+        const group = {
+            id,
+            model,
+            fabricDomain: id,
+            members: [id],
+            epoch: 1,
+            state: "serving" as const,
+        };
+        return { group, failureDomain: this.domains.get(id)! };
+    }
+
+    private schedule(): void {
+        this.sendNext(0);
+        this.loop.every(sampleEvery, () => {
+            this.sample();
+        });
+        for (const [id, engine] of this.engines) {
+            this.loop.after(this.random() * reportEvery, () => {
+                this.loop.every(reportEvery, () => {
+                    this.report(id, engine);
+                });
+            });
+        }
+        if (this.options.policy.exchangesUsage) {
+            for (const index of this.entries.keys()) {
+                this.loop.after(this.random() * exchangeEvery, () => {
+                    this.loop.every(exchangeEvery, () => {
+                        this.exchange(index);
+                    });
+                });
+            }
+        }
+    }
+
+    private sendNext(index: number): void {
+        const arrival = this.options.arrivals[index];
+        if (arrival === undefined) {
+            return;
+        }
+        this.loop.at(arrival.at, () => {
+            this.figures.offered += arrival.at >= this.figures.from ? 1 : 0;
+            this.send(arrival);
+            this.sendNext(index + 1);
+        });
+    }
+
+    /** A load report reaches each entry after its own delay, as gossip does; cache events may be lost. */
+    private report(id: string, engine: FakeEngine): void {
+        const load = engine.load;
+        const isLost = this.random() < lostCacheEvents;
+        for (const [index, entry] of this.entries.entries()) {
+            this.loop.after(200 + this.random() * 600, () => {
+                if (!this.canReach(`entry-${index}`, id)) {
+                    return;
+                }
+                const events = engine.cacheEventsAfter(entry.router.cacheSequenceOf(id));
+                entry.router.observe(id, load, this.loop.now());
+                entry.router.applyCacheEvents(id, isLost ? events.slice(-1) : events, this.loop.now());
+                entry.pump();
+            });
+        }
+    }
+
+    private exchange(from: number): void {
+        const snapshot = this.entries[from]!.admission.usageSnapshot();
+        for (const [to, entry] of this.entries.entries()) {
+            if (to !== from && this.canReach(`entry-${from}`, `entry-${to}`)) {
+                this.loop.after(5 + this.random() * 500, () => {
+                    entry.admission.applyPeerUsage(`entry-${from}`, 1, snapshot, this.loop.now());
+                });
+            }
+        }
+    }
+
+    private sample(): void {
+        if (this.loop.now() < this.figures.from) {
+            return;
+        }
+        let slots = 0;
+        let free = 0;
+        for (const engine of this.engines.values()) {
+            slots += engine.shape.slots;
+            free += engine.freeSlots;
+        }
+        this.samples += 1;
+        this.busyFraction += 1 - free / slots;
+        if (this.entries.some(entry => entry.admission.queued > 0)) {
+            this.waitingSamples += 1;
+            this.idleWhileWaiting += free / slots;
+        }
+    }
+}
--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -1,8 +1,11 @@
 /** Runs one experiment by name: `npm run bench -- <experiment> --seed N [--json]`. */
 import { cac } from "cac";
 import type { Experiment, ExperimentReport } from "./experiments.js";
+import { fairness } from "./fairness.js";
 
-const experiments: Readonly<Record<string, Experiment>> = {};
+const experiments: Readonly<Record<string, Experiment>> = {
+    fairness,
+};
 
 function printTable(report: ExperimentReport): void {
     process.stdout.write(
