--- /dev/null
+++ b/src/daemons/placer/policies.ts
@@ -0,0 +1,46 @@
+/** Turns the operators' configuration into the placement policy of one failure domain. */
+import type { Configuration } from "../../core/configuration-values.js";
+import type { FailureDomainId } from "../../core/failure-domains.js";
+import type { Instance } from "../../core/instances.js";
+import type { PlacementModel, PlacementPolicy } from "../../core/placement-policies.js";
+import { placementPolicySchema } from "../../core/placement-policies.js";
+
+/** Shares the failure domain's engine instances out to the models by their demand. */
+export function placementPolicyOf(
+    configuration: Configuration,
+    instances: readonly Instance[],
+    failureDomain: FailureDomainId,
+): PlacementPolicy {
+    const { weights, placement } = {
+        weights: configuration.placement.weights,
+        placement: configuration.placement,
+    };
+    const engines = instances.filter(
+        instance => instance.role === "engine" && instance.failureDomain === failureDomain,
+    ).length;
+    return placementPolicySchema.parse({
+        models: modelsOf(configuration, engines),
+        weights,
+        healthMilliseconds: placement.healthMilliseconds,
+        orderMilliseconds: placement.orderMilliseconds,
+        enginesCheckFencing: placement.enginesCheckFencing,
+        allowedPauseMilliseconds: placement.pauseMilliseconds,
+        weightStoreLoadsAtOnce: placement.weightLoadsAtOnce,
+        leaseSeconds: placement.leaseSeconds,
+    });
+}
+
+function modelsOf(configuration: Configuration, engines: number): readonly PlacementModel[] {
+    const models = [...configuration.models];
+    const demands = models.reduce((sum, [, model]) => sum + model.demand, 0);
+    return models.map(([name, { version, instancesPerReplica, floor, demand }]) => {
+        const instances = demands === 0 ? 0 : (engines * demand) / demands;
+        return {
+            model: name,
+            version,
+            instancesPerReplica,
+            floor,
+            demand: Math.max(floor, Math.floor(instances / instancesPerReplica)),
+        };
+    });
+}
