--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -30,7 +30,4 @@
 export * as servingGates from "./serving-gates.js";
 export * as teams from "./teams.js";
 export * as timelines from "./timelines.js";
-export * as prefixBlocks from "./prefix-blocks.js";
-export * as routePolicies from "./route-policies.js";
-export * as routes from "./routes.js";
 export * as usages from "./usages.js";
