--- /dev/null
+++ b/tests/process-checkers.test.ts
@@ -0,0 +1,54 @@
+import test from "ava";
+import { answerTokens } from "../stand-ins/answers.js";
+import { checkHistory, tryMutations } from "./processes/checkers.js";
+import type { ProcessHistory } from "./processes/histories.js";
+
+const tokens = answerTokens("p", 4);
+const history: ProcessHistory = {
+    actions: [
+        { key: "a", attempts: [{ entry: "e", status: 201, body: "{}" }] },
+        {
+            key: "b",
+            attempts: [
+                { entry: "e", status: 0, body: "", failure: "reset" },
+                { entry: "f", status: 409, body: "", code: "outcomeUnknown", notRun: false },
+            ],
+        },
+        { key: "c", attempts: [{ entry: "e", status: 503, body: "", code: "overloaded", notRun: true }] },
+    ],
+    streams: [
+        {
+            prompt: "p",
+            tokens: 4,
+            text: tokens.join(""),
+            offsets: [0, 1, 2, 3],
+            connections: 2,
+            silentCuts: [],
+            end: { kind: "whole" },
+        },
+        {
+            prompt: "p",
+            tokens: 4,
+            text: tokens.slice(0, 2).join(""),
+            offsets: [0, 1],
+            connections: 1,
+            silentCuts: [],
+            end: { kind: "error", code: "streamLost" },
+        },
+    ],
+    executions: { a: 1, b: 1 },
+    problems: [],
+};
+
+test("a history that keeps every promise passes, and each falsified one is noticed", t => {
+    t.deepEqual(checkHistory(history), []);
+    for (const mutant of tryMutations(history)) {
+        t.true(mutant.caught, mutant.name);
+    }
+});
+
+test("an explicit error does not excuse wrong text", t => {
+    const [, second] = history.streams;
+    const wrong = { ...history, streams: [{ ...second!, text: "other text " }] };
+    t.is(checkHistory(wrong).length, 1);
+});
--- /dev/null
+++ b/tests/processes/callers.ts
@@ -0,0 +1,140 @@
+/** Callers of the real processes; each records what it was told. */
+import type { StreamedAnswer } from "../../scripts/demo-callers.js";
+import { authorize, createKey, errorOf, makeCall, readStream } from "../../scripts/demo-callers.js";
+import { demoModel } from "../../scripts/demo-layouts.js";
+import type { ActionAttempt, ActionRecord, StreamEnd, StreamRecord } from "./histories.js";
+
+const maximumConnections = 12;
+const maximumAttempts = 4;
+const attemptMilliseconds = 8000;
+const streamMilliseconds = 45_000;
+const millisecondsBetweenAttempts = 300;
+
+/** Errors after which a caller comes again; the others are final. */
+const passingErrors = new Set([
+    "noReplica",
+    "overloaded",
+    "shuttingDown",
+    "endpointFailed",
+    "deadlineUnreachable",
+]);
+
+/** Waits; only for letting time pass in front of real processes. */
+export function pause(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
+
+/** What callers need to know of the field. */
+export interface CallerField {
+    readonly pickEntry: () => string;
+    /** How often an entry instance was killed so far. */
+    readonly killsOf: (entry: string) => number;
+    readonly random: () => number;
+}
+
+/** Runs one keyed action; an attempt without an answer is repeated at any entry instance, as a balancer does. */
+export async function runAction(field: CallerField, credential: string): Promise<ActionRecord> {
+    const key = createKey();
+    const attempts: ActionAttempt[] = [];
+    const wantedAnswers = field.random() < 0.3 ? 2 : 1;
+    let answers = 0;
+    while (attempts.length < maximumAttempts && answers < wantedAnswers) {
+        const attempt = await tryAction(field.pickEntry(), key, credential);
+        attempts.push(attempt);
+        answers += attempt.status >= 200 && attempt.status < 300 ? 1 : 0;
+        await pause(millisecondsBetweenAttempts);
+    }
+    return { key, attempts };
+}
+
+async function tryAction(entry: string, key: string, credential: string): Promise<ActionAttempt> {
+    const answer = await makeCall({
+        method: "POST",
+        url: `${entry}/services/tracker/assignments`,
+        headers: { ...authorize(credential), "idempotency-key": key },
+        body: JSON.stringify({ bug: 7 }),
+        timeoutMilliseconds: attemptMilliseconds,
+    });
+    const { code, notRun } = errorOf(answer.json);
+    return { entry, status: answer.status, body: answer.body, code, notRun, failure: answer.failure };
+}
+
+/** One streamed completion; after a broken connection its caller goes on at another entry instance. */
+export class StreamCaller {
+    private readonly field: CallerField;
+    private readonly credential: string;
+    private readonly prompt: string;
+    private readonly tokens: number;
+    private readonly silentCuts: string[] = [];
+    private readonly offsets: number[] = [];
+    private text = "";
+    private token: string | undefined;
+    private connections = 0;
+    private end: StreamEnd = { kind: "cut", failure: "no connection" };
+
+    private constructor(field: CallerField, credential: string, prompt: string, tokens: number) {
+        this.field = field;
+        this.credential = credential;
+        this.prompt = prompt;
+        this.tokens = tokens;
+    }
+
+    public static create(
+        field: CallerField,
+        credential: string,
+        prompt: string,
+        tokens: number,
+    ): StreamCaller {
+        return new StreamCaller(field, credential, prompt, tokens);
+    }
+
+    public async run(): Promise<StreamRecord> {
+        while (this.connections < maximumConnections && (await this.connect())) {
+            await pause(millisecondsBetweenAttempts);
+        }
+        const { prompt, tokens, text, offsets, connections, silentCuts, end } = this;
+        return { prompt, tokens, text, offsets, connections, silentCuts, end };
+    }
+
+    /** Opens one connection and reads it to its end; true if the caller should come again. */
+    private async connect(): Promise<boolean> {
+        this.connections += 1;
+        const entry = this.field.pickEntry();
+        const kills = this.field.killsOf(entry);
+        const answer = await this.read(entry);
+        this.text += answer.text;
+        this.offsets.push(...answer.offsets);
+        this.token = answer.resumeToken ?? this.token;
+        const mayGoOn = this.offsets.length === 0 || this.token !== undefined;
+        if (answer.isWhole) {
+            this.end = { kind: "whole" };
+            return false;
+        }
+        if (answer.errorCode !== undefined) {
+            this.end = { kind: "error", code: answer.errorCode };
+            return mayGoOn && passingErrors.has(answer.errorCode);
+        }
+        const failure = `${entry}: ${answer.failure} after ${this.offsets.length} tokens`;
+        this.end = { kind: "cut", failure };
+        const wasAccepted = answer.status !== 0;
+        if (wasAccepted && this.field.killsOf(entry) === kills) {
+            this.silentCuts.push(failure);
+        }
+        return mayGoOn;
+    }
+
+    private read(entry: string): Promise<StreamedAnswer> {
+        const body = { model: demoModel, prompt: this.prompt, max_tokens: this.tokens, stream: true };
+        const isFresh = this.offsets.length === 0 || this.token === undefined;
+        const resume: Readonly<Record<string, string>> = isFresh
+            ? {}
+            : { "x-chervil-resume": this.token ?? "", "last-event-id": String(this.offsets.length - 1) };
+        return readStream({
+            method: "POST",
+            url: `${entry}/v1/completions`,
+            headers: { ...authorize(this.credential), ...resume },
+            body: JSON.stringify(isFresh ? body : { ...body, chervil_delivered: this.text }),
+            timeoutMilliseconds: streamMilliseconds,
+        });
+    }
+}
--- /dev/null
+++ b/tests/processes/checkers.ts
@@ -0,0 +1,147 @@
+/** Checks a history of real processes against what must always hold; pure functions. */
+import { answerTokens } from "../../stand-ins/answers.js";
+import type { MutantResult } from "../proofs.js";
+import type { ActionRecord, ProcessHistory, StreamRecord } from "./histories.js";
+
+function isSuccess(status: number): boolean {
+    return status >= 200 && status < 300;
+}
+
+function checkAction(action: ActionRecord, runs: number): readonly string[] {
+    const problems: string[] = [];
+    const answered = action.attempts.filter(attempt => isSuccess(attempt.status));
+    const told = action.attempts.map(attempt => attempt.code ?? String(attempt.status)).join(", ");
+    if (runs > 1) {
+        problems.push(`action ${action.key} ran ${runs} times (${told})`);
+    }
+    if (answered.length > 0 && runs === 0) {
+        problems.push(`action ${action.key} was answered and never ran (${told})`);
+    }
+    if (runs > 0 && action.attempts.every(attempt => attempt.notRun === true)) {
+        problems.push(`action ${action.key} ran, and every attempt was refused as not run (${told})`);
+    }
+    if (new Set(answered.map(attempt => attempt.body)).size > 1) {
+        problems.push(`action ${action.key} got different answers`);
+    }
+    return problems;
+}
+
+function checkStream(stream: StreamRecord): readonly string[] {
+    const problems = stream.silentCuts.map(cut => `stream "${stream.prompt}" was cut without a word: ${cut}`);
+    const right = answerTokens(stream.prompt, stream.tokens);
+    const delivered = right.slice(0, stream.offsets.length).join("");
+    if (stream.text !== delivered) {
+        problems.push(`stream "${stream.prompt}" has wrong text after ${stream.connections} connections`);
+    }
+    if (stream.offsets.some((offset, index) => offset !== index)) {
+        problems.push(`stream "${stream.prompt}" has offsets out of order or twice`);
+    }
+    if (stream.end.kind === "whole" && stream.text !== right.join("")) {
+        problems.push(`stream "${stream.prompt}" was called whole with ${stream.offsets.length} tokens`);
+    }
+    if (stream.end.kind === "cut") {
+        problems.push(`stream "${stream.prompt}" ended without an answer: ${stream.end.failure}`);
+    }
+    return problems;
+}
+
+/** Returns every broken promise of a history. */
+export function checkHistory(history: ProcessHistory): readonly string[] {
+    return [
+        ...history.problems,
+        ...history.actions.flatMap(action => checkAction(action, history.executions[action.key] ?? 0)),
+        ...history.streams.flatMap(checkStream),
+    ];
+}
+
+/** Counts that show what a history provoked. */
+export function countHistory(history: ProcessHistory): Readonly<Record<string, number>> {
+    const attempts = history.actions.flatMap(action => action.attempts);
+    const counts: Record<string, number> = {
+        actions: history.actions.length,
+        actionAttempts: attempts.length,
+        actionsRun: history.actions.filter(action => history.executions[action.key] === 1).length,
+        streams: history.streams.length,
+        streamsWhole: history.streams.filter(stream => stream.end.kind === "whole").length,
+        streamsResumed: history.streams.filter(stream => stream.connections > 1).length,
+    };
+    const add = (name: string): void => {
+        counts[name] = (counts[name] ?? 0) + 1;
+    };
+    attempts.forEach(attempt => {
+        if (!isSuccess(attempt.status)) {
+            add(`action ${attempt.code ?? `status ${attempt.status}`}`);
+        }
+    });
+    history.streams.forEach(stream => {
+        if (stream.end.kind === "error") {
+            add(`stream ${stream.end.code}`);
+        }
+    });
+    return counts;
+}
+
+type Mutation = (history: ProcessHistory) => ProcessHistory | undefined;
+
+function changeStream(
+    history: ProcessHistory,
+    change: (stream: StreamRecord) => StreamRecord,
+): ProcessHistory {
+    const index = history.streams.findIndex(stream => stream.end.kind === "whole");
+    return {
+        ...history,
+        streams: history.streams.map((stream, place) => (place === index ? change(stream) : stream)),
+    };
+}
+
+function withExecutions(
+    history: ProcessHistory,
+    wanted: (action: ActionRecord) => boolean,
+    runs: number,
+): ProcessHistory | undefined {
+    const action = history.actions.find(wanted);
+    return action && { ...history, executions: { ...history.executions, [action.key]: runs } };
+}
+
+function wasAnswered(action: ActionRecord): boolean {
+    return action.attempts.some(attempt => isSuccess(attempt.status));
+}
+
+/** Falsified histories that the checker must notice. */
+const mutations: Readonly<Record<string, Mutation>> = {
+    "action run twice": history => withExecutions(history, wasAnswered, 2),
+    "answered action not run": history => withExecutions(history, wasAnswered, 0),
+    "false not run": history => {
+        const [first] = history.actions;
+        const refused = { entry: "", status: 503, body: "", code: "storeUnavailable", notRun: true };
+        return (
+            first && {
+                ...history,
+                actions: [{ key: first.key, attempts: [refused] }],
+                executions: { [first.key]: 1 },
+            }
+        );
+    },
+    "token left out": history =>
+        changeStream(history, stream => ({ ...stream, text: stream.text.replace(/\S+ /, "") })),
+    "text of another request": history =>
+        changeStream(history, stream => ({ ...stream, text: answerTokens("x", stream.tokens).join("") })),
+    "token doubled": history =>
+        changeStream(history, stream => ({ ...stream, offsets: [0, ...stream.offsets.slice(0, -1)] })),
+    "short answer called whole": history =>
+        changeStream(history, stream => ({
+            ...stream,
+            text: answerTokens(stream.prompt, 1).join(""),
+            offsets: [0],
+        })),
+    "silent cut": history => changeStream(history, stream => ({ ...stream, silentCuts: ["entry-1"] })),
+};
+
+/** Applies each falsification to a history without broken promises, and says which ones the checker noticed. */
+export function tryMutations(history: ProcessHistory): readonly MutantResult[] {
+    return Object.entries(mutations).map(([name, mutate]) => {
+        const mutated = mutate(history);
+        const problems = mutated === undefined ? [] : checkHistory(mutated);
+        return { name, caught: problems.length > 0, histories: 1, message: problems[0] };
+    });
+}
--- /dev/null
+++ b/tests/processes/fields.ts
@@ -0,0 +1,136 @@
+/** A running demo with concurrent callers on it: what scenarios disturb. */
+import { Demo } from "../../scripts/demo-deployments.js";
+import type { DaemonLayout } from "../../scripts/demo-layouts.js";
+import { demoCredentials } from "../../scripts/demo-layouts.js";
+import { createRandomNumber, wholeNumberBetween } from "../../src/core/random-numbers.js";
+import type { CallerField } from "./callers.js";
+import { pause, runAction, StreamCaller } from "./callers.js";
+import type { ActionRecord, ProcessHistory, StreamRecord } from "./histories.js";
+
+const streamCallers = 6;
+const actionCallers = 6;
+const millisecondsBeforeRestart = 500;
+const millisecondsBetweenCalls = 20;
+
+/** Options of a field. */
+export interface FieldOptions {
+    readonly seed: number;
+    readonly checksFencing: boolean;
+}
+
+/** The demo and its callers. */
+export class Field {
+    public readonly demo: Demo;
+    public readonly random: () => number;
+    /** Problems that the scenario finds by itself. */
+    public readonly problems: string[];
+    private readonly actions: ActionRecord[] = [];
+    private readonly streams: StreamRecord[] = [];
+    /** How often each entry daemon was killed, by its callers' address. */
+    private readonly kills = new Map<string, number>();
+    private readonly callers: CallerField;
+    private isOver = false;
+    private started = 0;
+
+    private constructor(demo: Demo, options: FieldOptions, problems: string[]) {
+        this.demo = demo;
+        this.random = createRandomNumber(options.seed);
+        this.problems = problems;
+        this.callers = {
+            pickEntry: () => this.pickOne(demo.entries()),
+            killsOf: entry => this.kills.get(entry) ?? 0,
+            random: this.random,
+        };
+    }
+
+    /** Starts the demo; every end of a process that nobody asked for is a problem. */
+    public static async create(options: FieldOptions): Promise<Field> {
+        const problems: string[] = [];
+        const demo = await Demo.create({
+            ...options,
+            onUnexpectedEnd: end => {
+                const lines = end.lines.slice(-8).join(" | ");
+                problems.push(`${end.name} ended by itself (${end.signal ?? end.code}): ${lines}`);
+            },
+        });
+        return new Field(demo, options, problems);
+    }
+
+    /** Runs callers while `disturb` works and for `settleMilliseconds` after it; returns what they saw. */
+    public async run(disturb: () => Promise<void>, settleMilliseconds: number): Promise<ProcessHistory> {
+        const callers = [
+            ...[...Array(streamCallers).keys()].map(() => this.repeat(() => this.runStream())),
+            ...[...Array(actionCallers).keys()].map(() => this.repeat(() => this.runAction())),
+        ];
+        try {
+            await disturb();
+            await pause(settleMilliseconds);
+        } finally {
+            this.isOver = true;
+            await Promise.all(callers);
+        }
+        const executions = await this.demo.ask<Record<string, number>>("/executions");
+        const { actions, streams, problems } = this;
+        return { actions, streams, executions, problems };
+    }
+
+    public pickOne<T>(choices: readonly T[]): T {
+        return choices[wholeNumberBetween(0, choices.length - 1, this.random)]!;
+    }
+
+    /** Daemons of one command. */
+    public daemons(command: DaemonLayout["command"]): readonly DaemonLayout[] {
+        return this.demo.layout.daemons.filter(daemon => daemon.command === command);
+    }
+
+    /** Kills a daemon and starts it again. */
+    public async killAndRestart(daemon: DaemonLayout): Promise<void> {
+        const caller = `http://${daemon.caller}`;
+        this.kills.set(caller, (this.kills.get(caller) ?? 0) + 1);
+        await this.demo.process(daemon.name).end("SIGKILL");
+        await pause(millisecondsBeforeRestart);
+        await this.restart(daemon);
+    }
+
+    /** Ends a daemon gently and starts it again; it must end by itself, with code 0. */
+    public async endAndRestart(daemon: DaemonLayout, boundMilliseconds: number): Promise<void> {
+        const end = await this.demo.process(daemon.name).end("SIGTERM", boundMilliseconds);
+        if (end.code !== 0) {
+            this.problems.push(`${daemon.name} ended with ${end.signal ?? `code ${end.code}`} after SIGTERM`);
+        }
+        await this.restart(daemon);
+    }
+
+    /** Freezes a daemon for a while. */
+    public async freeze(daemon: DaemonLayout, milliseconds: number): Promise<void> {
+        this.demo.process(daemon.name).signal("SIGSTOP");
+        await pause(milliseconds);
+        this.demo.process(daemon.name).signal("SIGCONT");
+    }
+
+    private async restart(daemon: DaemonLayout): Promise<void> {
+        await this.demo.startDaemon(daemon);
+        if (daemon.caller !== undefined) {
+            await this.demo.waitUntilReady(daemon);
+        }
+    }
+
+    private async repeat(step: () => Promise<void>): Promise<void> {
+        while (!this.isOver) {
+            await step();
+            await pause(millisecondsBetweenCalls);
+        }
+    }
+
+    private async runAction(): Promise<void> {
+        this.actions.push(await runAction(this.callers, this.pickOne(demoCredentials)));
+    }
+
+    private async runStream(): Promise<void> {
+        this.started += 1;
+        const prompt = `stream ${this.started} of the run`;
+        const tokens = wholeNumberBetween(20, 150, this.random);
+        const caller = StreamCaller.create(this.callers, this.pickOne(demoCredentials), prompt, tokens);
+        this.streams.push(await caller.run());
+    }
+}
--- /dev/null
+++ b/tests/processes/process-proofs.ts
@@ -0,0 +1,47 @@
+/** Proofs over real processes: one for each scenario, each with its falsified histories. */
+import type { Proof, ProofFailure, ProofOptions, ProofResult } from "../proofs.js";
+import { checkHistory, countHistory, tryMutations } from "./checkers.js";
+import { Field } from "./fields.js";
+import type { ProcessHistory } from "./histories.js";
+import type { Scenario } from "./scenarios.js";
+import { scenarios } from "./scenarios.js";
+
+const shownProblems = 10;
+
+/** Runs one scenario on processes of its own. */
+export async function runScenario(scenario: Scenario, seed: number): Promise<ProcessHistory> {
+    const field = await Field.create({ seed, checksFencing: scenario.checksFencing });
+    try {
+        return await field.run(() => scenario.disturb(field), scenario.settleMilliseconds);
+    } finally {
+        await field.demo.stop();
+    }
+}
+
+function addCounts(sum: Record<string, number>, counts: Readonly<Record<string, number>>): void {
+    for (const [name, count] of Object.entries(counts)) {
+        sum[name] = (sum[name] ?? 0) + count;
+    }
+}
+
+async function proveScenario(scenario: Scenario, options: ProofOptions): Promise<ProofResult> {
+    const failures: ProofFailure[] = [];
+    const counts: Record<string, number> = {};
+    let history: ProcessHistory | undefined;
+    for (let run = 0; run < options.histories; run += 1) {
+        const seed = options.seed + run;
+        history = await runScenario(scenario, seed);
+        addCounts(counts, countHistory(history));
+        const problems = checkHistory(history);
+        addCounts(counts, { problems: problems.length });
+        failures.push(...problems.slice(0, shownProblems).map(message => ({ seed, message })));
+    }
+    const mutants = history === undefined || failures.length > 0 ? [] : tryMutations(history);
+    return { histories: options.histories, failures, mutants, counts };
+}
+
+/** One proof for each scenario. */
+export const scenarioProofs: readonly Proof[] = scenarios.map(scenario => ({
+    name: scenario.name,
+    run: options => proveScenario(scenario, options),
+}));
--- /dev/null
+++ b/tests/processes/scenarios.ts
@@ -0,0 +1,130 @@
+/** What is done to the real processes while callers run. */
+import type { Field } from "./fields.js";
+import { pause } from "./callers.js";
+
+/** One scenario. */
+export interface Scenario {
+    readonly name: string;
+    readonly checksFencing: boolean;
+    /** Time for which callers go on after the disturbance. */
+    readonly settleMilliseconds: number;
+    readonly disturb: (field: Field) => Promise<void>;
+}
+
+/** Longer than the placers' lease and every health deadline. */
+const freezeMilliseconds = 12_000;
+/** Longest time that a daemon may take to finish its work after SIGTERM. */
+const shutdownMilliseconds = 30_000;
+/** A leaving endpoint gets no new work after so long ("a few seconds"). */
+const leavingMilliseconds = 5000;
+
+interface EngineDescription {
+    readonly instance: string;
+    readonly group?: string;
+    readonly epoch: number;
+    readonly state: string;
+    readonly members: readonly string[];
+    readonly lastAcceptedAfterLeavingMilliseconds: number;
+}
+
+function engines(field: Field): Promise<readonly EngineDescription[]> {
+    return field.demo.ask<readonly EngineDescription[]>("/engines");
+}
+
+/** An engine instance of a serving group; the group's leader if `leader`. */
+async function pickServing(field: Field, leader: boolean): Promise<string> {
+    const serving = (await engines(field)).filter(engine => engine.state === "serving");
+    const chosen = serving.filter(engine => (engine.members[0] === engine.instance) === leader);
+    return field.pickOne(chosen).instance;
+}
+
+async function switchFor(field: Field, target: string, fault: string, milliseconds: number): Promise<void> {
+    await field.demo.switchFault(target, fault, milliseconds);
+    await pause(milliseconds + 500);
+}
+
+async function kill(field: Field): Promise<void> {
+    for (const command of ["entry", "placer", "entry", "entry", "placer"] as const) {
+        await pause(700);
+        await field.killAndRestart(field.pickOne(field.daemons(command)));
+    }
+}
+
+async function freeze(field: Field): Promise<void> {
+    await pause(500);
+    await Promise.all([
+        field.freeze(field.pickOne(field.daemons("entry")), freezeMilliseconds),
+        field.freeze(field.pickOne(field.daemons("placer")), freezeMilliseconds),
+    ]);
+}
+
+async function disturbPlatform(field: Field): Promise<void> {
+    for (const fault of ["lostAnswers", "down", "watchGap", "lapsedLeases", "slow", "oldReads", "paused"]) {
+        await pause(500);
+        await switchFor(field, "platform", fault, 2000);
+    }
+    const one = field.pickOne(field.daemons("entry")).name;
+    await switchFor(field, one, "cut", 4000);
+}
+
+async function disturbEngines(field: Field): Promise<void> {
+    for (const fault of ["cutStreams", "doubledEvents", "reorderedEvents"]) {
+        await switchFor(field, "engines", fault, 1500);
+    }
+    await switchFor(field, await pickServing(field, true), "lostStreams", 500);
+    await switchFor(field, await pickServing(field, false), "killed", 1500);
+    await switchFor(field, await pickServing(field, true), "killed", 1500);
+    await switchFor(field, await pickServing(field, true), "paused", 6000);
+    await switchFor(field, await pickServing(field, true), "cut", 6000);
+    await switchFor(field, await pickServing(field, true), "slowed", 3000);
+}
+
+async function disturbServices(field: Field): Promise<void> {
+    await switchFor(field, "tracker-1", "killed", 2000);
+    await switchFor(field, "tracker-2", "refusals", 2000);
+    await switchFor(field, "tracker", "lostAnswers", 1500);
+    await field.demo.switchFault("tracker", "lateAnswers", 2000, 800);
+    await pause(2500);
+    await field.demo.switchFault("tracker", "delayed", 2000, 3000);
+    await switchFor(field, "tracker-3", "paused", 4000);
+    await switchFor(field, "tracker-1", "cut", 3000);
+    await switchFor(field, "zone-b", "killed", 3000);
+}
+
+async function shutDown(field: Field): Promise<void> {
+    for (const command of ["entry", "placer", "entry"] as const) {
+        await pause(500);
+        await field.endAndRestart(field.pickOne(field.daemons(command)), shutdownMilliseconds);
+    }
+}
+
+/** Leaving endpoints get no new work after a few seconds, and their streams are not cut. */
+async function leave(field: Field): Promise<void> {
+    const leader = await pickServing(field, true);
+    await field.demo.switchFault(leader, "leaving", 20_000);
+    await field.demo.switchFault("tracker-2", "leaving", 20_000);
+    await pause(leavingMilliseconds + 6000);
+    const services = await field.demo.ask<{ replicas: readonly EngineDescription[] }>("/services");
+    for (const endpoint of [...(await engines(field)), ...services.replicas]) {
+        if (endpoint.lastAcceptedAfterLeavingMilliseconds > leavingMilliseconds) {
+            const after = Math.round(endpoint.lastAcceptedAfterLeavingMilliseconds);
+            field.problems.push(`${endpoint.instance} got new work ${after} ms after it was told to leave`);
+        }
+    }
+}
+
+/** Everything at once. */
+async function disturbAll(field: Field): Promise<void> {
+    await Promise.all([kill(field), disturbPlatform(field), disturbEngines(field), disturbServices(field)]);
+}
+
+export const scenarios: readonly Scenario[] = [
+    { name: "processes-killed", checksFencing: true, settleMilliseconds: 3000, disturb: kill },
+    { name: "processes-frozen", checksFencing: false, settleMilliseconds: 3000, disturb: freeze },
+    { name: "platform-disturbed", checksFencing: true, settleMilliseconds: 3000, disturb: disturbPlatform },
+    { name: "engines-disturbed", checksFencing: true, settleMilliseconds: 3000, disturb: disturbEngines },
+    { name: "services-disturbed", checksFencing: true, settleMilliseconds: 3000, disturb: disturbServices },
+    { name: "daemons-shut-down", checksFencing: true, settleMilliseconds: 2000, disturb: shutDown },
+    { name: "endpoints-leave", checksFencing: true, settleMilliseconds: 1000, disturb: leave },
+    { name: "all-disturbed", checksFencing: false, settleMilliseconds: 5000, disturb: disturbAll },
+];
--- a/tests/proofs.ts
+++ b/tests/proofs.ts
@@ -2,6 +2,7 @@
  * Registry of proofs: histories of concurrent runs under faults, each with a checker, and broken variants (mutants)
  * that the checker must catch. `npm run prove` runs them all.
  */
+import { scenarioProofs } from "./processes/process-proofs.js";
 
 /** Options of one run. Equal options give equal histories. */
 export interface ProofOptions {
@@ -44,7 +45,7 @@
 export const proofs: readonly Proof[] = [];
 
 /** Proofs over real processes, run by `--processes`. */
-export const processProofs: readonly Proof[] = [];
+export const processProofs: readonly Proof[] = scenarioProofs;
 
 /** True if a proof found no failure and missed no mutant. */
 export function holds(result: ProofResult): boolean {
