--- a/tests/proofs.ts
+++ b/tests/proofs.ts
@@ -4,6 +4,7 @@
  */
 import { answersProof } from "./histories/answers.js";
 import { claimsProof } from "./histories/claims.js";
+import { scenarioProofs } from "./processes/process-proofs.js";
 
 /** Options of one run. Equal options give equal histories. */
 export interface ProofOptions {
@@ -46,7 +47,7 @@
 export const proofs: readonly Proof[] = [answersProof, claimsProof];
 
 /** Proofs over real processes, run by `--processes`. */
-export const processProofs: readonly Proof[] = [];
+export const processProofs: readonly Proof[] = scenarioProofs;
 
 /** True if a proof found no failure and missed no mutant. */
 export function holds(result: ProofResult): boolean {
