Read a contended value of claims before writing it; count text once per write

Cause: 4 entry instances write the same values, so an instance's table is old after each rest and its first swap conflicts. The check for a full value now uses the length of the text that is known, not a second JSON text of the table.

--- a/src/core/claim-operations.ts
+++ b/src/core/claim-operations.ts
@@ -51,16 +51,26 @@
     }
 };
 
-/** Applies operations to a table, in order. `isFenced` false turns a release without effect into a write. */
+/** Options of a draft. */
+export interface DraftOptions {
+    readonly writer: string;
+    /** False turns a release without effect into a write. */
+    readonly isFenced: boolean;
+    readonly meet: MeetRecord;
+    /** Length of the table's text as it is in the store. */
+    readonly tableLength: number;
+}
+
+/** Applies operations to a table, in order. */
 export function draftClaims(
     table: ClaimTable,
     operations: readonly ClaimOperation[],
-    options: { readonly writer: string; readonly isFenced: boolean; readonly meet: MeetRecord },
+    options: DraftOptions,
 ): ClaimDraft {
     const draft = new Map(table);
     const writes: ClaimOperation[] = [];
     const resolved: ResolvedOperation[] = [];
-    const isFull = formatClaims(table, options.writer).length > maximumClaimedLength;
+    const isFull = options.tableLength > maximumClaimedLength;
     for (const operation of operations) {
         const effect = options.meet(operation, draft.get(operation.key));
         if ("outcome" in effect) {
--- a/src/core/claim-shards.ts
+++ b/src/core/claim-shards.ts
@@ -58,8 +58,11 @@
 /** The state of one value at one entry instance. */
 export class ClaimShard {
     private table: ClaimTable = emptyClaimTable;
+    private tableLength = 0;
     private revision = 0;
     private mustRead = false;
+    /** True if another entry instance writes this value too, so that the table is likely to be old after a rest. */
+    private isContended = false;
     /** Expected revision of a write whose answer was lost and that may still take effect. */
     private unfencedRevision: number | undefined;
     private pending: Pending[] = [];
@@ -97,6 +100,7 @@
 
     /** Adds an operation to the next write. */
     public add(operation: ClaimOperation): void {
+        this.mustRead ||= this.isContended && this.isIdle();
         this.pending.push({ operation, mayBeWritten: false, informed: false, withdrawn: false });
     }
 
@@ -196,6 +200,7 @@
                 writer: this.options.createNonce(),
                 isFenced: this.unfencedRevision !== this.revision,
                 meet: this.options.meet,
+                tableLength: this.tableLength,
             },
         );
     }
@@ -221,6 +226,7 @@
     private accept(draft: ClaimDraft | undefined, revision: number): void {
         if (draft !== undefined) {
             this.table = draft.table;
+            this.tableLength = draft.text.length;
             this.revision = revision;
             this.unfencedRevision = undefined;
         }
@@ -258,7 +264,9 @@
             const message = "a value of claims is gone";
             return this.unusable({ code: "storeConflict", message, step: "claim", notRun: false });
         }
+        this.isContended ||= entry !== undefined && entry.modRevision !== this.revision;
         this.table = parsed?.data ?? emptyClaimTable;
+        this.tableLength = entry?.value.length ?? 0;
         this.revision = entry?.modRevision ?? 0;
         this.mustRead = false;
         if (this.unfencedRevision !== this.revision) {
