--- a/src/core/configuration-schemas.ts
+++ b/src/core/configuration-schemas.ts
@@ -69,7 +69,7 @@
         })
         .prefault({}),
     healthMilliseconds: milliseconds
-        .default(4_000)
+        .default(8_000)
         .describe("A member whose last probe is older than this is missing."),
     orderMilliseconds: milliseconds.default(3_000).describe("An order is dropped after this time."),
     pauseMilliseconds: milliseconds
--- /dev/null
+++ b/src/core/membership-exchanges.ts
@@ -0,0 +1,213 @@
+/**
+ * One process's part of the mesh: builds the messages of its exchanges and takes in those of its peers. Both halves of
+ * an exchange carry what changed since the last one with the same peer; the initiator keeps the positions of both
+ * sides, so a lost answer only means that something is sent again.
+ */
+import type { ConfigurationChange, ConfigurationDigest } from "./configuration-updates.js";
+import type { ConfigurationFollower } from "./configurations.js";
+import type { FailureDomainId } from "./failure-domains.js";
+import { hashNumber } from "./hashes.js";
+import type { HealthTable } from "./health-tables.js";
+import { endpointForgetMilliseconds } from "./health-tables.js";
+import type {
+    EndpointBody,
+    MemberBody,
+    MemberId,
+    PeerExchange,
+    SentPulse,
+    SentRecord,
+} from "./membership-messages.js";
+import type { Pulse, PulsedRecord } from "./membership-pulses.js";
+import { contactsOf } from "./membership-topologies.js";
+import type { PlacementTable, Usage, UsageTable } from "./membership-values.js";
+import type { Membership } from "./memberships.js";
+
+/** Endpoints of other failure domains whose health a failure domain follows at most. */
+export const maxForeignEndpoints = 256;
+/** Members of the whole mesh up to which usage crosses failure domains unsummed. */
+export const maxMembersForForeignUsage = 24;
+
+/** What the exchanges read and change. */
+export interface ExchangeTables {
+    readonly self: MemberId;
+    readonly failureDomain: FailureDomainId;
+    readonly membership: Membership;
+    readonly health: HealthTable;
+    readonly usages: UsageTable;
+    readonly placements: PlacementTable;
+    readonly configuration: ConfigurationFollower;
+    /** Present change number. */
+    readonly change: () => number;
+    /** Local time at which the configuration was last confirmed; undefined if never. */
+    readonly confirmedAt: () => number | undefined;
+    readonly confirm: (at: number) => void;
+    /** Endpoints in the instance list outside a failure domain. */
+    readonly endpointsOutside: (failureDomain: FailureDomainId) => number;
+}
+
+/** Where a message goes, and from which change on. */
+export interface MessagePosition {
+    readonly peer: MemberId;
+    readonly failureDomain: FailureDomainId | undefined;
+    readonly since: number;
+    readonly acknowledged: number;
+    readonly acknowledgedIncarnation: number;
+    /** Pulse keys whose bodies the peer wants, and those that are wanted from it. */
+    readonly wantedByPeer: readonly number[];
+    readonly wanted: readonly number[];
+    /** The peer's configuration as last heard. */
+    readonly configuration: ConfigurationDigest | undefined;
+}
+
+/** What taking in a message changed. */
+export interface Absorbed {
+    readonly unknownKeys: readonly number[];
+    readonly configuration: ConfigurationChange | undefined;
+    readonly endpointsChanged: boolean;
+    readonly usagesChanged: boolean;
+    readonly placementsChanged: boolean;
+}
+
+function toSent<Body>(record: PulsedRecord<Body>, now: number): SentRecord<Body> {
+    const { heardAt, ...rest } = record;
+    return { ...rest, ageMilliseconds: Math.max(0, now - heardAt) };
+}
+
+function fromSent<Body>(sent: SentRecord<Body>, now: number): PulsedRecord<Body> {
+    const { ageMilliseconds, ...rest } = sent;
+    return { ...rest, heardAt: now - ageMilliseconds };
+}
+
+function toSentPulse(pulse: Pulse, now: number): SentPulse {
+    const { heardAt, ...rest } = pulse;
+    return { ...rest, ageMilliseconds: Math.max(0, now - heardAt) };
+}
+
+function fromSentPulse(sent: SentPulse, now: number): Pulse {
+    const { ageMilliseconds, ...rest } = sent;
+    return { ...rest, heardAt: now - ageMilliseconds };
+}
+
+/** Builds the message for a peer. */
+export function buildMessage(tables: ExchangeTables, position: MessagePosition, now: number): PeerExchange {
+    const { peer, since } = position;
+    const select = selectors(tables, position, now);
+    const members = tables.membership.table.changesSince(since, peer, select.member);
+    const endpoints = tables.health.endpoints.changesSince(since, peer, select.endpoint);
+    const wantedMembers = tables.membership.table.recordsOf(position.wantedByPeer);
+    const wantedEndpoints = tables.health.endpoints.recordsOf(position.wantedByPeer);
+    const confirmedAt = tables.confirmedAt();
+    return {
+        sender: tables.self,
+        incarnation: tables.membership.ownIncarnation,
+        failureDomain: tables.failureDomain,
+        change: tables.change(),
+        acknowledged: position.acknowledged,
+        acknowledgedIncarnation: position.acknowledgedIncarnation,
+        members: [...wantedMembers, ...members.records].map(record => toSent(record, now)),
+        endpoints: [...wantedEndpoints, ...endpoints.records].map(record => toSent(record, now)),
+        memberPulses: members.pulses.map(pulse => toSentPulse(pulse, now)),
+        endpointPulses: endpoints.pulses.map(pulse => toSentPulse(pulse, now)),
+        wanted: position.wanted,
+        configuration: tables.configuration.digest,
+        confirmedAgeMilliseconds: confirmedAt === undefined ? undefined : Math.max(0, now - confirmedAt),
+        configurationUpdate: position.configuration && tables.configuration.updateFor(position.configuration),
+        placements: tables.placements.changesSince(since),
+        leavings: tables.health.leavingsSince(since, now),
+        usages: tables.usages.changesSince(since, peer, now, select.usage),
+    };
+}
+
+interface Selectors {
+    readonly member: (record: PulsedRecord<MemberBody>) => boolean;
+    readonly endpoint: (record: PulsedRecord<EndpointBody>) => boolean;
+    readonly usage: (usage: Usage) => boolean;
+}
+
+/** Inside a failure domain everything travels; over a bridge only what the own failure domain saw itself. */
+function selectors(tables: ExchangeTables, position: MessagePosition, now: number): Selectors {
+    const { failureDomain: target } = position;
+    if (target === undefined || target === tables.failureDomain) {
+        return { member: () => true, endpoint: () => true, usage: () => true };
+    }
+    const own = tables.failureDomain;
+    const contacts = new Set(contactsOf(own, tables.membership.liveIn(own, now)));
+    const fraction = maxForeignEndpoints / Math.max(1, tables.endpointsOutside(target));
+    const carriesUsage = tables.membership.table.size <= maxMembersForForeignUsage;
+    return {
+        member: record =>
+            record.home === own &&
+            (contacts.has(record.id) || record.id === tables.self || record.body.state === "left"),
+        endpoint: record => record.home === own && carriesEndpoint(record, target, fraction),
+        usage: usage => usage.home === own && carriesUsage,
+    };
+}
+
+/** At large sizes a failure domain follows a part of the foreign groups only, each with all its members. */
+function carriesEndpoint(record: PulsedRecord<EndpointBody>, target: string, fraction: number): boolean {
+    if (fraction >= 1) {
+        return true;
+    }
+    const { group } = record.body;
+    return group !== undefined && hashNumber(`${target}\u0000${group}`) < fraction * 2 ** 32;
+}
+
+/** Takes in a peer's message. */
+export function absorbMessage(tables: ExchangeTables, message: PeerExchange, now: number): Absorbed {
+    const { sender } = message;
+    for (const sent of message.members) {
+        tables.membership.accept(fromSent(sent, now), sender, now);
+    }
+    const endpointsTaken = message.endpoints.filter(sent => absorbEndpoint(tables, sent, sender, now));
+    const memberKeys = message.memberPulses.filter(
+        sent => tables.membership.acceptPulse(fromSentPulse(sent, now), sender) === "unknown",
+    );
+    const outcomes = message.endpointPulses.map(sent =>
+        tables.health.endpoints.acceptPulse(fromSentPulse(sent, now), sender),
+    );
+    const endpointKeys = message.endpointPulses.filter((_, index) => outcomes[index] === "unknown");
+    for (const leaving of message.leavings) {
+        tables.health.acceptLeaving(leaving, now);
+    }
+    const usagesTaken = message.usages.filter(({ ageMilliseconds, ...usage }) =>
+        tables.usages.accept({ ...usage, heardAt: now - ageMilliseconds }, now),
+    );
+    const placementsTaken = message.placements.filter(entry => tables.placements.accept(entry));
+    return {
+        unknownKeys: [...memberKeys, ...endpointKeys].map(sent => sent.key),
+        configuration: absorbConfiguration(tables, message, now),
+        endpointsChanged:
+            endpointsTaken.length > 0 || outcomes.includes("taken") || message.leavings.length > 0,
+        usagesChanged: usagesTaken.length > 0,
+        placementsChanged: placementsTaken.length > 0,
+    };
+}
+
+function absorbEndpoint(
+    tables: ExchangeTables,
+    sent: SentRecord<EndpointBody>,
+    source: MemberId,
+    now: number,
+): boolean {
+    if (sent.ageMilliseconds >= endpointForgetMilliseconds) {
+        return false;
+    }
+    return tables.health.endpoints.accept(fromSent(sent, now), source);
+}
+
+function absorbConfiguration(
+    tables: ExchangeTables,
+    message: PeerExchange,
+    now: number,
+): ConfigurationChange | undefined {
+    const { configuration } = tables;
+    const update = message.configurationUpdate;
+    const change = update === undefined ? undefined : configuration.applyUpdate(update);
+    configuration.applyDigest(message.configuration);
+    const age = message.confirmedAgeMilliseconds;
+    const own = configuration.digest;
+    if (age !== undefined && own.revision > 0 && own.hash === message.configuration.hash) {
+        tables.confirm(now - age);
+    }
+    return change;
+}
--- /dev/null
+++ b/src/core/membership-meshes.ts
@@ -0,0 +1,281 @@
+/**
+ * The whole mesh state of one process: members, endpoint health, configuration, placement values and usage, with the
+ * exchanges that spread them. Free of input, output and clocks; src/daemons/meshes.ts drives it.
+ */
+import { ConfigurationFollower } from "./configurations.js";
+import type { EndpointHealth, EndpointReport } from "./endpoints.js";
+import { HealthTable, toEndpointRecord } from "./health-tables.js";
+import type { Instance, InstanceId } from "./instances.js";
+import type { Absorbed, ExchangeTables } from "./membership-exchanges.js";
+import { absorbMessage, buildMessage } from "./membership-exchanges.js";
+import type { MemberBody, MemberId, PeerExchange } from "./membership-messages.js";
+import { ExchangeRounds } from "./membership-rounds.js";
+import { watchersOf } from "./membership-topologies.js";
+import type { PlacementEntry, Usage } from "./membership-values.js";
+import { PlacementTable, UsageTable } from "./membership-values.js";
+import type { Member, MemberChange } from "./memberships.js";
+import { Membership } from "./memberships.js";
+
+/** A gap between two ticks above this many milliseconds is a pause of the process. */
+export const lateTickMilliseconds = 5_000;
+/** Time that a new process waits for peers before it trusts the store alone, in milliseconds. */
+export const peerGraceMilliseconds = 3_000;
+
+/** Who this process is, and where its random numbers come from. */
+export interface MeshStateOptions {
+    readonly id: MemberId;
+    readonly body: MemberBody;
+    readonly incarnation: number;
+    readonly seeds: readonly string[];
+    readonly now: number;
+    readonly random: () => number;
+}
+
+/** What one tick brought about. */
+export interface MeshTick {
+    /** Milliseconds since the last tick, if that was a pause of the process. */
+    readonly pausedMilliseconds: number | undefined;
+    readonly memberChanges: readonly MemberChange[];
+    readonly exchanges: readonly { readonly address: string; readonly request: PeerExchange }[];
+}
+
+/** Holds all that the mesh carries. */
+export class MeshState {
+    public readonly configuration = ConfigurationFollower.create();
+    private readonly membership: Membership;
+    private readonly healthTable: HealthTable;
+    private readonly usageTable: UsageTable;
+    private readonly placementTable: PlacementTable;
+    private readonly rounds = ExchangeRounds.create();
+    private readonly tables: ExchangeTables;
+    private instanceList: readonly Instance[] = [];
+    private change = 0;
+    private confirmedAt: number | undefined;
+    private usageSequence = 0;
+    private lastTickAt: number;
+    private exchanged = false;
+
+    private constructor(private readonly options: MeshStateOptions) {
+        const nextChange = () => (this.change += 1);
+        const { id, body, incarnation } = options;
+        this.membership = Membership.create({ id, body, incarnation, nextChange });
+        this.healthTable = HealthTable.create(nextChange);
+        this.usageTable = UsageTable.create(nextChange);
+        this.placementTable = PlacementTable.create(nextChange);
+        this.lastTickAt = options.now;
+        this.membership.beat(options.now);
+        this.tables = {
+            self: id,
+            failureDomain: body.failureDomain,
+            membership: this.membership,
+            health: this.healthTable,
+            usages: this.usageTable,
+            placements: this.placementTable,
+            configuration: this.configuration,
+            change: () => this.change,
+            confirmedAt: () => this.confirmedAt,
+            confirm: at => this.confirm(at),
+            endpointsOutside: domain =>
+                this.instanceList.filter(
+                    instance => instance.role === "engine" && instance.failureDomain !== domain,
+                ).length,
+        };
+    }
+
+    public static create(options: MeshStateOptions): MeshState {
+        return new MeshState(options);
+    }
+
+    /** Time up to which everything that the store accepted is in force here; undefined if unknown. */
+    public get configurationConfirmedAt(): number | undefined {
+        return this.confirmedAt;
+    }
+
+    public get instances(): readonly Instance[] {
+        return this.instanceList;
+    }
+
+    public get placements(): readonly PlacementEntry[] {
+        return this.placementTable.entries;
+    }
+
+    public get usages(): readonly Usage[] {
+        return this.usageTable.usages;
+    }
+
+    /** Sizes of the held state, for metrics. */
+    public get sizes(): { readonly members: number; readonly endpoints: number } {
+        return { members: this.membership.table.size, endpoints: this.healthTable.endpoints.size };
+    }
+
+    /** Advances heartbeats and ages, and starts the exchanges of a round. */
+    public tick(now: number): MeshTick {
+        const gap = now - this.lastTickAt;
+        const pausedMilliseconds = gap > lateTickMilliseconds ? gap : undefined;
+        this.lastTickAt = now;
+        if (pausedMilliseconds !== undefined) {
+            this.forgetAfterPause(pausedMilliseconds, now);
+        }
+        this.healthTable.tick(now);
+        this.usageTable.tick(now);
+        this.observeLeavingInstances(now);
+        const memberChanges = this.membership.tick(now);
+        const members = this.membership.members(now);
+        const self = members.find(member => member.id === this.options.id)!;
+        const contacts = [...this.options.seeds, ...this.contactAddresses()];
+        const view = { self, members, contacts, random: this.options.random };
+        const exchanges = this.rounds
+            .targets(view, now)
+            .map(address => ({ address, request: this.begin(address, now) }));
+        return { pausedMilliseconds, memberChanges, exchanges };
+    }
+
+    /** Answers a peer's half of an exchange. */
+    public answer(
+        request: PeerExchange,
+        now: number,
+    ): { readonly answer: PeerExchange; readonly absorbed: Absorbed } {
+        const absorbed = absorbMessage(this.tables, request, now);
+        this.exchanged = true;
+        const isCurrent = request.acknowledgedIncarnation === this.membership.ownIncarnation;
+        const answer = buildMessage(
+            this.tables,
+            {
+                peer: request.sender,
+                failureDomain: request.failureDomain,
+                since: isCurrent ? request.acknowledged : 0,
+                acknowledged: request.change,
+                acknowledgedIncarnation: request.incarnation,
+                wantedByPeer: request.wanted,
+                wanted: absorbed.unknownKeys,
+                configuration: request.configuration,
+            },
+            now,
+        );
+        return { answer, absorbed };
+    }
+
+    /** Takes in the answer to an exchange that this process started. */
+    public finishExchange(
+        address: string,
+        request: PeerExchange,
+        answer: PeerExchange,
+        now: number,
+    ): Absorbed {
+        const absorbed = absorbMessage(this.tables, answer, now);
+        this.exchanged = true;
+        this.rounds.finish(address, request, answer, absorbed.unknownKeys, now);
+        return absorbed;
+    }
+
+    public failExchange(address: string, now: number): void {
+        this.rounds.fail(address, now);
+    }
+
+    /** Starts an exchange outside the rounds, as a leaving process does with its peers. */
+    public begin(address: string, now: number): PeerExchange {
+        return buildMessage(this.tables, this.rounds.begin(address, now), now);
+    }
+
+    public setInstances(instances: readonly Instance[], now: number): void {
+        this.instanceList = instances;
+        this.observeLeavingInstances(now);
+    }
+
+    /** Takes a probe's report; returns whether it was news. */
+    public observeReport(report: EndpointReport, now: number): boolean {
+        const record = toEndpointRecord(report, this.options.body.failureDomain, now);
+        return this.healthTable.endpoints.accept(record, this.options.id);
+    }
+
+    /** Takes a failed probe. */
+    public observeFailure(instance: InstanceId, now: number): boolean {
+        return this.healthTable.observeFailure(instance, now, this.options.id);
+    }
+
+    public health(instance: InstanceId): EndpointHealth | undefined {
+        return this.healthTable.health(instance, this.healthMilliseconds);
+    }
+
+    public isLeaving(instance: InstanceId): boolean {
+        return this.healthTable.isLeaving(instance);
+    }
+
+    public members(now: number): readonly Member[] {
+        return this.membership.members(now);
+    }
+
+    public liveIn(failureDomain: string, now: number): readonly MemberId[] {
+        return this.membership.liveIn(failureDomain, now);
+    }
+
+    /** True if this process is one of the store's watchers of its failure domain. */
+    public isWatcher(now: number): boolean {
+        const own = this.options.body.failureDomain;
+        return watchersOf(own, this.membership.liveIn(own, now)).includes(this.options.id);
+    }
+
+    public publishUsage(payload: string, now: number): boolean {
+        this.usageSequence += 1;
+        const { id: process, body } = this.options;
+        const incarnation = this.membership.ownIncarnation;
+        const sequence = this.usageSequence;
+        return this.usageTable.accept(
+            { process, home: body.failureDomain, incarnation, sequence, payload, heardAt: now },
+            now,
+        );
+    }
+
+    /** Takes a read of all placement values. */
+    public observePlacements(revision: number, entries: readonly PlacementEntry[]): boolean {
+        return this.placementTable.applySnapshot(revision, entries);
+    }
+
+    /** Takes one placement value, from a watch or from this process's own write. */
+    public observePlacement(entry: PlacementEntry): boolean {
+        return this.placementTable.accept(entry);
+    }
+
+    /** Notes that the store confirmed the held configuration at the given time. */
+    public confirm(at: number): void {
+        this.confirmedAt = Math.max(at, this.confirmedAt ?? at);
+    }
+
+    /** True once a configuration is held and the reachable peers had the time to show a later one. */
+    public isReady(now: number): boolean {
+        const hasWaited = this.exchanged || now - this.options.now >= peerGraceMilliseconds;
+        return this.configuration.revisionInForce > 0 && hasWaited;
+    }
+
+    public declareLeaving(now: number): void {
+        this.membership.declare("leaving", now);
+    }
+
+    public declareLeft(now: number): void {
+        this.membership.declare("left", now);
+    }
+
+    private get healthMilliseconds(): number {
+        return this.configuration.configuration.placement.healthMilliseconds;
+    }
+
+    private contactAddresses(): readonly string[] {
+        return this.instanceList
+            .filter(instance => instance.role === "entry")
+            .map(instance => instance.address);
+    }
+
+    private observeLeavingInstances(now: number): void {
+        for (const instance of this.instanceList) {
+            if (instance.state === "leaving") {
+                this.healthTable.observeLeaving(instance.id, now);
+            }
+        }
+    }
+
+    /** After a pause every health report is stale, and nobody's silence counts. */
+    private forgetAfterPause(gapMilliseconds: number, now: number): void {
+        this.healthTable.expireAll(now, this.healthMilliseconds);
+        this.membership.forgivePause(gapMilliseconds);
+    }
+}
--- /dev/null
+++ b/src/core/membership-messages.ts
@@ -0,0 +1,106 @@
+/** What two peers tell each other in one exchange. Times travel as ages in milliseconds. */
+import type { ConfigurationDigest, ConfigurationUpdate } from "./configuration-updates.js";
+import type { EngineState } from "./endpoints.js";
+import type { FailureDomainId } from "./failure-domains.js";
+import type { InstanceId } from "./instances.js";
+import type { PulseLoad } from "./membership-pulses.js";
+import type { ModelVersion, ReplicaGroupId } from "./replica-groups.js";
+
+/** Name of one process: its instance and its daemon. */
+export type MemberId = string;
+
+/** What a daemon says of itself. */
+export interface MemberBody {
+    readonly address: string;
+    readonly failureDomain: FailureDomainId;
+    readonly instance: InstanceId;
+    readonly role: MemberRole;
+    readonly state: MemberDeclaration;
+}
+
+/** Which daemon a member is. */
+export type MemberRole = "entry" | "placer";
+
+/** What a daemon declares: "leaving" finishes its work and takes no duties, "left" is gone. */
+export type MemberDeclaration = "live" | "leaving" | "left";
+
+/** What an endpoint's probe says beyond its sign of life. */
+export interface EndpointBody {
+    readonly state: EngineState;
+    readonly group: ReplicaGroupId | undefined;
+    readonly epoch: number;
+    readonly leaving: boolean;
+    readonly slots: number;
+    readonly warm: readonly ModelVersion[];
+}
+
+/** A record as it travels. */
+export interface SentRecord<Body> {
+    readonly id: string;
+    readonly home: FailureDomainId;
+    readonly incarnation: number;
+    readonly sequence: number;
+    readonly failed: boolean;
+    readonly body: Body;
+    readonly load: PulseLoad;
+    readonly ageMilliseconds: number;
+}
+
+/** A pulse as it travels. */
+export interface SentPulse {
+    readonly key: number;
+    readonly sequence: number;
+    readonly failed: boolean;
+    readonly load: PulseLoad;
+    readonly ageMilliseconds: number;
+}
+
+/** An instance that someone has heard to be leaving; `incarnation` is that of its endpoint, 0 if unknown. */
+export interface SentLeaving {
+    readonly instance: InstanceId;
+    readonly incarnation: number;
+    readonly ageMilliseconds: number;
+}
+
+/** Usage counters of one process; the payload is opaque here. */
+export interface SentUsage {
+    readonly process: MemberId;
+    readonly home: FailureDomainId;
+    readonly incarnation: number;
+    readonly sequence: number;
+    readonly payload: string;
+    readonly ageMilliseconds: number;
+}
+
+/** A placement value of the store; `text` is undefined if the key was deleted. */
+export interface SentPlacement {
+    readonly key: string;
+    readonly modRevision: number;
+    readonly text: string | undefined;
+}
+
+/** One half of an exchange; the initiator's and the answer have the same form. */
+export interface PeerExchange {
+    readonly sender: MemberId;
+    readonly incarnation: number;
+    readonly failureDomain: FailureDomainId;
+    /** Change number of the sender that this message goes up to. */
+    readonly change: number;
+    /** Change number of the receiver that the sender has everything up to; 0 asks for all. */
+    readonly acknowledged: number;
+    /** Incarnation of the receiver that `acknowledged` belongs to; 0 if unknown. */
+    readonly acknowledgedIncarnation: number;
+    readonly members: readonly SentRecord<MemberBody>[];
+    readonly endpoints: readonly SentRecord<EndpointBody>[];
+    readonly memberPulses: readonly SentPulse[];
+    readonly endpointPulses: readonly SentPulse[];
+    /** Keys of pulses whose bodies the sender lacks. */
+    readonly wanted: readonly number[];
+    readonly configuration: ConfigurationDigest;
+    /** Time since the sender's configuration was last confirmed to be the store's latest; undefined if never. */
+    readonly confirmedAgeMilliseconds: number | undefined;
+    readonly configurationUpdate: ConfigurationUpdate | undefined;
+    readonly placements: readonly SentPlacement[];
+    readonly leavings: readonly SentLeaving[];
+    readonly usages: readonly SentUsage[];
+}
--- /dev/null
+++ b/src/core/membership-pulses.ts
@@ -0,0 +1,184 @@
+/**
+ * A table of things that show signs of life: members and endpoints. What a thing says about itself (its body) changes
+ * seldom and travels whole; a later sign of life with the same body (a pulse) travels as a short key and a number.
+ * Records are ordered by (incarnation, sequence, failed), and each carries the local time of its evidence, so an old
+ * record that is relayed late never looks fresh.
+ */
+import { hashText } from "./hashes.js";
+
+/** Ways in which two processes may load a thing; zero where it has no meaning. */
+export interface PulseLoad {
+    readonly running: number;
+    readonly waiting: number;
+}
+
+/** One thing as this process knows it. */
+export interface PulsedRecord<Body> {
+    readonly id: string;
+    /** Failure domain of the process that saw the thing itself. */
+    readonly home: string;
+    readonly incarnation: number;
+    readonly sequence: number;
+    /** True if the thing did not answer after `sequence`. */
+    readonly failed: boolean;
+    readonly body: Body;
+    readonly load: PulseLoad;
+    /** Local monotonic milliseconds at which the thing showed this sign of life (or failed to). */
+    readonly heardAt: number;
+}
+
+/** A later sign of life of a thing whose body is known; `key` stands for id, incarnation and body. */
+export interface Pulse {
+    readonly key: number;
+    readonly sequence: number;
+    readonly failed: boolean;
+    readonly load: PulseLoad;
+    readonly heardAt: number;
+}
+
+interface HeldRecord<Body> {
+    readonly record: PulsedRecord<Body>;
+    readonly key: number;
+    readonly source: string;
+    /** Local change number of the record's last change, and of its body's last change. */
+    readonly changedAt: number;
+    readonly bodyChangedAt: number;
+}
+
+/** Changes of a table: whole records where the body is new to the peer, pulses elsewhere. */
+export interface TableChanges<Body> {
+    readonly records: readonly PulsedRecord<Body>[];
+    readonly pulses: readonly Pulse[];
+}
+
+/** Options of a table. */
+export interface PulsedTableOptions<Body> {
+    /** Text that is equal for equal bodies. */
+    readonly describe: (body: Body) => string;
+    /** Gives change numbers that rise over all tables of the process. */
+    readonly nextChange: () => number;
+}
+
+/** Hexadecimal digits of a key: 48 bits, so that keys are safe integers and rarely collide. */
+const keyDigits = 12;
+
+/** Orders two states of one thing; positive if `left` is later. */
+export function compareEvidence(
+    left: Pick<PulsedRecord<unknown>, "incarnation" | "sequence" | "failed">,
+    right: Pick<PulsedRecord<unknown>, "incarnation" | "sequence" | "failed">,
+): number {
+    return (
+        left.incarnation - right.incarnation ||
+        left.sequence - right.sequence ||
+        Number(left.failed) - Number(right.failed)
+    );
+}
+
+/** Holds the latest record of each thing. */
+export class PulsedTable<Body> {
+    private readonly held = new Map<string, HeldRecord<Body>>();
+    private readonly idsByKey = new Map<number, string>();
+
+    private constructor(private readonly options: PulsedTableOptions<Body>) {}
+
+    public static create<Body>(options: PulsedTableOptions<Body>): PulsedTable<Body> {
+        return new PulsedTable(options);
+    }
+
+    public get(id: string): PulsedRecord<Body> | undefined {
+        return this.held.get(id)?.record;
+    }
+
+    public get records(): readonly PulsedRecord<Body>[] {
+        return [...this.held.values()].map(entry => entry.record);
+    }
+
+    public get size(): number {
+        return this.held.size;
+    }
+
+    /** Takes a record if it is later than the held one; returns whether it was taken. */
+    public accept(record: PulsedRecord<Body>, source: string): boolean {
+        const known = this.held.get(record.id);
+        if (known !== undefined && compareEvidence(record, known.record) <= 0) {
+            return false;
+        }
+        const key = this.keyOf(record);
+        const changedAt = this.options.nextChange();
+        const bodyChangedAt = known?.key === key ? known.bodyChangedAt : changedAt;
+        if (known !== undefined && known.key !== key) {
+            this.idsByKey.delete(known.key);
+        }
+        this.held.set(record.id, { record, key, source, changedAt, bodyChangedAt });
+        this.idsByKey.set(key, record.id);
+        return true;
+    }
+
+    /** Takes a pulse; "unknown" if no body is held for its key. */
+    public acceptPulse(pulse: Pulse, source: string): "taken" | "old" | "unknown" {
+        const id = this.idsByKey.get(pulse.key);
+        const known = id === undefined ? undefined : this.held.get(id);
+        if (known === undefined) {
+            return "unknown";
+        }
+        const { sequence, failed, load, heardAt } = pulse;
+        const taken = this.accept({ ...known.record, sequence, failed, load, heardAt }, source);
+        return taken ? "taken" : "old";
+    }
+
+    /** Records that changed after a change number, without those that came from the peer itself. */
+    public changesSince(
+        change: number,
+        peer: string,
+        select: (record: PulsedRecord<Body>) => boolean,
+    ): TableChanges<Body> {
+        const records: PulsedRecord<Body>[] = [];
+        const pulses: Pulse[] = [];
+        for (const entry of this.held.values()) {
+            if (entry.changedAt <= change || entry.source === peer || !select(entry.record)) {
+                continue;
+            }
+            if (entry.bodyChangedAt > change) {
+                records.push(entry.record);
+            } else {
+                pulses.push(toPulse(entry));
+            }
+        }
+        return { records, pulses };
+    }
+
+    /** The whole records behind the given keys, where they are held. */
+    public recordsOf(keys: readonly number[]): readonly PulsedRecord<Body>[] {
+        return keys.flatMap(key => {
+            const id = this.idsByKey.get(key);
+            const entry = id === undefined ? undefined : this.held.get(id);
+            return entry === undefined ? [] : [entry.record];
+        });
+    }
+
+    public remove(id: string): void {
+        const entry = this.held.get(id);
+        if (entry !== undefined) {
+            this.idsByKey.delete(entry.key);
+            this.held.delete(id);
+        }
+    }
+
+    /** Replaces the times of evidence; the order of records stays. */
+    public mapHeardAt(change: (heardAt: number) => number): void {
+        for (const [id, entry] of this.held) {
+            const record = { ...entry.record, heardAt: change(entry.record.heardAt) };
+            this.held.set(id, { ...entry, record });
+        }
+    }
+
+    private keyOf(record: PulsedRecord<Body>): number {
+        const text = `${record.id}\u0000${record.incarnation}\u0000${this.options.describe(record.body)}`;
+        return Number.parseInt(hashText(text).slice(0, keyDigits), 16);
+    }
+}
+
+function toPulse<Body>({ key, record }: HeldRecord<Body>): Pulse {
+    const { sequence, failed, load, heardAt } = record;
+    return { key, sequence, failed, load, heardAt };
+}
--- /dev/null
+++ b/src/core/membership-rounds.ts
@@ -0,0 +1,230 @@
+/** Picks the peers of each round and keeps, for each, how far both sides have told each other. */
+import { hashNumber } from "./hashes.js";
+import type { ConfigurationDigest } from "./configuration-updates.js";
+import type { FailureDomainId } from "./failure-domains.js";
+import type { MemberId, PeerExchange } from "./membership-messages.js";
+import type { MessagePosition } from "./membership-exchanges.js";
+import { bridgeTarget, bridgesOf, neighboursOf } from "./membership-topologies.js";
+import type { Member } from "./memberships.js";
+
+/** Time between two exchanges with a neighbour, in milliseconds. */
+export const roundMilliseconds = 1_000;
+/** Time between two exchanges over a bridge. */
+export const bridgeRoundMilliseconds = 2_000;
+/** Time between two tries to reach an address where no live member is known. */
+export const contactRoundMilliseconds = 3_000;
+/** Time after which an exchange counts as failed. */
+export const exchangeMilliseconds = 2_000;
+/** Time after which the freely picked neighbours change. */
+const epochMilliseconds = 60_000;
+/** Time for which an address that failed is passed over. */
+const avoidMilliseconds = 3_000;
+/** Time without an exchange after which an address's positions are forgotten. */
+const positionForgetMilliseconds = 180_000;
+
+interface PeerPosition {
+    readonly peer: MemberId | undefined;
+    readonly failureDomain: FailureDomainId | undefined;
+    readonly incarnation: number;
+    /** Own change number that the peer has everything up to. */
+    readonly sentThrough: number;
+    /** The peer's change number that this process has everything up to. */
+    readonly receivedThrough: number;
+    readonly wantedByPeer: readonly number[];
+    readonly wanted: readonly number[];
+    readonly configuration: ConfigurationDigest | undefined;
+    /** Deadline of the exchange under way. */
+    readonly pendingUntil: number | undefined;
+    readonly avoidUntil: number;
+    readonly usedAt: number;
+}
+
+const freshPosition: PeerPosition = {
+    peer: undefined,
+    failureDomain: undefined,
+    incarnation: 0,
+    sentThrough: 0,
+    receivedThrough: 0,
+    wantedByPeer: [],
+    wanted: [],
+    configuration: undefined,
+    pendingUntil: undefined,
+    avoidUntil: 0,
+    usedAt: 0,
+};
+
+/** What a round is picked from. */
+export interface RoundView {
+    readonly self: Member;
+    readonly members: readonly Member[];
+    /** Addresses of entry instances and seeds, whether a member is known there or not. */
+    readonly contacts: readonly string[];
+    readonly random: () => number;
+}
+
+/** Holds the positions of the exchanges that this process starts. */
+export class ExchangeRounds {
+    private readonly positions = new Map<string, PeerPosition>();
+    private nextBridgeAt = 0;
+    private nextContactAt = 0;
+
+    private constructor() {}
+
+    public static create(): ExchangeRounds {
+        return new ExchangeRounds();
+    }
+
+    /** Addresses to start an exchange with now. */
+    public targets(view: RoundView, now: number): readonly string[] {
+        const addresses = [...this.neighbours(view, now)];
+        if (now >= this.nextBridgeAt) {
+            this.nextBridgeAt = now + bridgeRoundMilliseconds;
+            addresses.push(...this.bridges(view, now));
+        }
+        if (now >= this.nextContactAt) {
+            this.nextContactAt = now + contactRoundMilliseconds * (0.75 + view.random() / 2);
+            addresses.push(...this.strangers(view, now));
+        }
+        this.forget(now);
+        return [...new Set(addresses)].filter(
+            address => address !== view.self.address && !this.isPending(address, now),
+        );
+    }
+
+    /** Marks an exchange as begun, and returns where it continues. */
+    public begin(address: string, now: number): MessagePosition {
+        const position = this.positions.get(address) ?? freshPosition;
+        const pendingUntil = now + exchangeMilliseconds;
+        this.positions.set(address, { ...position, pendingUntil, usedAt: now, wanted: [], wantedByPeer: [] });
+        return {
+            peer: position.peer ?? "",
+            failureDomain: position.failureDomain,
+            since: position.sentThrough,
+            acknowledged: position.receivedThrough,
+            acknowledgedIncarnation: position.incarnation,
+            wantedByPeer: position.wantedByPeer,
+            wanted: position.wanted,
+            configuration: position.configuration,
+        };
+    }
+
+    /** Takes note of an answer; `unknownKeys` are asked for next time. */
+    public finish(
+        address: string,
+        request: PeerExchange,
+        answer: PeerExchange,
+        unknownKeys: readonly number[],
+        now: number,
+    ): void {
+        const position = this.positions.get(address) ?? freshPosition;
+        const isSameProcess = position.peer === answer.sender && position.incarnation === answer.incarnation;
+        const wasWhole = request.acknowledgedIncarnation === 0 && position.sentThrough === 0;
+        this.positions.set(address, {
+            peer: answer.sender,
+            failureDomain: answer.failureDomain,
+            incarnation: answer.incarnation,
+            sentThrough: isSameProcess || wasWhole ? request.change : 0,
+            receivedThrough: answer.change,
+            wantedByPeer: answer.wanted,
+            wanted: unknownKeys,
+            configuration: answer.configuration,
+            pendingUntil: undefined,
+            avoidUntil: 0,
+            usedAt: now,
+        });
+    }
+
+    /** Takes note of a failed exchange; the positions stay, so that what may be lost is sent again. */
+    public fail(address: string, now: number): void {
+        const position = this.positions.get(address) ?? freshPosition;
+        const avoidUntil = now + avoidMilliseconds;
+        this.positions.set(address, { ...position, pendingUntil: undefined, avoidUntil, usedAt: now });
+    }
+
+    private neighbours(view: RoundView, now: number): readonly string[] {
+        const reachable = view.members.filter(
+            member =>
+                member.failureDomain === view.self.failureDomain &&
+                (member.id === view.self.id || this.isReachable(member, now)),
+        );
+        return addressesOf(
+            neighboursOf(
+                view.self.id,
+                reachable.map(member => member.id),
+                Math.floor(now / epochMilliseconds),
+            ),
+            reachable,
+        );
+    }
+
+    private bridges(view: RoundView, now: number): readonly string[] {
+        const { failureDomain: own, id: self } = view.self;
+        const live = view.members.filter(member => member.judged === "live");
+        const ownIds = live.filter(member => member.failureDomain === own).map(member => member.id);
+        const domains = new Set(view.members.map(member => member.failureDomain));
+        domains.delete(own);
+        return [...domains].flatMap(domain => {
+            if (!bridgesOf(own, domain, ownIds).includes(self)) {
+                return [];
+            }
+            const there = view.members.filter(
+                member => member.failureDomain === domain && this.isReachable(member, now),
+            );
+            const epoch = Math.floor(now / epochMilliseconds);
+            const target = bridgeTarget(
+                self,
+                there.map(member => member.id),
+                epoch,
+            );
+            return target === undefined ? [] : addressesOf([target], there);
+        });
+    }
+
+    /** One address where no live member is known, so that new ones are found and partitions heal; all at the start. */
+    private strangers(view: RoundView, now: number): readonly string[] {
+        const known = new Set(
+            view.members.filter(member => isTalkative(member)).map(member => member.address),
+        );
+        const silent = [...new Set([...view.contacts, ...view.members.map(member => member.address)])].filter(
+            address => !known.has(address) && address !== view.self.address,
+        );
+        const isAlone = known.size <= 1;
+        const picked = Math.floor(view.random() * silent.length);
+        return isAlone ? this.rotated(silent, picked, now).slice(0, 3) : silent.slice(picked, picked + 1);
+    }
+
+    private rotated(addresses: readonly string[], by: number, now: number): readonly string[] {
+        const order = [...addresses.slice(by), ...addresses.slice(0, by)];
+        return order.filter(address => (this.positions.get(address)?.avoidUntil ?? 0) <= now);
+    }
+
+    private isReachable(member: Member, now: number): boolean {
+        return isTalkative(member) && (this.positions.get(member.address)?.avoidUntil ?? 0) <= now;
+    }
+
+    private isPending(address: string, now: number): boolean {
+        const pendingUntil = this.positions.get(address)?.pendingUntil;
+        return pendingUntil !== undefined && now < pendingUntil;
+    }
+
+    private forget(now: number): void {
+        for (const [address, position] of this.positions) {
+            if (now - position.usedAt >= positionForgetMilliseconds) {
+                this.positions.delete(address);
+            }
+        }
+    }
+}
+
+function isTalkative(member: Member): boolean {
+    return member.judged === "live" || member.judged === "suspect" || member.judged === "leaving";
+}
+
+function addressesOf(ids: readonly string[], members: readonly Member[]): readonly string[] {
+    return ids.flatMap(id => members.find(member => member.id === id)?.address ?? []);
+}
+
+/** Time from now to a process's first round, so that processes started together do not move in step. */
+export function firstRoundDelay(id: string): number {
+    return hashNumber(`round/${id}`) % roundMilliseconds;
+}
--- /dev/null
+++ b/src/core/membership-values.ts
@@ -0,0 +1,126 @@
+/** Values that travel whole: usage counters of processes, and placement values of the store. */
+import type { FailureDomainId } from "./failure-domains.js";
+import type { MemberId, SentPlacement, SentUsage } from "./membership-messages.js";
+
+/** Longest usage payload, in characters. */
+export const maxUsageCharacters = 1_024;
+/** Age at which usage of a silent process is forgotten, in milliseconds. */
+export const usageForgetMilliseconds = 30_000;
+/** Placement keys kept at most. */
+export const maxPlacements = 1_000;
+
+/** Usage counters of one process as they are held. */
+export interface Usage {
+    readonly process: MemberId;
+    readonly home: FailureDomainId;
+    readonly incarnation: number;
+    readonly sequence: number;
+    readonly payload: string;
+    /** Local monotonic milliseconds at which the process put them out. */
+    readonly heardAt: number;
+}
+
+/** One placement value; `text` is undefined if the key was deleted. */
+export type PlacementEntry = SentPlacement;
+
+interface Changed<T> {
+    readonly value: T;
+    readonly changedAt: number;
+}
+
+/** Holds the latest usage of each process; a later incarnation replaces an earlier one. */
+export class UsageTable {
+    private readonly held = new Map<MemberId, Changed<Usage>>();
+
+    private constructor(private readonly nextChange: () => number) {}
+
+    public static create(nextChange: () => number): UsageTable {
+        return new UsageTable(nextChange);
+    }
+
+    public get usages(): readonly Usage[] {
+        return [...this.held.values()].map(entry => entry.value);
+    }
+
+    public accept(usage: Usage, now: number): boolean {
+        const known = this.held.get(usage.process)?.value;
+        const isLater =
+            known === undefined ||
+            usage.incarnation > known.incarnation ||
+            (usage.incarnation === known.incarnation && usage.sequence > known.sequence);
+        const isOld = now - usage.heardAt >= usageForgetMilliseconds;
+        if (!isLater || isOld || usage.payload.length > maxUsageCharacters) {
+            return false;
+        }
+        this.held.set(usage.process, { value: usage, changedAt: this.nextChange() });
+        return true;
+    }
+
+    /** Usages that changed after a change number, without the peer's own. */
+    public changesSince(
+        change: number,
+        peer: MemberId,
+        now: number,
+        select: (usage: Usage) => boolean,
+    ): readonly SentUsage[] {
+        return [...this.held.values()]
+            .filter(entry => entry.changedAt > change && entry.value.process !== peer && select(entry.value))
+            .map(({ value: { heardAt, ...usage } }) => ({
+                ...usage,
+                ageMilliseconds: Math.max(0, now - heardAt),
+            }));
+    }
+
+    /** Forgets processes that have been silent for long; returns whether any was forgotten. */
+    public tick(now: number): boolean {
+        const old = this.usages.filter(usage => now - usage.heardAt >= usageForgetMilliseconds);
+        for (const usage of old) {
+            this.held.delete(usage.process);
+        }
+        return old.length > 0;
+    }
+}
+
+/** Holds the latest placement values; the store's revision alone decides which is later. */
+export class PlacementTable {
+    private readonly held = new Map<string, Changed<PlacementEntry>>();
+    /** Store revision at which every key that is not held was absent. */
+    private floor = 0;
+
+    private constructor(private readonly nextChange: () => number) {}
+
+    public static create(nextChange: () => number): PlacementTable {
+        return new PlacementTable(nextChange);
+    }
+
+    public get entries(): readonly PlacementEntry[] {
+        return [...this.held.values()].map(entry => entry.value);
+    }
+
+    /** Takes a read of the whole prefix; keys that it lacks were deleted by its revision. */
+    public applySnapshot(revision: number, entries: readonly PlacementEntry[]): boolean {
+        const present = new Set(entries.map(entry => entry.key));
+        const gone = this.entries.filter(
+            entry => !present.has(entry.key) && entry.text !== undefined && entry.modRevision < revision,
+        );
+        const deletions = gone.map(entry => ({ key: entry.key, modRevision: revision, text: undefined }));
+        const taken = [...entries, ...deletions].filter(entry => this.accept(entry));
+        this.floor = Math.max(this.floor, revision);
+        return taken.length > 0;
+    }
+
+    /** Takes a value if it is later than what is known of its key. */
+    public accept(entry: PlacementEntry): boolean {
+        const known = this.held.get(entry.key)?.value;
+        const knownRevision = known?.modRevision ?? this.floor;
+        if (entry.modRevision <= knownRevision || (known === undefined && this.held.size >= maxPlacements)) {
+            return false;
+        }
+        this.held.set(entry.key, { value: entry, changedAt: this.nextChange() });
+        return true;
+    }
+
+    public changesSince(change: number): readonly PlacementEntry[] {
+        return [...this.held.values()].filter(entry => entry.changedAt > change).map(entry => entry.value);
+    }
+}
--- /dev/null
+++ b/src/core/probe-plans.ts
@@ -0,0 +1,165 @@
+/**
+ * Which endpoints this process probes, and when. Every endpoint is probed by two live daemons of its failure domain,
+ * picked by rendezvous hash and half an interval apart; if that failure domain has no live daemon, by two others.
+ */
+import type { EndpointHealth } from "./endpoints.js";
+import type { FailureDomainId } from "./failure-domains.js";
+import { hashNumber, rankByRendezvous } from "./hashes.js";
+import type { Instance, InstanceId } from "./instances.js";
+import type { MemberId } from "./membership-messages.js";
+
+/** Daemons that probe one endpoint. */
+export const probersPerEndpoint = 2;
+/** Time after which a probe counts as failed, in milliseconds. */
+export const probeMilliseconds = 1_500;
+/** Delay before a failed probe is tried again. */
+const retryMilliseconds = 300;
+/** Failures in a row after which an endpoint counts as failed. */
+export const failuresUntilFailed = 2;
+/** Longest delay between probes of an endpoint that keeps failing. */
+const longestRetryMilliseconds = 4_000;
+
+/** What a plan is worked out from. */
+export interface ProbeView {
+    readonly self: MemberId;
+    readonly failureDomain: FailureDomainId;
+    readonly instances: readonly Instance[];
+    readonly liveIn: (failureDomain: FailureDomainId) => readonly MemberId[];
+    readonly liveAnywhere: () => readonly MemberId[];
+    readonly health: (instance: InstanceId) => EndpointHealth | undefined;
+    readonly healthMilliseconds: number;
+}
+
+interface Duty {
+    readonly instance: Instance;
+    /** 0 for the preferred prober, 1 for the second. */
+    readonly rank: number;
+    readonly nextAt: number;
+    readonly failures: number;
+    readonly isProbing: boolean;
+}
+
+/** Returns the daemons that probe an endpoint. */
+export function probersOf(instance: Instance, view: ProbeView): readonly MemberId[] {
+    const own = view.liveIn(instance.failureDomain);
+    const candidates = own.length > 0 ? own : view.liveAnywhere();
+    return rankByRendezvous(`probe/${instance.id}`, candidates).slice(0, probersPerEndpoint);
+}
+
+/** Holds this process's duties. */
+export class ProbePlan {
+    private readonly duties = new Map<InstanceId, Duty>();
+    private basis = "";
+    private listed: readonly Instance[] = [];
+
+    private constructor() {}
+
+    public static create(): ProbePlan {
+        return new ProbePlan();
+    }
+
+    public get size(): number {
+        return this.duties.size;
+    }
+
+    /** The instances to probe now. */
+    public due(view: ProbeView, now: number): readonly Instance[] {
+        this.assign(view, now);
+        const due = [...this.duties.values()].filter(duty => !duty.isProbing && duty.nextAt <= now);
+        for (const duty of due) {
+            this.duties.set(duty.instance.id, { ...duty, isProbing: true });
+        }
+        return due.map(duty => duty.instance);
+    }
+
+    /** Takes note of an answered probe. */
+    public succeeded(id: InstanceId, view: ProbeView, now: number): void {
+        const duty = this.duties.get(id);
+        if (duty !== undefined) {
+            const nextAt = now + this.interval(id, view);
+            this.duties.set(id, { ...duty, isProbing: false, failures: 0, nextAt });
+        }
+    }
+
+    /** Takes note of a failed probe; returns true if the endpoint now counts as failed. */
+    public failed(id: InstanceId, now: number): boolean {
+        const duty = this.duties.get(id);
+        if (duty === undefined) {
+            return false;
+        }
+        const failures = duty.failures + 1;
+        const delay = Math.min(longestRetryMilliseconds, retryMilliseconds * 2 ** Math.min(failures - 1, 10));
+        this.duties.set(id, { ...duty, isProbing: false, failures, nextAt: now + delay });
+        return failures >= failuresUntilFailed;
+    }
+
+    /** Probes an endpoint at once if it is this process's duty: a stream or a peer gave cause. */
+    public hasten(id: InstanceId, now: number): void {
+        const duty = this.duties.get(id);
+        if (duty !== undefined) {
+            this.duties.set(id, { ...duty, nextAt: Math.min(duty.nextAt, now) });
+        }
+    }
+
+    private assign(view: ProbeView, now: number): void {
+        const basis = describeMembers(view);
+        if (basis === this.basis && view.instances === this.listed) {
+            return;
+        }
+        this.basis = basis;
+        this.listed = view.instances;
+        const endpoints = view.instances.filter(instance => mayBeDuty(instance, view));
+        const kept = new Set<InstanceId>();
+        for (const instance of endpoints) {
+            const rank = probersOf(instance, view).indexOf(view.self);
+            if (rank >= 0) {
+                kept.add(instance.id);
+                this.assignOne(instance, rank, view, now);
+            }
+        }
+        for (const id of [...this.duties.keys()].filter(known => !kept.has(known))) {
+            this.duties.delete(id);
+        }
+    }
+
+    private assignOne(instance: Instance, rank: number, view: ProbeView, now: number): void {
+        const known = this.duties.get(instance.id);
+        const isSame = known?.instance.address === instance.address && known.rank === rank;
+        const nextAt = isSame ? known.nextAt : now + firstDelay(instance, rank, view);
+        this.duties.set(instance.id, {
+            instance,
+            rank,
+            nextAt,
+            failures: isSame ? known.failures : 0,
+            isProbing: isSame && known.isProbing,
+        });
+    }
+
+    /** Leaders, which have slots, are probed twice as often as other members. */
+    private interval(id: InstanceId, view: ProbeView): number {
+        const isLeader = (view.health(id)?.report.load.slots ?? 0) > 0;
+        return view.healthMilliseconds / (isLeader ? 4 : 2);
+    }
+}
+
+/** An endpoint that nobody has seen yet is probed at once; others spread over an interval, the second half a step on. */
+function firstDelay(instance: Instance, rank: number, view: ProbeView): number {
+    if (view.health(instance.id) === undefined) {
+        return (hashNumber(instance.id) % 200) + rank * 200;
+    }
+    const interval = view.healthMilliseconds / 2;
+    return ((hashNumber(instance.id) / 2 ** 32 + rank / probersPerEndpoint) % 1) * interval;
+}
+
+/** Endpoints of a failure domain with live daemons are theirs alone. */
+function mayBeDuty(instance: Instance, view: ProbeView): boolean {
+    const isOwn = instance.failureDomain === view.failureDomain;
+    return instance.role !== "entry" && (isOwn || view.liveIn(instance.failureDomain).length === 0);
+}
+
+function describeMembers(view: ProbeView): string {
+    const domains = [...new Set(view.instances.map(instance => instance.failureDomain))];
+    const members = domains.map(domain => view.liveIn(domain).join(","));
+    const anywhere = members.includes("") ? view.liveAnywhere().join(",") : "";
+    return [...members, anywhere].join("\n");
+}
--- /dev/null
+++ b/src/daemons/configuration-followers.ts
@@ -0,0 +1,70 @@
+/** Follows the operators' configuration from the store alone, as tools do; daemons follow it through the mesh. */
+import { BehaviorSubject, interval } from "rxjs";
+import type { Observable } from "rxjs";
+import type { Clock } from "../contracts/clocks.js";
+import type { KeyValueStore } from "../contracts/key-value-stores.js";
+import type { ConfigurationRejection } from "../core/configuration-updates.js";
+import type { Configuration } from "../core/configuration-values.js";
+import { configurationPrefix } from "../core/configuration-values.js";
+import { ConfigurationFollower } from "../core/configurations.js";
+import type { Fault } from "../core/errors.js";
+import { PrefixFollowing } from "./mesh-store-followings.js";
+
+/** Time between two looks at what is due, in milliseconds. */
+const tickMilliseconds = 250;
+
+/** Options of the follower. */
+export interface ConfigurationFollowerOptions {
+    readonly store: KeyValueStore;
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly onRejection?: (rejection: ConfigurationRejection) => void;
+    readonly onFault?: (fault: Fault) => void;
+    /** Moments at which to look at what is due; tests pass their own. */
+    readonly ticks?: Observable<unknown>;
+}
+
+/** A running follower. */
+export interface RunningConfigurationFollower {
+    /** The configuration in force, now and at each change; its `revision` is 0 until the store was read. */
+    readonly configuration: Observable<Configuration>;
+    readonly follower: ConfigurationFollower;
+    readonly close: () => void;
+}
+
+/** Starts to read and watch the configuration. */
+export function startConfigurationFollower(
+    options: ConfigurationFollowerOptions,
+): RunningConfigurationFollower {
+    const follower = ConfigurationFollower.create();
+    const configuration = new BehaviorSubject(follower.configuration);
+    const apply = (change: ReturnType<ConfigurationFollower["applySnapshot"]>) => {
+        change.rejections.forEach(rejection => options.onRejection?.(rejection));
+        if (configuration.value !== follower.configuration) {
+            configuration.next(follower.configuration);
+        }
+    };
+    const following = PrefixFollowing.create({
+        prefix: configurationPrefix,
+        priority: "configuration",
+        store: options.store,
+        clock: options.clock,
+        random: options.random,
+        watching: true,
+        onRead: answer => apply(follower.applySnapshot(answer)),
+        onWatch: event => apply(follower.applyWatch(event)),
+        onFault: fault => options.onFault?.(fault),
+    });
+    const ticks = (options.ticks ?? interval(tickMilliseconds)).subscribe(() =>
+        following.tick(true, undefined),
+    );
+    following.tick(true, undefined);
+    return {
+        configuration: configuration.asObservable(),
+        follower,
+        close: () => {
+            ticks.unsubscribe();
+            following.close();
+        },
+    };
+}
--- /dev/null
+++ b/src/daemons/mesh-probes.ts
@@ -0,0 +1,83 @@
+/** Probes the endpoints that are this process's duty, and reports what they say. */
+import type { Clock } from "../contracts/clocks.js";
+import type { Engines } from "../contracts/engines.js";
+import type { RecordEvent } from "../core/events.js";
+import type { Instance, InstanceId } from "../core/instances.js";
+import type { MeshState } from "../core/membership-meshes.js";
+import type { ProbeView } from "../core/probe-plans.js";
+import { ProbePlan, probeMilliseconds } from "../core/probe-plans.js";
+
+/** Options of probing. */
+export interface MeshProbesOptions {
+    readonly state: MeshState;
+    readonly probe: Engines["probe"];
+    readonly clock: Clock;
+    readonly recordEvent: RecordEvent;
+    readonly view: (now: number) => ProbeView;
+    readonly onChange: () => void;
+}
+
+/** Runs the probes of one process. */
+export class MeshProbes {
+    private readonly plan = ProbePlan.create();
+    private readonly said = new Map<InstanceId, string>();
+
+    private constructor(private readonly options: MeshProbesOptions) {}
+
+    public static create(options: MeshProbesOptions): MeshProbes {
+        return new MeshProbes(options);
+    }
+
+    /** Endpoints that are this process's duty. */
+    public get duties(): number {
+        return this.plan.size;
+    }
+
+    /** Starts the probes that are due. */
+    public tick(): void {
+        const now = this.now();
+        for (const instance of this.plan.due(this.options.view(now), now)) {
+            void this.probe(instance);
+        }
+    }
+
+    /** Probes an endpoint soon because a stream or a peer gave cause. */
+    public hasten(instance: InstanceId): void {
+        this.plan.hasten(instance, this.now());
+    }
+
+    private now(): number {
+        return this.options.clock.monotonicMilliseconds();
+    }
+
+    private async probe(instance: Instance): Promise<void> {
+        const startedAt = this.now();
+        const answer = await this.options.probe(instance, startedAt + probeMilliseconds);
+        const now = this.now();
+        if (!answer.success || answer.data.instance !== instance.id) {
+            this.takeFailure(instance, now);
+            return;
+        }
+        this.plan.succeeded(instance.id, this.options.view(now), now);
+        // The report is at least as old as the question, however late the answer is read.
+        if (this.options.state.observeReport(answer.data, startedAt)) {
+            this.say(instance.id, answer.data.leaving ? "leaving" : answer.data.state);
+            this.options.onChange();
+        }
+    }
+
+    private takeFailure(instance: Instance, now: number): void {
+        const countsAsFailed = this.plan.failed(instance.id, now);
+        if (countsAsFailed && this.options.state.observeFailure(instance.id, now)) {
+            this.say(instance.id, "unreachable");
+            this.options.onChange();
+        }
+    }
+
+    private say(instance: InstanceId, state: string): void {
+        if (this.said.get(instance) !== state) {
+            this.said.set(instance, state);
+            this.options.recordEvent({ kind: "endpointChanged", instance, state });
+        }
+    }
+}
--- /dev/null
+++ b/src/daemons/mesh-store-followings.ts
@@ -0,0 +1,120 @@
+/** Carries out the commands of a StoreFollowing: reads and watches of one prefix. */
+import type { Subscription } from "rxjs";
+import type { Clock } from "../contracts/clocks.js";
+import type { KeyValueStore, ReadAnswer, StorePriority, WatchEvent } from "../contracts/key-value-stores.js";
+import type { FollowingCommand } from "../core/configuration-followings.js";
+import { StoreFollowing } from "../core/configuration-followings.js";
+import type { Fault } from "../core/errors.js";
+import { toFault } from "../core/errors.js";
+
+/** Options of following one prefix. */
+export interface PrefixFollowingOptions {
+    readonly prefix: string;
+    readonly priority: StorePriority;
+    readonly store: KeyValueStore;
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly watching: boolean;
+    /** Takes a read; `startedAt` is the local time at which it was asked for. */
+    readonly onRead: (answer: ReadAnswer, startedAt: number) => void;
+    readonly onWatch: (event: WatchEvent) => void;
+    readonly onFault: (fault: Fault) => void;
+}
+
+/** Follows one prefix until it is closed; the owner ticks it. */
+export class PrefixFollowing {
+    private readonly following: StoreFollowing;
+    private watch: Subscription | undefined;
+    private listStartedAt = 0;
+    private isClosed = false;
+
+    private constructor(private readonly options: PrefixFollowingOptions) {
+        const { watching, random } = options;
+        this.following = StoreFollowing.create({ watching, random, now: this.now() });
+    }
+
+    public static create(options: PrefixFollowingOptions): PrefixFollowing {
+        return new PrefixFollowing(options);
+    }
+
+    public get isWatching(): boolean {
+        return this.following.isWatching;
+    }
+
+    /** Moves on; `confirmedAt` is the local time at which the held state was last known to be the latest. */
+    public tick(watching: boolean, confirmedAt: number | undefined): void {
+        if (this.isClosed) {
+            return;
+        }
+        const now = this.now();
+        this.run(this.following.step({ kind: "mode", watching }, now));
+        this.run(this.following.step({ kind: "tick", confirmedAt }, now));
+    }
+
+    public close(): void {
+        this.isClosed = true;
+        this.watch?.unsubscribe();
+    }
+
+    private now(): number {
+        return this.options.clock.monotonicMilliseconds();
+    }
+
+    private run(commands: readonly FollowingCommand[]): void {
+        for (const command of commands) {
+            this.runOne(command);
+        }
+    }
+
+    private runOne(command: FollowingCommand): void {
+        switch (command.kind) {
+            case "list":
+                void this.list(command.attempt, command.deadline);
+                break;
+            case "watch":
+                this.openWatch(command.attempt, command.fromRevision);
+                break;
+            case "unwatch":
+                this.watch?.unsubscribe();
+                this.watch = undefined;
+                break;
+            case "apply":
+                this.options.onRead(command.answer, this.listStartedAt);
+                break;
+            case "applyWatch":
+                this.options.onWatch(command.event);
+                break;
+        }
+    }
+
+    private async list(attempt: number, deadline: number): Promise<void> {
+        const { store, prefix, priority } = this.options;
+        this.listStartedAt = this.now();
+        const answer = await store.list(prefix, { deadline, priority });
+        if (this.isClosed) {
+            return;
+        }
+        if (!answer.success) {
+            this.options.onFault(answer.fault);
+        }
+        this.run(this.following.step({ kind: "listed", attempt, answer }, this.now()));
+    }
+
+    private openWatch(attempt: number, fromRevision: number): void {
+        const take = (event: WatchEvent) => {
+            if (event.kind === "gap") {
+                this.options.onFault(event.fault);
+            }
+            this.run(this.following.step({ kind: "watched", attempt, event }, this.now()));
+        };
+        this.watch = this.options.store.watch(this.options.prefix, fromRevision).subscribe({
+            next: take,
+            error: (thrown: unknown) => take({ kind: "gap", fault: toFault(thrown, "store") }),
+            complete: () => take({ kind: "gap", fault: endedWatch(this.options.prefix) }),
+        });
+    }
+}
+
+function endedWatch(prefix: string): Fault {
+    return { code: "storeUnavailable", message: `watch of "${prefix}" ended`, step: "store", notRun: true };
+}
--- /dev/null
+++ b/src/daemons/mesh-stores.ts
@@ -0,0 +1,112 @@
+/** Follows configuration and placement in the store on behalf of the mesh. */
+import type { Clock } from "../contracts/clocks.js";
+import type { KeyValueEntry, KeyValueStore, ReadAnswer, WatchEvent } from "../contracts/key-value-stores.js";
+import type { ConfigurationChange, ConfigurationRejection } from "../core/configuration-updates.js";
+import { configurationPrefix } from "../core/configuration-values.js";
+import type { Fault } from "../core/errors.js";
+import type { MeshState } from "../core/membership-meshes.js";
+import type { PlacementEntry } from "../core/membership-values.js";
+import { PrefixFollowing } from "./mesh-store-followings.js";
+
+/** Prefix of the placement values. */
+export const placementPrefix = "placement/";
+
+/** What following needs and tells. */
+export interface MeshStoreOptions {
+    readonly state: MeshState;
+    readonly store: KeyValueStore;
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly onConfiguration: (rejections: readonly ConfigurationRejection[]) => void;
+    readonly onPlacements: () => void;
+    readonly onFault: (fault: Fault) => void;
+}
+
+/** Both followings of one process. */
+export class MeshStore {
+    private readonly configuration: PrefixFollowing;
+    private readonly placement: PrefixFollowing;
+
+    private constructor(private readonly options: MeshStoreOptions) {
+        const { store, clock, random, onFault } = options;
+        const shared = { store, clock, random, onFault, watching: false };
+        this.configuration = PrefixFollowing.create({
+            ...shared,
+            prefix: configurationPrefix,
+            priority: "configuration",
+            onRead: (answer, startedAt) => this.readConfiguration(answer, startedAt),
+            onWatch: event => this.watchConfiguration(event),
+        });
+        this.placement = PrefixFollowing.create({
+            ...shared,
+            prefix: placementPrefix,
+            priority: "placement",
+            onRead: answer => this.readPlacements(answer),
+            onWatch: event => this.watchPlacements(event),
+        });
+    }
+
+    public static create(options: MeshStoreOptions): MeshStore {
+        return new MeshStore(options);
+    }
+
+    public get isWatching(): boolean {
+        return this.configuration.isWatching;
+    }
+
+    public tick(now: number): void {
+        const isWatcher = this.options.state.isWatcher(now);
+        const confirmedAt = this.options.state.configurationConfirmedAt;
+        this.configuration.tick(isWatcher, confirmedAt);
+        this.placement.tick(isWatcher, confirmedAt);
+    }
+
+    public close(): void {
+        this.configuration.close();
+        this.placement.close();
+    }
+
+    private readConfiguration(answer: ReadAnswer, startedAt: number): void {
+        const { state } = this.options;
+        const change = state.configuration.applySnapshot(answer);
+        if (!change.stale) {
+            state.confirm(startedAt);
+        }
+        this.publish(change);
+    }
+
+    private watchConfiguration(event: WatchEvent): void {
+        const { state, clock } = this.options;
+        this.publish(state.configuration.applyWatch(event));
+        state.confirm(clock.monotonicMilliseconds());
+    }
+
+    private publish(change: ConfigurationChange): void {
+        if (change.changed || change.rejections.length > 0) {
+            this.options.onConfiguration(change.rejections);
+        }
+    }
+
+    private readPlacements(answer: ReadAnswer): void {
+        const entries = answer.entries.map(toPlacementEntry);
+        if (this.options.state.observePlacements(answer.revision, entries)) {
+            this.options.onPlacements();
+        }
+    }
+
+    private watchPlacements(event: WatchEvent): void {
+        if (event.kind !== "changes") {
+            return;
+        }
+        const deletions = event.deletes.map(key => ({ key, modRevision: event.revision, text: undefined }));
+        const entries = [...event.puts.map(toPlacementEntry), ...deletions];
+        const taken = entries.filter(entry => this.options.state.observePlacement(entry));
+        if (taken.length > 0) {
+            this.options.onPlacements();
+        }
+    }
+}
+
+function toPlacementEntry(entry: KeyValueEntry): PlacementEntry {
+    return { key: entry.key, modRevision: entry.modRevision, text: entry.value };
+}
--- /dev/null
+++ b/src/daemons/meshes.ts
@@ -0,0 +1,281 @@
+/**
+ * The mesh of daemons: members, endpoint health, configuration, placement values and usage, spread by exchanges with a
+ * few peers. Both daemons start one; everything that it decides is in MeshState.
+ */
+import { BehaviorSubject, Subject, interval } from "rxjs";
+import type { Subscription } from "rxjs";
+import type { ConfigurationRejection } from "../core/configuration-updates.js";
+import type { Configuration } from "../core/configuration-values.js";
+import type { Fault } from "../core/errors.js";
+import { ChervilError } from "../core/errors.js";
+import { hashNumber } from "../core/hashes.js";
+import type { Absorbed } from "../core/membership-exchanges.js";
+import { MeshState } from "../core/membership-meshes.js";
+import type { MeshTick } from "../core/membership-meshes.js";
+import type { PeerExchange } from "../core/membership-messages.js";
+import { exchangeMilliseconds, roundMilliseconds } from "../core/membership-rounds.js";
+import type { PlacementEntry, Usage } from "../core/membership-values.js";
+import type { PeerLink } from "../links/peers.js";
+import { startPeerLink } from "../links/peers.js";
+import type { Mesh, MeshOptions, MeshStatus } from "./mesh-options.js";
+import { MeshProbes } from "./mesh-probes.js";
+import { MeshStore } from "./mesh-stores.js";
+
+/** Time between two looks at what is due, in milliseconds. */
+const tickMilliseconds = 250;
+/** Peers that a leaving process tells directly. */
+const peersToldOfLeaving = 4;
+
+class RunningMesh {
+    private readonly configurations: BehaviorSubject<Configuration>;
+    private readonly healthSubject = new Subject<void>();
+    private readonly usageSubject = new BehaviorSubject<readonly Usage[]>([]);
+    private readonly placementSubject = new BehaviorSubject<readonly PlacementEntry[]>([]);
+    private readonly subscriptions: Subscription[] = [];
+    private readonly probes: MeshProbes;
+    private readonly stores: MeshStore;
+    private nextRoundAt: number;
+    private hasLeft = false;
+
+    public constructor(
+        private readonly options: MeshOptions,
+        private readonly state: MeshState,
+        private readonly id: string,
+        private readonly link: PeerLink,
+    ) {
+        const { clock, recordEvent, settings } = options;
+        this.configurations = new BehaviorSubject(state.configuration.configuration);
+        this.nextRoundAt = this.now() + (hashNumber(id) % roundMilliseconds);
+        this.probes = MeshProbes.create({
+            state,
+            probe: options.probe,
+            clock,
+            recordEvent,
+            view: now => ({
+                self: id,
+                failureDomain: settings.failureDomain,
+                instances: state.instances,
+                liveIn: domain => state.liveIn(domain, now),
+                liveAnywhere: () =>
+                    state
+                        .members(now)
+                        .filter(member => member.judged === "live")
+                        .map(member => member.id),
+                health: instance => state.health(instance),
+                healthMilliseconds: state.configuration.configuration.placement.healthMilliseconds,
+            }),
+            onChange: () => this.healthSubject.next(),
+        });
+        this.stores = MeshStore.create({
+            state,
+            store: options.store,
+            clock,
+            random: options.random,
+            onConfiguration: rejections => this.publishConfiguration(rejections),
+            onPlacements: () => this.placementSubject.next(state.placements),
+            onFault: fault => this.recordFault(fault),
+        });
+    }
+
+    public start(): void {
+        this.subscriptions.push(
+            this.options.instances.subscribe(instances => {
+                this.state.setInstances(instances, this.now());
+                this.healthSubject.next();
+            }),
+            (this.options.ticks ?? interval(tickMilliseconds)).subscribe(() => this.tick()),
+        );
+        this.tick();
+    }
+
+    /** Answers a peer. */
+    public answer(request: PeerExchange): PeerExchange {
+        const { answer, absorbed } = this.state.answer(request, this.now());
+        this.publish(absorbed);
+        return answer;
+    }
+
+    public get mesh(): Mesh {
+        const { state } = this;
+        return {
+            configuration: this.configurations.asObservable(),
+            currentConfiguration: () => state.configuration.configuration,
+            isReady: () => state.isReady(this.now()),
+            health: instance => state.health(instance),
+            healthChanges: this.healthSubject.asObservable(),
+            instances: () => state.instances,
+            isLeaving: instance => state.isLeaving(instance),
+            hastenProbe: instance => this.probes.hasten(instance),
+            members: () => state.members(this.now()),
+            publishUsage: payload => state.publishUsage(payload, this.now()),
+            usages: this.usageSubject.asObservable(),
+            placements: this.placementSubject.asObservable(),
+            observePlacement: entry => this.observePlacement(entry),
+            peerBytes: this.link.bytes,
+            startLeaving: () => state.declareLeaving(this.now()),
+            leave: () => this.leave(),
+            status: () => this.status(),
+            address: this.link.address,
+        };
+    }
+
+    private now(): number {
+        return this.options.clock.monotonicMilliseconds();
+    }
+
+    private tick(): void {
+        const now = this.now();
+        if (now >= this.nextRoundAt) {
+            this.nextRoundAt = now + roundMilliseconds;
+            this.takeTick(this.state.tick(now));
+        }
+        this.stores.tick(now);
+        this.probes.tick();
+    }
+
+    private takeTick(tick: MeshTick): void {
+        if (tick.pausedMilliseconds !== undefined) {
+            this.options.recordEvent({
+                kind: "lateTick",
+                gapMilliseconds: Math.round(tick.pausedMilliseconds),
+            });
+            this.healthSubject.next();
+        }
+        for (const { member, state } of tick.memberChanges) {
+            this.options.recordEvent({ kind: "memberChanged", instance: member, state });
+        }
+        for (const { address, request } of tick.exchanges) {
+            void this.exchange(address, request);
+        }
+    }
+
+    private async exchange(address: string, request: PeerExchange): Promise<void> {
+        const answer = await this.link.exchange(address, request, this.now() + exchangeMilliseconds);
+        if (!answer.success) {
+            this.state.failExchange(address, this.now());
+            return;
+        }
+        this.publish(this.state.finishExchange(address, request, answer.data, this.now()));
+    }
+
+    private publish(absorbed: Absorbed): void {
+        if (absorbed.configuration !== undefined) {
+            this.publishConfiguration(absorbed.configuration.rejections);
+        }
+        if (absorbed.endpointsChanged) {
+            this.healthSubject.next();
+        }
+        if (absorbed.usagesChanged) {
+            this.usageSubject.next(this.state.usages);
+        }
+        if (absorbed.placementsChanged) {
+            this.placementSubject.next(this.state.placements);
+        }
+    }
+
+    private publishConfiguration(rejections: readonly ConfigurationRejection[]): void {
+        for (const { path, reason } of rejections) {
+            this.options.recordEvent({ kind: "configurationRejected", path, reason });
+        }
+        const { configuration } = this.state.configuration;
+        if (configuration !== this.configurations.value) {
+            this.configurations.next(configuration);
+            this.options.recordEvent({ kind: "configurationApplied", revision: configuration.revision });
+        }
+    }
+
+    private observePlacement(entry: PlacementEntry): void {
+        if (this.state.observePlacement(entry)) {
+            this.placementSubject.next(this.state.placements);
+        }
+    }
+
+    private recordFault(fault: Fault): void {
+        this.options.recordEvent({ kind: "storeFailed", code: fault.code });
+    }
+
+    private async leave(): Promise<void> {
+        if (this.hasLeft) {
+            return;
+        }
+        this.hasLeft = true;
+        this.state.declareLeft(this.now());
+        for (const subscription of this.subscriptions) {
+            subscription.unsubscribe();
+        }
+        this.stores.close();
+        const peers = this.state.members(this.now()).filter(member => member.judged === "live");
+        const told = peers.slice(0, peersToldOfLeaving).map(async ({ address }) => {
+            const request = this.state.begin(address, this.now());
+            await this.link.exchange(address, request, this.now() + exchangeMilliseconds);
+        });
+        await Promise.all(told);
+        await this.link.close();
+    }
+
+    private status(): MeshStatus {
+        const now = this.now();
+        const { configuration, configurationConfirmedAt: confirmedAt } = this.state;
+        return {
+            member: this.id,
+            ready: this.state.isReady(now),
+            configuration: {
+                revisionInForce: configuration.revisionInForce,
+                hash: configuration.digest.hash,
+                confirmedAgeMilliseconds:
+                    confirmedAt === undefined ? undefined : Math.round(now - confirmedAt),
+                rejections: configuration.rejections,
+            },
+            watching: this.stores.isWatching,
+            members: this.state.members(now),
+            endpoints: this.state.sizes.endpoints,
+            probes: this.probes.duties,
+            peerBytes: this.link.bytes(),
+        };
+    }
+}
+
+const notStarted: Fault = {
+    code: "peerUnreachable",
+    message: "the mesh of this process is not started yet",
+    step: "gossip",
+    notRun: true,
+};
+
+/** Starts the mesh; throws a ChervilError if the peers' port cannot be opened. */
+export async function startMesh(options: MeshOptions): Promise<Mesh> {
+    const { settings, role, clock, random } = options;
+    const id = `${settings.instance}/${role}`;
+    const holder: { running?: RunningMesh } = {};
+    const link = await (options.startLink ?? startPeerLink)({
+        listen: settings.peer.listen,
+        tls: settings.peer.tls,
+        monotonicMilliseconds: clock.monotonicMilliseconds,
+        onExchange: request => {
+            if (holder.running === undefined) {
+                throw ChervilError.create(notStarted);
+            }
+            return holder.running.answer(request);
+        },
+    });
+    const state = MeshState.create({
+        id,
+        body: {
+            address: link.address,
+            failureDomain: settings.failureDomain,
+            instance: settings.instance,
+            role,
+            state: "live",
+        },
+        incarnation: Math.floor(clock.wallMilliseconds()),
+        seeds: settings.peer.seeds,
+        now: clock.monotonicMilliseconds(),
+        random,
+    });
+    const running = new RunningMesh(options, state, id, link);
+    holder.running = running;
+    running.start();
+    return running.mesh;
+}
+
+export type { Mesh, MeshOptions, MeshStatus } from "./mesh-options.js";
--- /dev/null
+++ b/src/daemons/tests/meshes.test.ts
@@ -0,0 +1,206 @@
+import type { ExecutionContext } from "ava";
+import test from "ava";
+import { BehaviorSubject, Subject } from "rxjs";
+import type { KeyValueStore, ReadAnswer, WatchEvent } from "../../contracts/key-value-stores.js";
+import type { EndpointReport } from "../../core/endpoints.js";
+import type { Fault } from "../../core/errors.js";
+import { fail, succeed } from "../../core/errors.js";
+import type { EventBody } from "../../core/events.js";
+import type { Instance } from "../../core/instances.js";
+import { createRandomNumber } from "../../core/random-numbers.js";
+import { startMesh } from "../meshes.js";
+import type { Settings } from "../settings.js";
+
+const down: Fault = { code: "storeUnavailable", message: "down", step: "store", notRun: true };
+const share = "config/teams/anadolu/share";
+
+class FakeStore {
+    public isDown = false;
+    public revision = 5;
+    public readonly values = new Map([[share, { key: share, value: "2", modRevision: 5 }]]);
+    public readonly watches = new Set<Subject<WatchEvent>>();
+
+    public put(value: string): void {
+        this.revision += 1;
+        const entry = { key: share, value, modRevision: this.revision };
+        this.values.set(share, entry);
+        const { revision } = this;
+        this.watches.forEach(watch => watch.next({ kind: "changes", revision, puts: [entry], deletes: [] }));
+    }
+
+    public get store(): KeyValueStore {
+        const unused = () => Promise.resolve(fail<never>(down));
+        const read = (prefix: string): ReadAnswer => ({
+            revision: this.revision,
+            entries: [...this.values.values()].filter(entry => entry.key.startsWith(prefix)),
+        });
+        return {
+            list: prefix => Promise.resolve(this.isDown ? fail(down) : succeed(read(prefix))),
+            get: unused,
+            compareAndSwap: () => Promise.resolve({ kind: "notSent", fault: down }),
+            grantLease: unused,
+            renewLease: unused,
+            revokeLease: unused,
+            watch: prefix => {
+                const watch = new Subject<WatchEvent>();
+                if (prefix === "config/") {
+                    this.watches.add(watch);
+                }
+                return watch;
+            },
+        };
+    }
+}
+
+function settings(instance: string, seeds: string[]): Settings {
+    return {
+        name: instance,
+        instance,
+        failureDomain: "fd-1",
+        admin: { listen: "127.0.0.1:0" },
+        peer: { listen: "127.0.0.1:0", seeds },
+        platform: { stores: ["127.0.0.1:1"] },
+        log: { level: "info" },
+    };
+}
+
+function engine(): Instance {
+    return {
+        id: "engine-1",
+        address: "127.0.0.1:2",
+        failureDomain: "fd-1",
+        fabricDomain: "fabric-1",
+        role: "engine",
+        state: "live",
+    };
+}
+
+function report(sequence: number): EndpointReport {
+    const load = { running: 0, waiting: 0, slots: 4 };
+    return {
+        instance: "engine-1",
+        incarnation: 1,
+        sequence,
+        state: "idle",
+        epoch: 0,
+        leaving: false,
+        load,
+        warm: [],
+    };
+}
+
+interface Fixture {
+    readonly fake: FakeStore;
+    readonly events: EventBody[];
+    readonly instances: BehaviorSubject<readonly Instance[]>;
+    now: number;
+    answers: boolean;
+}
+
+function fixture(): Fixture {
+    const instances = new BehaviorSubject<readonly Instance[]>([engine()]);
+    return { fake: new FakeStore(), events: [], instances, now: 0, answers: true };
+}
+
+/** Starts a mesh over real gRPC on loopback, with the clock and the ticks of the test. */
+async function start(
+    t: ExecutionContext,
+    world: Fixture,
+    instance: string,
+    seeds: string[],
+    isStoreDown = false,
+) {
+    const ticks = new Subject<void>();
+    let sequence = 0;
+    const store = new FakeStore();
+    store.isDown = true;
+    const mesh = await startMesh({
+        settings: settings(instance, seeds),
+        role: "entry",
+        store: isStoreDown ? store.store : world.fake.store,
+        probe: () =>
+            Promise.resolve(world.answers ? succeed(report((sequence += 1))) : fail<EndpointReport>(down)),
+        instances: world.instances,
+        clock: { monotonicMilliseconds: () => world.now, wallMilliseconds: () => 1_000 + world.now },
+        random: createRandomNumber(1),
+        recordEvent: body => world.events.push(body),
+        ticks,
+    });
+    t.teardown(() => mesh.leave());
+    return { mesh, ticks };
+}
+
+/** Moves the clock until the condition holds; each step lets real messages pass. */
+async function until(
+    world: Fixture,
+    meshes: readonly { readonly ticks: Subject<void> }[],
+    condition: () => boolean,
+): Promise<boolean> {
+    for (let step = 0; step < 200 && !condition(); step += 1) {
+        world.now += 250;
+        meshes.forEach(({ ticks }) => ticks.next());
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+    return condition();
+}
+
+test("a restarted daemon takes the configuration from a peer while the store is down", async t => {
+    const world = fixture();
+    const first = await start(t, world, "entry-1", []);
+    t.true(await until(world, [first], () => first.mesh.isReady()));
+    const second = await start(t, world, "entry-2", [first.mesh.address], true);
+    t.false(second.mesh.isReady());
+    const both = [first, second];
+    t.true(await until(world, both, () => second.mesh.isReady()));
+    t.is(second.mesh.currentConfiguration().teams.get("anadolu")?.share, 2);
+    world.fake.put("7");
+    const shareOf = () => second.mesh.currentConfiguration().teams.get("anadolu")?.share;
+    t.true(await until(world, both, () => shareOf() === 7));
+    world.fake.put("-7");
+    t.true(await until(world, both, () => second.mesh.status().configuration.rejections.length === 1));
+    t.is(shareOf(), 7);
+    t.true(world.events.some(event => event.kind === "configurationRejected"));
+});
+
+test("health, usage, placement and leaving spread; a leaving member is seen to leave", async t => {
+    const world = fixture();
+    const first = await start(t, world, "entry-1", []);
+    const second = await start(t, world, "entry-2", [first.mesh.address]);
+    const both = [first, second];
+    const healthy = () =>
+        both.every(({ mesh }) => (mesh.health("engine-1")?.healthyUntil ?? 0) > world.now) &&
+        both.every(({ mesh }) => mesh.members().length === 2);
+    t.true(await until(world, both, healthy));
+    const usages: string[] = [];
+    second.mesh.usages.subscribe(all => usages.push(...all.map(usage => usage.payload)));
+    const placements: (string | undefined)[] = [];
+    second.mesh.placements.subscribe(all => placements.push(...all.map(entry => entry.text)));
+    t.true(first.mesh.publishUsage("tokens=3"));
+    t.false(first.mesh.publishUsage("x".repeat(2_000)));
+    first.mesh.observePlacement({ key: "placement/fabric-1", modRevision: 9, text: "{}" });
+    t.true(await until(world, both, () => usages.includes("tokens=3") && placements.includes("{}")));
+    world.instances.next([{ ...engine(), state: "leaving" }]);
+    t.true(await until(world, both, () => both.every(({ mesh }) => mesh.isLeaving("engine-1"))));
+    world.answers = false;
+    const failed = () => both.every(({ mesh }) => (mesh.health("engine-1")?.healthyUntil ?? 0) <= world.now);
+    t.true(await until(world, both, failed));
+    t.true(first.mesh.peerBytes().sent > 0);
+    await first.mesh.leave();
+    const judged = () => second.mesh.members().find(member => member.instance === "entry-1")?.judged;
+    t.is(judged(), "left");
+});
+
+test("after a pause the health views are stale before anything else happens", async t => {
+    const world = fixture();
+    const only = await start(t, world, "entry-1", []);
+    t.true(await until(world, [only], () => only.mesh.health("engine-1") !== undefined));
+    world.answers = false;
+    world.now += 5_500;
+    t.true(
+        (only.mesh.health("engine-1")?.healthyUntil ?? 0) > world.now,
+        "the report alone is recent enough",
+    );
+    only.ticks.next();
+    t.false((only.mesh.health("engine-1")?.healthyUntil ?? 0) > world.now);
+    t.true(world.events.some(event => event.kind === "lateTick"));
+});
