Prove placement by histories, and name a group's present record when a draft changes it

Histories of three placers, six to eight engines and two entries in virtual time with deaths, pauses, cuts, lost and late store calls and held-up orders found a value that named an instance twice: one plan repaired a group with a spare and then, from the record it had read before, made the same group a donor. Drafts now look the group up by its id, and a settled group is no donor.

--- /dev/null
+++ b/benchmarks/placement-engines.ts
@@ -0,0 +1,280 @@
+/** Fakes of engines and of the weight store at the placer's interfaces, in virtual time. */
+import type { EngineOrder, OrderAnswer } from "../src/contracts/engines.js";
+import type { EndpointReport, EngineState } from "../src/core/endpoints.js";
+import type { Instance } from "../src/core/instances.js";
+import type { ModelVersion } from "../src/core/replica-groups.js";
+import type { VirtualLoop } from "./loops.js";
+
+/** What an engine believed from a moment on. */
+export interface Belief {
+    readonly at: number;
+    readonly isAlive: boolean;
+    readonly state: EngineState;
+    readonly group?: string;
+    readonly epoch: number;
+    readonly leaving: boolean;
+}
+
+/** An order that an engine acted on. */
+export interface ActedOrder {
+    readonly at: number;
+    readonly sender: string;
+    readonly incarnation: number;
+    readonly epoch: number;
+}
+
+/** Work that an engine accepted. */
+export interface AcceptedWork {
+    readonly at: number;
+    readonly dispatchedAt: number;
+    readonly instance: string;
+    readonly group: string;
+    readonly epoch: number;
+    readonly members: readonly string[];
+}
+
+/** Weights in units of full-speed milliseconds; all loads share the rate of `loadsAtFullRate` loads. */
+export class FakeWeightStore {
+    private readonly active = new Map<number, { remaining: number; readonly done: () => void }>();
+    private updatedAt = 0;
+    private next = 0;
+    private timer = 0;
+    /** Full-speed milliseconds of weights that were asked for. */
+    public requestedMilliseconds = 0;
+
+    private constructor(
+        private readonly loop: VirtualLoop,
+        private readonly loadsAtFullRate: number,
+    ) {}
+
+    public static create(loop: VirtualLoop, loadsAtFullRate: number): FakeWeightStore {
+        return new FakeWeightStore(loop, loadsAtFullRate);
+    }
+
+    public load(milliseconds: number, done: () => void): () => void {
+        this.advance();
+        const id = (this.next += 1);
+        this.requestedMilliseconds += milliseconds;
+        this.active.set(id, { remaining: milliseconds, done });
+        this.schedule();
+        return () => {
+            this.advance();
+            this.active.delete(id);
+            this.schedule();
+        };
+    }
+
+    private rate(): number {
+        return Math.min(1, this.loadsAtFullRate / Math.max(1, this.active.size));
+    }
+
+    private advance(): void {
+        const elapsed = (this.loop.now() - this.updatedAt) * this.rate();
+        this.updatedAt = this.loop.now();
+        this.active.forEach(load => (load.remaining -= elapsed));
+    }
+
+    private schedule(): void {
+        const timer = (this.timer += 1);
+        const least = Math.min(...[...this.active.values()].map(load => load.remaining));
+        if (Number.isFinite(least)) {
+            this.loop.after(Math.max(0, least) / this.rate() + 0.001, () => this.finish(timer));
+        }
+    }
+
+    private finish(timer: number): void {
+        if (timer !== this.timer) {
+            return;
+        }
+        this.advance();
+        const finished = [...this.active].filter(([, load]) => load.remaining <= 0.01);
+        finished.forEach(([id]) => this.active.delete(id));
+        this.schedule();
+        finished.forEach(([, load]) => load.done());
+    }
+}
+
+/** How a fake engine behaves. */
+export interface FakeEngineOptions {
+    readonly checksEpochs: boolean;
+    /** Enters a group without having left its old one; for mutants only. */
+    readonly movesWithoutRelease: boolean;
+    readonly coldLoadMilliseconds: number;
+    readonly warmLoadMilliseconds: number;
+    readonly slots: number;
+}
+
+/** One engine instance. */
+export class FakeEngine {
+    public readonly beliefs: Belief[] = [];
+    public readonly acted: ActedOrder[] = [];
+    public pausedUntil = 0;
+    public isAlive = true;
+    public leaving = false;
+    private incarnation = 1;
+    private sequence = 0;
+    private state: EngineState = "idle";
+    private group: string | undefined;
+    private epoch = 0;
+    private highestEpoch = 0;
+    private running = 0;
+    private warm: ModelVersion[] = [];
+    private cancelLoad: () => void = () => undefined;
+
+    private constructor(
+        public readonly instance: Instance,
+        private readonly loop: VirtualLoop,
+        private readonly weights: FakeWeightStore,
+        private readonly options: FakeEngineOptions,
+    ) {
+        this.noteBelief();
+    }
+
+    public static create(
+        instance: Instance,
+        loop: VirtualLoop,
+        weights: FakeWeightStore,
+        options: FakeEngineOptions,
+    ): FakeEngine {
+        return new FakeEngine(instance, loop, weights, options);
+    }
+
+    public isResponding(): boolean {
+        return this.isAlive && this.loop.now() >= this.pausedUntil;
+    }
+
+    public report(): EndpointReport {
+        this.sequence += 1;
+        const { incarnation, sequence, state, group, epoch, leaving, running, warm } = this;
+        const load = { running, waiting: 0, slots: this.options.slots };
+        return {
+            instance: this.instance.id,
+            incarnation,
+            sequence,
+            state,
+            group,
+            epoch,
+            leaving,
+            load,
+            warm,
+        };
+    }
+
+    public die(): void {
+        this.cancelLoad();
+        this.isAlive = false;
+        this.noteBelief();
+    }
+
+    /** Starts again with nothing in memory. */
+    public restart(): void {
+        this.cancelLoad();
+        this.incarnation += 1;
+        this.sequence = 0;
+        this.isAlive = true;
+        this.pausedUntil = 0;
+        this.highestEpoch = 0;
+        this.warm = [];
+        this.become("idle", undefined, 0);
+    }
+
+    public pause(milliseconds: number): void {
+        this.pausedUntil = Math.max(this.pausedUntil, this.loop.now() + milliseconds);
+    }
+
+    public leave(): void {
+        this.leaving = true;
+        this.noteBelief();
+    }
+
+    public order(order: EngineOrder, sender: string): OrderAnswer {
+        const isOld = this.options.checksEpochs && order.epoch < this.highestEpoch;
+        const accepted = !isOld && this.apply(order);
+        if (accepted) {
+            this.highestEpoch = Math.max(this.highestEpoch, order.epoch);
+            const { incarnation } = this;
+            this.acted.push({ at: this.loop.now(), sender, incarnation, epoch: order.epoch });
+        }
+        return { accepted, report: this.report() };
+    }
+
+    /** Takes work if it may; engines that do not check epochs take it whenever they serve. */
+    public accept(group: string, epoch: number, milliseconds: number): boolean {
+        const matches = this.group === group && this.epoch === epoch;
+        if (this.state !== "serving" || (this.options.checksEpochs && !matches)) {
+            return false;
+        }
+        this.running += 1;
+        const term = this.incarnation;
+        this.loop.after(milliseconds, () => {
+            if (term === this.incarnation && this.running > 0) {
+                this.running -= 1;
+            }
+        });
+        return true;
+    }
+
+    private apply(order: EngineOrder): boolean {
+        switch (order.kind) {
+            case "load":
+                return this.applyLoad(order);
+            case "serve":
+                if (this.group !== order.group || this.state !== "ready") {
+                    return this.group === order.group && this.state === "serving";
+                }
+                this.become("serving", order.group, order.epoch);
+                return true;
+            case "drain":
+                if (this.group !== order.group || (this.state !== "serving" && this.state !== "draining")) {
+                    return false;
+                }
+                this.become("draining", order.group, order.epoch);
+                return true;
+            case "release":
+                this.cancelLoad();
+                this.running = 0;
+                this.become("idle", undefined, order.epoch);
+                return true;
+        }
+    }
+
+    private applyLoad(order: EngineOrder): boolean {
+        if (this.group === order.group && this.epoch === order.epoch) {
+            return true;
+        }
+        if (this.state !== "idle" && !this.options.movesWithoutRelease) {
+            return false;
+        }
+        this.become("loading", order.group, order.epoch);
+        const finish = (): void => {
+            this.warm = [order.model];
+            this.become("ready", order.group, order.epoch);
+        };
+        if (
+            this.warm.some(held => held.model === order.model.model && held.version === order.model.version)
+        ) {
+            let isCancelled = false;
+            this.cancelLoad = () => (isCancelled = true);
+            this.loop.after(this.options.warmLoadMilliseconds, () => isCancelled || finish());
+        } else {
+            this.warm = [];
+            this.cancelLoad = this.weights.load(this.options.coldLoadMilliseconds, finish);
+        }
+        return true;
+    }
+
+    private become(state: EngineState, group: string | undefined, epoch: number): void {
+        this.state = state;
+        this.group = group;
+        this.epoch = epoch;
+        if (state !== "loading") {
+            this.cancelLoad = () => undefined;
+        }
+        this.noteBelief();
+    }
+
+    private noteBelief(): void {
+        const { isAlive, state, group, epoch, leaving } = this;
+        this.beliefs.push({ at: this.loop.now(), isAlive, state, group, epoch, leaving });
+    }
+}
--- /dev/null
+++ b/benchmarks/placement-placers.ts
@@ -0,0 +1,214 @@
+/** One placer process in virtual time: its core, its pauses, and its calls to the fakes. */
+import type { Lease } from "../src/contracts/key-value-stores.js";
+import type { Result } from "../src/core/errors.js";
+import { fail, succeed } from "../src/core/errors.js";
+import type { DomainCommand, DomainEvent } from "../src/core/placement-domains.js";
+import { DomainPlacers } from "../src/core/placement-domains.js";
+import type { PlacerEvent } from "../src/core/placement-messages.js";
+import type { PlacementPolicy } from "../src/core/placement-policies.js";
+import { placementKey, placementLeaseKey } from "../src/core/placement-values.js";
+import type { World } from "./placement-worlds.js";
+
+const tickMilliseconds = 250;
+
+export class FakePlacer {
+    private pausedUntil = 0;
+    private readonly queue: DomainEvent[] = [];
+    private placers: DomainPlacers;
+    private nonce = 0;
+    private life = 0;
+    /** Time spent in the core, in real milliseconds; only measured if a clock is given. */
+    public steps = 0;
+
+    private constructor(
+        public readonly id: string,
+        private readonly world: World,
+    ) {
+        this.placers = this.createPlacers();
+        const offset = world.random() * tickMilliseconds;
+        world.loop.after(offset, () =>
+            world.loop.every(tickMilliseconds, () => this.receive({ kind: "tick" })),
+        );
+        world.loop.after(offset, () =>
+            world.loop.every(world.options.probeMilliseconds, () => this.probeAll()),
+        );
+    }
+
+    public static create(id: string, world: World): FakePlacer {
+        return new FakePlacer(id, world);
+    }
+
+    public pause(milliseconds: number): void {
+        const { loop } = this.world;
+        this.pausedUntil = Math.max(this.pausedUntil, loop.now() + milliseconds);
+        loop.at(this.pausedUntil, () => this.drainQueue());
+    }
+
+    /** Replaces the process by a new one that knows nothing. */
+    public restart(): void {
+        this.life += 1;
+        this.queue.length = 0;
+        this.pausedUntil = 0;
+        this.placers = this.createPlacers();
+        this.receive({ kind: "instances", instances: this.world.listInstances() });
+    }
+
+    /** Takes an event now, or when the process goes on. */
+    public receive(event: DomainEvent): void {
+        if (this.world.loop.now() < this.pausedUntil) {
+            if (event.kind !== "tick" || this.queue.at(-1)?.kind !== "tick") {
+                this.queue.push(event);
+            }
+            return;
+        }
+        this.steps += 1;
+        this.placers.step(event, this.world.loop.now()).forEach(command => this.run(command));
+    }
+
+    private drainQueue(): void {
+        if (this.world.loop.now() >= this.pausedUntil) {
+            this.queue.splice(0).forEach(event => this.receive(event));
+        }
+    }
+
+    private createPlacers(): DomainPlacers {
+        const { options, random } = this.world;
+        const placers = DomainPlacers.create({
+            failureDomain: "zone-1",
+            instance: this.id,
+            holder: `${this.id}/${random()}`,
+            createNonce: () => `${this.id}/${(this.nonce += 1)}`,
+            decideRepair: options.decideRepair,
+        });
+        placers.step({ kind: "policy", policy: this.seenPolicy() }, this.world.loop.now());
+        return placers;
+    }
+
+    /** Mutants see a policy that lets them skip a wait. */
+    private seenPolicy(): PlacementPolicy {
+        const { mutant, policy } = this.world.options;
+        if (mutant === "takeoverWaitSkipped") {
+            return { ...policy, enginesCheckFencing: true };
+        }
+        return mutant === "settleSkipped"
+            ? { ...policy, dispatchMilliseconds: -policy.healthMilliseconds }
+            : policy;
+    }
+
+    private probeAll(): void {
+        if (this.world.loop.now() < this.pausedUntil) {
+            return;
+        }
+        for (const instance of this.world.engines.keys()) {
+            this.world.probeHealth(this.id, instance, health => this.receive({ kind: "health", health }));
+        }
+    }
+
+    private run({ fabricDomain, command }: DomainCommand): void {
+        const { world, life } = this;
+        const { store, loop } = world;
+        const reply = (event: PlacerEvent): void => {
+            if (life === this.life) {
+                this.receive({ kind: "answer", fabricDomain, event });
+            }
+        };
+        const leaseKey = placementLeaseKey(fabricDomain);
+        const key = placementKey(fabricDomain);
+        switch (command.kind) {
+            case "record":
+                world.events.push({ at: loop.now(), process: this.id, body: command.body });
+                return;
+            case "readLease":
+                store.get(this.id, leaseKey, result =>
+                    reply({ kind: "leaseRead", call: command.call, result }),
+                );
+                return;
+            case "grantLease":
+                store.grantLease(this.id, command.seconds, result =>
+                    reply({ kind: "leaseGranted", call: command.call, result: this.alterLease(result) }),
+                );
+                return;
+            case "claimLease": {
+                const { value, lease } = command;
+                store.compareAndSwap(this.id, { key: leaseKey, expectedRevision: 0, value, lease }, outcome =>
+                    reply({ kind: "leaseClaimed", call: command.call, outcome }),
+                );
+                return;
+            }
+            case "renewLease":
+                store.renewLease(this.id, command.lease, result =>
+                    this.answerRenewal(command.call, result, reply),
+                );
+                return;
+            case "revokeLease":
+                store.revokeLease(this.id, command.lease);
+                return;
+            case "readPlacement":
+                store.get(this.id, key, result =>
+                    reply({ kind: "placementRead", call: command.call, result }),
+                );
+                return;
+            case "swapPlacement": {
+                const { value, expectedRevision } = command;
+                store.compareAndSwap(this.id, { key, expectedRevision, value }, outcome =>
+                    reply({ kind: "placementSwapped", call: command.call, outcome }),
+                );
+                return;
+            }
+            case "probe":
+                this.probe(command.call, command.instance.id, reply);
+                return;
+            case "order":
+                this.order(command, reply);
+        }
+    }
+
+    private probe(call: number, instance: string, reply: (event: PlacerEvent) => void): void {
+        this.world.probe(this.id, instance, (report, sentAt) =>
+            reply({ kind: "probed", call, instance, sentAt, result: succeed(report) }),
+        );
+    }
+
+    private order(
+        command: Extract<DomainCommand["command"], { readonly kind: "order" }>,
+        reply: (event: PlacerEvent) => void,
+    ): void {
+        const { world } = this;
+        const sentAt = world.loop.now();
+        const { call, order } = command;
+        const instance = command.instance.id;
+        if (world.options.mutant === "movedWithoutRelease" && order.kind === "release") {
+            world.probe(this.id, instance, report => {
+                const idle = {
+                    ...report,
+                    state: "idle" as const,
+                    group: undefined,
+                    sequence: report.sequence + 50,
+                };
+                const result = succeed({ accepted: true, report: idle });
+                reply({ kind: "orderAnswered", call, instance, sentAt, result });
+            });
+            return;
+        }
+        world.sendOrder(this.id, order, instance, result =>
+            reply({ kind: "orderAnswered", call, instance, sentAt, result }),
+        );
+    }
+
+    /** A placer that does not check its lease takes every lease for endless. */
+    private alterLease(result: Result<Lease>): Result<Lease> {
+        const isUnchecked = this.world.options.mutant === "leaseUnchecked";
+        return result.success && isUnchecked
+            ? succeed({ ...result.data, deadline: Number.MAX_VALUE })
+            : result;
+    }
+
+    private answerRenewal(call: number, result: Result<Lease>, reply: (event: PlacerEvent) => void): void {
+        const isUnchecked = this.world.options.mutant === "leaseUnchecked";
+        const shown =
+            isUnchecked && !result.success
+                ? fail<Lease>({ ...result.fault, code: "storeUnavailable" })
+                : this.alterLease(result);
+        reply({ kind: "leaseRenewed", call, result: shown });
+    }
+}
--- /dev/null
+++ b/benchmarks/placement-worlds.ts
@@ -0,0 +1,233 @@
+/** Placers, entries and fakes of one failure domain in virtual time, for experiments and histories. */
+import type { EngineOrder, OrderAnswer } from "../src/contracts/engines.js";
+import type { EndpointHealth, EndpointReport } from "../src/core/endpoints.js";
+import { fail, succeed } from "../src/core/errors.js";
+import type { Fault, Result } from "../src/core/errors.js";
+import type { EventBody } from "../src/core/events.js";
+import type { Instance } from "../src/core/instances.js";
+import type { PlacementPolicy } from "../src/core/placement-policies.js";
+import type { FabricPlacement } from "../src/core/placement-values.js";
+import { placementPrefix, safeParseFabricPlacement } from "../src/core/placement-values.js";
+import { createRandomNumber } from "../src/core/random-numbers.js";
+import type { DecideRepair } from "../src/core/repairs.js";
+import { VirtualLoop } from "./loops.js";
+import type { AcceptedWork } from "./placement-engines.js";
+import { FakeEngine, FakeWeightStore } from "./placement-engines.js";
+import { FakeEntry } from "./placement-entries.js";
+import { FakePlacer } from "./placement-placers.js";
+import { FakeStore } from "./placement-stores.js";
+
+/** A deliberate fault in the system under test, which a checker must find. */
+export type Mutant =
+    | "none"
+    | "gateSkipped"
+    | "leaseUnchecked"
+    | "oldEpochAccepted"
+    | "takeoverWaitSkipped"
+    | "movedWithoutRelease"
+    | "settleSkipped";
+
+/** Size and behaviour of a world. */
+export interface WorldOptions {
+    readonly seed: number;
+    readonly fabricDomains: number;
+    readonly instancesPerFabricDomain: number;
+    readonly placers: number;
+    readonly entries: number;
+    readonly policy: PlacementPolicy;
+    readonly decideRepair: DecideRepair;
+    readonly mutant: Mutant;
+    readonly coldLoadMilliseconds: number;
+    readonly warmLoadMilliseconds: number;
+    /** Loads that the whole weight store serves at full rate. */
+    readonly loadsAtFullRate: number;
+    readonly probeMilliseconds: number;
+    /** Time after which the instance list shows a change, at most. */
+    readonly listLagMilliseconds: number;
+    /** Chance that an order is held up between its lease check and its send. */
+    readonly heldUpChance: number;
+}
+
+/** Everything of one run. */
+export class World {
+    public readonly loop = VirtualLoop.create();
+    public readonly random: () => number;
+    public readonly store: FakeStore;
+    public readonly weights: FakeWeightStore;
+    public readonly engines = new Map<string, FakeEngine>();
+    public readonly placers: readonly FakePlacer[];
+    public readonly entries: readonly FakeEntry[];
+    public readonly accepted: AcceptedWork[] = [];
+    public readonly faultyValues: string[] = [];
+    public readonly events: { readonly at: number; readonly process: string; readonly body: EventBody }[] =
+        [];
+    /** The latest value of each fabric domain. */
+    public readonly placements = new Map<string, FabricPlacement>();
+    /** Pairs "process instance" that cannot reach each other until the given time. */
+    public readonly cutUntil = new Map<string, number>();
+    public ordersSent = 0;
+    /** Chance that an order is held up between its lease check and its send. */
+    public heldUpChance: number;
+
+    private constructor(public readonly options: WorldOptions) {
+        this.random = createRandomNumber(options.seed);
+        this.heldUpChance = options.heldUpChance;
+        this.store = FakeStore.create(this.loop, this.random, (key, value) => this.handleWrite(key, value));
+        this.weights = FakeWeightStore.create(this.loop, options.loadsAtFullRate);
+        this.createEngines();
+        this.placers = count(options.placers).map(index => FakePlacer.create(`placer-${index}`, this));
+        this.entries = count(options.entries).map(index => FakeEntry.create(`entry-${index}`, this));
+        this.announceInstances();
+    }
+
+    public static create(options: WorldOptions): World {
+        return new World(options);
+    }
+
+    /** The instance list as it is; it reaches each process late. */
+    public listInstances(): readonly Instance[] {
+        const engines = [...this.engines.values()].map((engine): Instance => ({
+            ...engine.instance,
+            state: engine.leaving ? "leaving" : "live",
+        }));
+        const entries = count(this.options.placers).map(index =>
+            createInstance(`placer-${index}`, "", "entry"),
+        );
+        return [...engines, ...entries];
+    }
+
+    /** Sends the instance list to every placer, each with its own lag. */
+    public announceInstances(): void {
+        const instances = this.listInstances();
+        for (const placer of this.placers) {
+            const lag = this.random() * this.options.listLagMilliseconds;
+            this.loop.after(lag, () => placer.receive({ kind: "instances", instances }));
+        }
+    }
+
+    public isCut(process: string, instance: string): boolean {
+        const now = this.loop.now();
+        const until = (key: string): number => this.cutUntil.get(key) ?? 0;
+        return now < until(`${process} ${instance}`) || now < until(`${process} *`);
+    }
+
+    /** Probes one engine on behalf of a process; no answer at all stands for silence. */
+    public probe(
+        process: string,
+        instance: string,
+        answer: (report: EndpointReport, sentAt: number) => void,
+    ): void {
+        const sentAt = this.loop.now();
+        if (this.isCut(process, instance)) {
+            return;
+        }
+        this.loop.after(0.5 + this.random(), () => {
+            const engine = this.engines.get(instance);
+            if (engine?.isResponding() === true) {
+                const report = engine.report();
+                this.loop.after(0.5 + this.random(), () => answer(report, sentAt));
+            }
+        });
+    }
+
+    /** Health as a probe of a process sees it. */
+    public probeHealth(process: string, instance: string, take: (health: EndpointHealth) => void): void {
+        const { healthMilliseconds } = this.options.policy;
+        this.probe(process, instance, (report, sentAt) =>
+            take({ report, healthyUntil: sentAt + healthMilliseconds }),
+        );
+    }
+
+    /**
+     * Carries an order to an engine. Its lease was checked at this moment; the sender may be held up afterwards, and an
+     * engine that was paused reads it when it goes on.
+     */
+    public sendOrder(
+        process: string,
+        order: EngineOrder,
+        instance: string,
+        answer: (result: Result<OrderAnswer>) => void,
+    ): void {
+        this.ordersSent += 1;
+        const { policy } = this.options;
+        const isHeldUp = this.random() < this.heldUpChance;
+        const longest = policy.enginesCheckFencing ? 30_000 : policy.allowedPauseMilliseconds;
+        const heldUp = isHeldUp ? this.random() * longest : 0;
+        const checkedAt = this.loop.now();
+        const limit = checkedAt + heldUp + policy.orderMilliseconds;
+        const unanswered = (): void => this.loop.at(limit, () => answer(fail(orderFault)));
+        if (this.isCut(process, instance)) {
+            unanswered();
+            return;
+        }
+        this.loop.after(heldUp + 0.5 + this.random(), () =>
+            this.deliver(process, order, instance, limit, answer),
+        );
+    }
+
+    private deliver(
+        process: string,
+        order: EngineOrder,
+        instance: string,
+        limit: number,
+        answer: (result: Result<OrderAnswer>) => void,
+    ): void {
+        const engine = this.engines.get(instance);
+        const now = this.loop.now();
+        const isClosed = now >= limit && !this.options.policy.enginesCheckFencing;
+        if (engine === undefined || !engine.isAlive || isClosed) {
+            this.loop.at(limit, () => answer(fail(orderFault)));
+            return;
+        }
+        if (now < engine.pausedUntil) {
+            this.loop.at(engine.pausedUntil, () => this.deliver(process, order, instance, limit, answer));
+            return;
+        }
+        const result = engine.order(order, process);
+        const isLost = this.random() < this.store.faults.answerLost;
+        this.loop.after(0.5, () => {
+            answer(isLost || this.loop.now() >= limit ? fail(orderFault) : succeed(result));
+        });
+    }
+
+    private createEngines(): void {
+        const { options } = this;
+        for (const domain of count(options.fabricDomains)) {
+            for (const index of count(options.instancesPerFabricDomain)) {
+                const instance = createInstance(`engine-${domain}-${index}`, `fabric-${domain}`, "engine");
+                const engine = FakeEngine.create(instance, this.loop, this.weights, {
+                    checksEpochs: options.policy.enginesCheckFencing && options.mutant !== "oldEpochAccepted",
+                    movesWithoutRelease: options.mutant === "movedWithoutRelease",
+                    coldLoadMilliseconds: options.coldLoadMilliseconds,
+                    warmLoadMilliseconds: options.warmLoadMilliseconds,
+                    slots: 8,
+                });
+                this.engines.set(instance.id, engine);
+            }
+        }
+    }
+
+    private handleWrite(key: string, value: string | undefined): void {
+        if (!key.startsWith(placementPrefix) || value === undefined) {
+            return;
+        }
+        const parsed = safeParseFabricPlacement(value);
+        if (!parsed.success) {
+            this.faultyValues.push(parsed.fault.message);
+            return;
+        }
+        this.placements.set(parsed.data.fabricDomain, parsed.data);
+        this.entries.forEach(entry => entry.followPlacement(parsed.data));
+    }
+}
+
+const orderFault: Fault = { code: "endpointFailed", message: "no answer", step: "order", notRun: false };
+
+/** Numbers from 0 to `length` - 1. */
+export function count(length: number): readonly number[] {
+    return Array.from({ length }, (_, index) => index);
+}
+
+function createInstance(id: string, fabricDomain: string, role: Instance["role"]): Instance {
+    return { id, address: `${id}:1`, failureDomain: "zone-1", fabricDomain, role, state: "live" };
+}
--- a/src/core/placement-drafts.ts
+++ b/src/core/placement-drafts.ts
@@ -59,24 +59,36 @@
     }
 
     /** Moves a group to another state of its life. */
-    public moveGroup(group: PlacedGroup, state: ReplicaGroupState): void {
+    public moveGroup(id: ReplicaGroupId, state: ReplicaGroupState): void {
+        const group = this.groupById.get(id);
+        if (group === undefined) {
+            return;
+        }
         const epoch = this.raiseEpoch();
         const loadEpoch = state === "loading" ? epoch : group.loadEpoch;
-        this.groupById.set(group.id, { ...group, state, epoch, loadEpoch });
+        this.groupById.set(id, { ...group, state, epoch, loadEpoch });
     }
 
     /** Gives a group other members, of which the new ones are spares; the ones that go are quarantined. */
-    public reformGroup(group: PlacedGroup, members: readonly InstanceId[]): void {
+    public reformGroup(id: ReplicaGroupId, members: readonly InstanceId[]): void {
+        const group = this.groupById.get(id);
+        if (group === undefined) {
+            return;
+        }
         const kept = new Set(members);
         members.forEach(member => this.spareSet.delete(member));
         group.members.filter(member => !kept.has(member)).forEach(member => this.quarantinedSet.add(member));
-        this.groupById.set(group.id, { ...group, members, state: "forming", epoch: this.raiseEpoch() });
+        this.groupById.set(id, { ...group, members, state: "forming", epoch: this.raiseEpoch() });
     }
 
     /** Removes a group. Members that acknowledged their release become spares, the others are quarantined. */
-    public dissolveGroup(group: PlacedGroup, isReleased: (instance: InstanceId) => boolean): void {
+    public dissolveGroup(id: ReplicaGroupId, isReleased: (instance: InstanceId) => boolean): void {
+        const group = this.groupById.get(id);
+        if (group === undefined) {
+            return;
+        }
         this.raiseEpoch();
-        this.groupById.delete(group.id);
+        this.groupById.delete(id);
         for (const member of group.members) {
             (isReleased(member) ? this.spareSet : this.quarantinedSet).add(member);
         }
--- a/src/core/placement-loads.ts
+++ b/src/core/placement-loads.ts
@@ -20,7 +20,7 @@
         const isReachable = group.members.every(member => reportOf(view, member, now) !== undefined);
         if (isReachable && (cold(group) === 0 || fits)) {
             loading += cold(group);
-            draft.moveGroup(group, "loading");
+            draft.moveGroup(group.id, "loading");
         }
     }
 }
--- a/src/core/placement-plans.ts
+++ b/src/core/placement-plans.ts
@@ -55,7 +55,7 @@
             member => reportOf(view, member, now) === undefined || isFreeOrLeaving(view, member, now),
         );
         if (group.state === "draining" && isOver) {
-            draft.dissolveGroup(group, member => isFree(view, member, now));
+            draft.dissolveGroup(group.id, member => isFree(view, member, now));
         }
     }
 }
@@ -86,7 +86,7 @@
     for (const group of draft.groups) {
         const isReady = group.members.every(member => isReadyMember(group, view, member, now));
         if (group.state === "loading" && isReady) {
-            draft.moveGroup(group, "serving");
+            draft.moveGroup(group.id, "serving");
         }
     }
 }
@@ -107,7 +107,7 @@
 function drainLeaving(draft: PlacementDraft, view: PlacementView, now: number): void {
     for (const group of draft.groups.filter(each => each.state !== "draining")) {
         if (group.members.some(member => assessMember(view, group, member, now) === "leaving")) {
-            draft.moveGroup(group, "draining");
+            draft.moveGroup(group.id, "draining");
         }
     }
 }
@@ -184,6 +184,6 @@
         hasSparesFor: model => freeSpares(draft, view, model, now).length >= model.instancesPerReplica,
     });
     if (group !== undefined) {
-        draft.moveGroup(group, "draining");
+        draft.moveGroup(group.id, "draining");
     }
 }
--- a/src/core/placement-repairs.ts
+++ b/src/core/placement-repairs.ts
@@ -25,42 +25,45 @@
     now: number,
 ): void {
     const broken = findBrokenGroups(draft, view, now);
-    const merged = new Set<string>();
+    const settled = new Set<string>();
     let coming = countComingSpares(draft, view, now);
     for (const each of broken) {
         const free = freeSpares(draft, view, each.group.model, now).length;
         const isWaitingForSpares = free < each.silent.length && free + coming >= each.silent.length;
         if (isWaitingForSpares) {
             coming -= each.silent.length - free;
-        } else if (!merged.has(each.group.id)) {
-            repairGroup(draft, view, decide, each, broken, merged, now);
+        } else if (!settled.has(each.group.id)) {
+            coming += repairGroup(draft, view, decide, each, broken, settled, now);
         }
     }
 }
 
+/** Returns how many spares the decision brings, beyond those that the group itself waits for. */
 function repairGroup(
     draft: PlacementDraft,
     view: PlacementView,
     decide: DecideRepair,
     each: BrokenGroup,
     broken: readonly BrokenGroup[],
-    merged: Set<string>,
+    settled: Set<string>,
     now: number,
-): void {
-    const donor = findDonor(each, broken, merged);
+): number {
+    const donor = findDonor(each, broken, settled);
     const situation = describe(draft, view, each, donor !== undefined, now);
     switch (decide(situation, view.policy)) {
         case "wait":
-            return;
+            return 0;
         case "warmSpare":
         case "coldSpare":
+            settled.add(each.group.id);
             replaceMembers(draft, view, each, now);
-            return;
+            return 0;
         case "merge": {
             const dissolved = donor ?? each;
-            merged.add(dissolved.group.id);
-            draft.moveGroup(dissolved.group, "draining");
-            return;
+            settled.add(dissolved.group.id);
+            draft.moveGroup(dissolved.group.id, "draining");
+            const survivors = dissolved.group.members.length - dissolved.silent.length;
+            return donor === undefined ? survivors : survivors - each.silent.length;
         }
     }
 }
@@ -88,12 +91,12 @@
 function findDonor(
     each: BrokenGroup,
     broken: readonly BrokenGroup[],
-    merged: ReadonlySet<string>,
+    settled: ReadonlySet<string>,
 ): BrokenGroup | undefined {
     const others = broken.filter(
         other =>
             other.group.id !== each.group.id &&
-            !merged.has(other.group.id) &&
+            !settled.has(other.group.id) &&
             other.group.model.model === each.group.model.model &&
             other.silent.length > 0 &&
             other.group.members.length - other.silent.length >= each.silent.length,
@@ -140,5 +143,5 @@
         }
     }
     const members = each.group.members.map(member => replacement.get(member) ?? member);
-    draft.reformGroup(each.group, members);
+    draft.reformGroup(each.group.id, members);
 }
--- /dev/null
+++ b/tests/histories/placements-runs.ts
@@ -0,0 +1,203 @@
+/** Runs one placement history: a world, a schedule of faults, a time to recover, and the checker's judgement. */
+import { findBreaches } from "./placements-checkers.js";
+import type { Mutant, WorldOptions } from "../../benchmarks/placement-worlds.js";
+import { World } from "../../benchmarks/placement-worlds.js";
+import { placementPolicySchema } from "../../src/core/placement-policies.js";
+import type { DecideRepair } from "../../src/core/repairs.js";
+import { priceRepair, rebuildAtOnce, waitForRestart } from "../../src/core/repairs.js";
+
+/** One fault of a schedule; `target` picks an engine or process by remainder. */
+export interface ScheduledFault {
+    readonly at: number;
+    readonly kind: FaultKind;
+    readonly target: number;
+    readonly other: number;
+    readonly milliseconds: number;
+}
+
+export const faultKinds = [
+    "engineDies",
+    "enginePauses",
+    "engineLeaves",
+    "domainDark",
+    "placerPauses",
+    "placerRestarts",
+    "entryPauses",
+    "linkCut",
+    "placerCutFromEngines",
+    "storeDown",
+    "placerCutFromStore",
+    "storeLosesCalls",
+] as const;
+
+export type FaultKind = (typeof faultKinds)[number];
+
+/** One generated history. */
+export interface HistoryPlan {
+    readonly seed: number;
+    readonly enginesCheckFencing: boolean;
+    readonly repair: number;
+    readonly size: number;
+    /** Loads take hardly any time, so that only the placer's own waits keep groups apart. */
+    readonly quickLoads: boolean;
+    /** Chance that an order is held up between its lease check and its send. */
+    readonly heldUpChance: number;
+    readonly faults: readonly ScheduledFault[];
+}
+
+/** What a run showed. */
+export interface HistoryOutcome {
+    readonly breaches: readonly string[];
+    readonly accepted: number;
+    /** Groups that accepted work in the last seconds of the time to recover, and how many should have. */
+    readonly groupsAtEnd: number;
+    readonly groupsExpected: number;
+    readonly groupsCreated: number;
+}
+
+const faultEnd = 60_000;
+const recoveryEnd = 150_000;
+const lastSeconds = 10_000;
+const repairs: readonly DecideRepair[] = [priceRepair, rebuildAtOnce, waitForRestart];
+
+/** Runs a history from its plan. */
+export function runHistory(plan: HistoryPlan, mutant: Mutant = "none"): HistoryOutcome {
+    const world = World.create(createOptions(plan, mutant));
+    plan.faults.forEach(fault => world.loop.at(fault.at, () => applyFault(world, fault)));
+    world.loop.every(7_000, () => world.announceInstances());
+    world.loop.runUntil(faultEnd);
+    endFaults(world);
+    world.loop.runUntil(recoveryEnd);
+    if (process.env.DEBUG)
+        console.log(
+            world.events
+                .filter(e => e.at > 28000 && e.at < 45000 && e.body.kind !== "orderAnswered")
+                .map(e => e.at.toFixed(0) + " " + e.process + " " + JSON.stringify(e.body))
+                .join("\n"),
+            world.placements.get("fabric-0"),
+        );
+    return judge(world, plan);
+}
+
+function createOptions(plan: HistoryPlan, mutant: Mutant): WorldOptions {
+    const policy = placementPolicySchema.parse({
+        models: [{ model: "draft", version: "1", instancesPerReplica: plan.size, floor: 1, demand: 2 }],
+        weights: { groupDowntime: 4, strandedAccelerators: 1 },
+        healthMilliseconds: 3_000,
+        dispatchMilliseconds: 1_000,
+        orderMilliseconds: 1_000,
+        allowedPauseMilliseconds: 3_000,
+        leaseSeconds: 5,
+        leavingMilliseconds: 4_000,
+        enginesCheckFencing: plan.enginesCheckFencing,
+        weightStoreLoadsAtOnce: 3,
+        repair: { restartMilliseconds: 8_000, pauseMilliseconds: 3_000, coldLoadMilliseconds: 1_000 },
+    });
+    return {
+        seed: plan.seed,
+        fabricDomains: 1,
+        instancesPerFabricDomain: 2 * plan.size + 2,
+        placers: 3,
+        entries: 2,
+        policy,
+        decideRepair: repairs[plan.repair % repairs.length] ?? priceRepair,
+        mutant,
+        coldLoadMilliseconds: plan.quickLoads ? 20 : 1_000,
+        warmLoadMilliseconds: plan.quickLoads ? 5 : 50,
+        loadsAtFullRate: 3,
+        probeMilliseconds: 1_000,
+        listLagMilliseconds: 5_000,
+        heldUpChance: plan.heldUpChance,
+    };
+}
+
+function pick<T>(values: readonly T[], target: number): T {
+    return values[target % values.length]!;
+}
+
+function applyFault(world: World, fault: ScheduledFault): void {
+    const now = world.loop.now();
+    const engines = [...world.engines.values()];
+    const engine = pick(engines, fault.target);
+    const placer = pick(world.placers, fault.target);
+    const processes = [...world.placers, ...world.entries].map(process => process.id);
+    switch (fault.kind) {
+        case "engineDies":
+            engine.die();
+            world.loop.after(fault.milliseconds, () => engine.restart());
+            return;
+        case "enginePauses":
+            engine.pause(fault.milliseconds);
+            return;
+        case "engineLeaves":
+            if (!engines.some(each => each.leaving)) {
+                engine.leave();
+                world.announceInstances();
+            }
+            return;
+        case "domainDark":
+            engines.forEach(each => each.die());
+            world.loop.after(fault.milliseconds, () => engines.forEach(each => each.restart()));
+            return;
+        case "placerPauses":
+            placer.pause(fault.milliseconds);
+            return;
+        case "placerRestarts":
+            placer.restart();
+            return;
+        case "entryPauses":
+            pick(world.entries, fault.target).pause(fault.milliseconds);
+            return;
+        case "linkCut":
+            world.cutUntil.set(
+                `${pick(processes, fault.other)} ${engine.instance.id}`,
+                now + fault.milliseconds,
+            );
+            return;
+        case "placerCutFromEngines":
+            world.cutUntil.set(`${placer.id} *`, now + fault.milliseconds);
+            return;
+        case "storeDown":
+            world.store.downUntil = now + fault.milliseconds;
+            return;
+        case "placerCutFromStore":
+            world.store.cutUntil.set(placer.id, now + fault.milliseconds);
+            return;
+        case "storeLosesCalls":
+            world.store.faults = { requestLost: 0.15, answerLost: 0.2, effectLate: 0.1 };
+            world.loop.after(fault.milliseconds, () => {
+                world.store.faults = { requestLost: 0, answerLost: 0, effectLate: 0 };
+            });
+    }
+}
+
+function endFaults(world: World): void {
+    world.store.downUntil = 0;
+    world.store.cutUntil.clear();
+    world.store.faults = { requestLost: 0, answerLost: 0, effectLate: 0 };
+    world.cutUntil.clear();
+    world.heldUpChance = 0;
+    [...world.engines.values()].filter(engine => !engine.isAlive).forEach(engine => engine.restart());
+}
+
+function judge(world: World, plan: HistoryPlan): HistoryOutcome {
+    const { policy } = world.options;
+    const breaches = findBreaches({
+        engines: world.engines,
+        accepted: world.accepted,
+        faultyValues: world.faultyValues,
+        terms: world.store.terms,
+        healthMilliseconds: policy.healthMilliseconds,
+        dispatchMilliseconds: policy.dispatchMilliseconds,
+        enginesCheckEpochs: plan.enginesCheckFencing,
+    });
+    const recent = world.accepted.filter(work => work.at > recoveryEnd - lastSeconds);
+    const staying = [...world.engines.values()].filter(engine => !engine.leaving).length;
+    return {
+        breaches,
+        accepted: world.accepted.length,
+        groupsAtEnd: new Set(recent.map(work => work.group)).size,
+        groupsExpected: Math.min(2, Math.floor(staying / plan.size)),
+        groupsCreated: (world.placements.get("fabric-0")?.nextGroup ?? 1) - 1,
+    };
+}
--- /dev/null
+++ b/tests/histories/placements.test.ts
@@ -0,0 +1,38 @@
+import test from "ava";
+import fc from "fast-check";
+import type { Mutant } from "../../benchmarks/placement-worlds.js";
+import { heldUpOrdersPlan, historyPlan, unreachableLeaderPlan } from "./placements-plans.js";
+import type { HistoryPlan } from "./placements-runs.js";
+import { runHistory } from "./placements-runs.js";
+
+const randomPlans = fc.sample(historyPlan, { numRuns: 60, seed: 1 });
+const leaderPlans = [5, 19, 29, 34, 66].map(unreachableLeaderPlan);
+const heldUpPlans = [12, 31, 74, 140, 146].map(heldUpOrdersPlan);
+const allPlans = [...randomPlans, ...leaderPlans, ...heldUpPlans];
+
+function isFound(plans: readonly HistoryPlan[], mutant: Mutant): boolean {
+    return plans.some(plan => runHistory(plan, mutant).breaches.length > 0);
+}
+
+test("no history breaks a promise, and every history gets its groups back", t => {
+    for (const plan of allPlans) {
+        const outcome = runHistory(plan);
+        t.deepEqual(outcome.breaches, [], JSON.stringify(plan));
+        t.true(outcome.groupsAtEnd >= outcome.groupsExpected, JSON.stringify(plan));
+    }
+});
+
+const mutants: readonly (readonly [Mutant, readonly HistoryPlan[]])[] = [
+    ["gateSkipped", randomPlans],
+    ["leaseUnchecked", randomPlans],
+    ["oldEpochAccepted", randomPlans],
+    ["takeoverWaitSkipped", heldUpPlans],
+    ["movedWithoutRelease", randomPlans],
+    ["settleSkipped", leaderPlans],
+];
+
+for (const [mutant, plans] of mutants) {
+    test(`the checker finds the mutant ${mutant}`, t => {
+        t.true(isFound(plans, mutant));
+    });
+}
