--- /dev/null
+++ b/src/commands/control.ts
@@ -0,0 +1,119 @@
+#!/usr/bin/env node
+/** chervil-control: operators' settings under the hierarchy of named paths, and the state of the system. */
+import { cac } from "cac";
+import { systemClock } from "../links/clocks.js";
+import type { KeyValueStoreLink } from "../links/key-value-stores.js";
+import { createKeyValueStore } from "../links/key-value-stores.js";
+import type { ControlContext } from "./control/actions.js";
+import { applyDirectory, diffDirectory, getPath, listPaths, setPath, watchPaths } from "./control/actions.js";
+import type { OutputFormat } from "./control/outputs.js";
+import { exitCodes } from "./control/outputs.js";
+import { showStatus } from "./control/statuses.js";
+import { readVersion } from "./versions.js";
+
+const callMilliseconds = 5_000;
+
+interface ControlOptions {
+    readonly store?: string;
+    readonly admin?: string | readonly string[];
+    readonly output: string;
+    readonly dryRun?: boolean;
+    readonly revision?: number;
+}
+
+function formatOf(options: ControlOptions): OutputFormat {
+    return options.output === "json" ? "json" : "text";
+}
+
+function fail(message: string): void {
+    process.stderr.write(`chervil-control: ${message}\n`);
+    process.exitCode = exitCodes.usage;
+}
+
+async function withStore(
+    options: ControlOptions,
+    action: (context: ControlContext) => Promise<void>,
+    keepsRunning = false,
+): Promise<void> {
+    if (options.store === undefined) {
+        fail("expected --store host:port[,host:port...], the key-value service's addresses");
+        return;
+    }
+    const store: KeyValueStoreLink = createKeyValueStore({
+        addresses: options.store.split(","),
+        process: "chervil-control",
+        clock: systemClock,
+    });
+    await action({ store, clock: systemClock, callMilliseconds, format: formatOf(options) });
+    if (!keepsRunning) {
+        store.close();
+    }
+}
+
+async function status(options: ControlOptions): Promise<void> {
+    const addresses = [options.admin ?? []].flat().flatMap(list => String(list).split(","));
+    if (addresses.length === 0) {
+        fail("expected --admin host:port[,host:port...], admin ports of entry processes");
+        return;
+    }
+    await showStatus(formatOf(options), addresses);
+}
+
+const commands = cac("chervil-control");
+commands.option("--store <addresses>", "Addresses of the key-value service, separated by commas");
+commands.option("--output <format>", "text or json (one document a line)", { default: "text" });
+commands
+    .command("get <path>", "Show one path (the leading config/ may be left out)")
+    .action((path: string, options: ControlOptions) => withStore(options, context => getPath(context, path)));
+commands
+    .command("list [prefix]", "Show every path below a prefix")
+    .action((prefix: string | undefined, options: ControlOptions) =>
+        withStore(options, context => listPaths(context, prefix ?? "")),
+    );
+commands
+    .command("set <path> <value>", "Set one path to a JSON value")
+    .option("--revision <revision>", "The revision that you saw; the present one is read if absent")
+    .action((path: string, value: string, options: ControlOptions) =>
+        withStore(options, context => setPath(context, path, String(value), options.revision)),
+    );
+commands
+    .command("delete <path>", "Delete one path; its default comes into force")
+    .option("--revision <revision>", "The revision that you saw; the present one is read if absent")
+    .action((path: string, options: ControlOptions) =>
+        withStore(options, context => setPath(context, path, undefined, options.revision)),
+    );
+commands
+    .command("apply <directory>", "Make the subtrees that a directory has files for equal to it")
+    .option("--dry-run", "Show the changes and make none")
+    .action((directory: string, options: ControlOptions) =>
+        withStore(options, context => applyDirectory(context, directory, options.dryRun === true)),
+    );
+commands
+    .command("diff <directory>", "Show what apply would change; exit code 5 if there is anything")
+    .action((directory: string, options: ControlOptions) =>
+        withStore(options, context => diffDirectory(context, directory)),
+    );
+commands
+    .command("watch [prefix]", "Show changes below a prefix until interrupted")
+    .action((prefix: string | undefined, options: ControlOptions) =>
+        withStore(options, context => watchPaths(context, prefix ?? ""), true),
+    );
+commands
+    .command("status", "Show what entry processes say of themselves; works without the platform")
+    .option("--admin <addresses>", "Admin ports of entry processes, separated by commas")
+    .action(status);
+commands.help();
+commands.version(readVersion());
+try {
+    commands.parse(process.argv, { run: false });
+    if (
+        commands.matchedCommand === undefined &&
+        commands.options["help"] !== true &&
+        commands.options["version"] !== true
+    ) {
+        fail("expected get, list, set, delete, apply, diff, watch or status; see --help");
+    }
+    await commands.runMatchedCommand();
+} catch (thrown) {
+    fail(thrown instanceof Error ? thrown.message : String(thrown));
+}
