--- a/src/core/admissions.ts
+++ b/src/core/admissions.ts
@@ -68,6 +68,8 @@
     requestMilliseconds: 120_000,
     maximumTokens: 4_096,
 };
+/** Factor on the estimated wait beyond which a start counts as too late; the estimate errs by about this much. */
+export const lateStartMargin = 1.5;
 /** Earliest return of a refused caller, in milliseconds. */
 export const earliestRetryMilliseconds = 200;
 
@@ -141,7 +143,7 @@
             const message = "too many requests of the caller wait";
             return refuse(this.fault("overloaded", message, this.retryAt(wait, now)));
         }
-        const isLate = now + wait > startByOf(request);
+        const isLate = now + wait * lateStartMargin > startByOf(request);
         if (now >= request.deadline || (isLate && this.options.refusesLateStarts !== false)) {
             const message = "the request cannot start before its deadline";
             return refuse(this.fault("deadlineUnreachable", message, this.retryAt(wait, now)));
@@ -247,7 +249,8 @@
         tracked.state = "started";
         tracked.prepaid = request.expectedTokens;
         this.count(request.caller, -1);
-        this.modelOf(model).estimate.started(now);
+        const waiting = this.queuedBy(request.caller);
+        this.modelOf(model).estimate.started(request.caller, waiting, now);
         this.chargeTokens(request, request.promptTokens + request.expectedTokens, now);
         const rank = this.teams.get(request.caller.team)?.rank ?? 0;
         return { id, model, priority: rank + (borrowed ? borrowedPriority : 0), borrowed };
@@ -299,8 +302,16 @@
     }
 
     private waitOf(request: AdmissionRequest, model: ModelAdmission, now: number): number {
-        const own = this.counts.get(request.caller.team)?.bySubscriber.get(request.caller.subscriber) ?? 0;
-        return model.estimate.waitOf(model.queue.size, own, this.waitingSubscribers(), now);
+        const waiting = {
+            queued: model.queue.size,
+            own: this.queuedBy(request.caller),
+            subscribers: this.waitingSubscribers(),
+        };
+        return model.estimate.waitOf(request.caller, waiting, now);
+    }
+
+    private queuedBy(caller: Caller): number {
+        return this.counts.get(caller.team)?.bySubscriber.get(caller.subscriber) ?? 0;
     }
 
     private waitingSubscribers(): number {
--- a/src/core/route-policies.ts
+++ b/src/core/route-policies.ts
@@ -7,10 +7,14 @@
     readonly group: ReplicaGroupId;
     readonly isLocal: boolean;
     readonly slots: number;
+    /** Slots that this entry may count on. */
+    readonly credit: number;
     /** Own requests in flight. */
     readonly ownRequests: number;
     /** Estimate of all requests at the replica. */
     readonly allRequests: number;
+    /** Prompt tokens of own requests that have not shown a token yet. */
+    readonly prefillTokens: number;
     /** Factor by which the replica is slower than its peers. */
     readonly slowdown: number;
     /** Prompt tokens that the replica is believed to hold. */
@@ -38,7 +42,7 @@
 }
 
 export const defaultPrices: RoutePrices = {
-    prefillMillisecondsPerToken: 0.05,
+    prefillMillisecondsPerToken: 0.1,
     fullBatchMilliseconds: 40,
     slotWaitMilliseconds: 100,
     remoteMilliseconds: 2,
@@ -62,9 +66,9 @@
 }
 
 function estimateOf(candidate: RouteCandidate, promptTokens: number, prices: RoutePrices): number {
-    const uncached = Math.max(0, promptTokens - candidate.cachedTokens);
+    const uncached = Math.max(0, promptTokens - candidate.cachedTokens) + candidate.prefillTokens;
     const load = candidate.allRequests / Math.max(1, candidate.slots);
-    const waiting = Math.max(0, candidate.allRequests + 1 - candidate.slots);
+    const waiting = waitingAt(candidate);
     const work =
         uncached * prices.prefillMillisecondsPerToken +
         load * prices.fullBatchMilliseconds +
@@ -74,6 +78,18 @@
     return (work + prices.fullBatchMilliseconds) * candidate.slowdown + distance - affinity;
 }
 
+/** Part of a replica's slots by which late reports are taken to err. */
+const uncertainFraction = 0.05;
+
+/** Requests ahead at a replica; within its credit an entry counts on a free slot, whatever late reports say. */
+function waitingAt(candidate: RouteCandidate): number {
+    if (candidate.ownRequests < candidate.credit) {
+        return 0;
+    }
+    const uncertain = Math.max(1, candidate.slots * uncertainFraction);
+    return Math.max(0, candidate.allRequests + uncertain - candidate.slots);
+}
+
 /** Returns a choice of each replica in turn; a baseline. */
 export function chooseInTurn(): ChooseRoute {
     let last = "";
--- a/src/core/routes.ts
+++ b/src/core/routes.ts
@@ -56,8 +56,10 @@
 /** Slots of a replica that has not reported any. */
 export const unreportedSlots = 1;
 /** Part of a replica's slots that borrowing callers leave free. */
-export const reservedFraction = 0.01;
-/** Requests beyond a replica's slots, as a part of these, that callers within their fair part may add. */
+export const reservedFraction = 0.02;
+/** Part of a replica's slots by which late reports are taken to err. */
+export const uncertainFraction = 0.02;
+/** Part of its credit by which an entry may exceed it for callers within their fair part. */
 export const overcommitFraction = 0.05;
 /** Time in milliseconds for which the answers of the serving gate count in `capacity`. */
 const gateMilliseconds = 50;
@@ -66,6 +68,8 @@
     routed: RoutedGroup;
     readonly load: ReplicaLoad;
     credit: number;
+    /** Prompt tokens of own requests that have not shown a token yet. */
+    prefillTokens: number;
     isOpen: boolean;
     gateUntil: number;
 }
@@ -74,6 +78,7 @@
     readonly group: ReplicaGroupId;
     readonly model: string;
     lastTokenAt: number | undefined;
+    prefillTokens: number;
 }
 
 /** Routing of one entry process. */
@@ -150,13 +155,16 @@
 
     /** Returns how many more requests of a model may be sent now. */
     public capacity(model: string, borrowed: boolean, now: number): number {
-        let sum = 0;
+        let room = 0;
+        let credits = 0;
         for (const state of this.byModel.get(model) ?? []) {
             if (this.isOpenLately(state, now)) {
-                sum += this.roomAt(state, borrowed, now);
+                room += this.roomAt(state, borrowed, now);
+                credits += state.credit;
             }
         }
-        return sum;
+        const isReserving = borrowed && this.options.usesCredits !== false;
+        return isReserving ? Math.floor(room - credits * reservedFraction) : room;
     }
 
     /** Chooses a group whose serving gate is open now, or says why there is none. */
@@ -179,10 +187,14 @@
         if (state === undefined) {
             return;
         }
-        this.flights.set(request.id, { group, model: request.model, lastTokenAt: undefined });
+        const blocks = blocksOf(request.prompt);
+        const cachedTokens = this.prefixes.matchOf(group, blocks, now) * blockTokens;
+        const prefillTokens = Math.max(0, request.promptTokens - cachedTokens);
+        this.flights.set(request.id, { group, model: request.model, lastTokenAt: undefined, prefillTokens });
         state.load.change(1, now);
+        state.prefillTokens += prefillTokens;
         this.paceOf(request.model).started(group, now);
-        this.prefixes.sent(group, blocksOf(request.prompt), now);
+        this.prefixes.sent(group, blocks, now);
     }
 
     /** Notes that a token of a request has arrived. */
@@ -192,6 +204,7 @@
             return;
         }
         const gap = flight.lastTokenAt === undefined ? undefined : now - flight.lastTokenAt;
+        this.endPrefill(flight);
         flight.lastTokenAt = now;
         this.paceOf(flight.model).progress(flight.group, gap, now);
     }
@@ -215,6 +228,7 @@
             return;
         }
         this.flights.delete(request);
+        this.endPrefill(flight);
         const state = this.groups.get(flight.group);
         if (state !== undefined) {
             state.load.change(-1, now);
@@ -222,6 +236,14 @@
         }
     }
 
+    private endPrefill(flight: Flight): void {
+        const state = this.groups.get(flight.group);
+        if (state !== undefined) {
+            state.prefillTokens -= flight.prefillTokens;
+        }
+        flight.prefillTokens = 0;
+    }
+
     private openStates(request: RouteRequest, now: number): readonly RouteState[] {
         const open = (this.byModel.get(request.model) ?? []).filter(
             state =>
@@ -257,15 +279,14 @@
         if (this.options.usesCredits === false) {
             return Math.max(0, slots - ownRequests);
         }
-        const ownCredit = Math.max(0, state.credit - ownRequests);
+        const overcommit = Math.max(1, Math.floor(state.credit * overcommitFraction));
+        const free = slots - allRequests;
+        const guaranteed = free + overcommit > 0 ? state.credit - ownRequests : 0;
         if (borrowed) {
-            const free = Math.floor(slots - allRequests - Math.max(1, slots * reservedFraction));
-            const part = Math.ceil(free / Math.max(1, this.entries.length));
-            return Math.max(0, Math.min(free, Math.max(ownCredit, part)));
+            const lent = (free - Math.max(1, slots * reservedFraction)) / this.entries.length;
+            return Math.max(0, guaranteed, Math.floor(lent));
         }
-        const free = Math.floor(slots - allRequests);
-        const overcommit = Math.floor(free + Math.max(1, slots * overcommitFraction));
-        return Math.max(0, Math.min(overcommit, Math.max(ownCredit, free)));
+        return Math.max(0, guaranteed + overcommit, Math.floor(free - slots * uncertainFraction));
     }
 
     private isOpenLately(state: RouteState, now: number): boolean {
@@ -291,8 +312,10 @@
                 group: id,
                 isLocal: state.routed.failureDomain === this.options.failureDomain,
                 slots: state.load.slots ?? unreportedSlots,
+                credit: state.credit,
                 ownRequests: state.load.ownRequests,
                 allRequests: state.load.allRequests,
+                prefillTokens: state.prefillTokens,
                 slowdown: this.options.watchesPace === false ? 1 : pace.slowdownOf(id, now),
                 cachedTokens: this.prefixes.matchOf(id, blocks, now) * blockTokens,
                 isPreferred: id === preferred,
@@ -311,6 +334,7 @@
             routed,
             load: ReplicaLoad.create(),
             credit: 0,
+            prefillTokens: 0,
             isOpen: false,
             gateUntil: -Infinity,
         };
