--- a/benchmarks/fakes/callers.ts
+++ b/benchmarks/fakes/callers.ts
@@ -22,7 +22,8 @@
 /** Mean prompt and answer lengths in tokens. */
 export const meanPromptTokens = 512;
 export const meanOutputTokens = 280;
-const mostOutputTokens = 1_024;
+/** The most tokens that a caller asks for. */
+export const mostOutputTokens = 1_024;
 const lengthDeviation = 0.6;
 
 /** Launch-week shape: once a minute ten seconds at 1.5 times the mean rate. Its mean is 1. */
--- a/benchmarks/fakes/entries.ts
+++ b/benchmarks/fakes/entries.ts
@@ -4,6 +4,7 @@
 import type { Router, RouteRequest } from "../../src/core/routes.js";
 import type { VirtualLoop } from "../loops.js";
 import type { Arrival } from "./callers.js";
+import { mostOutputTokens } from "./callers.js";
 import type { FakeEngine } from "./engines.js";
 import type { Figures } from "./figures.js";
 
@@ -12,8 +13,6 @@
 export const engineMilliseconds = 0.5;
 /** Time from arrival within which an answer must be whole, in milliseconds. */
 export const answerMilliseconds = 30_000;
-/** Time that an answer is expected to take once it has started, in milliseconds. */
-export const serviceMilliseconds = 12_000;
 const tickMilliseconds = 20;
 
 /** What a caller learns when its request has not been served. */
@@ -42,7 +41,6 @@
     readonly figures: Figures;
     readonly onRefused: OnRefused;
     readonly mayRetry: MayRetry;
-    readonly expectedTokens: number;
 }
 
 /** One entry. */
@@ -77,9 +75,8 @@
             caller: arrival.caller,
             model: "model",
             promptTokens: arrival.promptTokens,
-            expectedTokens: this.parts.expectedTokens,
+            expectedTokens: mostOutputTokens,
             deadline,
-            startBy: deadline - serviceMilliseconds,
         };
         const offer = admission.offer(request, now);
         if (offer.kind === "refused") {
--- a/benchmarks/fakes/worlds.ts
+++ b/benchmarks/fakes/worlds.ts
@@ -71,7 +71,6 @@
     readonly shape?: EngineShape;
     readonly warmUp?: number;
     readonly end: number;
-    readonly expectedTokens?: number;
     readonly onRefused?: (world: World) => OnRefused;
     readonly mayRetry?: MayRetry;
     /** Entry that the balancer gives an arrival to; random unless given. */
@@ -163,7 +162,7 @@
     }
 
     private createEntry(name: string, index: number, names: readonly string[]): FakeEntry {
-        const { policy, seed, teams, onRefused, mayRetry, expectedTokens } = this.options;
+        const { policy, seed, teams, onRefused, mayRetry } = this.options;
         const random = createRandomNumber(seed * 1_009 + index);
         const admission = Admission.create({ random, ...policy.admission });
         admission.applyTeams(teams);
@@ -187,7 +186,6 @@
             figures: this.figures,
             onRefused: onRefused?.(this) ?? (() => {}),
             mayRetry: mayRetry ?? (() => false),
-            expectedTokens: expectedTokens ?? 256,
         });
     }
 
--- a/src/core/admission-estimates.ts
+++ b/src/core/admission-estimates.ts
@@ -1,4 +1,7 @@
-/** Estimate of the time until a request that comes now would start, from the pace of recent starts. */
+/**
+ * Estimates from recent requests: the time until a request that comes now would start, how long answers take, and how
+ * many tokens they have.
+ */
 import type { Caller } from "./requests.js";
 
 /** Time in milliseconds over which the pace of starts is measured. */
@@ -90,3 +93,37 @@
     const seen = paceMemoryMilliseconds * (1 - Math.exp((pace.since - now) / paceMemoryMilliseconds));
     return seen / Math.max(weight, 0.25);
 }
+
+/** Weight of one answer in the means. */
+const answerWeight = 0.02;
+
+/** Mean length and time of the answers of one model. */
+export class AnswerEstimate {
+    private answers = 0;
+    private tokens = 0;
+    private milliseconds = 0;
+
+    private constructor() {}
+
+    public static create(): AnswerEstimate {
+        return new AnswerEstimate();
+    }
+
+    /** Notes a whole answer. */
+    public finished(tokens: number, milliseconds: number): void {
+        this.answers += 1;
+        const weight = Math.max(answerWeight, 1 / this.answers);
+        this.tokens += weight * (tokens - this.tokens);
+        this.milliseconds += weight * (milliseconds - this.milliseconds);
+    }
+
+    /** Returns the expected tokens of an answer that has `most` at most. */
+    public tokensOf(most: number): number {
+        return this.answers === 0 ? most : Math.min(most, this.tokens);
+    }
+
+    /** Expected milliseconds from start to last token; 0 if not known. */
+    public get serviceMilliseconds(): number {
+        return this.milliseconds;
+    }
+}
--- a/src/core/admissions.ts
+++ b/src/core/admissions.ts
@@ -3,7 +3,9 @@
  * randomness are arguments. Times are local monotonic milliseconds, costs are tokens.
  */
 import type { RandomNumber } from "../contracts/clocks.js";
-import { StartEstimate } from "./admission-estimates.js";
+import { AnswerEstimate, StartEstimate } from "./admission-estimates.js";
+import type { HeapItem } from "./admission-heaps.js";
+import { IndexedHeap } from "./admission-heaps.js";
 import type { Fault, FaultCode } from "./errors.js";
 import { FairQueue } from "./fair-queues.js";
 import type { RequestQueue } from "./fair-queues.js";
@@ -19,10 +21,10 @@
     readonly model: string;
     /** Prompt tokens less the expected prefix hit. */
     readonly promptTokens: number;
-    /** Tokens that the answer is expected to have; charged at the start and corrected as tokens appear. */
+    /** The most tokens that the answer may have. The mean is charged at the start, the rest as tokens appear. */
     readonly expectedTokens: number;
     readonly deadline: number;
-    /** The latest useful start; `deadline` if absent. */
+    /** The latest useful start; the deadline less the mean time of an answer if absent. */
     readonly startBy?: number;
 }
 
@@ -73,9 +75,13 @@
 /** Earliest return of a refused caller, in milliseconds. */
 export const earliestRetryMilliseconds = 200;
 
-interface TrackedRequest {
+interface TrackedRequest extends HeapItem {
     readonly request: AdmissionRequest;
+    readonly startBy: number;
     state: "queued" | "started";
+    startedAt: number;
+    /** Tokens generated. */
+    tokens: number;
     /** Tokens charged before they appeared and not yet covered by tokens that did. */
     prepaid: number;
 }
@@ -84,6 +90,7 @@
     readonly queue: RequestQueue;
     readonly usage: RecentUsage;
     readonly estimate: StartEstimate;
+    readonly answers: AnswerEstimate;
 }
 
 interface TeamCount {
@@ -95,6 +102,9 @@
 export class Admission {
     private readonly models = new Map<string, ModelAdmission>();
     private readonly tracked = new Map<RequestId, TrackedRequest>();
+    private readonly latestStarts = IndexedHeap.create<TrackedRequest>(
+        (left, right) => left.startBy < right.startBy,
+    );
     private readonly counts = new Map<TeamId, TeamCount>();
     private readonly exchange = UsageExchange.create();
     private teams: ReadonlyMap<TeamId, Team> = new Map();
@@ -143,17 +153,32 @@
             const message = "too many requests of the caller wait";
             return refuse(this.fault("overloaded", message, this.retryAt(wait, now)));
         }
-        const isLate = now + wait * lateStartMargin > startByOf(request);
+        const startBy = request.startBy ?? request.deadline - model.answers.serviceMilliseconds;
+        const isLate = now + wait * lateStartMargin > startBy;
         if (now >= request.deadline || (isLate && this.options.refusesLateStarts !== false)) {
             const message = "the request cannot start before its deadline";
             return refuse(this.fault("deadlineUnreachable", message, this.retryAt(wait, now)));
         }
-        this.tracked.set(request.id, { request, state: "queued", prepaid: 0 });
+        this.track(request, startBy);
         this.count(request.caller, 1);
         model.queue.enqueue(request);
         return { kind: "queued" };
     }
 
+    private track(request: AdmissionRequest, startBy: number): void {
+        const tracked: TrackedRequest = {
+            request,
+            startBy,
+            state: "queued",
+            startedAt: 0,
+            tokens: 0,
+            prepaid: 0,
+            position: -1,
+        };
+        this.tracked.set(request.id, tracked);
+        this.latestStarts.put(tracked);
+    }
+
     /** Takes the requests that may start now, in fair order; each then counts as started. */
     public startable(now: number, capacityOf: CapacityOf): readonly StartedRequest[] {
         const started: StartedRequest[] = [];
@@ -170,6 +195,7 @@
             return;
         }
         const { request } = tracked;
+        this.latestStarts.put(tracked);
         this.chargeTokens(request, -request.promptTokens - tracked.prepaid, now);
         tracked.state = "queued";
         tracked.prepaid = 0;
@@ -183,6 +209,7 @@
         if (tracked?.state !== "started") {
             return;
         }
+        tracked.tokens += tokens;
         const covered = Math.min(tokens, tracked.prepaid);
         tracked.prepaid -= covered;
         if (tokens > covered) {
@@ -190,8 +217,13 @@
         }
     }
 
-    /** Ends a started request; returns false if it had ended before. */
+    /** Ends a started request whose answer is whole; returns false if it had ended before. */
     public finish(id: RequestId, now: number): boolean {
+        const tracked = this.tracked.get(id);
+        if (tracked?.state === "started" && tracked.tokens > 0) {
+            const { answers } = this.modelOf(tracked.request.model);
+            answers.finished(tracked.tokens, now - tracked.startedAt);
+        }
         return this.release(id, now);
     }
 
@@ -203,10 +235,11 @@
     /** Refuses the waiting requests that can no longer start in time. */
     public expire(now: number): readonly Refusal[] {
         const refusals: Refusal[] = [];
-        for (const { request, state } of this.tracked.values()) {
-            if (state === "queued" && startByOf(request) <= now) {
-                refusals.push(this.giveUp(request, now));
+        for (let next = this.latestStarts.peek(); next !== undefined; next = this.latestStarts.peek()) {
+            if (next.startBy > now) {
+                break;
             }
+            refusals.push(this.giveUp(next.request, now));
         }
         this.exchange.expire(now);
         return refusals;
@@ -231,10 +264,13 @@
         capacityOf: CapacityOf,
         started: StartedRequest[],
     ): void {
+        const room = new Map<boolean, number>();
         let sent = 0;
         for (let item = model.queue.peek(); item !== undefined; item = model.queue.peek()) {
             const borrowed = this.options.borrowing !== false && model.usage.isBorrowing(item.caller, now);
-            if (capacityOf(name, borrowed) - sent <= 0) {
+            const capacity = room.get(borrowed) ?? capacityOf(name, borrowed);
+            room.set(borrowed, capacity);
+            if (capacity - sent <= 0) {
                 return;
             }
             model.queue.take();
@@ -246,12 +282,15 @@
     private start(id: RequestId, model: string, borrowed: boolean, now: number): StartedRequest {
         const tracked = this.tracked.get(id)!;
         const { request } = tracked;
+        const state = this.modelOf(model);
         tracked.state = "started";
-        tracked.prepaid = request.expectedTokens;
+        tracked.startedAt = now;
+        tracked.prepaid = state.answers.tokensOf(request.expectedTokens);
+        this.latestStarts.remove(tracked);
         this.count(request.caller, -1);
         const waiting = this.queuedBy(request.caller);
-        this.modelOf(model).estimate.started(request.caller, waiting, now);
-        this.chargeTokens(request, request.promptTokens + request.expectedTokens, now);
+        state.estimate.started(request.caller, waiting, now);
+        this.chargeTokens(request, request.promptTokens + tracked.prepaid, now);
         const rank = this.teams.get(request.caller.team)?.rank ?? 0;
         return { id, model, priority: rank + (borrowed ? borrowedPriority : 0), borrowed };
     }
@@ -262,6 +301,7 @@
             return false;
         }
         this.tracked.delete(id);
+        this.latestStarts.remove(tracked);
         const { request } = tracked;
         if (tracked.state === "queued") {
             this.count(request.caller, -1);
@@ -353,7 +393,12 @@
         let model = this.models.get(name);
         if (model === undefined) {
             const queue = (this.options.createQueue ?? FairQueue.create)();
-            model = { queue, usage: RecentUsage.create(), estimate: StartEstimate.create() };
+            model = {
+                queue,
+                usage: RecentUsage.create(),
+                estimate: StartEstimate.create(),
+                answers: AnswerEstimate.create(),
+            };
             this.applyWeights(model);
             this.models.set(name, model);
         }
@@ -372,10 +417,6 @@
     }
 }
 
-function startByOf(request: AdmissionRequest): number {
-    return request.startBy ?? request.deadline;
-}
-
 function refuse(fault: Fault): Offer {
     return { kind: "refused", fault };
 }
--- a/src/core/routes.ts
+++ b/src/core/routes.ts
@@ -5,7 +5,8 @@
 import type { RandomNumber } from "../contracts/clocks.js";
 import type { CacheEvent } from "../contracts/engines.js";
 import { creditOf } from "./credits.js";
-import type { EndpointLoad } from "./endpoints.js";
+import type { EndpointLoad, EndpointReport } from "./endpoints.js";
+import { isLaterReport } from "./endpoints.js";
 import type { Fault, Result } from "./errors.js";
 import { fail, succeed } from "./errors.js";
 import type { FailureDomainId } from "./failure-domains.js";
@@ -67,6 +68,7 @@
 interface RouteState {
     routed: RoutedGroup;
     readonly load: ReplicaLoad;
+    report: EndpointReport | undefined;
     credit: number;
     /** Prompt tokens of own requests that have not shown a token yet. */
     prefillTokens: number;
@@ -89,6 +91,11 @@
     private readonly flights = new Map<RequestId, Flight>();
     private readonly prefixes = PrefixIndex.create();
     private entries: readonly string[];
+    /** Blocks of the request looked at last: a choice and its dispatch follow each other. */
+    private blocks: { readonly prompt: string; readonly names: readonly string[] } = {
+        prompt: "",
+        names: [],
+    };
 
     private constructor(private readonly options: RouterOptions) {
         this.entries = [options.entry];
@@ -124,18 +131,22 @@
 
     /** Puts the entry processes in force that are reachable and share the replicas with this one. */
     public applyEntries(entries: readonly string[]): void {
+        if (haveSameItems(entries, this.entries)) {
+            return;
+        }
         this.entries = entries.includes(this.options.entry) ? entries : [...entries, this.options.entry];
         for (const state of this.groups.values()) {
             state.credit = this.creditAt(state);
         }
     }
 
-    /** Takes a load report of a group's leader. */
-    public observe(group: ReplicaGroupId, load: EndpointLoad, now: number): void {
+    /** Takes a load report of a group's leader; one that is not later than the report before has no effect. */
+    public observe(group: ReplicaGroupId, load: EndpointLoad, now: number, report?: EndpointReport): void {
         const state = this.groups.get(group);
-        if (state === undefined) {
+        if (state === undefined || (report !== undefined && !isLaterReport(report, state.report))) {
             return;
         }
+        state.report = report;
         const slotsBefore = state.load.slots;
         state.load.observe(load.running, load.waiting, load.slots, now);
         if (slotsBefore !== load.slots) {
@@ -187,7 +198,7 @@
         if (state === undefined) {
             return;
         }
-        const blocks = blocksOf(request.prompt);
+        const blocks = this.blocksOf(request.prompt);
         const cachedTokens = this.prefixes.matchOf(group, blocks, now) * blockTokens;
         const prefillTokens = Math.max(0, request.promptTokens - cachedTokens);
         this.flights.set(request.id, { group, model: request.model, lastTokenAt: undefined, prefillTokens });
@@ -302,7 +313,7 @@
         states: readonly RouteState[],
         now: number,
     ): readonly RouteCandidate[] {
-        const blocks = blocksOf(request.prompt);
+        const blocks = this.blocksOf(request.prompt);
         const ids = states.map(state => state.routed.group.id);
         const preferred = blocks.length === 0 ? undefined : rankByRendezvous(blocks[0]!, ids)[0];
         return states.map(state => {
@@ -323,6 +334,13 @@
         });
     }
 
+    private blocksOf(prompt: string): readonly string[] {
+        if (this.blocks.prompt !== prompt) {
+            this.blocks = { prompt, names: blocksOf(prompt) };
+        }
+        return this.blocks.names;
+    }
+
     private applyGroup(routed: RoutedGroup): void {
         const known = this.groups.get(routed.group.id);
         if (known !== undefined) {
@@ -333,6 +351,7 @@
         const state: RouteState = {
             routed,
             load: ReplicaLoad.create(),
+            report: undefined,
             credit: 0,
             prefillTokens: 0,
             isOpen: false,
@@ -376,6 +395,10 @@
     return index;
 }
 
+function haveSameItems(left: readonly string[], right: readonly string[]): boolean {
+    return left.length === right.length && left.every((item, index) => item === right[index]);
+}
+
 function noReplica(model: string): Fault {
     const message = `no replica of model "${model}" serves now`;
     return { code: "noReplica", message, step: "route", notRun: true };
--- a/src/daemons/entry/routing-inputs.ts
+++ b/src/daemons/entry/routing-inputs.ts
@@ -54,7 +54,7 @@
     for (const group of groupsOf(view)) {
         const health = view.healthOf(group.members[0]!);
         if (health !== undefined) {
-            router.observe(group.id, health.report.load, now);
+            router.observe(group.id, health.report.load, now, health.report);
         }
     }
     options.changed();
