--- a/tests/proofs.ts
+++ b/tests/proofs.ts
@@ -3,6 +3,7 @@
  * that the checker must catch. `npm run prove` runs them all.
  */
 import { scenarioProofs } from "./processes/process-proofs.js";
+import { claimsProof } from "./histories/claims.js";
 
 /** Options of one run. Equal options give equal histories. */
 export interface ProofOptions {
@@ -42,7 +43,7 @@
 }
 
 /** Proofs over the decisions in virtual time; each part adds its own. */
-export const proofs: readonly Proof[] = [];
+export const proofs: readonly Proof[] = [claimsProof];
 
 /** Proofs over real processes, run by `--processes`. */
 export const processProofs: readonly Proof[] = scenarioProofs;
