Resume a stream only on a replica group with all its members

Cause: a stream that failed was resumed on its own group even when a member had been missing since; only the tick moved streams.

--- a/src/core/entry-requests.ts
+++ b/src/core/entry-requests.ts
@@ -9,7 +9,7 @@
 import type { AnswerStart, EntryCommand, EntryOptions } from "./entry-commands.js";
 import type { Fault } from "./errors.js";
 import type { EventBody } from "./events.js";
-import type { Instance } from "./instances.js";
+import type { Instance, InstanceId } from "./instances.js";
 import type { ReplicaGroup, ReplicaGroupId } from "./replica-groups.js";
 import type { CompletionRequest } from "./requests.js";
 import type { RouteRequest } from "./routes.js";
@@ -138,8 +138,7 @@
 
     /** Moves the stream away if its replica group has lost a member. */
     public moveIfMissing(now: number): void {
-        const missing =
-            this.group === undefined ? undefined : this.context.options.missingMember(this.group, now);
+        const missing = this.missingMember(now);
         if (missing !== undefined && this.group !== undefined) {
             this.loseReplica(`replica group "${this.group.id}" lost its member "${missing}"`, now);
         }
@@ -259,7 +258,8 @@
     }
 
     private resume(attempt: number, fromOffset: number, now: number): void {
-        if (this.group === undefined) {
+        const missing = this.missingMember(now);
+        if (this.group === undefined || missing !== undefined) {
             this.loseReplica("the replica that held the stream is gone", now);
             return;
         }
@@ -267,6 +267,10 @@
         this.send("resume", attempt, fromOffset, "");
     }
 
+    private missingMember(now: number): InstanceId | undefined {
+        return this.group === undefined ? undefined : this.context.options.missingMember(this.group, now);
+    }
+
     private restart(command: RestartCommand, now: number): void {
         this.unplaced = undefined;
         if (command.attempt !== this.log?.currentAttempt()) {
