Run both daemons on the mesh, and cancel only what no later attempt reads

Both daemons now take configuration, health, placements and usage from the mesh in place of watching and probing alone. Cause of the second change: an entry process whose caller went elsewhere ended the stream after its resume window, also when the caller read it through another entry process.

--- a/src/contracts/engines.ts
+++ b/src/contracts/engines.ts
@@ -4,7 +4,7 @@
 import type { Fault, Result } from "../core/errors.js";
 import type { Instance, InstanceId } from "../core/instances.js";
 import type { ModelVersion, ReplicaGroupId } from "../core/replica-groups.js";
-import type { CompletionRequest } from "../core/requests.js";
+import type { CompletionRequest, RequestId } from "../core/requests.js";
 
 /** What a placer may tell one engine instance. */
 export type OrderKind = "load" | "serve" | "drain" | "release";
@@ -63,7 +63,13 @@
     readonly start: (dispatch: EngineDispatch, paused?: Observable<boolean>) => Observable<EngineEvent>;
     /** Attaches to a running stream from `dispatch.fromOffset` on. */
     readonly resume: (dispatch: EngineDispatch, paused?: Observable<boolean>) => Observable<EngineEvent>;
-    readonly cancel: (leader: Instance, request: string, deadline: number) => Promise<Result<undefined>>;
+    /** Ends a stream, unless a later attempt has attached to it meanwhile. */
+    readonly cancel: (
+        leader: Instance,
+        request: RequestId,
+        attempt: number,
+        deadline: number,
+    ) => Promise<Result<undefined>>;
     readonly cacheEvents: (
         leader: Instance,
         after: number,
--- a/src/core/entries.ts
+++ b/src/core/entries.ts
@@ -13,6 +13,9 @@
 /** Longest time between two ticks, in milliseconds; waiting requests and lost members are looked at on each. */
 export const longestTickMilliseconds = 50;
 
+/** A returning caller's attempts are numbered above all that the entry process it left could still begin. */
+const attemptsPerReturn = 1_000;
+
 /** Decides for all completion requests of one entry process. */
 export class EntryCore {
     private readonly requests = new Map<RequestId, EntryRequest>();
@@ -57,7 +60,7 @@
         now: number,
     ): readonly EntryCommand[] {
         this.requests.get(request.id)?.release(now);
-        this.create(request, start).attach(held.group, held.leader, held.attempt + 1, now);
+        this.create(request, start).attach(held.group, held.leader, held.attempt + attemptsPerReturn, now);
         return this.take();
     }
 
--- /dev/null
+++ b/src/daemons/entry/entry-parts.ts
@@ -0,0 +1,162 @@
+/** The parts of one entry process, put together: view, core, loop, service calls and seals. */
+import { Admission } from "../../core/admissions.js";
+import type { AnswerOptions } from "../../core/answers-options.js";
+import { defaultAnswerOptions } from "../../core/answers-options.js";
+import type { Configuration } from "../../core/configuration-values.js";
+import { EntryCore } from "../../core/entries.js";
+import type { InstanceId } from "../../core/instances.js";
+import type { ReplicaGroup } from "../../core/replica-groups.js";
+import { RetryBudget } from "../../core/retries.js";
+import { Router } from "../../core/routes.js";
+import { isHealthy } from "../../core/serving-gates.js";
+import { createEngines } from "../../links/engines.js";
+import type { Seals } from "../../links/seals.js";
+import { createSendToService } from "../../links/services.js";
+import type { MeshView } from "../mesh-views.js";
+import { startMeshView } from "../mesh-views.js";
+import type { Node } from "../nodes.js";
+import type { SystemView } from "../views.js";
+import { Credentials } from "./credentials.js";
+import { EntryLoop } from "./entry-loops.js";
+import { isGateOpen, startRoutingInputs } from "./routing-inputs.js";
+import type { ServiceCalls } from "./service-calls.js";
+import { createServiceCalls } from "./service-calls.js";
+import { createServiceRoute } from "./service-endpoints.js";
+import { sealStream, sealsOf } from "./stream-seals.js";
+import { startUsageExchange } from "./usages.js";
+
+/** The parts of one entry process. */
+export interface EntryParts {
+    readonly view: MeshView;
+    readonly loop: EntryLoop;
+    readonly admission: Admission;
+    readonly router: Router;
+    readonly credentials: () => Credentials;
+    readonly serviceCalls: ServiceCalls;
+    readonly openSeal: Seals["open"];
+    readonly close: () => void;
+}
+
+/** Joins the mesh and puts the parts together. */
+export async function createParts(node: Node): Promise<EntryParts> {
+    const engines = createEngines(node.clock);
+    const view = await startMeshView(node, "entry", engines);
+    const { admission, router, core } = createCore(node, view);
+    const seals = createCurrent(view, sealsOf);
+    const loop = EntryLoop.create({
+        core,
+        engines,
+        clock: node.clock,
+        record: node.record,
+        metrics: node.metrics,
+        sealResume: command => sealStream(command, seals(), node.clock.wallMilliseconds()),
+    });
+    const inputs = startRoutingInputs({
+        router,
+        view,
+        engines,
+        clock: node.clock,
+        entryNames: () => entryNames(view),
+        changed: () => {
+            admission.applyTeams([...(view.configuration()?.teams.values() ?? [])]);
+            loop.lookAgain();
+        },
+    });
+    const publish = (payload: string): void => void view.mesh.publishUsage(payload);
+    inputs.add(startUsageExchange({ admission, clock: node.clock, publish, peers: view.usages }));
+    const serviceCalls = createServiceCalls({
+        store: node.store,
+        send: createSendToService(node.clock),
+        route: createServiceRoute(view, node.clock, node.settings.failureDomain),
+        clock: node.clock,
+        random: Math.random,
+        record: node.record,
+    });
+    return {
+        view,
+        loop,
+        admission,
+        router,
+        credentials: createCurrent(view, credentialsOf),
+        serviceCalls,
+        openSeal: sealed => seals().open(sealed),
+        close: () => {
+            inputs.unsubscribe();
+            loop.close();
+            view.close();
+        },
+    };
+}
+
+/** Names of the live entry processes, as the mesh knows them. */
+function entryNames(view: MeshView): readonly string[] {
+    return view.mesh
+        .members()
+        .filter(member => member.role === "entry" && member.judged === "live")
+        .map(member => member.instance);
+}
+
+interface DecisionParts {
+    readonly admission: Admission;
+    readonly router: Router;
+    readonly core: EntryCore;
+}
+
+function createCore(node: Node, view: SystemView): DecisionParts {
+    const { settings } = node;
+    const admission = Admission.create({ random: Math.random });
+    const router = Router.create({
+        entry: settings.instance,
+        failureDomain: settings.failureDomain,
+        isOpen: (group, now) => isGateOpen(group, view, now),
+        random: Math.random,
+    });
+    const core = EntryCore.create({
+        admission,
+        router,
+        retries: RetryBudget.create(),
+        instanceOf: view.instanceOf,
+        missingMember: (group, now) => findMissingMember(group, view, now),
+        answerOptions: () => answerOptionsOf(view.configuration()),
+    });
+    return { admission, router, core };
+}
+
+function findMissingMember(group: ReplicaGroup, view: SystemView, now: number): InstanceId | undefined {
+    return group.members.find(member => !isHealthy(view.healthOf(member), now));
+}
+
+function answerOptionsOf(
+    configuration: Configuration | undefined,
+): Omit<AnswerOptions, "request" | "deadline" | "mayRetry"> {
+    const streams = configuration?.limits.streams;
+    if (streams === undefined) {
+        return defaultAnswerOptions;
+    }
+    return {
+        ...defaultAnswerOptions,
+        resumeWindowMilliseconds: streams.resumeWindowMilliseconds,
+        maximumUntakenTokens: streams.bufferedTokens,
+    };
+}
+
+function credentialsOf(configuration: Configuration | undefined): Credentials {
+    return Credentials.create([...(configuration?.teams.values() ?? [])]);
+}
+
+/** Computes a value anew only after the configuration has changed. */
+function createCurrent<T>(
+    view: SystemView,
+    compute: (configuration: Configuration | undefined) => T,
+): () => T {
+    let from = view.configuration();
+    let value = compute(from);
+    return () => {
+        const configuration = view.configuration();
+        if (configuration !== from) {
+            from = configuration;
+            value = compute(configuration);
+        }
+        return value;
+    };
+}
--- a/src/daemons/entry/statuses.ts
+++ b/src/daemons/entry/statuses.ts
@@ -1,36 +1,69 @@
 /** The status page of an entry process. */
+import type { InstanceId } from "../../core/instances.js";
 import { checkServingGate } from "../../core/serving-gates.js";
 import type { Node } from "../nodes.js";
 import type { Readiness } from "./caller-handlers.js";
-import type { EntryParts } from "./entries.js";
+import type { EntryParts } from "./entry-parts.js";
 import { groupsOf } from "./routing-inputs.js";
 
+interface GroupStatus {
+    readonly members: readonly InstanceId[];
+    readonly gate: ReturnType<typeof checkServingGate>;
+}
+
 /** What `GET /status` shows; no secret is in it. */
 export function entryStatus(node: Node, parts: EntryParts, readiness: Readiness): unknown {
     const { view, admission, router, loop } = parts;
-    const configuration = view.configuration();
-    const now = node.clock.monotonicMilliseconds();
-    const { healthOf, isLeaving } = view;
+    const mesh = view.mesh.status();
+    const groups = groupStatuses(node, parts);
+    const teams = [...(view.configuration()?.teams.keys() ?? [])];
     return {
         process: node.settings.name,
         instance: node.settings.instance,
         failureDomain: node.settings.failureDomain,
         readiness,
-        configurationRevision: configuration?.revision ?? 0,
+        configurationRevision: mesh.configuration.revisionInForce,
+        configurationAgeMilliseconds: mesh.configuration.confirmedAgeMilliseconds,
+        rejections: mesh.configuration.rejections,
         requests: {
             active: loop.size,
             queued: admission.queued,
             started: admission.started,
             sent: router.inFlight,
         },
-        queuedByTeam: Object.fromEntries(
-            [...(configuration?.teams.keys() ?? [])].map(team => [team, admission.queuedOf(team)]),
-        ),
-        groups: groupsOf(view).map(group => {
-            const gate = checkServingGate(group, { healthOf, isLeaving }, now);
-            const { id, epoch, state, members, fabricDomain } = group;
-            const model = group.model.model;
-            return { id, model, fabricDomain, epoch, state, members, gate, inFlight: router.inFlightAt(id) };
-        }),
+        queuedByTeam: Object.fromEntries(teams.map(team => [team, admission.queuedOf(team)])),
+        strandedInstances: strandedInstances(parts, groups),
+        groups,
+        mesh,
     };
 }
+
+function groupStatuses(node: Node, { view, router }: EntryParts): readonly GroupStatus[] {
+    const now = node.clock.monotonicMilliseconds();
+    const { healthOf, isLeaving } = view;
+    return groupsOf(view).map(group => {
+        const { id, epoch, state, members, fabricDomain } = group;
+        const gate = checkServingGate(group, { healthOf, isLeaving }, now);
+        const { model, version } = group.model;
+        return {
+            id,
+            model,
+            version,
+            fabricDomain,
+            epoch,
+            state,
+            members,
+            gate,
+            inFlight: router.inFlightAt(id),
+        };
+    });
+}
+
+/** Engine instances outside any group whose gate is open. */
+function strandedInstances({ view }: EntryParts, groups: readonly GroupStatus[]): readonly InstanceId[] {
+    const serving = new Set(groups.filter(group => group.gate.open).flatMap(group => group.members));
+    return view
+        .instances()
+        .filter(instance => instance.role === "engine" && !serving.has(instance.id))
+        .map(instance => instance.id);
+}
--- a/src/daemons/entry/stream-drivers.ts
+++ b/src/daemons/entry/stream-drivers.ts
@@ -51,7 +51,7 @@
     public cancel(request: RequestId, attempt: number, leader: Instance): void {
         this.detach(request, attempt);
         const deadline = this.clock.monotonicMilliseconds() + cancelMilliseconds;
-        void this.engines.cancel(leader, request, deadline);
+        void this.engines.cancel(leader, request, attempt, deadline);
     }
 
     /** Forgets a request that has ended. */
--- /dev/null
+++ b/src/daemons/mesh-views.ts
@@ -0,0 +1,103 @@
+/** The system view of a daemon that is a member of the mesh. */
+import { BehaviorSubject, Observable, Subject, auditTime, merge, mergeMap } from "rxjs";
+import type { Engines } from "../contracts/engines.js";
+import type { EndpointHealth } from "../core/endpoints.js";
+import type { Instance, InstanceId } from "../core/instances.js";
+import type { MemberRole } from "../core/membership-messages.js";
+import type { PlacementEntry } from "../core/membership-values.js";
+import type { FabricPlacement } from "../core/placement-values.js";
+import { safeParseFabricPlacement } from "../core/placement-values.js";
+import { followInstances } from "../links/instance-lists.js";
+import type { Mesh } from "./meshes.js";
+import { startMesh } from "./meshes.js";
+import type { Node } from "./nodes.js";
+import type { PeerUsage, SystemView } from "./views.js";
+
+/** Shortest time between two looks at the health of all endpoints, in milliseconds. */
+const healthLookMilliseconds = 20;
+
+/** A view with the streams that a daemon feeds its decisions from. */
+export interface MeshView extends SystemView {
+    readonly mesh: Mesh;
+    readonly instanceLists: Observable<readonly Instance[]>;
+    /** Each later report of each endpoint. */
+    readonly reports: Observable<EndpointHealth>;
+    readonly usages: Observable<PeerUsage>;
+    readonly close: () => void;
+}
+
+/** Joins the mesh and follows it. */
+export async function startMeshView(
+    node: Node,
+    role: MemberRole,
+    engines: Pick<Engines, "probe">,
+): Promise<MeshView> {
+    const instanceLists = new BehaviorSubject<readonly Instance[]>([]);
+    const following = followInstances({
+        store: node.store,
+        clock: node.clock,
+        onFault: fault => node.record({ kind: "storeFailed", code: fault.code }),
+    }).subscribe(instanceLists);
+    const mesh = await startMesh({
+        settings: node.settings,
+        role,
+        store: node.store,
+        probe: engines.probe,
+        instances: instanceLists,
+        clock: node.clock,
+        random: Math.random,
+        recordEvent: node.record,
+    });
+    const current = { placements: [] as readonly FabricPlacement[], byId: new Map<InstanceId, Instance>() };
+    const changes = new Subject<unknown>();
+    const inputs = merge(mesh.configuration, mesh.healthChanges, mesh.placements, instanceLists).subscribe(
+        changes,
+    );
+    inputs.add(mesh.placements.subscribe(entries => (current.placements = parsePlacements(entries))));
+    inputs.add(
+        instanceLists.subscribe(
+            list => (current.byId = new Map(list.map(instance => [instance.id, instance]))),
+        ),
+    );
+    return {
+        mesh,
+        configuration: () => (mesh.isReady() ? mesh.currentConfiguration() : undefined),
+        instances: mesh.instances,
+        instanceOf: id => current.byId.get(id),
+        isLeaving: mesh.isLeaving,
+        healthOf: mesh.health,
+        placements: () => current.placements,
+        changes,
+        instanceLists,
+        reports: laterReports(mesh),
+        usages: mesh.usages.pipe(mergeMap(usages => usages)),
+        close: () => {
+            inputs.unsubscribe();
+            following.unsubscribe();
+        },
+    };
+}
+
+function parsePlacements(entries: readonly PlacementEntry[]): readonly FabricPlacement[] {
+    return entries.flatMap(({ text }) => {
+        const parsed = text === undefined ? undefined : safeParseFabricPlacement(text);
+        return parsed?.success === true ? [parsed.data] : [];
+    });
+}
+
+/** Emits the health of each endpoint whose report is later than the one emitted before. */
+function laterReports(mesh: Mesh): Observable<EndpointHealth> {
+    return new Observable(subscriber => {
+        const seen = new Map<InstanceId, EndpointHealth>();
+        const look = (): void => {
+            for (const { id } of mesh.instances()) {
+                const health = mesh.health(id);
+                if (health !== undefined && health.healthyUntil !== seen.get(id)?.healthyUntil) {
+                    seen.set(id, health);
+                    subscriber.next(health);
+                }
+            }
+        };
+        return mesh.healthChanges.pipe(auditTime(healthLookMilliseconds)).subscribe(look);
+    });
+}
--- a/src/daemons/placer/daemons.ts
+++ b/src/daemons/placer/daemons.ts
@@ -1,29 +1,26 @@
-/** The placer daemon's process: node, view, placer and admin port. */
-import { distinctUntilChanged, filter, map } from "rxjs";
+/** The placer daemon's process: node, mesh, placer and admin port. */
+import { auditTime, distinctUntilChanged, filter, map } from "rxjs";
+import type { Observable } from "rxjs";
 import type { RunningDaemon } from "../../commands/daemon-commands.js";
+import type { PlacementPolicy } from "../../core/placement-policies.js";
 import { startAdminServer } from "../../links/admin-servers.js";
 import { createEngines } from "../../links/engines.js";
-import { startDirectView } from "../direct-views.js";
+import type { MeshView } from "../mesh-views.js";
+import { startMeshView } from "../mesh-views.js";
 import { createNode } from "../nodes.js";
 import type { Settings } from "../settings.js";
 import { startPlacer } from "./placers.js";
 import { placementPolicyOf } from "./policies.js";
 
-/** Starts the daemon. */
+/** Shortest time between two looks at the configuration and the instance list, in milliseconds. */
+const policyLookMilliseconds = 100;
+
+/** Starts the daemon; throws a ChervilError if a port cannot be opened. */
 export async function startPlacerDaemon(settings: Settings): Promise<RunningDaemon> {
     const node = createNode(settings);
     const log = node.logs("placer");
     const engines = createEngines(node.clock);
-    const view = startDirectView(node, engines);
-    const policies = view.changes.pipe(
-        map(() => view.configuration()),
-        distinctUntilChanged(),
-        map(configuration =>
-            configuration === undefined
-                ? undefined
-                : placementPolicyOf(configuration, view.instances(), settings.failureDomain),
-        ),
-    );
+    const view = await startMeshView(node, "placer", engines);
     const placer = startPlacer({
         store: node.store,
         engines,
@@ -34,22 +31,40 @@
         random: Math.random,
         instances: view.instanceLists,
         health: view.reports,
-        policy: policies.pipe(filter(policy => policy !== undefined)),
+        policy: policies(view, settings),
     });
     const admin = await startAdminServer(settings.admin.listen, {
         timeline: node.timeline,
-        status: () => ({ process: settings.name, fabricDomains: placer.status() }),
+        status: () => ({
+            process: settings.name,
+            failureDomain: settings.failureDomain,
+            fabricDomains: placer.status(),
+            mesh: view.mesh.status(),
+        }),
     });
     node.record({ kind: "processStarted" });
     log.info("started", { admin: admin.address });
     return {
         stop: async reason => {
-            log.info("stopping", { reason });
+            log.info("giving up leases", { reason });
             node.record({ kind: "processStopping", reason });
+            view.mesh.startLeaving();
             await placer.stop();
             view.close();
+            await view.mesh.leave();
             await admin.close();
             node.close();
         },
     };
 }
+
+/** The policy in force, again after each change of the configuration or of the instance list that changes it. */
+function policies(view: MeshView, settings: Settings): Observable<PlacementPolicy> {
+    return view.changes.pipe(
+        auditTime(policyLookMilliseconds),
+        map(() => view.configuration()),
+        filter(configuration => configuration !== undefined),
+        map(configuration => placementPolicyOf(configuration, view.instances(), settings.failureDomain)),
+        distinctUntilChanged((left, right) => JSON.stringify(left) === JSON.stringify(right)),
+    );
+}
--- a/src/daemons/placer/policies.ts
+++ b/src/daemons/placer/policies.ts
@@ -11,16 +11,13 @@
     instances: readonly Instance[],
     failureDomain: FailureDomainId,
 ): PlacementPolicy {
-    const { weights, placement } = {
-        weights: configuration.placement.weights,
-        placement: configuration.placement,
-    };
+    const { placement } = configuration;
     const engines = instances.filter(
         instance => instance.role === "engine" && instance.failureDomain === failureDomain,
     ).length;
     return placementPolicySchema.parse({
         models: modelsOf(configuration, engines),
-        weights,
+        weights: placement.weights,
         healthMilliseconds: placement.healthMilliseconds,
         orderMilliseconds: placement.orderMilliseconds,
         enginesCheckFencing: placement.enginesCheckFencing,
--- a/src/links/engine-streams.ts
+++ b/src/links/engine-streams.ts
@@ -68,11 +68,11 @@
 }
 
 function resumeRequest(dispatch: EngineDispatch): HttpRequest {
-    const { request, leader, fromOffset } = dispatch;
+    const { request, leader, fromOffset, attempt } = dispatch;
     return {
         address: leader.address,
         method: "GET",
-        path: `/v1/streams/${encodeURIComponent(request.id)}?from=${fromOffset}`,
+        path: `/v1/streams/${encodeURIComponent(request.id)}?from=${fromOffset}&attempt=${attempt}`,
         deadline: request.deadline,
     };
 }
--- a/src/links/engines.ts
+++ b/src/links/engines.ts
@@ -42,8 +42,8 @@
         },
         start: (dispatch, paused) => openEngineStream(client, "start", dispatch, paused),
         resume: (dispatch, paused) => openEngineStream(client, "resume", dispatch, paused),
-        cancel: async (leader, request, deadline) => {
-            const path = `/v1/streams/${encodeURIComponent(request)}`;
+        cancel: async (leader, request, attempt, deadline) => {
+            const path = `/v1/streams/${encodeURIComponent(request)}?attempt=${attempt}`;
             const outcome = await exchange(client, {
                 address: leader.address,
                 method: "DELETE",
--- a/stand-ins/batches.ts
+++ b/stand-ins/batches.ts
@@ -21,6 +21,8 @@
     readonly request: BatchRequest;
     readonly tokens: string[];
     readonly arrival: number;
+    /** The latest attempt that has read the stream. */
+    readerAttempt: number;
     state: "waiting" | "running" | "finished" | "dropped";
     textState: number;
     /** When the first token can come: the end of prefill. */
@@ -84,6 +86,7 @@
             request,
             tokens: [],
             arrival: this.arrivals,
+            readerAttempt: request.attempt,
             state: "waiting",
             textState: foldText(request.prompt),
             readyAt: 0,
@@ -96,6 +99,13 @@
     }
 
     /** Ends a stream; nothing of it can be read afterwards. */
+    /** Drops a stream on behalf of an attempt, unless a later one reads it. */
+    public cancel(id: string, attempt: number): void {
+        if ((this.streams.get(id)?.readerAttempt ?? 0) <= attempt) {
+            this.drop(id);
+        }
+    }
+
     public drop(id: string): void {
         const stream = this.streams.get(id);
         if (stream !== undefined) {
--- a/stand-ins/engine-calls.ts
+++ b/stand-ins/engine-calls.ts
@@ -73,8 +73,9 @@
 
     private receiveForStream(request: IncomingMessage, response: ServerResponse, id: string, url: URL): void {
         const stream = this.engine.batch.find(id);
+        const attempt = Number(url.searchParams.get("attempt") ?? Infinity);
         if (request.method === "DELETE") {
-            this.engine.batch.drop(id);
+            this.engine.batch.cancel(id, attempt);
             response.writeHead(204).end();
             return;
         }
@@ -83,6 +84,7 @@
             sendError(response, 404, "notFound", "the stream is gone");
             return;
         }
+        stream.readerAttempt = Math.max(stream.readerAttempt, Number.isFinite(attempt) ? attempt : 0);
         this.read(id, from, response);
     }
 
--- a/stand-ins/tests/engines.test.ts
+++ b/stand-ins/tests/engines.test.ts
@@ -102,7 +102,10 @@
         );
         const rest = await textOf(engines.resume(fixture.dispatch(3, "")));
         t.is(rest, `${rightAnswer.slice(3).join("")}.`);
-        await engines.cancel(fixture.instances[0]!, "r/1", now() + 1000);
+        await engines.cancel(fixture.instances[0]!, "r/1", 0, now() + 1000);
+        const kept = await textOf(engines.resume(fixture.dispatch(3, "")));
+        t.is(kept, rest, "a cancel of an earlier attempt must not end a stream that a later one has read");
+        await engines.cancel(fixture.instances[0]!, "r/1", 1, now() + 1000);
         t.is(await textOf(engines.resume(fixture.dispatch(3, ""))), "!");
     });
 });
--- a/tests/histories/placements-runs.ts
+++ b/tests/histories/placements-runs.ts
@@ -68,7 +68,7 @@
     world.loop.runUntil(faultEnd);
     endFaults(world);
     world.loop.runUntil(recoveryEnd);
-    if (process.env.DEBUG)
+    if (process.env.DEBUG) {
         console.log(
             world.events
                 .filter(e => e.at > 28000 && e.at < 45000 && e.body.kind !== "orderAnswered")
@@ -76,6 +76,7 @@
                 .join("\n"),
             world.placements.get("fabric-0"),
         );
+    }
     return judge(world, plan);
 }
 
