--- a/tests/histories/placements-runs.ts
+++ b/tests/histories/placements-runs.ts
@@ -68,14 +68,6 @@
     world.loop.runUntil(faultEnd);
     endFaults(world);
     world.loop.runUntil(recoveryEnd);
-    if (process.env.DEBUG)
-        console.log(
-            world.events
-                .filter(e => e.at > 28000 && e.at < 45000 && e.body.kind !== "orderAnswered")
-                .map(e => e.at.toFixed(0) + " " + e.process + " " + JSON.stringify(e.body))
-                .join("\n"),
-            world.placements.get("fabric-0"),
-        );
     return judge(world, plan);
 }
 
--- /dev/null
+++ b/tests/histories/placements.ts
@@ -0,0 +1,65 @@
+/** The proof of placement: random histories, two directed families of them, and mutants that the checker must catch. */
+import fc from "fast-check";
+import type { Mutant } from "../../benchmarks/placement-worlds.js";
+import type { MutantResult, Proof, ProofFailure, ProofOptions, ProofResult } from "../proofs.js";
+import { heldUpOrdersPlan, historyPlan, unreachableLeaderPlan } from "./placements-plans.js";
+import type { HistoryOutcome, HistoryPlan } from "./placements-runs.js";
+import { runHistory } from "./placements-runs.js";
+
+type MakePlan = (seed: number) => HistoryPlan;
+
+/** Directed histories are run once for each this many random ones. */
+const randomPerDirected = 10;
+/** Histories within which a mutant must be caught. */
+const mutantHistories = 400;
+
+const makeRandomPlan: MakePlan = seed => fc.sample(historyPlan, { numRuns: 1, seed })[0]!;
+
+const mutants: readonly (readonly [Mutant, MakePlan])[] = [
+    ["gateSkipped", makeRandomPlan],
+    ["leaseUnchecked", makeRandomPlan],
+    ["oldEpochAccepted", makeRandomPlan],
+    ["takeoverWaitSkipped", heldUpOrdersPlan],
+    ["movedWithoutRelease", makeRandomPlan],
+    ["settleSkipped", unreachableLeaderPlan],
+];
+
+/** Histories of several placers, engines and entries; fails on a broken promise or if groups do not come back. */
+export const placementsProof: Proof = { name: "placements", run: runProof };
+
+async function runProof(options: ProofOptions): Promise<ProofResult> {
+    const failures: ProofFailure[] = [];
+    const counts = { acceptedWork: 0, groupsCreated: 0 };
+    const families: MakePlan[] = [makeRandomPlan, unreachableLeaderPlan, heldUpOrdersPlan];
+    for (let index = 0; index < options.histories; index += 1) {
+        const seed = options.seed * 1_000_000 + index;
+        const family = index % randomPerDirected === 0 ? (index / randomPerDirected) % families.length : 0;
+        const outcome = runHistory(families[family]!(seed));
+        counts.acceptedWork += outcome.accepted;
+        counts.groupsCreated += outcome.groupsCreated;
+        const message = describeFailure(outcome);
+        if (message !== undefined) {
+            failures.push({ seed, message: `family ${family}: ${message}` });
+        }
+    }
+    const found = mutants.map(([mutant, make]) => findMutant(mutant, make, options.seed));
+    return { histories: options.histories, failures, mutants: found, counts };
+}
+
+function describeFailure(outcome: HistoryOutcome): string | undefined {
+    if (outcome.breaches.length > 0) {
+        return outcome.breaches[0];
+    }
+    const isShort = outcome.groupsAtEnd < outcome.groupsExpected;
+    return isShort ? `${outcome.groupsAtEnd} of ${outcome.groupsExpected} groups came back` : undefined;
+}
+
+function findMutant(mutant: Mutant, make: MakePlan, seed: number): MutantResult {
+    for (let index = 0; index < mutantHistories; index += 1) {
+        const [message] = runHistory(make(seed * 1_000_000 + index), mutant).breaches;
+        if (message !== undefined) {
+            return { name: mutant, caught: true, histories: index + 1, message };
+        }
+    }
+    return { name: mutant, caught: false, histories: mutantHistories };
+}
