Name the group that an engine reports in orders to release it, and test repairs, drains and shares

Engines refuse a release that names another group; a member that came back in its old group could never be told to leave it.

--- a/benchmarks/placement-engines.ts
+++ b/benchmarks/placement-engines.ts
@@ -231,6 +231,9 @@
                 this.become("draining", order.group, order.epoch);
                 return true;
             case "release":
+                if (this.group !== undefined && this.group !== order.group) {
+                    return false;
+                }
                 this.cancelLoad();
                 this.running = 0;
                 this.become("idle", undefined, order.epoch);
--- a/src/core/placement-orders.ts
+++ b/src/core/placement-orders.ts
@@ -41,8 +41,9 @@
         const report = reportOf(view, instance, now);
         const kind = report === undefined ? undefined : orderFor(group, report, mayRelease);
         if (kind !== undefined) {
-            const { id, epoch, model, members } = group;
-            orders.push({ instance, kind, group: id, epoch, model, members });
+            const { epoch, model, members } = group;
+            const leftGroup = kind === "release" ? report?.group : undefined;
+            orders.push({ instance, kind, group: leftGroup ?? group.id, epoch, model, members });
         }
     }
     return orders;
--- /dev/null
+++ b/src/core/tests/repairs.test.ts
@@ -0,0 +1,105 @@
+import test from "ava";
+import { chooseDrain } from "../drains.js";
+import type { DrainSituation } from "../drains.js";
+import type { PlacementPolicy } from "../placement-policies.js";
+import { placementPolicySchema, takeoverMilliseconds } from "../placement-policies.js";
+import { divideGroups } from "../placement-shares.js";
+import type { PlacedGroup } from "../placement-values.js";
+import type { RepairSituation } from "../repairs.js";
+import { priceRepair, rebuildAtOnce, reserveSpares, waitForRestart } from "../repairs.js";
+
+function policy(groupDowntime: number, strandedAccelerators: number): PlacementPolicy {
+    return placementPolicySchema.parse({
+        models: [{ model: "draft", version: "2", instancesPerReplica: 8, floor: 1, demand: 2 }],
+        weights: { groupDowntime, strandedAccelerators },
+        repair: { pauseChance: 0.6, pauseMilliseconds: 5_000, coldLoadMilliseconds: 60_000 },
+    });
+}
+
+const lost: RepairSituation = {
+    instances: 8,
+    silent: 1,
+    lostWeights: 0,
+    silentMilliseconds: 3_000,
+    warmSpares: 0,
+    coldSpares: 1,
+    queueMilliseconds: 0,
+    survivorsComplete: false,
+};
+
+test("a short silence is waited out before a cold load, a long one is not", t => {
+    t.is(priceRepair(lost, policy(8, 1)), "wait");
+    t.is(priceRepair({ ...lost, silentMilliseconds: 60_000 }, policy(8, 1)), "coldSpare");
+    t.is(priceRepair({ ...lost, warmSpares: 1 }, policy(8, 1)), "warmSpare");
+    t.is(priceRepair({ ...lost, silent: 0, lostWeights: 1 }, policy(8, 1)), "coldSpare");
+});
+
+test("without spares, survivors are merged if they complete another group", t => {
+    const none = { ...lost, coldSpares: 0, silentMilliseconds: 60_000 };
+    t.is(priceRepair(none, policy(8, 1)), "wait");
+    t.is(priceRepair({ ...none, survivorsComplete: true }, policy(8, 1)), "merge");
+    t.is(rebuildAtOnce(none, policy(8, 1)), "merge");
+    t.is(waitForRestart({ ...none, survivorsComplete: true }, policy(8, 1)), "wait");
+});
+
+test("the dearer downtime is, the more spares are kept out of groups above the demand", t => {
+    const frequent = (down: number, stranded: number): PlacementPolicy => {
+        const base = policy(down, stranded);
+        return { ...base, repair: { ...base.repair, instanceLossMilliseconds: 24 * 3_600_000 } };
+    };
+    t.true(reserveSpares(64, frequent(100, 1)) > reserveSpares(64, frequent(1, 10)));
+    t.is(reserveSpares(64, frequent(0, 10)), 0);
+});
+
+test("groups are divided by room, and never more than there is room for", t => {
+    const capacities = [
+        { fabricDomain: "a", instances: 64 },
+        { fabricDomain: "b", instances: 63 },
+        { fabricDomain: "c", instances: 7 },
+    ];
+    t.deepEqual(
+        [...divideGroups(10, 8, capacities)],
+        [
+            ["a", 5],
+            ["b", 5],
+            ["c", 0],
+        ],
+    );
+    t.deepEqual(
+        [...divideGroups(99, 8, capacities)],
+        [
+            ["a", 8],
+            ["b", 7],
+            ["c", 0],
+        ],
+    );
+    t.deepEqual([...divideGroups(3, 8, [])], []);
+});
+
+test("engines that do not check epochs make a new lease holder wait", t => {
+    t.is(takeoverMilliseconds(policy(1, 1)), 0);
+    t.is(takeoverMilliseconds({ ...policy(1, 1), enginesCheckFencing: false }), 10_000 + 2_000 + 5_000);
+});
+
+function group(id: string, version: string, state: PlacedGroup["state"] = "serving"): PlacedGroup {
+    const model = { model: "draft", version };
+    return { id, model, fabricDomain: "a", members: [id], epoch: 1, loadEpoch: 1, state };
+}
+
+test("a version is rolled one group at a time, and never below the floor", t => {
+    const situation: DrainSituation = {
+        groups: [group("1", "1"), group("2", "1")],
+        models: policy(1, 1).models,
+        share: () => ({ floor: 1, demand: 2 }),
+        isOpen: () => true,
+        running: each => (each.id === "1" ? 5 : 0),
+        hasSparesFor: () => false,
+    };
+    t.is(chooseDrain(situation)?.id, "2");
+    t.is(chooseDrain({ ...situation, share: () => ({ floor: 2, demand: 2 }) }), undefined);
+    t.is(chooseDrain({ ...situation, groups: [group("1", "1"), group("2", "1", "draining")] }), undefined);
+    t.is(chooseDrain({ ...situation, groups: [group("1", "1"), group("2", "2", "loading")] }), undefined);
+    const covered = [group("1", "1"), group("2", "1"), group("3", "2")];
+    t.is(chooseDrain({ ...situation, groups: covered, share: () => ({ floor: 2, demand: 2 }) })?.id, "2");
+    t.is(chooseDrain({ ...situation, models: [], groups: [group("1", "1")] })?.id, "1");
+});
