Estimate starts from virtual time, stop sending to replicas that are overfull

Cause: an overfull replica still gave each entry one place of overcommit, so engines queued without bound at 200%.

--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -2,9 +2,15 @@
 import { cac } from "cac";
 import type { Experiment, ExperimentReport } from "./experiments.js";
 import { fairness } from "./fairness.js";
+import { overload } from "./overload.js";
+import { prefix } from "./prefix.js";
+import { stragglerExperiment } from "./straggler.js";
 
 const experiments: Readonly<Record<string, Experiment>> = {
     fairness,
+    overload,
+    straggler: stragglerExperiment,
+    prefix,
 };
 
 function printTable(report: ExperimentReport): void {
--- /dev/null
+++ b/benchmarks/prefix.ts
@@ -0,0 +1,92 @@
+/** Prompts that begin with one of many shared texts; replicas' caches hold only a part of all these. */
+import { createRandomNumber } from "../src/core/random-numbers.js";
+import type { Experiment } from "./experiments.js";
+import type { Arrival } from "./fakes/callers.js";
+import { createArrivals, equalSubscribers } from "./fakes/callers.js";
+import { measureCapacity } from "./fakes/capacities.js";
+import type { EngineShape } from "./fakes/engines.js";
+import { defaultShape } from "./fakes/engines.js";
+import { round } from "./fakes/figures.js";
+import { createTeam } from "./fakes/teams.js";
+import type { Policy } from "./fakes/worlds.js";
+import { World, fairPolicy, leastInFlightPolicy, roundRobinPolicy } from "./fakes/worlds.js";
+import { chooseByEstimate, defaultPrices } from "../src/core/route-policies.js";
+
+const sharedTexts = 48;
+/** Tokens of one shared text: 16 blocks. */
+const sharedTokens = 1_024;
+const ownTokens = 60;
+/** Each replica's cache holds about 18 of the 48 texts. */
+const shape: EngineShape = { ...defaultShape, cacheBlocks: 288 };
+const load = 0.6;
+const warmUp = 30_000;
+const end = 180_000;
+
+/** Part of the prompt tokens found in caches, and p95 first token relative to the better baseline. */
+const target = { hitFraction: 0.7, firstTokenRatioToBaseline: 0.9 };
+
+/** The chosen policy without the value of a prefix hit. */
+const unawarePolicy: Policy = {
+    ...fairPolicy,
+    name: "fair, prefixes not used",
+    createRouting: () => {
+        const choose = chooseByEstimate({ ...defaultPrices, preferredMilliseconds: 0 });
+        return {
+            choose: (candidates, promptTokens, random) =>
+                choose(
+                    candidates.map(candidate => ({ ...candidate, cachedTokens: 0 })),
+                    promptTokens,
+                    random,
+                ),
+        };
+    },
+};
+
+function withSharedPrompts(arrivals: readonly Arrival[], seed: number): readonly Arrival[] {
+    const random = createRandomNumber(seed + 77);
+    const texts = [...Array(sharedTexts).keys()].map(text => `text${text} word `.repeat(sharedTokens / 2));
+    return arrivals.map(arrival => ({
+        ...arrival,
+        prompt: texts[Math.floor(random() ** 1.5 * sharedTexts)]!,
+        promptTokens: sharedTokens + ownTokens,
+    }));
+}
+
+function measure(policy: Policy, seed: number, capacity: number): Record<string, number | string> {
+    const rates = equalSubscribers("team", 40, (load * capacity) / 40);
+    const arrivals = withSharedPrompts(createArrivals(rates, end, seed), seed);
+    const teams = [createTeam("team")];
+    const world = World.create({ policy, seed, arrivals, teams, shape, warmUp, end }).run();
+    const { figures } = world;
+    const engines = [...world.engines.values()];
+    const hits = engines.reduce((sum, engine) => sum + engine.hitTokens, 0);
+    const prompts = engines.reduce((sum, engine) => sum + engine.promptTokens, 0);
+    return {
+        policy: policy.name,
+        hitFraction: round(hits / prompts),
+        firstTokenP50: round(figures.firstToken.percentile(50), 1),
+        firstTokenP95: round(figures.firstToken.percentile(95), 1),
+        firstTokenP99: round(figures.firstToken.percentile(99), 1),
+        gapP95: round(figures.gap.percentile(95), 1),
+    };
+}
+
+export const prefix: Experiment = seed => {
+    const capacity = measureCapacity(seed);
+    const measured = measure(fairPolicy, seed, capacity);
+    const baselines = [roundRobinPolicy, leastInFlightPolicy, unawarePolicy].map(policy =>
+        measure(policy, seed, capacity),
+    );
+    const best = Math.min(...baselines.map(figures => figures["firstTokenP95"] as number));
+    const ratio = round((measured["firstTokenP95"] as number) / best);
+    return {
+        experiment: "prefix",
+        seed,
+        target,
+        measured: { ...measured, firstTokenRatioToBaseline: ratio },
+        baseline: Object.fromEntries(baselines.map(figures => [figures["policy"], figures])),
+        holds:
+            (measured["hitFraction"] as number) >= target.hitFraction &&
+            ratio <= target.firstTokenRatioToBaseline,
+    };
+};
--- a/src/core/admission-estimates.ts
+++ b/src/core/admission-estimates.ts
@@ -2,36 +2,26 @@
  * Estimates from recent requests: the time until a request that comes now would start, how long answers take, and how
  * many tokens they have.
  */
-import type { Caller } from "./requests.js";
+import type { TeamId } from "./teams.js";
 
 /** Time in milliseconds over which the pace of starts is measured. */
 const paceMemoryMilliseconds = 5_000;
 /** Starts that must be known before an estimate is made. */
 const startsNeeded = 8;
-/** Subscribers whose own pace is remembered; the least recently started are forgotten first. */
-const subscribersRemembered = 1_024;
 
-/** Starts of late, decayed by time. */
+/** Progress of a queue's virtual time of late, decayed by time. */
 interface Pace {
     starts: number;
-    weight: number;
+    virtualTime: number;
+    /** Sum of the progress, decayed. */
+    progress: number;
     since: number;
     at: number;
 }
 
-/** What waits before a new request. */
-export interface WaitingCounts {
-    readonly queued: number;
-    /** Requests of the same subscriber. */
-    readonly own: number;
-    /** Subscribers with a request that waits. */
-    readonly subscribers: number;
-}
-
-/** Pace of the starts of one model at one entry. */
+/** Pace of a queue's virtual time by team, at one entry. */
 export class StartEstimate {
-    private pace: Pace | undefined;
-    private readonly paces = new Map<string, Pace>();
+    private readonly paces = new Map<TeamId, Pace>();
 
     private constructor() {}
 
@@ -39,59 +29,70 @@
         return new StartEstimate();
     }
 
-    /** Notes a start; `waiting` requests of the same subscriber still wait. */
-    public started(caller: Caller, waiting: number, now: number): void {
-        this.pace = addStart(this.pace, now);
-        const key = `${caller.team}\u0000${caller.subscriber}`;
-        const own = this.paces.get(key);
-        this.paces.delete(key);
-        if (waiting > 0) {
-            this.paces.set(key, addStart(own, now));
-            this.forgetOldest();
+    /** Notes a start of a team, after which its virtual time is as given. */
+    public started(team: TeamId, virtualTime: number, now: number): void {
+        const pace = this.paces.get(team);
+        if (pace === undefined) {
+            this.paces.set(team, { starts: 1, virtualTime, progress: 0, since: now, at: now });
+            return;
         }
+        pace.progress = progressOf(pace, now) + Math.max(0, virtualTime - pace.virtualTime);
+        pace.virtualTime = virtualTime;
+        pace.starts += 1;
+        pace.at = now;
     }
 
-    /**
-     * Returns milliseconds until a request starts, 0 if that is not known. Requests of the same subscriber go before
-     * it, those of other subscribers only in their turn.
-     */
-    public waitOf(caller: Caller, waiting: WaitingCounts, now: number): number {
-        if (waiting.queued === 0 || this.pace === undefined || this.pace.starts < startsNeeded) {
+    /** Returns milliseconds until a team's virtual time has gone on by `ahead`, 0 if that is not known. */
+    public waitOf(team: TeamId, ahead: number, now: number): number {
+        const pace = this.paces.get(team);
+        if (ahead <= 0 || pace === undefined || pace.starts < startsNeeded) {
             return 0;
         }
-        const ahead = Math.min(waiting.queued, (waiting.own + 1) * Math.max(1, waiting.subscribers));
-        const fairWait = ahead * intervalOf(this.pace, now);
-        const own = this.paces.get(`${caller.team}\u0000${caller.subscriber}`);
-        if (own === undefined || own.starts < startsNeeded || waiting.own === 0) {
-            return fairWait;
-        }
-        return Math.max(fairWait, (waiting.own + 1) * intervalOf(own, now));
+        const seen = paceMemoryMilliseconds * (1 - Math.exp((pace.since - now) / paceMemoryMilliseconds));
+        const progress = progressOf(pace, now);
+        return progress <= 0 ? 0 : (ahead * seen) / progress;
     }
+}
 
-    private forgetOldest(): void {
-        if (this.paces.size <= subscribersRemembered) {
-            return;
-        }
-        for (const oldest of this.paces.keys()) {
-            this.paces.delete(oldest);
-            return;
-        }
-    }
+function progressOf(pace: Pace, now: number): number {
+    return pace.progress * Math.exp((pace.at - now) / paceMemoryMilliseconds);
 }
 
-function addStart(pace: Pace | undefined, now: number): Pace {
-    if (pace === undefined) {
-        return { starts: 1, weight: 1, since: now, at: now };
+/** Standard deviations above the mean time of an answer that a start leaves room for. */
+const serviceDeviations = 2;
+/** Tokens charged here and by peers, decayed by time. */
+export class ChargeShare {
+    private own = 0;
+    private peers = 0;
+    private at = 0;
+
+    private constructor() {}
+
+    public static create(): ChargeShare {
+        return new ChargeShare();
+    }
+
+    public addOwn(tokens: number, now: number): void {
+        this.decay(now);
+        this.own = Math.max(0, this.own + tokens);
+    }
+
+    public addPeers(tokens: number, now: number): void {
+        this.decay(now);
+        this.peers = Math.max(0, this.peers + tokens);
+    }
+
+    /** Returns the tokens charged everywhere for each token charged here; at least 1. */
+    public get factor(): number {
+        return this.own <= 0 ? 1 : 1 + this.peers / this.own;
     }
-    const weight = pace.weight * Math.exp((pace.at - now) / paceMemoryMilliseconds) + 1;
-    return { starts: pace.starts + 1, weight, since: pace.since, at: now };
-}
 
-/** Mean milliseconds between starts. A pace that has been watched only for a while has seen a part of its memory. */
-function intervalOf(pace: Pace, now: number): number {
-    const weight = pace.weight * Math.exp((pace.at - now) / paceMemoryMilliseconds);
-    const seen = paceMemoryMilliseconds * (1 - Math.exp((pace.since - now) / paceMemoryMilliseconds));
-    return seen / Math.max(weight, 0.25);
+    private decay(now: number): void {
+        const kept = Math.exp((this.at - now) / paceMemoryMilliseconds);
+        this.own *= kept;
+        this.peers *= kept;
+        this.at = now;
+    }
 }
 
 /** Weight of one answer in the means. */
@@ -102,6 +103,9 @@
     private answers = 0;
     private tokens = 0;
     private milliseconds = 0;
+    private squares = 0;
+    private starts = 0;
+    private cost = 0;
 
     private constructor() {}
 
@@ -115,6 +119,18 @@
         const weight = Math.max(answerWeight, 1 / this.answers);
         this.tokens += weight * (tokens - this.tokens);
         this.milliseconds += weight * (milliseconds - this.milliseconds);
+        this.squares += weight * (milliseconds ** 2 - this.squares);
+    }
+
+    /** Notes the cost in tokens with which a request started. */
+    public started(cost: number): void {
+        this.starts += 1;
+        this.cost += Math.max(answerWeight, 1 / this.starts) * (cost - this.cost);
+    }
+
+    /** Mean cost of a request in tokens. */
+    public get meanCost(): number {
+        return this.cost;
     }
 
     /** Returns the expected tokens of an answer that has `most` at most. */
@@ -122,8 +138,9 @@
         return this.answers === 0 ? most : Math.min(most, this.tokens);
     }
 
-    /** Expected milliseconds from start to last token; 0 if not known. */
+    /** Milliseconds from start to last token that few answers exceed; 0 if not known. */
     public get serviceMilliseconds(): number {
-        return this.milliseconds;
+        const deviation = Math.sqrt(Math.max(0, this.squares - this.milliseconds ** 2));
+        return this.milliseconds + serviceDeviations * deviation;
     }
 }
--- a/src/core/admissions.ts
+++ b/src/core/admissions.ts
@@ -3,7 +3,7 @@
  * randomness are arguments. Times are local monotonic milliseconds, costs are tokens.
  */
 import type { RandomNumber } from "../contracts/clocks.js";
-import { AnswerEstimate, StartEstimate } from "./admission-estimates.js";
+import { AnswerEstimate, ChargeShare, StartEstimate } from "./admission-estimates.js";
 import type { HeapItem } from "./admission-heaps.js";
 import { IndexedHeap } from "./admission-heaps.js";
 import type { Fault, FaultCode } from "./errors.js";
@@ -24,7 +24,7 @@
     /** The most tokens that the answer may have. The mean is charged at the start, the rest as tokens appear. */
     readonly expectedTokens: number;
     readonly deadline: number;
-    /** The latest useful start; the deadline less the mean time of an answer if absent. */
+    /** The latest useful start; the deadline less the time that few answers exceed if absent. */
     readonly startBy?: number;
 }
 
@@ -71,7 +71,7 @@
     maximumTokens: 4_096,
 };
 /** Factor on the estimated wait beyond which a start counts as too late; the estimate errs by about this much. */
-export const lateStartMargin = 1.5;
+export const lateStartMargin = 2;
 /** Earliest return of a refused caller, in milliseconds. */
 export const earliestRetryMilliseconds = 200;
 
@@ -91,6 +91,7 @@
     readonly usage: RecentUsage;
     readonly estimate: StartEstimate;
     readonly answers: AnswerEstimate;
+    readonly charges: ChargeShare;
 }
 
 interface TeamCount {
@@ -153,7 +154,7 @@
             const message = "too many requests of the caller wait";
             return refuse(this.fault("overloaded", message, this.retryAt(wait, now)));
         }
-        const startBy = request.startBy ?? request.deadline - model.answers.serviceMilliseconds;
+        const startBy = request.startBy ?? latestStartOf(request, model.answers.serviceMilliseconds, now);
         const isLate = now + wait * lateStartMargin > startBy;
         if (now >= request.deadline || (isLate && this.options.refusesLateStarts !== false)) {
             const message = "the request cannot start before its deadline";
@@ -288,8 +289,9 @@
         tracked.prepaid = state.answers.tokensOf(request.expectedTokens);
         this.latestStarts.remove(tracked);
         this.count(request.caller, -1);
-        const waiting = this.queuedBy(request.caller);
-        state.estimate.started(request.caller, waiting, now);
+        const { team } = request.caller;
+        state.estimate.started(team, state.queue.virtualTimeOf(team), now);
+        state.answers.started(request.promptTokens + tracked.prepaid);
         this.chargeTokens(request, request.promptTokens + tracked.prepaid, now);
         const rank = this.teams.get(request.caller.team)?.rank ?? 0;
         return { id, model, priority: rank + (borrowed ? borrowedPriority : 0), borrowed };
@@ -326,6 +328,7 @@
         const model = this.modelOf(request.model);
         model.queue.charge(request.caller, tokens);
         model.usage.add(request.caller, tokens, now);
+        model.charges.addOwn(tokens, now);
         this.exchange.add(request.model, request.caller, tokens);
     }
 
@@ -334,6 +337,7 @@
         if (charge.subscriber === undefined) {
             model.queue.chargeTeam(charge.team, charge.tokens);
             model.usage.addToTeam(charge.team, charge.tokens, now);
+            model.charges.addPeers(charge.tokens, now);
             return;
         }
         const caller = { team: charge.team, subscriber: charge.subscriber };
@@ -341,25 +345,12 @@
         model.usage.addToSubscriber(caller, charge.tokens, now);
     }
 
-    private waitOf(request: AdmissionRequest, model: ModelAdmission, now: number): number {
-        const waiting = {
-            queued: model.queue.size,
-            own: this.queuedBy(request.caller),
-            subscribers: this.waitingSubscribers(),
-        };
-        return model.estimate.waitOf(request.caller, waiting, now);
-    }
-
-    private queuedBy(caller: Caller): number {
-        return this.counts.get(caller.team)?.bySubscriber.get(caller.subscriber) ?? 0;
-    }
-
-    private waitingSubscribers(): number {
-        let sum = 0;
-        for (const team of this.counts.values()) {
-            sum += team.bySubscriber.size;
+    private waitOf({ caller }: AdmissionRequest, model: ModelAdmission, now: number): number {
+        if (model.queue.size === 0) {
+            return 0;
         }
-        return sum;
+        const ahead = model.queue.aheadOf(caller, model.answers.meanCost);
+        return model.estimate.waitOf(caller.team, ahead * model.charges.factor, now);
     }
 
     private retryAt(wait: number, now: number): number {
@@ -398,6 +389,7 @@
                 usage: RecentUsage.create(),
                 estimate: StartEstimate.create(),
                 answers: AnswerEstimate.create(),
+                charges: ChargeShare.create(),
             };
             this.applyWeights(model);
             this.models.set(name, model);
@@ -417,6 +409,12 @@
     }
 }
 
+/** Keeps half of the remaining time for the wait, so that a wrong mean time cannot refuse every request. */
+function latestStartOf(request: AdmissionRequest, serviceMilliseconds: number, now: number): number {
+    const remaining = Math.max(0, request.deadline - now);
+    return request.deadline - Math.min(serviceMilliseconds, remaining / 2);
+}
+
 function refuse(fault: Fault): Offer {
     return { kind: "refused", fault };
 }
--- a/src/core/fair-queues.ts
+++ b/src/core/fair-queues.ts
@@ -38,6 +38,10 @@
     /** Charges a whole team for tokens whose subscribers are not known. */
     readonly chargeTeam: (team: TeamId, tokens: number) => void;
     readonly applyTeam: (team: TeamId, weight: TeamWeight) => void;
+    /** Virtual time of the team's request that started last; it never goes back. */
+    readonly virtualTimeOf: (team: TeamId) => number;
+    /** Virtual time until a new request of the caller would start, if each request costs `meanCost` tokens. */
+    readonly aheadOf: (caller: Caller, meanCost: number) => number;
 }
 
 class SubscriberNode implements HeapItem {
@@ -166,6 +170,20 @@
         this.waiting.update(team);
     }
 
+    public virtualTimeOf(team: TeamId): number {
+        return this.teams.get(team)?.servedTime ?? 0;
+    }
+
+    public aheadOf(caller: Caller, meanCost: number): number {
+        const team = this.teams.get(caller.team);
+        const subscriber = team?.subscribers.get(caller.subscriber);
+        if (team === undefined || subscriber === undefined) {
+            return 0;
+        }
+        const lead = Math.max(0, subscriber.virtualTime - team.servedTime);
+        return lead + subscriber.items.size * meanCost;
+    }
+
     /** Raises callers that were idle to the present virtual time: unused share is lent, not saved up. */
     private activate(caller: Caller): { readonly team: TeamNode; readonly subscriber: SubscriberNode } {
         const team = this.teamOf(caller.team);
@@ -214,6 +232,7 @@
 
 /** Arrival order; the baseline. */
 export class ArrivalQueue implements RequestQueue {
+    private taken = 0;
     private items = new Map<RequestId, QueuedItem>();
 
     private constructor() {}
@@ -242,6 +261,7 @@
         const item = this.peek();
         if (item !== undefined) {
             this.items.delete(item.id);
+            this.taken += 1;
         }
         return item;
     }
@@ -257,4 +277,12 @@
     public chargeTeam(): void {}
 
     public applyTeam(): void {}
+
+    public virtualTimeOf(): number {
+        return this.taken;
+    }
+
+    public aheadOf(): number {
+        return this.items.size;
+    }
 }
--- a/src/core/routes.ts
+++ b/src/core/routes.ts
@@ -18,6 +18,7 @@
 import { ReplicaLoad } from "./route-loads.js";
 import type { ChooseRoute, RouteCandidate } from "./route-policies.js";
 import { chooseByEstimate } from "./route-policies.js";
+import type { PaceReference } from "./stragglers.js";
 import { Stragglers } from "./stragglers.js";
 
 /** A replica group and the failure domain that it stands in. */
@@ -50,6 +51,8 @@
     readonly choose?: ChooseRoute;
     /** False to treat all replicas as equally fast. */
     readonly watchesPace?: boolean;
+    /** The pace that replicas are compared with; the median unless given. */
+    readonly paceReference?: PaceReference;
     /** False to send to any replica with a free slot, without credits. */
     readonly usesCredits?: boolean;
 }
@@ -292,7 +295,10 @@
         }
         const overcommit = Math.max(1, Math.floor(state.credit * overcommitFraction));
         const free = slots - allRequests;
-        const guaranteed = free + overcommit > 0 ? state.credit - ownRequests : 0;
+        if (free + overcommit <= 0) {
+            return 0;
+        }
+        const guaranteed = state.credit - ownRequests;
         if (borrowed) {
             const lent = (free - Math.max(1, slots * reservedFraction)) / this.entries.length;
             return Math.max(0, guaranteed, Math.floor(lent));
@@ -375,7 +381,7 @@
     private paceOf(model: string): Stragglers {
         let pace = this.paces.get(model);
         if (pace === undefined) {
-            pace = Stragglers.create();
+            pace = Stragglers.create(this.options.paceReference);
             this.paces.set(model, pace);
         }
         return pace;
--- a/src/core/stragglers.ts
+++ b/src/core/stragglers.ts
@@ -1,5 +1,5 @@
 /**
- * Replicas that are far slower than their peers. A replica's pace is compared with the median of all; a slow one is
+ * Replicas that are far slower than their peers. A replica's pace is compared with that of all; a slow one is
  * discounted, a very slow, silent or failing one is ejected, and comes back by a trial with one request.
  */
 
@@ -35,6 +35,18 @@
     ejectionLength: number;
 }
 
+/** Returns the gap (milliseconds) with which all gaps are compared, 0 if there are none. */
+export type PaceReference = (gaps: readonly number[]) => number;
+
+export const referenceByMedian: PaceReference = gaps => {
+    const sorted = [...gaps].sort((left, right) => left - right);
+    return sorted[(sorted.length - 1) >> 1] ?? 0;
+};
+
+/** The mean, as in "Surge: optimizations of parallel downloads"; one slow replica of few moves it. */
+export const referenceByMean: PaceReference = gaps =>
+    gaps.length === 0 ? 0 : gaps.reduce((sum, gap) => sum + gap, 0) / gaps.length;
+
 /** Paces of the replicas of one model. */
 export class Stragglers {
     private readonly replicas = new Map<string, ReplicaPace>();
@@ -42,10 +54,10 @@
     private referenceUntil = -Infinity;
     private ejectedCount = 0;
 
-    private constructor() {}
+    private constructor(private readonly referenceOf: PaceReference) {}
 
-    public static create(): Stragglers {
-        return new Stragglers();
+    public static create(referenceOf: PaceReference = referenceByMedian): Stragglers {
+        return new Stragglers(referenceOf);
     }
 
     public started(replica: string, now: number): void {
@@ -152,16 +164,15 @@
         return Math.max(silenceRatio, paceRatio);
     }
 
-    /** Median gap of the replicas in service. */
+    /** Gap that the replicas in service are compared with. */
     private reference(now: number): number {
         if (now < this.referenceUntil) {
             return this.referenceGap;
         }
         const gaps = [...this.replicas.values()]
             .filter(pace => pace.gaps >= gapsNeeded && pace.ejectedUntil === undefined)
-            .map(pace => pace.gapMilliseconds)
-            .sort((left, right) => left - right);
-        this.referenceGap = gaps[(gaps.length - 1) >> 1] ?? 0;
+            .map(pace => pace.gapMilliseconds);
+        this.referenceGap = this.referenceOf(gaps);
         this.referenceUntil = now + referenceMilliseconds;
         return this.referenceGap;
     }
