--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -2,6 +2,7 @@
 export * as admissions from "./admissions.js";
 export * as answers from "./answers.js";
 export * as answersCommands from "./answers-commands.js";
+export * as answersLosses from "./answers-losses.js";
 export * as answersOptions from "./answers-options.js";
 export * as answersPaces from "./answers-paces.js";
 export * as claimRecords from "./claim-records.js";
