--- a/tests/processes/callers.ts
+++ b/tests/processes/callers.ts
@@ -19,6 +19,9 @@
     "deadlineUnreachable",
 ]);
 
+/** Failures for which the entry instance did not break a connection: none was opened, or the caller gave up. */
+const callersOwn = /ECONNREFUSED|timeout/;
+
 /** Waits; only for letting time pass in front of real processes. */
 export function pause(milliseconds: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, milliseconds));
@@ -39,7 +42,7 @@
     const wantedAnswers = field.random() < 0.3 ? 2 : 1;
     let answers = 0;
     while (attempts.length < maximumAttempts && answers < wantedAnswers) {
-        const attempt = await tryAction(field.pickEntry(), key, credential);
+        const attempt = await tryAction(field, key, credential);
         attempts.push(attempt);
         answers += attempt.status >= 200 && attempt.status < 300 ? 1 : 0;
         await pause(millisecondsBetweenAttempts);
@@ -47,7 +50,9 @@
     return { key, attempts };
 }
 
-async function tryAction(entry: string, key: string, credential: string): Promise<ActionAttempt> {
+async function tryAction(field: CallerField, key: string, credential: string): Promise<ActionAttempt> {
+    const entry = field.pickEntry();
+    const kills = field.killsOf(entry);
     const answer = await makeCall({
         method: "POST",
         url: `${entry}/services/tracker/assignments`,
@@ -56,7 +61,9 @@
         timeoutMilliseconds: attemptMilliseconds,
     });
     const { code, notRun } = errorOf(answer.json);
-    return { entry, status: answer.status, body: answer.body, code, notRun, failure: answer.failure };
+    const { status, body, failure } = answer;
+    const wasCut = failure !== undefined && !callersOwn.test(failure) && field.killsOf(entry) === kills;
+    return { entry, status, body, code, notRun, failure, wasCut };
 }
 
 /** One streamed completion; after a broken connection its caller goes on at another entry instance. */
--- a/tests/processes/checkers.ts
+++ b/tests/processes/checkers.ts
@@ -20,6 +20,8 @@
     if (runs > 0 && action.attempts.every(attempt => attempt.notRun === true)) {
         problems.push(`action ${action.key} ran, and every attempt was refused as not run (${told})`);
     }
+    const cuts = action.attempts.filter(attempt => attempt.wasCut === true);
+    problems.push(...cuts.map(cut => `action ${action.key} was cut by ${cut.entry}: ${cut.failure}`));
     if (new Set(answered.map(attempt => attempt.body)).size > 1) {
         problems.push(`action ${action.key} got different answers`);
     }
@@ -122,6 +124,13 @@
             }
         );
     },
+    "action cut": history => ({
+        ...history,
+        actions: history.actions.map(action => ({
+            ...action,
+            attempts: action.attempts.map(attempt => ({ ...attempt, wasCut: true })),
+        })),
+    }),
     "token left out": history =>
         changeStream(history, stream => ({ ...stream, text: stream.text.replace(/\S+ /, "") })),
     "text of another request": history =>
--- a/tests/processes/histories.ts
+++ b/tests/processes/histories.ts
@@ -10,6 +10,8 @@
     readonly notRun?: boolean;
     /** Why there was no whole answer. */
     readonly failure?: string;
+    /** True if an entry instance that nobody had killed broke the connection without an answer. */
+    readonly wasCut?: boolean;
 }
 
 /** One keyed action with all its attempts, in order. */
