--- /dev/null
+++ b/src/commands/control/statuses.ts
@@ -0,0 +1,76 @@
+/** What the daemons say of themselves: revision in force, groups, stranded instances, queues. Needs no platform. */
+import { z } from "zod";
+import { readAdmin } from "../admin-readers.js";
+import type { OutputFormat } from "./outputs.js";
+import { exitCodes, print, printFault } from "./outputs.js";
+
+const gateSchema = z.object({
+    open: z.boolean(),
+    reason: z.string().optional(),
+    instance: z.string().optional(),
+});
+
+const groupSchema = z.object({
+    id: z.string(),
+    model: z.string(),
+    epoch: z.number(),
+    state: z.string(),
+    members: z.array(z.string()),
+    gate: gateSchema,
+});
+
+const entryStatusSchema = z.object({
+    process: z.string(),
+    failureDomain: z.string(),
+    readiness: z.string(),
+    configurationRevision: z.number(),
+    configurationAgeMilliseconds: z.number().optional(),
+    rejections: z.array(z.object({ path: z.string(), reason: z.string() })).default([]),
+    requests: z.object({ active: z.number(), queued: z.number() }),
+    queuedByTeam: z.record(z.string(), z.number()),
+    strandedInstances: z.array(z.string()).default([]),
+    groups: z.array(groupSchema),
+});
+
+type EntryStatus = Readonly<z.infer<typeof entryStatusSchema>>;
+
+/** Shows the status of every entry process named; exit code 1 if one cannot be read. */
+export async function showStatus(format: OutputFormat, addresses: readonly string[]): Promise<void> {
+    const answers = await Promise.all(addresses.map(address => readAdmin(address, "/status")));
+    for (const [index, answer] of answers.entries()) {
+        if (!answer.success) {
+            printFault(format, answer.fault);
+            continue;
+        }
+        const status = entryStatusSchema.safeParse(answer.data);
+        if (!status.success) {
+            process.stderr.write(`admin port "${addresses[index]}" is not that of an entry process\n`);
+            process.exitCode = exitCodes.failed;
+            continue;
+        }
+        print(format, formatStatus(status.data), status.data);
+    }
+}
+
+function formatStatus(status: EntryStatus): string {
+    const { process: name, failureDomain, readiness, configurationRevision, requests } = status;
+    const age = status.configurationAgeMilliseconds;
+    const lines = [
+        `${name} (${failureDomain}): ${readiness}, configuration revision ${configurationRevision}` +
+            (age === undefined ? "" : `, heard ${(age / 1000).toFixed(1)} s ago`),
+        `  requests: ${requests.active} active, ${requests.queued} queued`,
+        ...Object.entries(status.queuedByTeam)
+            .filter(([, queued]) => queued > 0)
+            .map(([team, queued]) => `  queue of team ${team}: ${queued}`),
+        ...status.rejections.map(({ path, reason }) => `  rejected: ${path}: ${reason}`),
+        `  instances outside any serving group: ${status.strandedInstances.join(", ") || "none"}`,
+        ...status.groups.map(formatGroup),
+    ];
+    return lines.join("\n");
+}
+
+function formatGroup(group: EntryStatus["groups"][number]): string {
+    const { id, model, epoch, state, members, gate } = group;
+    const closed = `closed (${gate.reason ?? "unknown"}${gate.instance === undefined ? "" : ` at ${gate.instance}`})`;
+    return `  group ${id} ${model} epoch ${epoch} ${state}, gate ${gate.open ? "open" : closed}: ${members.join(", ")}`;
+}
--- a/tests/proofs.ts
+++ b/tests/proofs.ts
@@ -2,9 +2,9 @@
  * Registry of proofs: histories of concurrent runs under faults, each with a checker, and broken variants (mutants)
  * that the checker must catch. `npm run prove` runs them all.
  */
-import { scenarioProofs } from "./processes/process-proofs.js";
 import { answersProof } from "./histories/answers.js";
 import { claimsProof } from "./histories/claims.js";
+import { scenarioProofs } from "./processes/process-proofs.js";
 
 /** Options of one run. Equal options give equal histories. */
 export interface ProofOptions {
