Tell a repeat of a key from its first attempt, and take stalls from the settings

An entry process that cannot read a claim may say that a call did not run only if the key is new: a key older than a second, or one that the caller marks with x-chervil-repeat, may have run elsewhere before.

--- a/benchmarks/straggler.ts
+++ b/benchmarks/straggler.ts
@@ -35,12 +35,12 @@
 
 interface Part {
     readonly world: World;
-    returnedAt: number | undefined;
+    readonly returnedAt: number | undefined;
 }
 
 function run(policy: Policy, seed: number, capacity: number, factor: number): Part {
     const rates = equalSubscribers("team", 80, (load * capacity) / 80);
-    let part: Part | undefined;
+    const returns: { at: number | undefined } = { at: undefined };
     const world = World.create({
         policy,
         seed,
@@ -57,24 +57,20 @@
             prepared.loop.at(slowUntil, () => {
                 engine.slowdown = 1;
                 prepared.loop.every(500, () => {
-                    watchReturn(part!);
+                    returns.at ??= hasReturned(prepared) ? prepared.loop.now() : undefined;
                 });
             });
         },
     });
-    part = { world, returnedAt: undefined };
     world.run();
-    return part;
+    return { world, returnedAt: returns.at };
 }
 
 /** The straggler is back once it runs at least half of what the others do on average. */
-function watchReturn(part: Part): void {
-    const running = [...part.world.engines.values()].map(engine => engine.load.running);
+function hasReturned(world: World): boolean {
+    const running = [...world.engines.values()].map(engine => engine.load.running);
     const mean = running.reduce((sum, count) => sum + count, 0) / running.length;
-    const own = part.world.engines.get(straggler)!.load.running;
-    if (own >= mean / 2) {
-        part.returnedAt ??= part.world.loop.now();
-    }
+    return world.engines.get(straggler)!.load.running >= mean / 2;
 }
 
 function measure(policy: Policy, seed: number, capacity: number): Record<string, number | string> {
--- a/src/core/configuration-schemas.ts
+++ b/src/core/configuration-schemas.ts
@@ -103,7 +103,7 @@
         .describe("Time for which a stream without its caller goes on."),
     stallMilliseconds: milliseconds
         .default(5_000)
-        .describe("Shortest silence of a stream that counts as a stall."),
+        .describe("Silence of a stream that always counts as a stall; a fast stream stalls sooner."),
     bufferedTokens: z.int().min(1).max(1_000_000).default(1_024).describe("Tokens held for a slow caller."),
 });
 
--- a/src/daemons/entry/entry-parts.ts
+++ b/src/daemons/entry/entry-parts.ts
@@ -135,6 +135,7 @@
     }
     return {
         ...defaultAnswerOptions,
+        pace: { ...defaultAnswerOptions.pace, maximumStallMilliseconds: streams.stallMilliseconds },
         resumeWindowMilliseconds: streams.resumeWindowMilliseconds,
         maximumUntakenTokens: streams.bufferedTokens,
     };
--- a/src/daemons/entry/service-routes.ts
+++ b/src/daemons/entry/service-routes.ts
@@ -5,6 +5,7 @@
 import type { ServiceSettings } from "../../core/configuration-schemas.js";
 import type { Fault, Result } from "../../core/errors.js";
 import { fail, succeed } from "../../core/errors.js";
+import { safeParseIdempotencyKey } from "../../core/idempotency-keys.js";
 import type { Caller, ServiceCall } from "../../core/requests.js";
 import { sendFault } from "../../links/fault-answers.js";
 import type { SystemView } from "../views.js";
@@ -26,6 +27,11 @@
     readonly run: (call: ServiceCall) => Promise<ServiceOutcome>;
 }
 
+/** Header by which a caller says that it has sent this Idempotency-Key before. */
+const repeatHeader = "x-chervil-repeat";
+/** A first attempt comes within this time of the making of its key, in milliseconds. */
+const firstAttemptMilliseconds = 1_000;
+
 /** Returns the function that answers one call. */
 export function createServiceHandler(
     options: ServiceRoutesOptions,
@@ -67,6 +73,7 @@
     const method = request.method ?? "GET";
     const contentType = request.headers["content-type"];
     const key = request.headers["idempotency-key"];
+    const keyText = key === undefined ? undefined : String(key).toLowerCase();
     return succeed({
         id: randomUUID(),
         caller,
@@ -76,7 +83,8 @@
         body,
         contentType,
         idempotent: isIdempotent(settings, method, path),
-        key: key === undefined ? undefined : String(key).toLowerCase(),
+        key: keyText,
+        isRepeat: isRepeat(request.headers[repeatHeader], keyText, options.clock.wallMilliseconds()),
         deadline: options.clock.monotonicMilliseconds() + settings.timeoutMilliseconds,
     });
 }
@@ -94,6 +102,16 @@
     return { code: "forbidden", message, step: "authenticate", notRun: true };
 }
 
+/**
+ * True if the caller says that it has sent the key before, or if the key was made too long ago for a first attempt. What
+ * became of an earlier attempt is then not known until the claim is read, so nothing else may say "not run".
+ */
+function isRepeat(header: string | string[] | undefined, key: string | undefined, wallNow: number): boolean {
+    const parsed = key === undefined ? undefined : safeParseIdempotencyKey(key);
+    const isOld = parsed?.success === true && wallNow - parsed.data.mintedAt > firstAttemptMilliseconds;
+    return header === "true" || isOld;
+}
+
 /** True if the method or one of the configured routes allows repeating the call. */
 export function isIdempotent(settings: ServiceSettings, method: string, path: string): boolean {
     if ((settings.idempotentMethods as readonly string[]).includes(method)) {
