Prove the mesh by histories in virtual time, with six mutants

A watch line proves no more than its own changes, and an opened watch proves nothing: the header's revision may be ahead of what was sent, and a follower that trusted it would take changes for known that it never saw.

--- /dev/null
+++ b/benchmarks/mesh-nodes.ts
@@ -0,0 +1,211 @@
+/** One daemon of a virtual mesh: the pure parts with their inputs and outputs tied to fakes. */
+import type { EndpointReport } from "../src/core/endpoints.js";
+import type { FollowingCommand, FollowingEvent } from "../src/core/configuration-followings.js";
+import { StoreFollowing } from "../src/core/configuration-followings.js";
+import type { Instance } from "../src/core/instances.js";
+import type { MeshRules } from "../src/core/membership-meshes.js";
+import { MeshState } from "../src/core/membership-meshes.js";
+import type { PeerExchange } from "../src/core/membership-messages.js";
+import { firstRoundDelay, roundMilliseconds } from "../src/core/membership-rounds.js";
+import { ProbePlan } from "../src/core/probe-plans.js";
+import type { VirtualLoop } from "./loops.js";
+import type { VirtualStore } from "./mesh-stores.js";
+
+const tickMilliseconds = 250;
+
+/** Who follows the store; the alternatives are the baselines. */
+export type FollowMode = "mesh" | "watch" | "poll";
+
+/** What a node reaches the others through. */
+export interface NodeSurroundings {
+    readonly loop: VirtualLoop;
+    readonly store: VirtualStore;
+    readonly random: () => number;
+    readonly exchange: (
+        from: VirtualNode,
+        address: string,
+        request: PeerExchange,
+        answer: (answer: PeerExchange | undefined) => void,
+    ) => void;
+    readonly probe: (
+        from: VirtualNode,
+        instance: Instance,
+        answer: (report: EndpointReport | undefined) => void,
+    ) => void;
+    /** False while the node is cut off from the store. */
+    readonly reachesStore: (node: VirtualNode) => boolean;
+    readonly rules: MeshRules;
+    readonly readsAfterGap: boolean;
+    readonly follow: FollowMode;
+    readonly contacts: readonly string[];
+}
+
+/** A daemon's place. */
+export interface NodePlace {
+    readonly id: string;
+    readonly failureDomain: string;
+    readonly incarnation: number;
+}
+
+/** One life of one daemon; `address` is its id. */
+export class VirtualNode {
+    public readonly state: MeshState;
+    public isPaused = false;
+    public isDead = false;
+    /** Work that arrived while the node was paused. */
+    private readonly pending: (() => void)[] = [];
+    private readonly following: StoreFollowing;
+    private readonly probes = ProbePlan.create();
+    private closeWatch: (() => void) | undefined;
+    private listStartedAt = 0;
+    private nextRoundAt: number;
+
+    private constructor(
+        public readonly place: NodePlace,
+        private readonly around: NodeSurroundings,
+    ) {
+        const { loop, random, rules, readsAfterGap } = around;
+        const now = loop.now();
+        const { id, failureDomain, incarnation } = place;
+        const body = { address: id, failureDomain, instance: id, role: "entry", state: "live" } as const;
+        const seeds = around.contacts;
+        this.state = MeshState.create({ id, body, incarnation, seeds, now, random, rules });
+        this.following = StoreFollowing.create({ watching: false, now, random, readsAfterGap });
+        this.nextRoundAt = now + firstRoundDelay(id);
+    }
+
+    public static start(place: NodePlace, around: NodeSurroundings): VirtualNode {
+        const node = new VirtualNode(place, around);
+        node.tick();
+        around.loop.every(tickMilliseconds, () => {
+            node.do(() => node.tick(), true);
+            return !node.isDead;
+        });
+        return node;
+    }
+
+    /** Does something now, after a pause, or never if the node is dead; ticks of a pause are not made up for. */
+    public do(action: () => void, isTick = false): void {
+        if (this.isDead || (this.isPaused && isTick)) {
+            return;
+        }
+        if (this.isPaused) {
+            this.pending.push(action);
+            return;
+        }
+        action();
+    }
+
+    /** Goes on after a pause: the late tick comes first, then what has waited. */
+    public wake(): void {
+        this.isPaused = false;
+        this.tick();
+        this.pending.splice(0).forEach(action => this.do(action));
+    }
+
+    /** The watch's stream goes dead without a word, as when the way to the store is cut. */
+    public loseWatch(): void {
+        this.closeWatch?.();
+    }
+
+    public die(): void {
+        this.isDead = true;
+        this.closeWatch?.();
+    }
+
+    private tick(): void {
+        const { loop } = this.around;
+        const now = loop.now();
+        if (now >= this.nextRoundAt) {
+            this.nextRoundAt = now + roundMilliseconds;
+            const { exchanges } = this.state.tick(now);
+            exchanges.forEach(({ address, request }) => this.exchange(address, request));
+        }
+        const confirmedAt = this.state.configurationConfirmedAt;
+        this.follow({ kind: "mode", watching: this.isWatcher(now) });
+        this.follow({ kind: "tick", confirmedAt: this.around.follow === "mesh" ? confirmedAt : now });
+        this.probe(now);
+    }
+
+    private isWatcher(now: number): boolean {
+        const { follow } = this.around;
+        return follow === "watch" || (follow === "mesh" && this.state.isWatcher(now));
+    }
+
+    private exchange(address: string, request: PeerExchange): void {
+        const { loop, exchange } = this.around;
+        exchange(this, address, request, answer =>
+            this.do(() => {
+                if (answer === undefined) {
+                    this.state.failExchange(address, loop.now());
+                } else {
+                    this.state.finishExchange(address, request, answer, loop.now());
+                }
+            }),
+        );
+    }
+
+    private probe(now: number): void {
+        const { probe } = this.around;
+        const view = {
+            self: this.place.id,
+            failureDomain: this.place.failureDomain,
+            instances: this.state.instances,
+            liveIn: (domain: string) => this.state.liveIn(domain, now),
+            liveAnywhere: () =>
+                this.state.members(now).flatMap(each => (each.judged === "live" ? each.id : [])),
+            health: (instance: string) => this.state.health(instance),
+            healthMilliseconds: this.state.configuration.configuration.placement.healthMilliseconds,
+        };
+        for (const instance of this.probes.due(view, now)) {
+            probe(this, instance, report =>
+                this.do(() => {
+                    const at = this.around.loop.now();
+                    if (report !== undefined) {
+                        this.probes.succeeded(instance.id, view, at);
+                        this.state.observeReport(report, now);
+                    } else if (this.probes.failed(instance.id, at)) {
+                        this.state.observeFailure(instance.id, at);
+                    }
+                }),
+            );
+        }
+    }
+
+    private follow(event: FollowingEvent): void {
+        this.following.step(event, this.around.loop.now()).forEach(command => this.run(command));
+    }
+
+    private run(command: FollowingCommand): void {
+        const { store, reachesStore, loop } = this.around;
+        const { state } = this;
+        switch (command.kind) {
+            case "list":
+                this.listStartedAt = loop.now();
+                if (reachesStore(this)) {
+                    store.read(answer =>
+                        this.do(() => this.follow({ kind: "listed", attempt: command.attempt, answer })),
+                    );
+                }
+                break;
+            case "watch":
+                this.closeWatch = store.watch(command.fromRevision, event => {
+                    this.do(() => this.follow({ kind: "watched", attempt: command.attempt, event }));
+                });
+                break;
+            case "unwatch":
+                this.closeWatch?.();
+                this.closeWatch = undefined;
+                break;
+            case "apply":
+                if (!state.configuration.applySnapshot(command.answer).stale) {
+                    state.confirm(this.listStartedAt);
+                }
+                break;
+            case "applyWatch":
+                state.configuration.applyWatch(command.event);
+                state.confirm(loop.now());
+                break;
+        }
+    }
+}
--- /dev/null
+++ b/benchmarks/mesh-worlds.ts
@@ -0,0 +1,246 @@
+/** A virtual mesh: daemons, endpoints, the store and the ways between them, with faults. */
+import type { EndpointReport } from "../src/core/endpoints.js";
+import type { Instance } from "../src/core/instances.js";
+import type { MeshRules } from "../src/core/membership-meshes.js";
+import { meshRules } from "../src/core/membership-meshes.js";
+import type { PeerExchange } from "../src/core/membership-messages.js";
+import { exchangeMilliseconds } from "../src/core/membership-rounds.js";
+import { probeMilliseconds } from "../src/core/probe-plans.js";
+import { createRandomNumber } from "../src/core/random-numbers.js";
+import { VirtualLoop } from "./loops.js";
+import type { FollowMode, NodeSurroundings } from "./mesh-nodes.js";
+import { VirtualNode } from "./mesh-nodes.js";
+import { VirtualStore } from "./mesh-stores.js";
+
+/** Members of one replica group of a virtual endpoint fleet. */
+const groupSize = 8;
+
+/** Size and rules of a world. */
+export interface MeshWorldOptions {
+    readonly seed: number;
+    readonly failureDomains: number;
+    readonly daemonsPerDomain: number;
+    readonly endpointsPerDomain: number;
+    readonly rules?: MeshRules;
+    readonly readsAfterGap?: boolean;
+    readonly follow?: FollowMode;
+    /** Called with every message that goes over the network. */
+    readonly onMessage?: (from: string, to: string, message: PeerExchange) => PeerExchange;
+    readonly onProbe?: (from: string) => void;
+}
+
+/** One endpoint. */
+export interface VirtualEndpoint {
+    readonly instance: Instance;
+    readonly isLeader: boolean;
+    readonly group: string;
+    incarnation: number;
+    sequence: number;
+    diedAt: number | undefined;
+}
+
+/** All parts of one world. */
+export class MeshWorld {
+    public readonly loop = VirtualLoop.create();
+    public readonly random: () => number;
+    public readonly store: VirtualStore;
+    public readonly nodes = new Map<string, VirtualNode>();
+    public readonly endpoints = new Map<string, VirtualEndpoint>();
+    /** Failure domains that are cut off from the others, and nodes that are cut off from the store. */
+    public readonly cutDomains = new Set<string>();
+    public readonly cutFromStore = new Set<string>();
+    public lossRate = 0;
+    private incarnation = 1_000;
+
+    private constructor(public readonly options: MeshWorldOptions) {
+        this.random = createRandomNumber(options.seed);
+        this.store = VirtualStore.create(this.loop, this.random);
+    }
+
+    public static create(options: MeshWorldOptions): MeshWorld {
+        const world = new MeshWorld(options);
+        for (let domain = 0; domain < options.failureDomains; domain += 1) {
+            world.createEndpoints(`fd-${domain}`);
+        }
+        for (const id of world.nodeIds) {
+            world.start(id);
+        }
+        return world;
+    }
+
+    public get nodeIds(): readonly string[] {
+        const { failureDomains, daemonsPerDomain } = this.options;
+        return Array.from({ length: failureDomains * daemonsPerDomain }, (_, index) => {
+            const domain = index % failureDomains;
+            return `fd-${domain}/entry-${Math.floor(index / failureDomains)}`;
+        });
+    }
+
+    public get liveNodes(): readonly VirtualNode[] {
+        return [...this.nodes.values()].filter(node => !node.isDead && !node.isPaused);
+    }
+
+    /** Starts a daemon, or starts it again with a higher incarnation. */
+    public start(id: string): VirtualNode {
+        this.nodes.get(id)?.die();
+        this.incarnation += 1;
+        const failureDomain = id.split("/")[0]!;
+        const node = VirtualNode.start(
+            { id, failureDomain, incarnation: this.incarnation },
+            this.surroundings,
+        );
+        node.state.setInstances(this.instances, this.loop.now());
+        this.nodes.set(id, node);
+        return node;
+    }
+
+    public get instances(): readonly Instance[] {
+        return [...this.endpoints.values()].map(endpoint => endpoint.instance);
+    }
+
+    /** Cuts a node off from the store; its watch goes dead. */
+    public cutStore(id: string): void {
+        this.cutFromStore.add(id);
+        this.nodes.get(id)?.loseWatch();
+    }
+
+    /** The instance list tells one node that an endpoint leaves. */
+    public tellLeaving(endpoint: string, node: VirtualNode): void {
+        const told = this.instances.map(each =>
+            each.id === endpoint ? { ...each, state: "leaving" as const } : each,
+        );
+        node.state.setInstances(told, this.loop.now());
+    }
+
+    public restartEndpoint(endpoint: VirtualEndpoint): void {
+        endpoint.incarnation += 1;
+        endpoint.sequence = 0;
+        endpoint.diedAt = undefined;
+    }
+
+    private get surroundings(): NodeSurroundings {
+        const { rules = meshRules, readsAfterGap = true, follow = "mesh" } = this.options;
+        return {
+            loop: this.loop,
+            store: this.store,
+            random: this.random,
+            exchange: (from, address, request, answer) => this.exchange(from, address, request, answer),
+            probe: (from, instance, answer) => this.probe(from, instance, answer),
+            reachesStore: node => !this.cutFromStore.has(node.place.id),
+            rules,
+            readsAfterGap,
+            follow,
+            contacts: this.nodeIds,
+        };
+    }
+
+    private createEndpoints(failureDomain: string): void {
+        for (let index = 0; index < this.options.endpointsPerDomain; index += 1) {
+            const id = `${failureDomain}-engine-${index}`;
+            const group = `${failureDomain}-group-${Math.floor(index / groupSize)}`;
+            const fabricDomain = `${failureDomain}-fabric`;
+            const address = id;
+            const instance: Instance = {
+                id,
+                address,
+                failureDomain,
+                fabricDomain,
+                role: "engine",
+                state: "live",
+            };
+            const isLeader = index % groupSize === 0;
+            this.endpoints.set(id, {
+                instance,
+                isLeader,
+                group,
+                incarnation: 1,
+                sequence: 0,
+                diedAt: undefined,
+            });
+        }
+    }
+
+    private isCut(left: string, right: string): boolean {
+        return left !== right && (this.cutDomains.has(left) || this.cutDomains.has(right));
+    }
+
+    private delay(): number {
+        return 1 + this.random() * 10;
+    }
+
+    private exchange(
+        from: VirtualNode,
+        address: string,
+        request: PeerExchange,
+        answer: (answer: PeerExchange | undefined) => void,
+    ): void {
+        const carry = this.options.onMessage ?? ((_from, _to, message) => message);
+        let isSettled = false;
+        const settle = (result: PeerExchange | undefined) => {
+            if (!isSettled) {
+                isSettled = true;
+                answer(result);
+            }
+        };
+        this.loop.after(exchangeMilliseconds, () => settle(undefined));
+        const sent = carry(from.place.id, address, request);
+        const isLost = this.random() < this.lossRate;
+        this.loop.after(this.delay(), () => {
+            const target = this.nodes.get(address);
+            if (
+                isLost ||
+                target === undefined ||
+                this.isCut(from.place.failureDomain, target.place.failureDomain)
+            ) {
+                return;
+            }
+            target.do(() => {
+                const result = carry(
+                    address,
+                    from.place.id,
+                    target.state.answer(sent, this.loop.now()).answer,
+                );
+                if (this.random() >= this.lossRate) {
+                    this.loop.after(this.delay(), () => settle(result));
+                }
+            });
+        });
+    }
+
+    private probe(
+        from: VirtualNode,
+        instance: Instance,
+        answer: (report: EndpointReport | undefined) => void,
+    ): void {
+        this.options.onProbe?.(from.place.id);
+        const endpoint = this.endpoints.get(instance.id);
+        const isReachable =
+            endpoint !== undefined &&
+            endpoint.diedAt === undefined &&
+            !this.isCut(from.place.failureDomain, instance.failureDomain);
+        if (!isReachable) {
+            this.loop.after(probeMilliseconds, () => answer(undefined));
+            return;
+        }
+        endpoint.sequence += 1;
+        const report = reportOf(endpoint);
+        this.loop.after(this.delay(), () => answer(report));
+    }
+}
+
+function reportOf(endpoint: VirtualEndpoint): EndpointReport {
+    const { instance, incarnation, sequence, group, isLeader } = endpoint;
+    const load = { running: isLeader ? sequence % 7 : 0, waiting: 0, slots: isLeader ? 32 : 0 };
+    const warm = [{ model: "draft", version: "1" }];
+    return {
+        instance: instance.id,
+        incarnation,
+        sequence,
+        state: "serving",
+        group,
+        epoch: 3,
+        leaving: false,
+        load,
+        warm,
+    };
+}
--- a/src/core/configuration-followings.ts
+++ b/src/core/configuration-followings.ts
@@ -50,6 +50,7 @@
         private watching: boolean,
         now: number,
         private readonly random: () => number,
+        private readonly readsAfterGap: boolean,
     ) {
         this.phase = { kind: "idle", listAt: now, sinceAt: now };
     }
@@ -58,8 +59,11 @@
         readonly watching: boolean;
         readonly now: number;
         readonly random: () => number;
+        /** False breaks the following: it goes on after a gap with the present changes. */
+        readonly readsAfterGap?: boolean;
     }): StoreFollowing {
-        return new StoreFollowing(options.watching, options.now, options.random);
+        const { watching, now, random, readsAfterGap = true } = options;
+        return new StoreFollowing(watching, now, random, readsAfterGap);
     }
 
     /** True while a watch is open and not silent. */
@@ -138,12 +142,20 @@
             return [];
         }
         if (event.kind === "gap") {
-            return [{ kind: "unwatch" }, ...this.backOff(now)];
+            return this.afterGap(now);
         }
         this.phase = { kind: "watching", deadline: now + watchSilenceMilliseconds };
         return [{ kind: "applyWatch", event }];
     }
 
+    private afterGap(now: number): readonly FollowingCommand[] {
+        if (this.readsAfterGap) {
+            return [{ kind: "unwatch" }, ...this.backOff(now)];
+        }
+        this.attempt += 1;
+        return [{ kind: "unwatch" }, { kind: "watch", attempt: this.attempt, fromRevision: 0 }];
+    }
+
     private list(now: number): readonly FollowingCommand[] {
         this.attempt += 1;
         const deadline = now + listMilliseconds;
--- a/src/core/configurations.ts
+++ b/src/core/configurations.ts
@@ -4,6 +4,8 @@
  * revision was absent or deleted then, so an older value of it is never taken back: the held revision is its tombstone.
  */
 import type { ReadAnswer, WatchEvent } from "../contracts/key-value-stores.js";
+import type { ConfigurationRules } from "./configuration-rules.js";
+import { configurationRules } from "./configuration-rules.js";
 import type {
     ConfigurationChange,
     ConfigurationDeletion,
@@ -12,30 +14,15 @@
     ConfigurationRejection,
     ConfigurationUpdate,
 } from "./configuration-updates.js";
+import type { HeldEntry } from "./configuration-digests.js";
+import { digestOf } from "./configuration-digests.js";
 import { toConfigurationEntry } from "./configuration-updates.js";
-import type { Configuration, ConfigurationValue } from "./configuration-values.js";
-import { assembleConfiguration, safeParseConfigurationValue } from "./configuration-values.js";
-import { hashText } from "./hashes.js";
+import type { Configuration } from "./configuration-values.js";
+import { assembleConfiguration } from "./configuration-values.js";
 
 /** Deletions kept for updates to peers; a peer further behind gets the whole configuration. */
 const maxDeletions = 1_024;
 
-interface StandingValue {
-    readonly text: string;
-    readonly modRevision: number;
-    readonly parsed: ConfigurationValue;
-}
-
-interface HeldEntry {
-    readonly text: string;
-    readonly modRevision: number;
-    readonly createRevision: number;
-    /** Why `text` is invalid; undefined if it is valid. */
-    readonly reason: string | undefined;
-    /** The value in force. */
-    readonly standing: StandingValue | undefined;
-}
-
 const unchanged: ConfigurationChange = { changed: false, rejections: [], stale: false };
 const staleInput: ConfigurationChange = { changed: false, rejections: [], stale: true };
 
@@ -49,10 +36,10 @@
     private assembled: Configuration = assembleConfiguration(0, []);
     private digested: ConfigurationDigest | undefined;
 
-    private constructor() {}
+    private constructor(private readonly rules: ConfigurationRules) {}
 
-    public static create(): ConfigurationFollower {
-        return new ConfigurationFollower();
+    public static create(rules: ConfigurationRules = configurationRules): ConfigurationFollower {
+        return new ConfigurationFollower(rules);
     }
 
     /** Store revision up to which every accepted change is in force; 0 before the first snapshot. */
@@ -70,8 +57,13 @@
         return [...this.entries.keys()].flatMap(path => this.rejectionOf(path) ?? []);
     }
 
+    /** Revision of the value in force at a path; undefined if there is none. */
+    public revisionOf(path: string): number | undefined {
+        return this.entries.get(path)?.standing?.modRevision;
+    }
+
     public get digest(): ConfigurationDigest {
-        this.digested ??= this.computeDigest();
+        this.digested ??= digestOf(this.revision, this.entries);
         return this.digested;
     }
 
@@ -146,11 +138,11 @@
         if (update.from === 0) {
             return this.applyWhole(update.revision, update.entries);
         }
-        return update.from > this.revision ? staleInput : this.applyDifference(update);
+        return this.rules.leavesGap(update.from, this.revision) ? staleInput : this.applyDifference(update);
     }
 
     private applyWhole(revision: number, entries: readonly ConfigurationEntry[]): ConfigurationChange {
-        if (revision < this.revision || this.contradicts(entries)) {
+        if (this.rules.isOlder(revision, this.revision) || this.contradicts(entries)) {
             return staleInput;
         }
         if (revision === this.revision) {
@@ -175,11 +167,13 @@
     }
 
     private applyDifference(update: ConfigurationUpdate): ConfigurationChange {
-        const later = update.entries.filter(entry => entry.modRevision > this.revision);
-        const put = new Set(update.entries.map(entry => entry.path));
-        const deletions = update.deletions.filter(
-            deletion => deletion.revision > this.revision && !put.has(deletion.path),
+        const later = update.entries.filter(entry =>
+            this.rules.isNews(entry.modRevision, this.entries.get(entry.path)?.modRevision, this.revision),
         );
+        const put = new Set(update.entries.map(entry => entry.path));
+        const deletions = this.rules
+            .deletions(update.deletions)
+            .filter(deletion => deletion.revision > this.revision && !put.has(deletion.path));
         for (const deletion of deletions) {
             this.remove(deletion);
         }
@@ -193,7 +187,7 @@
     }
 
     private put(entry: ConfigurationEntry): ConfigurationRejection | undefined {
-        const parsed = safeParseConfigurationValue(entry.path, entry.text);
+        const parsed = this.rules.parse(entry.path, entry.text);
         const { text, modRevision, createRevision } = entry;
         if (parsed.success) {
             const standing = { text, modRevision, parsed: parsed.data };
@@ -235,7 +229,7 @@
             return false;
         }
         const floor = Math.max(held.createRevision, (held.standing?.modRevision ?? 0) + 1);
-        const parsed = safeParseConfigurationValue(entry.path, offered.text);
+        const parsed = this.rules.parse(entry.path, offered.text);
         if (offered.modRevision < floor || offered.modRevision >= held.modRevision || !parsed.success) {
             return false;
         }
@@ -283,16 +277,4 @@
         const { modRevision: revision, reason, standing } = held;
         return { path, revision, reason, standingRevision: standing?.modRevision };
     }
-
-    private computeDigest(): ConfigurationDigest {
-        const paths = [...this.entries.keys()].sort();
-        const lines = paths.map(path => `${path}@${this.entries.get(path)!.modRevision}`);
-        const invalid = paths.filter(path => this.entries.get(path)!.reason !== undefined);
-        const standing = invalid.map(path => `${path}@${this.entries.get(path)!.standing?.modRevision ?? 0}`);
-        return {
-            revision: this.revision,
-            hash: hashText(lines.join("\n")),
-            standingHash: hashText(standing.join("\n")),
-        };
-    }
 }
--- a/src/core/health-tables.ts
+++ b/src/core/health-tables.ts
@@ -7,7 +7,7 @@
 import type { InstanceId } from "./instances.js";
 import type { EndpointBody, SentLeaving } from "./membership-messages.js";
 import type { PulsedRecord } from "./membership-pulses.js";
-import { PulsedTable } from "./membership-pulses.js";
+import { PulsedTable, compareEvidence } from "./membership-pulses.js";
 
 /** Time after the last evidence at which an endpoint is forgotten, in milliseconds. */
 export const endpointForgetMilliseconds = 60_000;
@@ -16,6 +16,23 @@
 /** Time after which one who still sees "leaving" in the instance list says so again, in milliseconds. */
 export const leavingRepeatMilliseconds = 10_000;
 
+/** The safety rules of evidence. Tests replace single rules, to see that their checkers notice. */
+export interface EvidenceRules {
+    /** Orders two states of one thing; positive if the first is later. */
+    readonly compare: typeof compareEvidence;
+    /** Local time until which a record counts as health. */
+    readonly healthyUntil: (
+        record: Pick<PulsedRecord<EndpointBody>, "failed" | "heardAt">,
+        healthMilliseconds: number,
+    ) => number;
+}
+
+export const evidenceRules: EvidenceRules = {
+    compare: compareEvidence,
+    healthyUntil: ({ failed, heardAt }, healthMilliseconds) =>
+        failed ? heardAt : heardAt + healthMilliseconds,
+};
+
 interface Leaving {
     readonly incarnation: number;
     readonly heardAt: number;
@@ -53,12 +70,16 @@
     public readonly endpoints: PulsedTable<EndpointBody>;
     private readonly leavings = new Map<InstanceId, Leaving>();
 
-    private constructor(private readonly nextChange: () => number) {
-        this.endpoints = PulsedTable.create({ describe: body => JSON.stringify(body), nextChange });
+    private constructor(
+        private readonly nextChange: () => number,
+        private readonly rules: EvidenceRules,
+    ) {
+        const { compare } = rules;
+        this.endpoints = PulsedTable.create({ describe: body => JSON.stringify(body), nextChange, compare });
     }
 
-    public static create(nextChange: () => number): HealthTable {
-        return new HealthTable(nextChange);
+    public static create(nextChange: () => number, rules: EvidenceRules = evidenceRules): HealthTable {
+        return new HealthTable(nextChange, rules);
     }
 
     /** Latest health of an endpoint; `healthyUntil` has passed once it failed a probe. */
@@ -67,7 +88,7 @@
         if (record === undefined) {
             return undefined;
         }
-        const healthyUntil = record.failed ? record.heardAt : record.heardAt + healthMilliseconds;
+        const healthyUntil = this.rules.healthyUntil(record, healthMilliseconds);
         return { report: toReport(record), healthyUntil };
     }
 
--- a/src/core/membership-meshes.ts
+++ b/src/core/membership-meshes.ts
@@ -2,9 +2,12 @@
  * The whole mesh state of one process: members, endpoint health, configuration, placement values and usage, with the
  * exchanges that spread them. Free of input, output and clocks; src/daemons/meshes.ts drives it.
  */
+import type { ConfigurationRules } from "./configuration-rules.js";
+import { configurationRules } from "./configuration-rules.js";
 import { ConfigurationFollower } from "./configurations.js";
 import type { EndpointHealth, EndpointReport } from "./endpoints.js";
-import { HealthTable, toEndpointRecord } from "./health-tables.js";
+import type { EvidenceRules } from "./health-tables.js";
+import { HealthTable, evidenceRules, toEndpointRecord } from "./health-tables.js";
 import type { Instance, InstanceId } from "./instances.js";
 import type { Absorbed, ExchangeTables } from "./membership-exchanges.js";
 import { absorbMessage, buildMessage } from "./membership-exchanges.js";
@@ -29,8 +32,17 @@
     readonly seeds: readonly string[];
     readonly now: number;
     readonly random: () => number;
+    readonly rules?: MeshRules;
 }
 
+/** The safety rules; tests replace single ones. */
+export interface MeshRules {
+    readonly configuration: ConfigurationRules;
+    readonly evidence: EvidenceRules;
+}
+
+export const meshRules: MeshRules = { configuration: configurationRules, evidence: evidenceRules };
+
 /** What one tick brought about. */
 export interface MeshTick {
     /** Milliseconds since the last tick, if that was a pause of the process. */
@@ -41,7 +53,7 @@
 
 /** Holds all that the mesh carries. */
 export class MeshState {
-    public readonly configuration = ConfigurationFollower.create();
+    public readonly configuration: ConfigurationFollower;
     private readonly membership: Membership;
     private readonly healthTable: HealthTable;
     private readonly usageTable: UsageTable;
@@ -57,9 +69,11 @@
 
     private constructor(private readonly options: MeshStateOptions) {
         const nextChange = () => (this.change += 1);
-        const { id, body, incarnation } = options;
-        this.membership = Membership.create({ id, body, incarnation, nextChange });
-        this.healthTable = HealthTable.create(nextChange);
+        const { id, body, incarnation, rules = meshRules } = options;
+        const { compare } = rules.evidence;
+        this.configuration = ConfigurationFollower.create(rules.configuration);
+        this.membership = Membership.create({ id, body, incarnation, nextChange, compare });
+        this.healthTable = HealthTable.create(nextChange, rules.evidence);
         this.usageTable = UsageTable.create(nextChange);
         this.placementTable = PlacementTable.create(nextChange);
         this.lastTickAt = options.now;
--- a/src/core/membership-pulses.ts
+++ b/src/core/membership-pulses.ts
@@ -55,6 +55,8 @@
 export interface PulsedTableOptions<Body> {
     /** Text that is equal for equal bodies. */
     readonly describe: (body: Body) => string;
+    /** Orders two states of one thing; positive if the first is later. */
+    readonly compare?: typeof compareEvidence;
     /** Gives change numbers that rise over all tables of the process. */
     readonly nextChange: () => number;
 }
@@ -79,7 +81,11 @@
     private readonly held = new Map<string, HeldRecord<Body>>();
     private readonly idsByKey = new Map<number, string>();
 
-    private constructor(private readonly options: PulsedTableOptions<Body>) {}
+    private readonly compare: typeof compareEvidence;
+
+    private constructor(private readonly options: PulsedTableOptions<Body>) {
+        this.compare = options.compare ?? compareEvidence;
+    }
 
     public static create<Body>(options: PulsedTableOptions<Body>): PulsedTable<Body> {
         return new PulsedTable(options);
@@ -100,7 +106,7 @@
     /** Takes a record if it is later than the held one; returns whether it was taken. */
     public accept(record: PulsedRecord<Body>, source: string): boolean {
         const known = this.held.get(record.id);
-        if (known !== undefined && compareEvidence(record, known.record) <= 0) {
+        if (known !== undefined && this.compare(record, known.record) <= 0) {
             return false;
         }
         const key = this.keyOf(record);
--- a/src/core/membership-rounds.ts
+++ b/src/core/membership-rounds.ts
@@ -108,6 +108,11 @@
         };
     }
 
+    /** Local time at which the exchange under way began. */
+    public begunAt(address: string): number | undefined {
+        return this.positions.get(address)?.usedAt;
+    }
+
     /** Takes note of an answer; `unknownKeys` are asked for next time. */
     public finish(
         address: string,
--- a/src/core/memberships.ts
+++ b/src/core/memberships.ts
@@ -41,6 +41,7 @@
     /** Higher at each start of the process. */
     readonly incarnation: number;
     readonly nextChange: () => number;
+    readonly compare?: typeof compareEvidence;
 }
 
 /** Holds the members that this process knows, itself among them. */
@@ -56,6 +57,7 @@
         this.table = PulsedTable.create({
             describe: body => JSON.stringify(body),
             nextChange: options.nextChange,
+            compare: options.compare,
         });
     }
 
--- a/src/links/key-value-messages.ts
+++ b/src/links/key-value-messages.ts
@@ -8,6 +8,7 @@
     key: z.string(),
     value: z.string().default(""),
     mod_revision: wholeNumber.default(0),
+    create_revision: wholeNumber.optional(),
 });
 
 /** Answer of `/v3/kv/range`. */
@@ -46,6 +47,7 @@
 /** What one line of a watch means. */
 export type WatchMessage =
     | { readonly kind: "event"; readonly event: WatchEvent }
+    | { readonly kind: "opened" }
     | { readonly kind: "ended"; readonly reason: string };
 
 export function encodeText(text: string): string {
@@ -74,6 +76,7 @@
         key: decodeText(message.key),
         value: decodeText(message.value),
         modRevision: message.mod_revision,
+        createRevision: message.create_revision,
     };
 }
 
@@ -102,13 +105,20 @@
     };
 }
 
-/** A line may change a key several times; only its last change counts. */
+/**
+ * A line may change a key several times; only its last change counts. The header names the store's revision, which may
+ * be ahead of the changes sent so far: a line proves no more than its own changes, and an opened watch proves nothing.
+ */
 export function decodeWatchLine(line: WatchLine): WatchMessage {
     const { result } = line;
     if (result.canceled || result.compact_revision !== undefined) {
         return { kind: "ended", reason: result.cancel_reason ?? "the watch was cancelled" };
     }
-    const revision = result.header?.revision ?? 0;
+    const changed = Math.max(0, ...result.events.map(event => event.kv.mod_revision));
+    const revision = changed > 0 ? changed : (result.header?.revision ?? 0);
+    if (result.created && result.events.length === 0) {
+        return { kind: "opened" };
+    }
     if (result.events.length === 0) {
         return { kind: "event", event: { kind: "progress", revision } };
     }
--- a/src/links/key-value-watches.ts
+++ b/src/links/key-value-watches.ts
@@ -109,7 +109,9 @@
             this.end(message.reason);
             return;
         }
-        this.subscriber.next(message.event);
+        if (message.kind === "event") {
+            this.subscriber.next(message.event);
+        }
     }
 
     private expectLine(): void {
--- /dev/null
+++ b/tests/histories/memberships-checkers.ts
@@ -0,0 +1,174 @@
+/** What must hold at every moment, and at the end, in a virtual mesh; reads the store's history and the nodes' views. */
+import { safeParseConfigurationValue } from "../../src/core/configuration-values.js";
+import type { AcceptedChange } from "../../benchmarks/mesh-stores.js";
+import type { VirtualNode } from "../../benchmarks/mesh-nodes.js";
+import type { MeshWorld } from "../../benchmarks/mesh-worlds.js";
+
+/** Time that messages may add to a report's age, in milliseconds. */
+const transitMilliseconds = 1_000;
+
+interface Seen {
+    readonly node: VirtualNode;
+    revision: number;
+    readonly incarnations: Map<string, number>;
+}
+
+/** Revisions that may be in force at a path in the store's state at a revision; undefined stands for the default. */
+function allowedAt(
+    changes: readonly AcceptedChange[],
+    path: string,
+    revision: number,
+): readonly (number | undefined)[] {
+    const own = changes.filter(change => change.path === path && change.revision <= revision);
+    const sinceCreation = own.slice(own.findLastIndex(change => change.text === undefined) + 1);
+    const valid = sinceCreation.filter(change => safeParseConfigurationValue(path, change.text!).success);
+    const last = sinceCreation.at(-1);
+    if (last === undefined) {
+        return [undefined];
+    }
+    // A process that did not see the last valid value before an invalid one may hold an earlier one, or none.
+    return valid.includes(last) ? [last.revision] : [undefined, ...valid.map(change => change.revision)];
+}
+
+/** Checks one world over time. */
+export class MeshChecker {
+    private readonly seen = new Map<string, Seen>();
+    public problem: string | undefined;
+
+    private constructor(private readonly world: MeshWorld) {
+        world.loop.every(500, () => this.checkAll());
+    }
+
+    public static create(world: MeshWorld): MeshChecker {
+        return new MeshChecker(world);
+    }
+
+    /** Every live node must hold the revision by now. */
+    public expectInForce(change: number): void {
+        for (const node of this.world.liveNodes) {
+            const { revisionInForce } = node.state.configuration;
+            if (revisionInForce < change) {
+                this.report(
+                    node,
+                    `holds revision ${revisionInForce} only, 13 s after ${change} was accepted`,
+                );
+            }
+            if (!node.state.isReady(this.world.loop.now())) {
+                this.report(node, "is not ready");
+            }
+        }
+    }
+
+    /** Every live node must hold the latest valid values, where any live node has seen them. */
+    public expectAgreement(): void {
+        const digests = new Set(
+            this.world.liveNodes.map(node =>
+                JSON.stringify([
+                    node.state.configuration.digest.hash,
+                    node.state.configuration.digest.standingHash,
+                ]),
+            ),
+        );
+        if (digests.size > 1) {
+            this.problem ??= `the nodes hold ${digests.size} different configurations`;
+        }
+    }
+
+    /** Live nodes know each other as live, and dead ones not at all. */
+    public expectMembers(): void {
+        const now = this.world.loop.now();
+        for (const node of this.world.liveNodes) {
+            const judged = new Map(node.state.members(now).map(member => [member.id, member.judged]));
+            for (const [id, other] of this.world.nodes) {
+                const state = judged.get(id);
+                if (other.isDead ? state === "live" || state === "suspect" : state !== "live") {
+                    this.report(node, `judges ${id} ${state}, which is ${other.isDead ? "dead" : "live"}`);
+                }
+            }
+        }
+    }
+
+    public expectLeaving(endpoint: string): void {
+        for (const node of this.world.liveNodes) {
+            if (!node.state.isLeaving(endpoint)) {
+                this.report(node, `has not heard that ${endpoint} leaves`);
+            }
+        }
+    }
+
+    /** Endpoints that live must be healthy everywhere once all is calm, in their present incarnation. */
+    public expectHealthy(): void {
+        const now = this.world.loop.now();
+        for (const node of this.world.liveNodes) {
+            for (const [id, endpoint] of this.world.endpoints) {
+                const health = node.state.health(id);
+                const isHealthy = health !== undefined && health.healthyUntil > now;
+                if (
+                    endpoint.diedAt === undefined &&
+                    (!isHealthy || health.report.incarnation < endpoint.incarnation)
+                ) {
+                    this.report(node, `does not see that ${id} lives in incarnation ${endpoint.incarnation}`);
+                }
+            }
+        }
+    }
+
+    private checkAll(): void {
+        for (const [id, node] of this.world.nodes) {
+            if (!node.isDead) {
+                this.checkNode(id, node);
+            }
+        }
+    }
+
+    private checkNode(id: string, node: VirtualNode): void {
+        const known = this.seen.get(id);
+        const seen =
+            known?.node === node ? known : { node, revision: 0, incarnations: new Map<string, number>() };
+        this.seen.set(id, seen);
+        this.checkConfiguration(node, seen);
+        this.checkEndpoints(node, seen);
+        const { members, endpoints } = node.state.sizes;
+        if (members > this.world.nodes.size || endpoints > this.world.endpoints.size) {
+            this.report(node, `holds ${members} members and ${endpoints} endpoints`);
+        }
+    }
+
+    private checkConfiguration(node: VirtualNode, seen: Seen): void {
+        const { configuration } = node.state;
+        const { revisionInForce: revision } = configuration;
+        if (revision < seen.revision) {
+            this.report(node, `went back from revision ${seen.revision} to ${revision}`);
+        }
+        seen.revision = revision;
+        const { changes } = this.world.store;
+        for (const path of revision === 0 ? [] : new Set(changes.map(change => change.path))) {
+            const inForce = configuration.revisionOf(path);
+            if (!allowedAt(changes, path, revision).includes(inForce)) {
+                this.report(node, `has ${path} of revision ${inForce} in force at revision ${revision}`);
+            }
+        }
+    }
+
+    private checkEndpoints(node: VirtualNode, seen: Seen): void {
+        const now = this.world.loop.now();
+        const { healthMilliseconds } = node.state.configuration.configuration.placement;
+        for (const [id, endpoint] of this.world.endpoints) {
+            const health = node.state.health(id);
+            const incarnation = health?.report.incarnation ?? 0;
+            if (incarnation > 0 && incarnation < (seen.incarnations.get(id) ?? 0)) {
+                this.report(node, `went back to incarnation ${incarnation} of ${id}`);
+            }
+            seen.incarnations.set(id, Math.max(incarnation, seen.incarnations.get(id) ?? 0));
+            const isHealthy = health !== undefined && health.healthyUntil > now;
+            const silentFor = now - (endpoint.diedAt ?? now);
+            if (isHealthy && !node.isPaused && silentFor > healthMilliseconds + transitMilliseconds) {
+                this.report(node, `takes ${id} for healthy, silent for ${silentFor} ms`);
+            }
+        }
+    }
+
+    private report(node: VirtualNode, message: string): void {
+        this.problem ??= `${node.place.id} ${message} at ${Math.round(this.world.loop.now())} ms`;
+    }
+}
