--- a/src/core/membership-pulses.ts
+++ b/src/core/membership-pulses.ts
@@ -109,7 +109,9 @@
         if (known !== undefined && this.compare(record, known.record) <= 0) {
             return false;
         }
-        const key = this.keyOf(record);
+        const isSameBody =
+            known?.record.body === record.body && known.record.incarnation === record.incarnation;
+        const key = isSameBody ? known.key : this.keyOf(record);
         const changedAt = this.options.nextChange();
         const bodyChangedAt = known?.key === key ? known.bodyChangedAt : changedAt;
         if (known !== undefined && known.key !== key) {
--- a/src/core/memberships.ts
+++ b/src/core/memberships.ts
@@ -50,10 +50,11 @@
     private readonly judged = new Map<MemberId, MemberState>();
     private incarnation: number;
     private sequence = 0;
-    private declaration: MemberDeclaration = "live";
+    private body: MemberBody;
 
     private constructor(private readonly options: MembershipOptions) {
         this.incarnation = options.incarnation;
+        this.body = options.body;
         this.table = PulsedTable.create({
             describe: body => JSON.stringify(body),
             nextChange: options.nextChange,
@@ -72,15 +73,15 @@
     /** Puts out a heartbeat of this process. */
     public beat(now: number): void {
         this.sequence += 1;
-        const { id, body } = this.options;
+        const { id } = this.options;
         this.table.accept(
             {
                 id,
-                home: body.failureDomain,
+                home: this.body.failureDomain,
                 incarnation: this.incarnation,
                 sequence: this.sequence,
                 failed: false,
-                body: { ...body, state: this.declaration },
+                body: this.body,
                 load: { running: 0, waiting: 0 },
                 heardAt: now,
             },
@@ -90,7 +91,7 @@
 
     /** Declares that this process leaves, or has left. */
     public declare(state: MemberDeclaration, now: number): void {
-        this.declaration = state;
+        this.body = { ...this.body, state };
         this.beat(now);
     }
 
