--- a/stand-ins/deployments.ts
+++ b/stand-ins/deployments.ts
@@ -164,6 +164,7 @@
                 part.cutStreams(fault.fault === "lostStreams");
             }
         }
+        this.engines.forEach(engine => engine.noteCompleteness());
         if (fault.fault === "leaving") {
             this.tellListLater(fault.target, on ? "leaving" : "live");
         }
--- a/stand-ins/engines.ts
+++ b/stand-ins/engines.ts
@@ -42,6 +42,8 @@
     private accepted = 0;
     private acceptedWhileIncomplete = 0;
     private lastAcceptedAfterLeavingMilliseconds = 0;
+    private incompleteSince: number | undefined;
+    private lastAcceptedAfterLossMilliseconds = 0;
     private reportedLoad = { running: 0, waiting: 0 };
     private loadReadAt = 0;
 
@@ -102,6 +104,11 @@
         }
     }
 
+    /** Notes since when a member of the group is missing. */
+    public noteCompleteness(): void {
+        this.incompleteSince = this.canRun() ? undefined : (this.incompleteSince ?? this.options.now());
+    }
+
     /** Ends all connections; with `forget`, the streams as well. */
     public cutStreams(forget: boolean): void {
         this.calls.cutReaders();
@@ -139,6 +146,7 @@
             requestsAccepted: this.accepted,
             acceptedWhileIncomplete: this.acceptedWhileIncomplete,
             lastAcceptedAfterLeavingMilliseconds: this.lastAcceptedAfterLeavingMilliseconds,
+            lastAcceptedAfterLossMilliseconds: this.lastAcceptedAfterLossMilliseconds,
             running: this.batch.running(),
             waiting: this.batch.waiting(),
         };
@@ -186,6 +194,8 @@
         this.accepted += 1;
         if (!this.canRun()) {
             this.acceptedWhileIncomplete += 1;
+            this.lastAcceptedAfterLossMilliseconds =
+                this.options.now() - (this.incompleteSince ?? this.options.now());
         }
         if (this.leavingSince !== undefined) {
             this.lastAcceptedAfterLeavingMilliseconds = this.options.now() - this.leavingSince;
--- a/tests/process-checkers.test.ts
+++ b/tests/process-checkers.test.ts
@@ -38,6 +38,7 @@
     ],
     executions: { a: 1, b: 1 },
     problems: [],
+    counts: {},
 };
 
 test("a history that keeps every promise passes, and each falsified one is noticed", t => {
--- a/tests/processes/callers.ts
+++ b/tests/processes/callers.ts
@@ -15,6 +15,7 @@
     "noReplica",
     "overloaded",
     "shuttingDown",
+    "storeUnavailable",
     "endpointFailed",
     "deadlineUnreachable",
 ]);
--- a/tests/processes/checkers.ts
+++ b/tests/processes/checkers.ts
@@ -60,6 +60,7 @@
 export function countHistory(history: ProcessHistory): Readonly<Record<string, number>> {
     const attempts = history.actions.flatMap(action => action.attempts);
     const counts: Record<string, number> = {
+        ...history.counts,
         actions: history.actions.length,
         actionAttempts: attempts.length,
         actionsRun: history.actions.filter(action => history.executions[action.key] === 1).length,
--- a/tests/processes/fields.ts
+++ b/tests/processes/fields.ts
@@ -2,15 +2,33 @@
 import { Demo } from "../../scripts/demo-deployments.js";
 import type { DaemonLayout } from "../../scripts/demo-layouts.js";
 import { demoCredentials } from "../../scripts/demo-layouts.js";
+import type { TimelinePage } from "../../src/core/timelines.js";
 import { createRandomNumber, wholeNumberBetween } from "../../src/core/random-numbers.js";
+import { systemClock } from "../../src/links/clocks.js";
+import type { KeyValueStoreLink } from "../../src/links/key-value-stores.js";
+import { createKeyValueStore } from "../../src/links/key-value-stores.js";
+import { makeCall } from "../../scripts/demo-callers.js";
 import type { CallerField } from "./callers.js";
 import { pause, runAction, StreamCaller } from "./callers.js";
+import { observePlacements } from "./observers.js";
 import type { ActionRecord, ProcessHistory, StreamRecord } from "./histories.js";
 
-const streamCallers = 6;
+const streamCallers = 10;
 const actionCallers = 6;
+const minimumTokens = 30;
+const maximumTokens = 300;
 const millisecondsBeforeRestart = 500;
 const millisecondsBetweenCalls = 20;
+/** Kinds of the daemons' events that show what was provoked. */
+const countedEvents = new Set([
+    "attemptFailed",
+    "requestResumed",
+    "groupChanged",
+    "leaseAcquired",
+    "leaseLost",
+    "lateTick",
+    "configurationApplied",
+]);
 
 /** Options of a field. */
 export interface FieldOptions {
@@ -24,6 +42,10 @@
     public readonly random: () => number;
     /** Problems that the scenario finds by itself. */
     public readonly problems: string[];
+    /** The platform's key-value service, as an operator sees it. */
+    public readonly store: KeyValueStoreLink;
+    /** Counts that the scenario adds. */
+    public readonly counts: Record<string, number> = {};
     private readonly actions: ActionRecord[] = [];
     private readonly streams: StreamRecord[] = [];
     /** How often each entry daemon was killed, by its callers' address. */
@@ -36,6 +58,8 @@
         this.demo = demo;
         this.random = createRandomNumber(options.seed);
         this.problems = problems;
+        const addresses = [demo.layout.platform];
+        this.store = createKeyValueStore({ addresses, process: "prover", clock: systemClock });
         this.callers = {
             pickEntry: () => this.pickOne(demo.entries()),
             killsOf: entry => this.kills.get(entry) ?? 0,
@@ -58,6 +82,7 @@
 
     /** Runs callers while `disturb` works and for `settleMilliseconds` after it; returns what they saw. */
     public async run(disturb: () => Promise<void>, settleMilliseconds: number): Promise<ProcessHistory> {
+        const placements = observePlacements(this.store, problem => this.problems.push(problem));
         const callers = [
             ...[...Array(streamCallers).keys()].map(() => this.repeat(() => this.runStream())),
             ...[...Array(actionCallers).keys()].map(() => this.repeat(() => this.runAction())),
@@ -67,11 +92,18 @@
             await pause(settleMilliseconds);
         } finally {
             this.isOver = true;
-            await Promise.all(callers);
+            await Promise.all([...callers, placements.stop()]);
         }
+        await this.countEvents();
         const executions = await this.demo.ask<Record<string, number>>("/executions");
-        const { actions, streams, problems } = this;
-        return { actions, streams, executions, problems };
+        const { actions, streams, problems, counts } = this;
+        return { actions, streams, executions, problems, counts };
+    }
+
+    /** Ends all processes. */
+    public async stop(): Promise<void> {
+        this.store.close();
+        await this.demo.stop();
     }
 
     public pickOne<T>(choices: readonly T[]): T {
@@ -108,6 +140,18 @@
         this.demo.process(daemon.name).signal("SIGCONT");
     }
 
+    /** Counts the events that the running daemons still keep. */
+    private async countEvents(): Promise<void> {
+        for (const daemon of this.demo.layout.daemons) {
+            const answer = await makeCall({ method: "GET", url: `http://${daemon.admin}/events?after=0` });
+            const page = answer.json as TimelinePage | undefined;
+            const kinds = (page?.events ?? []).map(event => event.body.kind);
+            for (const kind of kinds.filter(name => countedEvents.has(name))) {
+                this.counts[kind] = (this.counts[kind] ?? 0) + 1;
+            }
+        }
+    }
+
     private async restart(daemon: DaemonLayout): Promise<void> {
         await this.demo.startDaemon(daemon);
         if (daemon.caller !== undefined) {
@@ -129,7 +173,7 @@
     private async runStream(): Promise<void> {
         this.started += 1;
         const prompt = `stream ${this.started} of the run`;
-        const tokens = wholeNumberBetween(20, 150, this.random);
+        const tokens = wholeNumberBetween(minimumTokens, maximumTokens, this.random);
         const caller = StreamCaller.create(this.callers, this.pickOne(demoCredentials), prompt, tokens);
         this.streams.push(await caller.run());
     }
--- a/tests/processes/histories.ts
+++ b/tests/processes/histories.ts
@@ -49,4 +49,6 @@
     readonly executions: Readonly<Record<string, number>>;
     /** Problems that the scenario found by itself. */
     readonly problems: readonly string[];
+    /** Counts that show what was provoked, for example the daemons' events by kind. */
+    readonly counts: Readonly<Record<string, number>>;
 }
--- /dev/null
+++ b/tests/processes/observers.ts
@@ -0,0 +1,180 @@
+/** Observers of a run: what the store's placements say, and which configuration each entry instance has in force. */
+import { authorize, errorOf, makeCall } from "../../scripts/demo-callers.js";
+import { demoCredentials, demoModel } from "../../scripts/demo-layouts.js";
+import type { KeyValueStore } from "../../src/contracts/key-value-stores.js";
+import { placementPrefix, safeParseFabricPlacement } from "../../src/core/placement-values.js";
+import { systemClock } from "../../src/links/clocks.js";
+import { pause } from "./callers.js";
+
+const pollMilliseconds = 200;
+const callMilliseconds = 1500;
+/** An accepted configuration is in force everywhere within this time ("within seconds"). */
+const spreadMilliseconds = 13_000;
+/** Path of the value that the operator raises; its subscribers are among the demo's credentials. */
+const limitsPath = "config/teams/izmir/limits";
+/** Larger than any limit, so that the refusal names the limit in force. */
+const tooManyTokens = 900_000;
+
+function deadline(): number {
+    return systemClock.monotonicMilliseconds() + callMilliseconds;
+}
+
+/** Work that is repeated until it is stopped. */
+export interface Observation {
+    readonly stop: () => Promise<void>;
+}
+
+function observe(step: () => Promise<void>): Observation {
+    let isOver = false;
+    const loop = (async () => {
+        while (!isOver) {
+            await step();
+            await pause(pollMilliseconds);
+        }
+    })();
+    return {
+        stop: async () => {
+            isOver = true;
+            await loop;
+        },
+    };
+}
+
+/** Watches that no instance stands in two places and that no domain's epoch goes back. */
+export function observePlacements(store: KeyValueStore, report: (problem: string) => void): Observation {
+    const epochs = new Map<string, number>();
+    return observe(async () => {
+        const read = await store.list(placementPrefix, { deadline: deadline(), priority: "other" });
+        if (!read.success) {
+            return;
+        }
+        const places = new Map<string, string>();
+        for (const entry of read.data.entries) {
+            const placement = safeParseFabricPlacement(entry.value);
+            if (!placement.success) {
+                report(`${entry.key} is invalid: ${placement.fault.message}`);
+                continue;
+            }
+            const { fabricDomain, epoch, groups, spares, quarantined } = placement.data;
+            if (epoch < (epochs.get(fabricDomain) ?? 0)) {
+                report(`the epoch of ${fabricDomain} went back to ${epoch}`);
+            }
+            epochs.set(fabricDomain, epoch);
+            const named = [
+                ...groups.flatMap(group => group.members.map(member => [member, group.id] as const)),
+                ...spares.map(spare => [spare, `spares of ${fabricDomain}`] as const),
+                ...quarantined.map(member => [member, `quarantine of ${fabricDomain}`] as const),
+            ];
+            for (const [member, place] of named) {
+                const other = places.get(member);
+                if (other !== undefined) {
+                    report(`${member} stands in ${other} and in ${place}`);
+                }
+                places.set(member, place);
+            }
+        }
+    });
+}
+
+/** Raises one value of the configuration over and over, and watches what each entry instance has in force. */
+export class ConfigurationObserver {
+    private readonly store: KeyValueStore;
+    private readonly entries: readonly string[];
+    private readonly report: (problem: string) => void;
+    /** Accepted values with the time of acceptance, in local monotonic milliseconds. */
+    private readonly accepted = new Map<number, number>();
+    /** The value in force at each entry instance, when it was seen last. */
+    private readonly seen = new Map<string, number>();
+    private value = 5000;
+    /** The longest time from an acceptance to its being seen everywhere. */
+    private slowest = 0;
+
+    private constructor(store: KeyValueStore, entries: readonly string[], report: (problem: string) => void) {
+        this.store = store;
+        this.entries = entries;
+        this.report = report;
+    }
+
+    public static create(
+        store: KeyValueStore,
+        entries: readonly string[],
+        report: (problem: string) => void,
+    ): ConfigurationObserver {
+        return new ConfigurationObserver(store, entries, report);
+    }
+
+    /** Raises the value by one; true once the store has accepted it. */
+    public async raise(): Promise<boolean> {
+        const options = { deadline: deadline(), priority: "configuration" } as const;
+        const read = await this.store.get(limitsPath, options);
+        const known = read.success ? read.data.entries[0] : undefined;
+        if (known === undefined) {
+            return false;
+        }
+        const current = (JSON.parse(known.value) as { maximumTokens: number }).maximumTokens;
+        this.value = Math.max(this.value, current) + 1;
+        const value = JSON.stringify({ maximumTokens: this.value });
+        const swap = { key: limitsPath, expectedRevision: known.modRevision, value };
+        const outcome = await this.store.compareAndSwap(swap, { ...options, deadline: deadline() });
+        if (outcome.kind === "swapped") {
+            this.accepted.set(this.value, systemClock.monotonicMilliseconds());
+        }
+        return outcome.kind === "swapped";
+    }
+
+    /** Watches every entry instance. */
+    public start(): Observation {
+        const observations = this.entries.map(entry => observe(() => this.look(entry)));
+        return { stop: async () => void (await Promise.all(observations.map(one => one.stop()))) };
+    }
+
+    /** Waits until every entry instance has the latest accepted value in force, or reports those that have not. */
+    public async waitForLatest(): Promise<void> {
+        const latest = Math.max(0, ...this.accepted.keys());
+        const end = systemClock.monotonicMilliseconds() + spreadMilliseconds;
+        const behind = (): readonly string[] =>
+            this.entries.filter(entry => (this.seen.get(entry) ?? 0) < latest);
+        while (behind().length > 0 && systemClock.monotonicMilliseconds() < end) {
+            await pause(pollMilliseconds);
+        }
+        for (const entry of behind()) {
+            this.report(`${entry} has ${this.seen.get(entry)} in force and not the accepted ${latest}`);
+        }
+    }
+
+    public counts(): Readonly<Record<string, number>> {
+        return {
+            configurationsAccepted: this.accepted.size,
+            slowestSpreadMilliseconds: Math.round(this.slowest),
+        };
+    }
+
+    private async look(entry: string): Promise<void> {
+        const answer = await makeCall({
+            method: "POST",
+            url: `${entry}/v1/completions`,
+            headers: authorize(demoCredentials[0]),
+            body: JSON.stringify({ model: demoModel, prompt: "x", max_tokens: tooManyTokens }),
+            timeoutMilliseconds: callMilliseconds,
+        });
+        const inForce = Number(/at most (\d+)/.exec(answer.body)?.[1]);
+        if (errorOf(answer.json).code !== "invalidRequest" || Number.isNaN(inForce)) {
+            return;
+        }
+        const before = this.seen.get(entry) ?? 0;
+        if (inForce < before) {
+            this.report(`${entry} went back from ${before} to ${inForce}`);
+        }
+        this.seen.set(entry, Math.max(before, inForce));
+        this.noteSpread(before, inForce);
+    }
+
+    private noteSpread(before: number, inForce: number): void {
+        const now = systemClock.monotonicMilliseconds();
+        for (const [value, at] of this.accepted) {
+            if (value > before && value <= inForce) {
+                this.slowest = Math.max(this.slowest, now - at);
+            }
+        }
+    }
+}
--- a/tests/processes/process-proofs.ts
+++ b/tests/processes/process-proofs.ts
@@ -14,7 +14,7 @@
     try {
         return await field.run(() => scenario.disturb(field), scenario.settleMilliseconds);
     } finally {
-        await field.demo.stop();
+        await field.stop();
     }
 }
 
--- a/tests/processes/scenarios.ts
+++ b/tests/processes/scenarios.ts
@@ -1,6 +1,7 @@
 /** What is done to the real processes while callers run. */
 import type { Field } from "./fields.js";
 import { pause } from "./callers.js";
+import { ConfigurationObserver } from "./observers.js";
 
 /** One scenario. */
 export interface Scenario {
@@ -17,6 +18,8 @@
 const shutdownMilliseconds = 30_000;
 /** A leaving endpoint gets no new work after so long ("a few seconds"). */
 const leavingMilliseconds = 5000;
+/** The example's bound on the age of a member's health report, and a second for the report itself. */
+const healthMilliseconds = 5000;
 
 interface EngineDescription {
     readonly instance: string;
@@ -24,18 +27,24 @@
     readonly epoch: number;
     readonly state: string;
     readonly members: readonly string[];
+    readonly running: number;
     readonly lastAcceptedAfterLeavingMilliseconds: number;
+    readonly lastAcceptedAfterLossMilliseconds?: number;
 }
 
 function engines(field: Field): Promise<readonly EngineDescription[]> {
     return field.demo.ask<readonly EngineDescription[]>("/engines");
 }
 
-/** An engine instance of a serving group; the group's leader if `leader`. */
+/** The leader of a group that generates now, or another member of such a group. */
 async function pickServing(field: Field, leader: boolean): Promise<string> {
-    const serving = (await engines(field)).filter(engine => engine.state === "serving");
-    const chosen = serving.filter(engine => (engine.members[0] === engine.instance) === leader);
-    return field.pickOne(chosen).instance;
+    let busy: readonly EngineDescription[] = [];
+    await field.demo.waitFor("a group generates", async () => {
+        busy = (await engines(field)).filter(engine => engine.state === "serving" && engine.running > 0);
+        return busy.length > 0;
+    });
+    const chosen = field.pickOne(busy);
+    return leader ? chosen.instance : field.pickOne(chosen.members.slice(1));
 }
 
 async function switchFor(field: Field, target: string, fault: string, milliseconds: number): Promise<void> {
@@ -77,6 +86,7 @@
     await switchFor(field, await pickServing(field, true), "paused", 6000);
     await switchFor(field, await pickServing(field, true), "cut", 6000);
     await switchFor(field, await pickServing(field, true), "slowed", 3000);
+    await checkLosses(field);
 }
 
 async function disturbServices(field: Field): Promise<void> {
@@ -113,6 +123,41 @@
     }
 }
 
+/** A group gets no new work once its loss of a member must have been noticed. */
+async function checkLosses(field: Field): Promise<void> {
+    const losses = (await engines(field)).map(engine => ({
+        instance: engine.instance,
+        after: Math.round(engine.lastAcceptedAfterLossMilliseconds ?? 0),
+    }));
+    for (const { instance, after } of losses.filter(loss => loss.after > healthMilliseconds)) {
+        field.problems.push(`${instance} got new work ${after} ms after its group had lost a member`);
+    }
+    field.counts.slowestLossMilliseconds = Math.max(...losses.map(loss => loss.after));
+}
+
+/** An operator raises a value over and over, through faults of the platform and restarts. */
+async function configure(field: Field): Promise<void> {
+    const report = (problem: string): void => void field.problems.push(problem);
+    const observer = ConfigurationObserver.create(field.store, field.demo.entries(), report);
+    const watching = observer.start();
+    const raise = async (times: number): Promise<void> => {
+        for (let time = 0; time < times; time += 1) {
+            await observer.raise();
+            await pause(200);
+        }
+    };
+    await raise(5);
+    for (const fault of ["watchGap", "oldReads", "silentWatches", "lostAnswers", "down"]) {
+        await field.demo.switchFault("platform", fault, 3000);
+        await raise(15);
+        await pause(1000);
+    }
+    await Promise.all([raise(10), field.killAndRestart(field.pickOne(field.daemons("entry")))]);
+    await observer.waitForLatest();
+    await watching.stop();
+    Object.assign(field.counts, observer.counts());
+}
+
 /** Everything at once. */
 async function disturbAll(field: Field): Promise<void> {
     await Promise.all([kill(field), disturbPlatform(field), disturbEngines(field), disturbServices(field)]);
@@ -126,5 +171,6 @@
     { name: "services-disturbed", checksFencing: true, settleMilliseconds: 3000, disturb: disturbServices },
     { name: "daemons-shut-down", checksFencing: true, settleMilliseconds: 2000, disturb: shutDown },
     { name: "endpoints-leave", checksFencing: true, settleMilliseconds: 1000, disturb: leave },
+    { name: "configuration-raised", checksFencing: true, settleMilliseconds: 500, disturb: configure },
     { name: "all-disturbed", checksFencing: false, settleMilliseconds: 5000, disturb: disturbAll },
 ];
