--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -4,11 +4,17 @@
 import { atMostOnce } from "./at-most-once.js";
 import type { Experiment, ExperimentReport } from "./experiments.js";
 import { fairness } from "./fairness.js";
+import { overload } from "./overload.js";
+import { prefix } from "./prefix.js";
+import { stragglerExperiment } from "./straggler.js";
 
 const experiments: Readonly<Record<string, Experiment>> = {
     answers,
     "at-most-once": atMostOnce,
     fairness,
+    overload,
+    straggler: stragglerExperiment,
+    prefix,
 };
 
 function printTable(report: ExperimentReport): void {
--- a/src/core/routes.ts
+++ b/src/core/routes.ts
@@ -5,7 +5,8 @@
 import type { RandomNumber } from "../contracts/clocks.js";
 import type { CacheEvent } from "../contracts/engines.js";
 import { creditOf } from "./credits.js";
-import type { EndpointLoad } from "./endpoints.js";
+import type { EndpointLoad, EndpointReport } from "./endpoints.js";
+import { isLaterReport } from "./endpoints.js";
 import type { Fault, Result } from "./errors.js";
 import { fail, succeed } from "./errors.js";
 import type { FailureDomainId } from "./failure-domains.js";
@@ -17,6 +18,7 @@
 import { ReplicaLoad } from "./route-loads.js";
 import type { ChooseRoute, RouteCandidate } from "./route-policies.js";
 import { chooseByEstimate } from "./route-policies.js";
+import type { PaceReference } from "./stragglers.js";
 import { Stragglers } from "./stragglers.js";
 
 /** A replica group and the failure domain that it stands in. */
@@ -49,6 +51,8 @@
     readonly choose?: ChooseRoute;
     /** False to treat all replicas as equally fast. */
     readonly watchesPace?: boolean;
+    /** The pace that replicas are compared with; the median unless given. */
+    readonly paceReference?: PaceReference;
     /** False to send to any replica with a free slot, without credits. */
     readonly usesCredits?: boolean;
 }
@@ -56,8 +60,10 @@
 /** Slots of a replica that has not reported any. */
 export const unreportedSlots = 1;
 /** Part of a replica's slots that borrowing callers leave free. */
-export const reservedFraction = 0.01;
-/** Requests beyond a replica's slots, as a part of these, that callers within their fair part may add. */
+export const reservedFraction = 0.02;
+/** Part of a replica's slots by which late reports are taken to err. */
+export const uncertainFraction = 0.02;
+/** Part of its credit by which an entry may exceed it for callers within their fair part. */
 export const overcommitFraction = 0.05;
 /** Time in milliseconds for which the answers of the serving gate count in `capacity`. */
 const gateMilliseconds = 50;
@@ -65,7 +71,10 @@
 interface RouteState {
     routed: RoutedGroup;
     readonly load: ReplicaLoad;
+    report: EndpointReport | undefined;
     credit: number;
+    /** Prompt tokens of own requests that have not shown a token yet. */
+    prefillTokens: number;
     isOpen: boolean;
     gateUntil: number;
 }
@@ -74,6 +83,7 @@
     readonly group: ReplicaGroupId;
     readonly model: string;
     lastTokenAt: number | undefined;
+    prefillTokens: number;
 }
 
 /** Routing of one entry process. */
@@ -84,6 +94,11 @@
     private readonly flights = new Map<RequestId, Flight>();
     private readonly prefixes = PrefixIndex.create();
     private entries: readonly string[];
+    /** Blocks of the request looked at last: a choice and its dispatch follow each other. */
+    private blocks: { readonly prompt: string; readonly names: readonly string[] } = {
+        prompt: "",
+        names: [],
+    };
 
     private constructor(private readonly options: RouterOptions) {
         this.entries = [options.entry];
@@ -119,18 +134,22 @@
 
     /** Puts the entry processes in force that are reachable and share the replicas with this one. */
     public applyEntries(entries: readonly string[]): void {
+        if (haveSameItems(entries, this.entries)) {
+            return;
+        }
         this.entries = entries.includes(this.options.entry) ? entries : [...entries, this.options.entry];
         for (const state of this.groups.values()) {
             state.credit = this.creditAt(state);
         }
     }
 
-    /** Takes a load report of a group's leader. */
-    public observe(group: ReplicaGroupId, load: EndpointLoad, now: number): void {
+    /** Takes a load report of a group's leader; one that is not later than the report before has no effect. */
+    public observe(group: ReplicaGroupId, load: EndpointLoad, now: number, report?: EndpointReport): void {
         const state = this.groups.get(group);
-        if (state === undefined) {
+        if (state === undefined || (report !== undefined && !isLaterReport(report, state.report))) {
             return;
         }
+        state.report = report;
         const slotsBefore = state.load.slots;
         state.load.observe(load.running, load.waiting, load.slots, now);
         if (slotsBefore !== load.slots) {
@@ -150,13 +169,16 @@
 
     /** Returns how many more requests of a model may be sent now. */
     public capacity(model: string, borrowed: boolean, now: number): number {
-        let sum = 0;
+        let room = 0;
+        let credits = 0;
         for (const state of this.byModel.get(model) ?? []) {
             if (this.isOpenLately(state, now)) {
-                sum += this.roomAt(state, borrowed, now);
+                room += this.roomAt(state, borrowed, now);
+                credits += state.credit;
             }
         }
-        return sum;
+        const isReserving = borrowed && this.options.usesCredits !== false;
+        return isReserving ? Math.floor(room - credits * reservedFraction) : room;
     }
 
     /** Chooses a group whose serving gate is open now, or says why there is none. */
@@ -179,10 +201,14 @@
         if (state === undefined) {
             return;
         }
-        this.flights.set(request.id, { group, model: request.model, lastTokenAt: undefined });
+        const blocks = this.blocksOf(request.prompt);
+        const cachedTokens = this.prefixes.matchOf(group, blocks, now) * blockTokens;
+        const prefillTokens = Math.max(0, request.promptTokens - cachedTokens);
+        this.flights.set(request.id, { group, model: request.model, lastTokenAt: undefined, prefillTokens });
         state.load.change(1, now);
+        state.prefillTokens += prefillTokens;
         this.paceOf(request.model).started(group, now);
-        this.prefixes.sent(group, blocksOf(request.prompt), now);
+        this.prefixes.sent(group, blocks, now);
     }
 
     /** Notes that a token of a request has arrived. */
@@ -192,6 +218,7 @@
             return;
         }
         const gap = flight.lastTokenAt === undefined ? undefined : now - flight.lastTokenAt;
+        this.endPrefill(flight);
         flight.lastTokenAt = now;
         this.paceOf(flight.model).progress(flight.group, gap, now);
     }
@@ -215,6 +242,7 @@
             return;
         }
         this.flights.delete(request);
+        this.endPrefill(flight);
         const state = this.groups.get(flight.group);
         if (state !== undefined) {
             state.load.change(-1, now);
@@ -222,6 +250,14 @@
         }
     }
 
+    private endPrefill(flight: Flight): void {
+        const state = this.groups.get(flight.group);
+        if (state !== undefined) {
+            state.prefillTokens -= flight.prefillTokens;
+        }
+        flight.prefillTokens = 0;
+    }
+
     private openStates(request: RouteRequest, now: number): readonly RouteState[] {
         const open = (this.byModel.get(request.model) ?? []).filter(
             state =>
@@ -257,15 +293,17 @@
         if (this.options.usesCredits === false) {
             return Math.max(0, slots - ownRequests);
         }
-        const ownCredit = Math.max(0, state.credit - ownRequests);
+        const overcommit = Math.max(1, Math.floor(state.credit * overcommitFraction));
+        const free = slots - allRequests;
+        if (free + overcommit <= 0) {
+            return 0;
+        }
+        const guaranteed = state.credit - ownRequests;
         if (borrowed) {
-            const free = Math.floor(slots - allRequests - Math.max(1, slots * reservedFraction));
-            const part = Math.ceil(free / Math.max(1, this.entries.length));
-            return Math.max(0, Math.min(free, Math.max(ownCredit, part)));
+            const lent = (free - Math.max(1, slots * reservedFraction)) / this.entries.length;
+            return Math.max(0, guaranteed, Math.floor(lent));
         }
-        const free = Math.floor(slots - allRequests);
-        const overcommit = Math.floor(free + Math.max(1, slots * overcommitFraction));
-        return Math.max(0, Math.min(overcommit, Math.max(ownCredit, free)));
+        return Math.max(0, guaranteed + overcommit, Math.floor(free - slots * uncertainFraction));
     }
 
     private isOpenLately(state: RouteState, now: number): boolean {
@@ -281,7 +319,7 @@
         states: readonly RouteState[],
         now: number,
     ): readonly RouteCandidate[] {
-        const blocks = blocksOf(request.prompt);
+        const blocks = this.blocksOf(request.prompt);
         const ids = states.map(state => state.routed.group.id);
         const preferred = blocks.length === 0 ? undefined : rankByRendezvous(blocks[0]!, ids)[0];
         return states.map(state => {
@@ -291,8 +329,10 @@
                 group: id,
                 isLocal: state.routed.failureDomain === this.options.failureDomain,
                 slots: state.load.slots ?? unreportedSlots,
+                credit: state.credit,
                 ownRequests: state.load.ownRequests,
                 allRequests: state.load.allRequests,
+                prefillTokens: state.prefillTokens,
                 slowdown: this.options.watchesPace === false ? 1 : pace.slowdownOf(id, now),
                 cachedTokens: this.prefixes.matchOf(id, blocks, now) * blockTokens,
                 isPreferred: id === preferred,
@@ -300,6 +340,13 @@
         });
     }
 
+    private blocksOf(prompt: string): readonly string[] {
+        if (this.blocks.prompt !== prompt) {
+            this.blocks = { prompt, names: blocksOf(prompt) };
+        }
+        return this.blocks.names;
+    }
+
     private applyGroup(routed: RoutedGroup): void {
         const known = this.groups.get(routed.group.id);
         if (known !== undefined) {
@@ -310,7 +357,9 @@
         const state: RouteState = {
             routed,
             load: ReplicaLoad.create(),
+            report: undefined,
             credit: 0,
+            prefillTokens: 0,
             isOpen: false,
             gateUntil: -Infinity,
         };
@@ -332,7 +381,7 @@
     private paceOf(model: string): Stragglers {
         let pace = this.paces.get(model);
         if (pace === undefined) {
-            pace = Stragglers.create();
+            pace = Stragglers.create(this.options.paceReference);
             this.paces.set(model, pace);
         }
         return pace;
@@ -352,6 +401,10 @@
     return index;
 }
 
+function haveSameItems(left: readonly string[], right: readonly string[]): boolean {
+    return left.length === right.length && left.every((item, index) => item === right[index]);
+}
+
 function noReplica(model: string): Fault {
     const message = `no replica of model "${model}" serves now`;
     return { code: "noReplica", message, step: "route", notRun: true };
