--- a/src/core/entry-requests.ts
+++ b/src/core/entry-requests.ts
@@ -155,7 +155,8 @@
             fromOffset: this.start.fromOffset,
             delivered: this.start.delivered,
             deadline,
-            mayRetry: (time: number) => retries.tryTake(retry, time),
+            // An answer that has begun is never broken off for the sake of the budget.
+            mayRetry: (time: number, nextOffset: number) => nextOffset > 0 || retries.tryTake(retry, time),
         };
         this.log = AnswerLog.create(options, now);
         this.tickAt = now;
