--- a/src/core/claim-rules.ts
+++ b/src/core/claim-rules.ts
@@ -53,6 +53,7 @@
 export const claimRules: ClaimRules = {
     meet: meetRecord,
     ambiguousCountsAs: "unknown",
+    fencesLostWrites: true,
     requiresClaim: true,
     isInTime: (deadline, now) => now < deadline,
     unansweredBecomes: "unknown",
--- a/src/core/claim-shards.ts
+++ b/src/core/claim-shards.ts
@@ -30,6 +30,8 @@
     readonly meet: MeetRecord;
     /** What an ambiguous write counts as. */
     readonly ambiguousCountsAs: "unknown" | "written" | "failed";
+    /** Whether a release also fences a lost write that may still take effect. */
+    readonly fencesLostWrites: boolean;
 }
 
 /** The rules in force. */
@@ -198,7 +200,7 @@
             batch.map(entry => entry.operation),
             {
                 writer: this.options.createNonce(),
-                isFenced: this.unfencedRevision !== this.revision,
+                isFenced: this.unfencedRevision !== this.revision || !this.options.fencesLostWrites,
                 meet: this.options.meet,
                 tableLength: this.tableLength,
             },
--- a/src/core/claim-sweeps.ts
+++ b/src/core/claim-sweeps.ts
@@ -21,8 +21,9 @@
         options: KeyWindowOptions,
         isMine: (bucket: number) => boolean,
         wallNow: number,
+        lookbackBuckets = sweepLookbackBuckets,
     ): ClaimSweep {
-        const first = lastExpiredBucket(options, wallNow) - sweepLookbackBuckets;
+        const first = lastExpiredBucket(options, wallNow) - lookbackBuckets;
         return new ClaimSweep(options, isMine, first);
     }
 
