--- a/src/daemons/entry/entry-parts.ts
+++ b/src/daemons/entry/entry-parts.ts
@@ -19,6 +19,7 @@
 import { Credentials } from "./credentials.js";
 import { EntryLoop } from "./entry-loops.js";
 import { isGateOpen, startRoutingInputs } from "./routing-inputs.js";
+import { startClaimSweeps } from "./claim-sweeps.js";
 import type { ServiceCalls } from "./service-calls.js";
 import { createServiceCalls } from "./service-calls.js";
 import { createServiceRoute } from "./service-endpoints.js";
@@ -72,6 +73,7 @@
         random: Math.random,
         record: node.record,
     });
+    const stopSweeps = startClaimSweeps({ store: node.store, clock: node.clock });
     return {
         view,
         loop,
@@ -81,6 +83,7 @@
         serviceCalls,
         openSeal: sealed => seals().open(sealed),
         close: () => {
+            stopSweeps();
             inputs.unsubscribe();
             loop.close();
             view.close();
