Measure group loss, a dark fabric domain and a store outage; give a replacement up for a member that comes back

Starting the load and giving it up when the paused member returns warm dominates waiting, so a return now saves one warm load at most and the rule waits only for silences that are about to end. Ruled out: longer waits for cheap returns. Standby placers look for the lease once per lease and rank instead of three times, as their looks were the second-largest part of the store's calls.

--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -1,10 +1,16 @@
 /** Runs one experiment by name: `npm run bench -- <experiment> --seed N [--json]`. */
 import { cac } from "cac";
+import { domainDark } from "./domain-dark.js";
 import type { Experiment, ExperimentReport } from "./experiments.js";
 import { fairness } from "./fairness.js";
+import { groupLoss } from "./group-loss.js";
+import { platformOutage } from "./platform-outage.js";
 
 const experiments: Readonly<Record<string, Experiment>> = {
     fairness,
+    "group-loss": groupLoss,
+    "domain-dark": domainDark,
+    "platform-outage": platformOutage,
 };
 
 function printTable(report: ExperimentReport): void {
--- a/benchmarks/placement-engines.ts
+++ b/benchmarks/placement-engines.ts
@@ -102,6 +102,7 @@
     readonly coldLoadMilliseconds: number;
     readonly warmLoadMilliseconds: number;
     readonly slots: number;
+    readonly startWarm?: ModelVersion;
 }
 
 /** One engine instance. */
@@ -127,6 +128,7 @@
         private readonly weights: FakeWeightStore,
         private readonly options: FakeEngineOptions,
     ) {
+        this.warm = options.startWarm === undefined ? [] : [options.startWarm];
         this.noteBelief();
     }
 
--- a/benchmarks/placement-worlds.ts
+++ b/benchmarks/placement-worlds.ts
@@ -9,6 +9,7 @@
 import type { FabricPlacement } from "../src/core/placement-values.js";
 import { placementPrefix, safeParseFabricPlacement } from "../src/core/placement-values.js";
 import { createRandomNumber } from "../src/core/random-numbers.js";
+import type { ModelVersion } from "../src/core/replica-groups.js";
 import type { DecideRepair } from "../src/core/repairs.js";
 import { VirtualLoop } from "./loops.js";
 import type { AcceptedWork } from "./placement-engines.js";
@@ -44,6 +45,10 @@
     readonly probeMilliseconds: number;
     /** Time after which the instance list shows a change, at most. */
     readonly listLagMilliseconds: number;
+    /** True if each placer probes for itself; otherwise whoever runs the world feeds it health. */
+    readonly placersProbe: boolean;
+    /** A model version whose weights every engine holds at the start. */
+    readonly startWarm?: ModelVersion;
     /** Chance that an order is held up between its lease check and its send. */
     readonly heldUpChance: number;
 }
@@ -201,6 +206,7 @@
                     coldLoadMilliseconds: options.coldLoadMilliseconds,
                     warmLoadMilliseconds: options.warmLoadMilliseconds,
                     slots: 8,
+                    startWarm: options.startWarm,
                 });
                 this.engines.set(instance.id, engine);
             }
--- a/src/core/placement-leases.ts
+++ b/src/core/placement-leases.ts
@@ -191,8 +191,7 @@
 
     /** The first in rank looks often; the others more rarely, so that the store's calls stay few. */
     private lookMilliseconds(): number {
-        const rank = Math.min(longestLookLeases, this.options.rank());
-        return rank === 0 ? this.leaseMilliseconds() / 3 : rank * this.leaseMilliseconds();
+        return Math.min(longestLookLeases, this.options.rank() + 1) * this.leaseMilliseconds();
     }
 
     private leaseMilliseconds(): number {
--- a/src/core/placement-plans.ts
+++ b/src/core/placement-plans.ts
@@ -5,7 +5,7 @@
 import { startLoads } from "./placement-loads.js";
 import type { PlacementModel } from "./placement-policies.js";
 import { settleMilliseconds } from "./placement-policies.js";
-import { planRepairs } from "./placement-repairs.js";
+import { planRepairs, replaceLoadingMembers } from "./placement-repairs.js";
 import type { FabricPlacement, PlacedGroup } from "./placement-values.js";
 import { freeSpares } from "./placement-spares.js";
 import type { PlacementView } from "./placement-views.js";
@@ -35,6 +35,7 @@
     startServing(draft, view, now);
     drainLeaving(draft, view, now);
     planRepairs(draft, view, options.decideRepair, now);
+    replaceLoadingMembers(draft, view, now);
     startGroups(draft, view, now);
     drainByChoice(draft, view, now);
     startLoads(draft, view, now);
--- a/src/core/placement-repairs.ts
+++ b/src/core/placement-repairs.ts
@@ -3,9 +3,10 @@
 import type { PlacementDraft } from "./placement-drafts.js";
 import { queueMilliseconds } from "./placement-loads.js";
 import { countComingSpares, freeSpares } from "./placement-spares.js";
+import { settleMilliseconds } from "./placement-policies.js";
 import type { PlacedGroup } from "./placement-values.js";
 import type { PlacementView } from "./placement-views.js";
-import { assessMember, isWarm } from "./placement-views.js";
+import { assessMember, isWarm, reportOf } from "./placement-views.js";
 import type { DecideRepair, RepairSituation } from "./repairs.js";
 
 /** The members of a broken group by what became of them. */
@@ -38,6 +39,27 @@
     }
 }
 
+/**
+ * Puts spares that hold the weights in the place of members that still load them, for instance a paused member that came
+ * back after its replacement began. Done only if no member of the group would have to load from the start again.
+ */
+export function replaceLoadingMembers(draft: PlacementDraft, view: PlacementView, now: number): void {
+    const { coldLoadMilliseconds, warmLoadMilliseconds } = view.policy.repair;
+    const warmMilliseconds = Math.max(settleMilliseconds(view.policy), warmLoadMilliseconds);
+    for (const group of draft.groups.filter(each => each.state === "loading")) {
+        const loading = group.members.filter(member => reportOf(view, member, now)?.state === "loading");
+        const since = loading.map(member => view.seenInGroupSince(member) ?? now);
+        const isWorthIt = Math.max(...since) + coldLoadMilliseconds > now + warmMilliseconds;
+        const spares = freeSpares(draft, view, group.model, now);
+        const warm = spares.filter(spare => isWarm(view, spare, group.model));
+        if (loading.length > 0 && warm.length >= loading.length && isWorthIt) {
+            const replacement = new Map(loading.map((member, index) => [member, warm[index] ?? member]));
+            const members = group.members.map(member => replacement.get(member) ?? member);
+            draft.reformGroup(group.id, members);
+        }
+    }
+}
+
 /** Returns how many spares the decision brings, beyond those that the group itself waits for. */
 function repairGroup(
     draft: PlacementDraft,
--- a/src/core/repairs.ts
+++ b/src/core/repairs.ts
@@ -82,13 +82,15 @@
 }
 
 /**
- * Compares the price of one more millisecond of waiting with what a return in it saves. Both are times in which the
- * group is out of service and the survivors and the spare are stranded, so the weights stand on both sides.
+ * Compares one more millisecond of waiting with what a return in it saves; both are times in which the group is out of
+ * service and the survivors and the spare are stranded, so both sides have the same price. A replacement that has begun
+ * is given up for a member that returns with its weights, so such a return saves one warm load at most.
  */
 function isWaitingCheaper(situation: RepairSituation, policy: PlacementPolicy, act: number): boolean {
     const rates = returnRates(situation.silentMilliseconds, policy);
     const reload = Math.max(settleMilliseconds(policy), policy.repair.coldLoadMilliseconds);
-    const saved = rates.withWeights * act + rates.withoutWeights * Math.max(0, act - reload);
+    const savedWithWeights = Math.min(act, warmMilliseconds(policy));
+    const saved = rates.withWeights * savedWithWeights + rates.withoutWeights * Math.max(0, act - reload);
     const everyMemberReturns = situation.silent === 1;
     return everyMemberReturns && saved > 1;
 }
--- a/tests/histories/placements-runs.ts
+++ b/tests/histories/placements-runs.ts
@@ -99,6 +99,7 @@
         loadsAtFullRate: 3,
         probeMilliseconds: 1_000,
         listLagMilliseconds: 5_000,
+        placersProbe: true,
         heldUpChance: plan.heldUpChance,
     };
 }
