--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -7,6 +7,9 @@
 import { overload } from "./overload.js";
 import { prefix } from "./prefix.js";
 import { stragglerExperiment } from "./straggler.js";
+import { domainDark } from "./domain-dark.js";
+import { groupLoss } from "./group-loss.js";
+import { platformOutage } from "./platform-outage.js";
 
 const experiments: Readonly<Record<string, Experiment>> = {
     answers,
@@ -15,6 +18,9 @@
     overload,
     straggler: stragglerExperiment,
     prefix,
+    "group-loss": groupLoss,
+    "domain-dark": domainDark,
+    "platform-outage": platformOutage,
 };
 
 function printTable(report: ExperimentReport): void {
