--- a/benchmarks/fakes/entries.ts
+++ b/benchmarks/fakes/entries.ts
@@ -130,6 +130,7 @@
         const group = chosen.data.group.id;
         router.dispatched(route, group, loop.now());
         figures.sends += 1;
+        figures.retries += request.attempt > 0 ? 1 : 0;
         request.attempt += 1;
         const attempt = request.attempt;
         loop.after(engineMilliseconds, () => {
--- a/benchmarks/fakes/figures.ts
+++ b/benchmarks/fakes/figures.ts
@@ -44,6 +44,7 @@
     public goodTokens = 0;
     public lateTokens = 0;
     public sends = 0;
+    public retries = 0;
     public failures = 0;
 
     private constructor(
--- a/benchmarks/fakes/worlds.ts
+++ b/benchmarks/fakes/worlds.ts
@@ -89,7 +89,8 @@
     public readonly loop = VirtualLoop.create();
     public readonly engines = new Map<string, FakeEngine>();
     public readonly entries: FakeEntry[] = [];
-    public readonly figures: Figures;
+    /** Where results go; may be replaced between phases of a run. */
+    public figures: Figures;
     /** Failure domain of each entry and engine. */
     public readonly domains = new Map<string, string>();
     /** Failure domain that is cut off from all others. */
@@ -139,6 +140,12 @@
         return left === right || (left !== this.cutDomain && right !== this.cutDomain);
     }
 
+    /** Names of the entries that an entry reaches, itself included. */
+    public reachableFrom(name: string): readonly string[] {
+        const names = [...this.entries.keys()].map(index => `entry-${index}`);
+        return names.filter(other => this.canReach(name, other));
+    }
+
     /** Idle part of all slots while a request waited. */
     public get idleFraction(): number {
         return this.waitingSamples === 0 ? 0 : this.idleWhileWaiting / this.waitingSamples;
@@ -178,12 +185,15 @@
         for (const [id, engine] of this.engines) {
             router.observe(id, engine.load, 0);
         }
+        const currentFigures = (): Figures => this.figures;
         return FakeEntry.create({
             loop: this.loop,
             admission,
             router,
             engines: this.engines,
-            figures: this.figures,
+            get figures() {
+                return currentFigures();
+            },
             onRefused: onRefused?.(this) ?? (() => {}),
             mayRetry: mayRetry ?? (() => false),
         });
--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -1,9 +1,12 @@
 /** Runs one experiment by name: `npm run bench -- <experiment> --seed N [--json]`. */
 import { cac } from "cac";
 import type { Experiment, ExperimentReport } from "./experiments.js";
+import { decisionCost } from "./decision-cost.js";
+import { domainCut } from "./domain-cut.js";
 import { fairness } from "./fairness.js";
 import { overload } from "./overload.js";
 import { prefix } from "./prefix.js";
+import { retryStorm } from "./retry-storm.js";
 import { stragglerExperiment } from "./straggler.js";
 
 const experiments: Readonly<Record<string, Experiment>> = {
@@ -11,6 +14,9 @@
     overload,
     straggler: stragglerExperiment,
     prefix,
+    "domain-cut": domainCut,
+    "retry-storm": retryStorm,
+    "decision-cost": decisionCost,
 };
 
 function printTable(report: ExperimentReport): void {
--- a/benchmarks/straggler.ts
+++ b/benchmarks/straggler.ts
@@ -33,14 +33,18 @@
     createRouting: () => ({ paceReference: referenceByMean }),
 };
 
+interface Return {
+    at: number | undefined;
+}
+
 interface Part {
     readonly world: World;
-    returnedAt: number | undefined;
+    readonly returnedAt: number | undefined;
 }
 
 function run(policy: Policy, seed: number, capacity: number, factor: number): Part {
     const rates = equalSubscribers("team", 80, (load * capacity) / 80);
-    let part: Part | undefined;
+    const returns: Return = { at: undefined };
     const world = World.create({
         policy,
         seed,
@@ -57,23 +61,22 @@
             prepared.loop.at(slowUntil, () => {
                 engine.slowdown = 1;
                 prepared.loop.every(500, () => {
-                    watchReturn(part!);
+                    watchReturn(prepared, returns);
                 });
             });
         },
     });
-    part = { world, returnedAt: undefined };
     world.run();
-    return part;
+    return { world, returnedAt: returns.at };
 }
 
 /** The straggler is back once it runs at least half of what the others do on average. */
-function watchReturn(part: Part): void {
-    const running = [...part.world.engines.values()].map(engine => engine.load.running);
+function watchReturn(world: World, returns: Return): void {
+    const running = [...world.engines.values()].map(engine => engine.load.running);
     const mean = running.reduce((sum, count) => sum + count, 0) / running.length;
-    const own = part.world.engines.get(straggler)!.load.running;
+    const own = world.engines.get(straggler)!.load.running;
     if (own >= mean / 2) {
-        part.returnedAt ??= part.world.loop.now();
+        returns.at ??= world.loop.now();
     }
 }
 
--- a/src/core/prefix-indexes.ts
+++ b/src/core/prefix-indexes.ts
@@ -8,7 +8,7 @@
 /** Time in milliseconds for which an unconfirmed block is believed to be held. */
 export const unconfirmedMilliseconds = 10_000;
 /** Blocks remembered per replica; the oldest are forgotten first. */
-export const blocksPerReplica = 8_192;
+export const blocksPerReplica = 2_048;
 
 interface HeldBlocks {
     sequence: number;
--- /dev/null
+++ b/src/core/route-shortlists.ts
@@ -0,0 +1,90 @@
+/**
+ * The groups of one model, and the few of them that one choice looks at: those that hash-ring order prefers for the
+ * prompt's beginning, those with a slot freed lately, and some at random.
+ */
+import type { RandomNumber } from "../contracts/clocks.js";
+import { hashNumber } from "./hashes.js";
+import type { RouteState } from "./route-states.js";
+
+/** With this many groups or fewer, a choice looks at all. */
+export const groupsInFull = 24;
+const preferredGroups = 3;
+const randomGroups = 8;
+const freedGroups = 4;
+/** Points of each group on the ring. */
+const ringPoints = 16;
+
+interface RingPoint {
+    readonly point: number;
+    readonly state: RouteState;
+}
+
+/** Groups of one model. */
+export class ModelGroups {
+    private readonly ring: readonly RingPoint[];
+    private freed: RouteState[] = [];
+
+    private constructor(public readonly states: readonly RouteState[]) {
+        this.ring = states.flatMap(pointsOf).sort((left, right) => left.point - right.point);
+    }
+
+    public static create(states: readonly RouteState[]): ModelGroups {
+        return new ModelGroups(states);
+    }
+
+    /** True if a choice looks at all groups. */
+    public get isSmall(): boolean {
+        return this.states.length <= groupsInFull;
+    }
+
+    /** The groups that all entries prefer for a prompt that begins with a block, in order. */
+    public preferredFor(block: string): readonly RouteState[] {
+        const preferred = new Set<RouteState>();
+        const wanted = Math.min(preferredGroups, this.states.length);
+        const start = this.firstPointAfter(hashNumber(block));
+        for (let step = 0; preferred.size < wanted && step < this.ring.length; step += 1) {
+            preferred.add(this.ring[(start + step) % this.ring.length]!.state);
+        }
+        return [...preferred];
+    }
+
+    /** Notes that a slot of a group has become free. */
+    public noteFreed(state: RouteState): void {
+        if (!this.isSmall && !this.freed.includes(state)) {
+            this.freed = [state, ...this.freed.slice(0, freedGroups - 1)];
+        }
+    }
+
+    /** Returns the groups that one choice looks at. */
+    public shortlist(preferred: readonly RouteState[], random: RandomNumber): readonly RouteState[] {
+        if (this.isSmall) {
+            return this.states;
+        }
+        const chosen = new Set([...preferred, ...this.freed]);
+        for (let count = 0; count < randomGroups; count += 1) {
+            chosen.add(this.states[Math.floor(random() * this.states.length)]!);
+        }
+        return [...chosen];
+    }
+
+    private firstPointAfter(point: number): number {
+        let low = 0;
+        let high = this.ring.length;
+        while (low < high) {
+            const middle = (low + high) >> 1;
+            if (this.ring[middle]!.point < point) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        return low;
+    }
+}
+
+function pointsOf(state: RouteState): readonly RingPoint[] {
+    return [...Array(ringPoints).keys()].map(index => ({
+        point: hashNumber(`${state.routed.group.id}\u0000${index}`),
+        state,
+    }));
+}
--- a/src/core/routes.ts
+++ b/src/core/routes.ts
@@ -2,81 +2,35 @@
  * Routing: how many requests of a model may be sent now, and to which replica group the next one goes. Pure: time,
  * serving gate and randomness are arguments. Times are local monotonic milliseconds.
  */
-import type { RandomNumber } from "../contracts/clocks.js";
 import type { CacheEvent } from "../contracts/engines.js";
 import { creditOf } from "./credits.js";
 import type { EndpointLoad, EndpointReport } from "./endpoints.js";
 import { isLaterReport } from "./endpoints.js";
 import type { Fault, Result } from "./errors.js";
 import { fail, succeed } from "./errors.js";
-import type { FailureDomainId } from "./failure-domains.js";
-import { rankByRendezvous } from "./hashes.js";
 import { blockTokens, blocksOf } from "./prefix-blocks.js";
 import { PrefixIndex } from "./prefix-indexes.js";
-import type { ReplicaGroup, ReplicaGroupId } from "./replica-groups.js";
+import type { ReplicaGroupId } from "./replica-groups.js";
 import type { RequestId } from "./requests.js";
-import { ReplicaLoad } from "./route-loads.js";
-import type { ChooseRoute, RouteCandidate } from "./route-policies.js";
+import type { RouteRequest, RoutedGroup, RouterOptions } from "./route-options.js";
+import type { RouteCandidate } from "./route-policies.js";
 import { chooseByEstimate } from "./route-policies.js";
-import type { PaceReference } from "./stragglers.js";
+import { ModelGroups } from "./route-shortlists.js";
+import type { RouteState } from "./route-states.js";
+import * as states from "./route-states.js";
 import { Stragglers } from "./stragglers.js";
 
-/** A replica group and the failure domain that it stands in. */
-export interface RoutedGroup {
-    readonly group: ReplicaGroup;
-    readonly failureDomain: FailureDomainId;
-}
-
-/** What routing must know of a request. */
-export interface RouteRequest {
-    readonly id: RequestId;
-    readonly model: string;
-    readonly prompt: string;
-    readonly promptTokens: number;
-    /** True if the caller may have unused capacity only. */
-    readonly borrowed: boolean;
-    /** Groups that this request must not go to again. */
-    readonly excluded?: readonly ReplicaGroupId[];
-}
+export type { RouteRequest, RoutedGroup, RouterOptions } from "./route-options.js";
 
-/** What varies between routers. */
-export interface RouterOptions {
-    /** This entry process's name, the same as in `applyEntries`. */
-    readonly entry: string;
-    readonly failureDomain: FailureDomainId;
-    /** The serving gate; asked again at every choice. */
-    readonly isOpen: (group: ReplicaGroup, now: number) => boolean;
-    readonly random: RandomNumber;
-    /** `chooseByEstimate()` unless given. */
-    readonly choose?: ChooseRoute;
-    /** False to treat all replicas as equally fast. */
-    readonly watchesPace?: boolean;
-    /** The pace that replicas are compared with; the median unless given. */
-    readonly paceReference?: PaceReference;
-    /** False to send to any replica with a free slot, without credits. */
-    readonly usesCredits?: boolean;
-}
-
-/** Slots of a replica that has not reported any. */
-export const unreportedSlots = 1;
-/** Part of a replica's slots that borrowing callers leave free. */
-export const reservedFraction = 0.02;
-/** Part of a replica's slots by which late reports are taken to err. */
-export const uncertainFraction = 0.02;
-/** Part of its credit by which an entry may exceed it for callers within their fair part. */
-export const overcommitFraction = 0.05;
 /** Time in milliseconds for which the answers of the serving gate count in `capacity`. */
 const gateMilliseconds = 50;
+/** Time in milliseconds for which the capacity of many groups is kept and counted on. */
+const capacityMilliseconds = 20;
 
-interface RouteState {
-    routed: RoutedGroup;
-    readonly load: ReplicaLoad;
-    report: EndpointReport | undefined;
-    credit: number;
-    /** Prompt tokens of own requests that have not shown a token yet. */
-    prefillTokens: number;
-    isOpen: boolean;
-    gateUntil: number;
+/** Capacity of a model, kept for a short time. */
+interface KeptCapacity {
+    room: number;
+    readonly until: number;
 }
 
 interface Flight {
@@ -89,7 +43,8 @@
 /** Routing of one entry process. */
 export class Router {
     private readonly groups = new Map<ReplicaGroupId, RouteState>();
-    private byModel = new Map<string, readonly RouteState[]>();
+    private byModel = new Map<string, ModelGroups>();
+    private readonly capacities = new Map<string, KeptCapacity>();
     private readonly paces = new Map<string, Stragglers>();
     private readonly flights = new Map<RequestId, Flight>();
     private readonly prefixes = PrefixIndex.create();
@@ -130,6 +85,7 @@
             this.applyGroup(next);
         }
         this.byModel = indexByModel(this.groups.values());
+        this.capacities.clear();
     }
 
     /** Puts the entry processes in force that are reachable and share the replicas with this one. */
@@ -141,6 +97,7 @@
         for (const state of this.groups.values()) {
             state.credit = this.creditAt(state);
         }
+        this.capacities.clear();
     }
 
     /** Takes a load report of a group's leader; one that is not later than the report before has no effect. */
@@ -169,26 +126,37 @@
 
     /** Returns how many more requests of a model may be sent now. */
     public capacity(model: string, borrowed: boolean, now: number): number {
-        let room = 0;
-        let credits = 0;
-        for (const state of this.byModel.get(model) ?? []) {
-            if (this.isOpenLately(state, now)) {
-                room += this.roomAt(state, borrowed, now);
-                credits += state.credit;
-            }
+        const groups = this.byModel.get(model);
+        if (groups === undefined) {
+            return 0;
         }
-        const isReserving = borrowed && this.options.usesCredits !== false;
-        return isReserving ? Math.floor(room - credits * reservedFraction) : room;
+        if (groups.isSmall) {
+            return this.countRoom(groups, borrowed, now);
+        }
+        const key = `${model}/${borrowed}`;
+        const kept = this.capacities.get(key);
+        if (kept !== undefined && now < kept.until) {
+            return kept.room;
+        }
+        const room = this.countRoom(groups, borrowed, now);
+        this.capacities.set(key, { room, until: now + capacityMilliseconds });
+        return room;
     }
 
     /** Chooses a group whose serving gate is open now, or says why there is none. */
     public choose(request: RouteRequest, now: number): Result<RoutedGroup> {
-        const states = this.openStates(request, now);
-        if (states.length === 0) {
+        const groups = this.byModel.get(request.model);
+        if (groups === undefined) {
+            return fail(noReplica(request.model));
+        }
+        const blocks = this.blocksOf(request.prompt);
+        const preferred = blocks.length === 0 ? [] : groups.preferredFor(blocks[0]!);
+        const shortlist = groups.shortlist(preferred, this.options.random);
+        const usable = this.usableOf(shortlist, groups, request, now);
+        if (usable.length === 0) {
             return fail(noReplica(request.model));
         }
-        const roomy = states.filter(state => this.roomAt(state, request.borrowed, now) > 0);
-        const candidates = this.candidatesOf(request, roomy.length > 0 ? roomy : states, now);
+        const candidates = usable.map(state => this.candidateOf(state, blocks, preferred[0], now));
         const choice = this.options.choose ?? defaultChoice;
         const chosen = choice(candidates, request.promptTokens, this.options.random);
         return succeed(this.groups.get(chosen.group)!.routed);
@@ -206,6 +174,7 @@
         const prefillTokens = Math.max(0, request.promptTokens - cachedTokens);
         this.flights.set(request.id, { group, model: request.model, lastTokenAt: undefined, prefillTokens });
         state.load.change(1, now);
+        this.countKept(request.model, -1);
         state.prefillTokens += prefillTokens;
         this.paceOf(request.model).started(group, now);
         this.prefixes.sent(group, blocks, now);
@@ -246,6 +215,8 @@
         const state = this.groups.get(flight.group);
         if (state !== undefined) {
             state.load.change(-1, now);
+            this.countKept(flight.model, 1);
+            this.byModel.get(flight.model)?.noteFreed(state);
             this.paceOf(flight.model).ended(flight.group, outcome, now);
         }
     }
@@ -258,18 +229,57 @@
         flight.prefillTokens = 0;
     }
 
-    private openStates(request: RouteRequest, now: number): readonly RouteState[] {
-        const open = (this.byModel.get(request.model) ?? []).filter(
-            state =>
-                request.excluded?.includes(state.routed.group.id) !== true &&
-                this.options.isOpen(state.routed.group, now),
-        );
+    /** The groups with room on the shortlist, else in all, else those that are open at all. */
+    private usableOf(
+        shortlist: readonly RouteState[],
+        groups: ModelGroups,
+        request: RouteRequest,
+        now: number,
+    ): readonly RouteState[] {
+        const hasRoom = (state: RouteState): boolean => this.roomAt(state, request.borrowed, now) > 0;
+        const isOpen = (state: RouteState): boolean => this.isOpenFor(state, request, now);
+        const roomy = shortlist.filter(state => hasRoom(state) && isOpen(state));
+        if (roomy.length > 0) {
+            return roomy;
+        }
+        const others = groups.isSmall ? [] : groups.states.filter(state => hasRoom(state) && isOpen(state));
+        if (others.length > 0) {
+            return others;
+        }
+        const open = groups.states.filter(isOpen);
         const used = open.filter(state => state.credit > 0);
         const reachable = used.length > 0 ? used : open;
         const serving = reachable.filter(state => this.isInService(state, now));
         return serving.length > 0 ? serving : reachable;
     }
 
+    private isOpenFor(state: RouteState, request: RouteRequest, now: number): boolean {
+        const { group } = state.routed;
+        return request.excluded?.includes(group.id) !== true && this.options.isOpen(group, now);
+    }
+
+    private countRoom(groups: ModelGroups, borrowed: boolean, now: number): number {
+        let room = 0;
+        let credits = 0;
+        for (const state of groups.states) {
+            if (this.isOpenLately(state, now)) {
+                room += this.roomAt(state, borrowed, now);
+                credits += state.credit;
+            }
+        }
+        const isReserving = borrowed && this.options.usesCredits !== false;
+        return isReserving ? Math.floor(room - credits * states.reservedFraction) : room;
+    }
+
+    private countKept(model: string, change: 1 | -1): void {
+        for (const borrowed of [false, true]) {
+            const kept = this.capacities.get(`${model}/${borrowed}`);
+            if (kept !== undefined) {
+                kept.room += change;
+            }
+        }
+    }
+
     private isInService(state: RouteState, now: number): boolean {
         const { id, model } = state.routed.group;
         return (
@@ -284,26 +294,9 @@
         if (service !== "full") {
             return service === "trial" ? 1 : 0;
         }
-        return this.slotsLeft(state, borrowed);
-    }
-
-    private slotsLeft(state: RouteState, borrowed: boolean): number {
-        const slots = state.load.slots ?? unreportedSlots;
-        const { ownRequests, allRequests } = state.load;
-        if (this.options.usesCredits === false) {
-            return Math.max(0, slots - ownRequests);
-        }
-        const overcommit = Math.max(1, Math.floor(state.credit * overcommitFraction));
-        const free = slots - allRequests;
-        if (free + overcommit <= 0) {
-            return 0;
-        }
-        const guaranteed = state.credit - ownRequests;
-        if (borrowed) {
-            const lent = (free - Math.max(1, slots * reservedFraction)) / this.entries.length;
-            return Math.max(0, guaranteed, Math.floor(lent));
-        }
-        return Math.max(0, guaranteed + overcommit, Math.floor(free - slots * uncertainFraction));
+        return this.options.usesCredits === false
+            ? states.roomByOwnRequests(state)
+            : states.roomWithCredits(state, borrowed, this.entries.length);
     }
 
     private isOpenLately(state: RouteState, now: number): boolean {
@@ -314,30 +307,26 @@
         return state.isOpen;
     }
 
-    private candidatesOf(
-        request: RouteRequest,
-        states: readonly RouteState[],
+    private candidateOf(
+        state: RouteState,
+        blocks: readonly string[],
+        preferred: RouteState | undefined,
         now: number,
-    ): readonly RouteCandidate[] {
-        const blocks = this.blocksOf(request.prompt);
-        const ids = states.map(state => state.routed.group.id);
-        const preferred = blocks.length === 0 ? undefined : rankByRendezvous(blocks[0]!, ids)[0];
-        return states.map(state => {
-            const { id, model } = state.routed.group;
-            const pace = this.paceOf(model.model);
-            return {
-                group: id,
-                isLocal: state.routed.failureDomain === this.options.failureDomain,
-                slots: state.load.slots ?? unreportedSlots,
-                credit: state.credit,
-                ownRequests: state.load.ownRequests,
-                allRequests: state.load.allRequests,
-                prefillTokens: state.prefillTokens,
-                slowdown: this.options.watchesPace === false ? 1 : pace.slowdownOf(id, now),
-                cachedTokens: this.prefixes.matchOf(id, blocks, now) * blockTokens,
-                isPreferred: id === preferred,
-            };
-        });
+    ): RouteCandidate {
+        const { id, model } = state.routed.group;
+        const pace = this.paceOf(model.model);
+        return {
+            group: id,
+            isLocal: state.routed.failureDomain === this.options.failureDomain,
+            slots: state.load.slots ?? states.unreportedSlots,
+            credit: state.credit,
+            ownRequests: state.load.ownRequests,
+            allRequests: state.load.allRequests,
+            prefillTokens: state.prefillTokens,
+            slowdown: this.options.watchesPace === false ? 1 : pace.slowdownOf(id, now),
+            cachedTokens: this.prefixes.matchOf(id, blocks, now) * blockTokens,
+            isPreferred: state === preferred,
+        };
     }
 
     private blocksOf(prompt: string): readonly string[] {
@@ -354,15 +343,7 @@
             known.gateUntil = -Infinity;
             return;
         }
-        const state: RouteState = {
-            routed,
-            load: ReplicaLoad.create(),
-            report: undefined,
-            credit: 0,
-            prefillTokens: 0,
-            isOpen: false,
-            gateUntil: -Infinity,
-        };
+        const state = states.createRouteState(routed);
         state.credit = this.creditAt(state);
         this.groups.set(routed.group.id, state);
     }
@@ -374,7 +355,7 @@
     }
 
     private creditAt(state: RouteState): number {
-        const slots = state.load.slots ?? unreportedSlots;
+        const slots = state.load.slots ?? states.unreportedSlots;
         return creditOf(this.options.entry, state.routed.group.id, slots, this.entries);
     }
 
@@ -390,15 +371,15 @@
 
 const defaultChoice = chooseByEstimate();
 
-function indexByModel(states: Iterable<RouteState>): Map<string, readonly RouteState[]> {
+function indexByModel(all: Iterable<RouteState>): Map<string, ModelGroups> {
     const index = new Map<string, RouteState[]>();
-    for (const state of states) {
+    for (const state of all) {
         const model = state.routed.group.model.model;
         const known = index.get(model) ?? [];
         known.push(state);
         index.set(model, known);
     }
-    return index;
+    return new Map([...index].map(([model, ofModel]) => [model, ModelGroups.create(ofModel)]));
 }
 
 function haveSameItems(left: readonly string[], right: readonly string[]): boolean {
