--- a/src/core/hashes.ts
+++ b/src/core/hashes.ts
@@ -25,17 +25,18 @@
 
 /** A running XXH64; `digest` may be read at any point. */
 export interface TextHash {
-    readonly update: (text: string) => void;
+    /** Adds UTF-8 bytes. */
+    readonly update: (bytes: Uint8Array) => void;
     /** 16 hexadecimal digits. */
     readonly digest: () => string;
 }
 
-/** Returns a running XXH64 of a text that is given in pieces. */
+/** Returns a running XXH64 of a text that is given in pieces of UTF-8. */
 export function createTextHash(): TextHash {
     const hash = hasher.create64();
     return {
-        update: text => {
-            hash.update(text);
+        update: bytes => {
+            hash.update(bytes);
         },
         digest: () => hash.digest().toString(16).padStart(16, "0"),
     };
--- a/src/core/route-shortlists.ts
+++ b/src/core/route-shortlists.ts
@@ -9,8 +9,8 @@
 /** With this many groups or fewer, a choice looks at all. */
 export const groupsInFull = 24;
 const preferredGroups = 3;
-const randomGroups = 8;
-const freedGroups = 4;
+const randomGroups = 6;
+const freedGroups = 3;
 /** Points of each group on the ring. */
 const ringPoints = 16;
 
--- a/src/core/stragglers.ts
+++ b/src/core/stragglers.ts
@@ -11,6 +11,8 @@
 export const failuresToEject = 3;
 /** Largest part of the replicas that may be ejected at a time; one always may, the last never. */
 export const ejectedFraction = 0.1;
+/** The same for replicas that fail: keeping them would help no request. */
+export const failingFraction = 0.5;
 /** First time in milliseconds out of service; doubled each time a trial fails. */
 export const ejectionMilliseconds = 5_000;
 export const longestEjectionMilliseconds = 60_000;
@@ -93,18 +95,18 @@
             return;
         }
         if (pace.failures >= failuresToEject) {
-            this.eject(pace, now);
+            this.eject(pace, failingFraction, now);
         }
     }
 
-    /** Returns the factor by which the replica is slower than its peers, 1 if not noticeably. */
+    /** Returns the factor by which the replica is slower than its peers or fails, 1 if not noticeably. */
     public slowdownOf(replica: string, now: number): number {
         const pace = this.replicas.get(replica);
         if (pace === undefined) {
             return 1;
         }
         const ratio = this.ratioOf(pace, now);
-        return ratio > toleratedRatio ? ratio : 1;
+        return (ratio > toleratedRatio ? ratio : 1) * (1 + pace.failures);
     }
 
     /** Returns how the replica may be used now; ejects it if it has become far too slow. */
@@ -114,7 +116,7 @@
             return "full";
         }
         if (pace.ejectedUntil === undefined && this.ratioOf(pace, now) >= ejectionRatio) {
-            this.eject(pace, now);
+            this.eject(pace, ejectedFraction, now);
         }
         if (pace.ejectedUntil === undefined) {
             return "full";
@@ -143,8 +145,8 @@
         this.replicas.set(replica, { ...newPace(now), running: pace.running });
     }
 
-    private eject(pace: ReplicaPace, now: number): void {
-        const most = Math.max(1, Math.floor(this.replicas.size * ejectedFraction));
+    private eject(pace: ReplicaPace, fraction: number, now: number): void {
+        const most = Math.max(1, Math.floor(this.replicas.size * fraction));
         if (this.ejectedCount >= most || this.replicas.size < 2) {
             return;
         }
--- a/src/core/usages.ts
+++ b/src/core/usages.ts
@@ -234,7 +234,7 @@
 }
 
 function totalKey(model: string, team: TeamId, subscriber?: SubscriberId): string {
-    return JSON.stringify([model, team, subscriber]);
+    return `${model}\u0000${team}\u0000${subscriber ?? ""}`;
 }
 
 function reportTotal(total: LocalTotal): UsageTotal {
