--- a/benchmarks/domain-cut.ts
+++ b/benchmarks/domain-cut.ts
@@ -104,6 +104,7 @@
         ...shape,
         isHeavy,
         end,
+        mayRetry: (...[, attempt]) => attempt <= 3,
         prepare: scheduleCut,
     });
     world.loop.runUntil(before);
--- a/benchmarks/fakes/entries.ts
+++ b/benchmarks/fakes/entries.ts
@@ -39,7 +39,8 @@
     readonly loop: VirtualLoop;
     readonly admission: Admission;
     readonly router: Router;
-    readonly engines: ReadonlyMap<string, FakeEngine>;
+    /** The engine of a group; undefined if it cannot be reached. */
+    readonly engineFor: (group: string) => FakeEngine | undefined;
     readonly figures: Figures;
     readonly onRefused: OnRefused;
     readonly mayRetry: MayRetry;
@@ -136,7 +137,12 @@
         request.attempt += 1;
         const attempt = request.attempt;
         loop.after(engineMilliseconds, () => {
-            this.parts.engines.get(group)!.submit({
+            const engine = this.parts.engineFor(group);
+            if (engine === undefined) {
+                this.ended(request, started, false, loop.now());
+                return;
+            }
+            engine.submit({
                 id: started.id,
                 priority: started.priority,
                 promptTokens: request.arrival.promptTokens + request.tokens,
--- a/src/core/route-states.ts
+++ b/src/core/route-states.ts
@@ -9,6 +9,8 @@
 export const reservedFraction = 0.02;
 /** Part of a replica's slots by which late reports are taken to err. */
 export const uncertainFraction = 0.02;
+/** Part of a replica's slots beyond which no credit counts: credits are wrong while entries come and go. */
+export const overfullFraction = 0.06;
 /** Part of its credit by which an entry may exceed it for callers within their fair part. */
 export const overcommitFraction = 0.05;
 
@@ -48,7 +50,7 @@
     if (free + overcommit <= 0) {
         return 0;
     }
-    const guaranteed = state.credit - ownRequests;
+    const guaranteed = Math.min(state.credit - ownRequests, Math.floor(free + slots * overfullFraction));
     if (borrowed) {
         const lent = (free - Math.max(1, slots * reservedFraction)) / entries;
         return Math.max(0, guaranteed, Math.floor(lent));
