--- /dev/null
+++ b/src/core/admission-counts.ts
@@ -0,0 +1,45 @@
+/** Counts of waiting requests by team and subscriber, and the bounds on them. */
+import type { Caller } from "./requests.js";
+import type { TeamId, TeamLimits } from "./teams.js";
+
+interface TeamCount {
+    queued: number;
+    readonly bySubscriber: Map<string, number>;
+}
+
+/** Waiting requests of one entry process. */
+export class QueueCounts {
+    private readonly teams = new Map<TeamId, TeamCount>();
+
+    private constructor() {}
+
+    public static create(): QueueCounts {
+        return new QueueCounts();
+    }
+
+    public queuedOf(team: TeamId): number {
+        return this.teams.get(team)?.queued ?? 0;
+    }
+
+    /** Returns true if one more request of the caller would exceed a bound. */
+    public isFull({ team, subscriber }: Caller, limits: TeamLimits): boolean {
+        const count = this.teams.get(team);
+        if (count === undefined) {
+            return false;
+        }
+        const own = count.bySubscriber.get(subscriber) ?? 0;
+        return count.queued >= limits.queuedPerTeam || own >= limits.queuedPerSubscriber;
+    }
+
+    public add({ team, subscriber }: Caller, change: 1 | -1): void {
+        const count = this.teams.get(team) ?? { queued: 0, bySubscriber: new Map<string, number>() };
+        this.teams.set(team, count);
+        count.queued += change;
+        const own = (count.bySubscriber.get(subscriber) ?? 0) + change;
+        if (own === 0) {
+            count.bySubscriber.delete(subscriber);
+        } else {
+            count.bySubscriber.set(subscriber, own);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/admission-models.ts
@@ -0,0 +1,62 @@
+/** Admission of one model's requests: their queue, what callers used lately, and the estimates. */
+import { AnswerEstimate, ChargeShare, StartEstimate } from "./admission-estimates.js";
+import type { RequestQueue } from "./fair-queues.js";
+import type { Caller } from "./requests.js";
+import type { Team } from "./teams.js";
+import type { PeerCharge } from "./usage-exchanges.js";
+import { RecentUsage } from "./usages.js";
+
+/** State of one model. */
+export class ModelAdmission {
+    public readonly usage = RecentUsage.create();
+    public readonly answers = AnswerEstimate.create();
+    private readonly estimate = StartEstimate.create();
+    private readonly charges = ChargeShare.create();
+
+    private constructor(public readonly queue: RequestQueue) {}
+
+    public static create(queue: RequestQueue): ModelAdmission {
+        return new ModelAdmission(queue);
+    }
+
+    public applyTeams(teams: Iterable<Team>): void {
+        for (const team of teams) {
+            this.queue.applyTeam(team.id, team);
+            this.usage.applyTeam(team.id, team.share);
+        }
+    }
+
+    /** Notes that a request of the caller has been taken from the queue and costs `cost` tokens. */
+    public started({ team }: Caller, cost: number, now: number): void {
+        this.estimate.started(team, this.queue.virtualTimeOf(team), now);
+        this.answers.started(cost);
+    }
+
+    /** Charges tokens used through this process; a negative number gives back. */
+    public charge(caller: Caller, tokens: number, now: number): void {
+        this.queue.charge(caller, tokens);
+        this.usage.add(caller, tokens, now);
+        this.charges.addOwn(tokens, now);
+    }
+
+    /** Charges tokens used through a peer. */
+    public chargePeer({ team, subscriber, tokens }: PeerCharge, now: number): void {
+        if (subscriber === undefined) {
+            this.queue.chargeTeam(team, tokens);
+            this.usage.addToTeam(team, tokens, now);
+            this.charges.addPeers(tokens, now);
+            return;
+        }
+        this.queue.chargeSubscriber({ team, subscriber }, tokens);
+        this.usage.addToSubscriber({ team, subscriber }, tokens, now);
+    }
+
+    /** Returns the estimated milliseconds until a new request of the caller would start, 0 if not known. */
+    public waitOf(caller: Caller, now: number): number {
+        if (this.queue.size === 0) {
+            return 0;
+        }
+        const ahead = this.queue.aheadOf(caller, this.answers.meanCost);
+        return this.estimate.waitOf(caller.team, ahead * this.charges.factor, now);
+    }
+}
--- a/src/core/admissions.ts
+++ b/src/core/admissions.ts
@@ -2,64 +2,33 @@
  * Admission: which requests wait, which may start, and which are refused at once. Pure: time, capacity and
  * randomness are arguments. Times are local monotonic milliseconds, costs are tokens.
  */
-import type { RandomNumber } from "../contracts/clocks.js";
-import { AnswerEstimate, ChargeShare, StartEstimate } from "./admission-estimates.js";
+import { QueueCounts } from "./admission-counts.js";
 import type { HeapItem } from "./admission-heaps.js";
 import { IndexedHeap } from "./admission-heaps.js";
+import { ModelAdmission } from "./admission-models.js";
+import type {
+    AdmissionOptions,
+    AdmissionRequest,
+    CapacityOf,
+    Offer,
+    Refusal,
+    StartedRequest,
+} from "./admission-requests.js";
 import type { Fault, FaultCode } from "./errors.js";
 import { FairQueue } from "./fair-queues.js";
-import type { RequestQueue } from "./fair-queues.js";
-import type { Caller, RequestId } from "./requests.js";
+import type { RequestId } from "./requests.js";
 import type { Team, TeamId, TeamLimits } from "./teams.js";
-import type { PeerCharge, UsageSnapshot } from "./usages.js";
-import { RecentUsage, UsageExchange } from "./usages.js";
-
-/** What admission must know of a request. */
-export interface AdmissionRequest {
-    readonly id: RequestId;
-    readonly caller: Caller;
-    readonly model: string;
-    /** Prompt tokens less the expected prefix hit. */
-    readonly promptTokens: number;
-    /** The most tokens that the answer may have. The mean is charged at the start, the rest as tokens appear. */
-    readonly expectedTokens: number;
-    readonly deadline: number;
-    /** The latest useful start; the deadline less the time that few answers exceed if absent. */
-    readonly startBy?: number;
-}
-
-/** Answer to an offer. */
-export type Offer = { readonly kind: "queued" } | { readonly kind: "refused"; readonly fault: Fault };
-
-/** A request that may start now. */
-export interface StartedRequest {
-    readonly id: RequestId;
-    readonly model: string;
-    /** Priority for the engine; lower goes first. Borrowing callers come after all others. */
-    readonly priority: number;
-    /** True if the caller uses more than its fair part and is given unused capacity only. */
-    readonly borrowed: boolean;
-}
-
-/** A request given up on before it started. */
-export interface Refusal {
-    readonly id: RequestId;
-    readonly fault: Fault;
-}
-
-/** Number of requests of a model that may start now; borrowing callers may get less. */
-export type CapacityOf = (model: string, borrowed: boolean) => number;
-
-/** What varies between admissions. */
-export interface AdmissionOptions {
-    readonly random: RandomNumber;
-    /** Order of the waiting requests of one model; `FairQueue.create` unless given. */
-    readonly createQueue?: () => RequestQueue;
-    /** False to give every caller the same capacity and engine priority. */
-    readonly borrowing?: boolean;
-    /** False to keep requests whose estimated start is too late. */
-    readonly refusesLateStarts?: boolean;
-}
+import type { UsageSnapshot } from "./usage-exchanges.js";
+import { UsageExchange } from "./usage-exchanges.js";
+
+export type {
+    AdmissionOptions,
+    AdmissionRequest,
+    CapacityOf,
+    Offer,
+    Refusal,
+    StartedRequest,
+} from "./admission-requests.js";
 
 /** Engine priority that is added for borrowing callers; above every rank. */
 export const borrowedPriority = 1_000;
@@ -86,19 +55,6 @@
     prepaid: number;
 }
 
-interface ModelAdmission {
-    readonly queue: RequestQueue;
-    readonly usage: RecentUsage;
-    readonly estimate: StartEstimate;
-    readonly answers: AnswerEstimate;
-    readonly charges: ChargeShare;
-}
-
-interface TeamCount {
-    queued: number;
-    readonly bySubscriber: Map<string, number>;
-}
-
 /** Admission of one entry process. */
 export class Admission {
     private readonly models = new Map<string, ModelAdmission>();
@@ -106,7 +62,7 @@
     private readonly latestStarts = IndexedHeap.create<TrackedRequest>(
         (left, right) => left.startBy < right.startBy,
     );
-    private readonly counts = new Map<TeamId, TeamCount>();
+    private readonly counts = QueueCounts.create();
     private readonly exchange = UsageExchange.create();
     private teams: ReadonlyMap<TeamId, Team> = new Map();
 
@@ -132,14 +88,14 @@
 
     /** Requests of one team that wait. */
     public queuedOf(team: TeamId): number {
-        return this.counts.get(team)?.queued ?? 0;
+        return this.counts.queuedOf(team);
     }
 
     /** Puts the operators' teams in force. */
     public applyTeams(teams: readonly Team[]): void {
         this.teams = new Map(teams.map(team => [team.id, team]));
         for (const model of this.models.values()) {
-            this.applyWeights(model);
+            model.applyTeams(teams);
         }
     }
 
@@ -149,8 +105,8 @@
             return refuse(this.fault("inProgress", "the request is already here", undefined));
         }
         const model = this.modelOf(request.model);
-        const wait = this.waitOf(request, model, now);
-        if (this.isFull(request.caller)) {
+        const wait = model.waitOf(request.caller, now);
+        if (this.counts.isFull(request.caller, this.limitsOf(request.caller.team))) {
             const message = "too many requests of the caller wait";
             return refuse(this.fault("overloaded", message, this.retryAt(wait, now)));
         }
@@ -161,7 +117,7 @@
             return refuse(this.fault("deadlineUnreachable", message, this.retryAt(wait, now)));
         }
         this.track(request, startBy);
-        this.count(request.caller, 1);
+        this.counts.add(request.caller, 1);
         model.queue.enqueue(request);
         return { kind: "queued" };
     }
@@ -200,7 +156,7 @@
         this.chargeTokens(request, -request.promptTokens - tracked.prepaid, now);
         tracked.state = "queued";
         tracked.prepaid = 0;
-        this.count(request.caller, 1);
+        this.counts.add(request.caller, 1);
         this.modelOf(request.model).queue.putBack(request);
     }
 
@@ -254,7 +210,7 @@
     /** Charges what callers used through another entry process. */
     public applyPeerUsage(process: string, incarnation: number, snapshot: UsageSnapshot, now: number): void {
         for (const charge of this.exchange.applyPeer(process, incarnation, snapshot, now)) {
-            this.chargePeer(charge, now);
+            this.modelOf(charge.model).chargePeer(charge, now);
         }
     }
 
@@ -288,10 +244,8 @@
         tracked.startedAt = now;
         tracked.prepaid = state.answers.tokensOf(request.expectedTokens);
         this.latestStarts.remove(tracked);
-        this.count(request.caller, -1);
-        const { team } = request.caller;
-        state.estimate.started(team, state.queue.virtualTimeOf(team), now);
-        state.answers.started(request.promptTokens + tracked.prepaid);
+        this.counts.add(request.caller, -1);
+        state.started(request.caller, request.promptTokens + tracked.prepaid, now);
         this.chargeTokens(request, request.promptTokens + tracked.prepaid, now);
         const rank = this.teams.get(request.caller.team)?.rank ?? 0;
         return { id, model, priority: rank + (borrowed ? borrowedPriority : 0), borrowed };
@@ -306,7 +260,7 @@
         this.latestStarts.remove(tracked);
         const { request } = tracked;
         if (tracked.state === "queued") {
-            this.count(request.caller, -1);
+            this.counts.add(request.caller, -1);
             this.modelOf(request.model).queue.remove(request);
             return true;
         }
@@ -315,7 +269,7 @@
     }
 
     private giveUp(request: AdmissionRequest, now: number): Refusal {
-        const wait = this.waitOf(request, this.modelOf(request.model), now);
+        const wait = this.modelOf(request.model).waitOf(request.caller, now);
         this.release(request.id, now);
         const message = "the request did not start before its deadline";
         return { id: request.id, fault: this.fault("deadlinePassed", message, this.retryAt(wait, now)) };
@@ -325,85 +279,29 @@
         if (tokens === 0) {
             return;
         }
-        const model = this.modelOf(request.model);
-        model.queue.charge(request.caller, tokens);
-        model.usage.add(request.caller, tokens, now);
-        model.charges.addOwn(tokens, now);
+        this.modelOf(request.model).charge(request.caller, tokens, now);
         this.exchange.add(request.model, request.caller, tokens);
     }
 
-    private chargePeer(charge: PeerCharge, now: number): void {
-        const model = this.modelOf(charge.model);
-        if (charge.subscriber === undefined) {
-            model.queue.chargeTeam(charge.team, charge.tokens);
-            model.usage.addToTeam(charge.team, charge.tokens, now);
-            model.charges.addPeers(charge.tokens, now);
-            return;
-        }
-        const caller = { team: charge.team, subscriber: charge.subscriber };
-        model.queue.chargeSubscriber(caller, charge.tokens);
-        model.usage.addToSubscriber(caller, charge.tokens, now);
-    }
-
-    private waitOf({ caller }: AdmissionRequest, model: ModelAdmission, now: number): number {
-        if (model.queue.size === 0) {
-            return 0;
-        }
-        const ahead = model.queue.aheadOf(caller, model.answers.meanCost);
-        return model.estimate.waitOf(caller.team, ahead * model.charges.factor, now);
-    }
-
     private retryAt(wait: number, now: number): number {
         const spread = 0.5 + 0.5 * this.options.random();
         return now + Math.max(earliestRetryMilliseconds, wait) * spread;
     }
 
-    private isFull(caller: Caller): boolean {
-        const count = this.counts.get(caller.team);
-        const limits = this.teams.get(caller.team)?.limits ?? defaultLimits;
-        return (
-            count !== undefined &&
-            (count.queued >= limits.queuedPerTeam ||
-                (count.bySubscriber.get(caller.subscriber) ?? 0) >= limits.queuedPerSubscriber)
-        );
-    }
-
-    private count(caller: Caller, change: number): void {
-        const count = this.counts.get(caller.team) ?? { queued: 0, bySubscriber: new Map<string, number>() };
-        this.counts.set(caller.team, count);
-        count.queued += change;
-        const own = (count.bySubscriber.get(caller.subscriber) ?? 0) + change;
-        if (own === 0) {
-            count.bySubscriber.delete(caller.subscriber);
-            return;
-        }
-        count.bySubscriber.set(caller.subscriber, own);
+    private limitsOf(team: TeamId): TeamLimits {
+        return this.teams.get(team)?.limits ?? defaultLimits;
     }
 
     private modelOf(name: string): ModelAdmission {
         let model = this.models.get(name);
         if (model === undefined) {
-            const queue = (this.options.createQueue ?? FairQueue.create)();
-            model = {
-                queue,
-                usage: RecentUsage.create(),
-                estimate: StartEstimate.create(),
-                answers: AnswerEstimate.create(),
-                charges: ChargeShare.create(),
-            };
-            this.applyWeights(model);
+            model = ModelAdmission.create((this.options.createQueue ?? FairQueue.create)());
+            model.applyTeams(this.teams.values());
             this.models.set(name, model);
         }
         return model;
     }
 
-    private applyWeights(model: ModelAdmission): void {
-        for (const team of this.teams.values()) {
-            model.queue.applyTeam(team.id, team);
-            model.usage.applyTeam(team.id, team.share);
-        }
-    }
-
     private fault(code: FaultCode, message: string, retryAt: number | undefined): Fault {
         return { code, message, step: "admit", notRun: true, retryAt };
     }
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -43,4 +43,5 @@
 export * as servingGates from "./serving-gates.js";
 export * as teams from "./teams.js";
 export * as timelines from "./timelines.js";
+export * as usageExchanges from "./usage-exchanges.js";
 export * as usages from "./usages.js";
--- a/src/core/routes.ts
+++ b/src/core/routes.ts
@@ -12,6 +12,7 @@
 import { PrefixIndex } from "./prefix-indexes.js";
 import type { ReplicaGroupId } from "./replica-groups.js";
 import type { RequestId } from "./requests.js";
+import type { Flight, FlightOutcome } from "./route-flights.js";
 import type { RouteRequest, RoutedGroup, RouterOptions } from "./route-options.js";
 import type { RouteCandidate } from "./route-policies.js";
 import { chooseByEstimate } from "./route-policies.js";
@@ -33,13 +34,6 @@
     readonly until: number;
 }
 
-interface Flight {
-    readonly group: ReplicaGroupId;
-    readonly model: string;
-    lastTokenAt: number | undefined;
-    prefillTokens: number;
-}
-
 /** Routing of one entry process. */
 export class Router {
     private readonly groups = new Map<ReplicaGroupId, RouteState>();
@@ -205,7 +199,7 @@
         this.end(request, "abandoned", now);
     }
 
-    private end(request: RequestId, outcome: "finished" | "failed" | "abandoned", now: number): void {
+    private end(request: RequestId, outcome: FlightOutcome, now: number): void {
         const flight = this.flights.get(request);
         if (flight === undefined) {
             return;
--- /dev/null
+++ b/src/core/tests/routes.test.ts
@@ -0,0 +1,195 @@
+import test from "ava";
+import * as fc from "fast-check";
+import { creditOf, entriesPerReplica, minimumCredit } from "../credits.js";
+import { hashText } from "../hashes.js";
+import { blocksOf } from "../prefix-blocks.js";
+import { PrefixIndex, unconfirmedMilliseconds } from "../prefix-indexes.js";
+import { createRandomNumber } from "../random-numbers.js";
+import type { RouterOptions } from "../routes.js";
+import { Router } from "../routes.js";
+import { Stragglers, ejectionMilliseconds, referenceByMean } from "../stragglers.js";
+
+const slots = 8;
+const prompt = "word ".repeat(200);
+
+function routed(id: string, failureDomain = "home") {
+    const model = { model: "drafts", version: "1" };
+    const group = { id, model, fabricDomain: "f", members: [id], epoch: 1, state: "serving" as const };
+    return { group, failureDomain };
+}
+
+function createRouter(groups: number, options: Partial<RouterOptions> = {}): Router {
+    const random = createRandomNumber(1);
+    const router = Router.create({
+        entry: "a",
+        failureDomain: "home",
+        isOpen: () => true,
+        random,
+        ...options,
+    });
+    const names = Array.from({ length: groups }, (...[, index]) => `group-${index}`);
+    router.applyGroups(names.map(name => routed(name)));
+    names.forEach(name => router.observe(name, { running: 0, waiting: 0, slots }, 0));
+    return router;
+}
+
+function request(id: string, borrowed = false) {
+    return { id, model: "drafts", prompt, promptTokens: 200, borrowed };
+}
+
+function send(router: Router, id: string, now: number): string | undefined {
+    const chosen = router.choose(request(id), now);
+    if (!chosen.success) {
+        return undefined;
+    }
+    router.dispatched(request(id), chosen.data.group.id, now);
+    return chosen.data.group.id;
+}
+
+const entryLists = fc.uniqueArray(fc.string({ minLength: 1, maxLength: 4 }), { minLength: 1, maxLength: 40 });
+type CreditOf = typeof creditOf;
+const creditProperty = (credit: CreditOf) =>
+    fc.property(entryLists, fc.integer({ min: 1, max: 128 }), (entries, replicaSlots) => {
+        const credits = entries.map(entry => credit(entry, "group", replicaSlots, entries));
+        const sum = credits.reduce((total, next) => total + next, 0);
+        const users = credits.filter(next => next > 0);
+        return (
+            sum === replicaSlots &&
+            users.length === entriesPerReplica(replicaSlots, entries.length) &&
+            Math.min(...users) >= Math.min(minimumCredit, replicaSlots)
+        );
+    });
+
+test("credits of all entries add up to a replica's slots, and none is too small to be of use", t => {
+    fc.assert(creditProperty(creditOf), { seed: 6, numRuns: 300 });
+    const even: CreditOf = (...[, , all, entries]) => Math.floor(all / entries.length);
+    const own: CreditOf = (...[, , all]) => all;
+    t.true([even, own].every(broken => fc.check(creditProperty(broken), { seed: 6 }).failed));
+});
+
+test("every flight is released exactly once, and an earlier attempt no longer counts", t => {
+    const router = createRouter(2);
+    const first = send(router, "r", 0)!;
+    const other = first === "group-0" ? "group-1" : "group-0";
+    router.dispatched(request("r"), other, 10);
+    t.deepEqual([router.inFlightAt(first), router.inFlightAt(other), router.inFlight], [0, 1, 1]);
+    router.finished("r", 20);
+    router.failed("r", 20);
+    t.deepEqual([router.inFlightAt(other), router.inFlight], [0, 0]);
+});
+
+test("the serving gate is asked at every choice; without an open group nothing is sent", t => {
+    let open = true;
+    for (const groups of [3, 60]) {
+        const router = createRouter(groups, { isOpen: () => open });
+        open = true;
+        t.true(router.capacity("drafts", false, 0) > 0);
+        open = false;
+        const chosen = router.choose(request("r"), 1);
+        t.true(!chosen.success && chosen.fault.code === "noReplica" && chosen.fault.notRun);
+        t.is(router.capacity("drafts", false, 100), 0);
+    }
+});
+
+test("an entry keeps to its credits when all slots are taken, and to more of them when others are cut off", t => {
+    const router = createRouter(2);
+    const entries = ["a", "b"];
+    router.applyEntries(entries);
+    for (let index = 0; index < 20 && router.capacity("drafts", true, 0) > 0; index += 1) {
+        send(router, `r${index}`, 0);
+        ["group-0", "group-1"].forEach(id => {
+            const running = Math.min(slots, router.inFlightAt(id) * 2);
+            router.observe(id, { running, waiting: 0, slots }, 1_000);
+        });
+    }
+    t.true(router.inFlight >= slots - 2 && router.inFlight <= slots);
+    router.applyEntries(["a"]);
+    ["group-0", "group-1"].forEach(id =>
+        router.observe(id, { running: router.inFlightAt(id), waiting: 0, slots }, 2_000),
+    );
+    const room = router.capacity("drafts", false, 2_000);
+    t.true(room > 0 && room <= 2 * slots - router.inFlight + 2);
+});
+
+test("a replica that is overfull gets nothing more, and a report that is not later is not taken again", t => {
+    const router = createRouter(1);
+    const report = {
+        instance: "group-0",
+        incarnation: 1,
+        sequence: 2,
+        state: "serving" as const,
+        epoch: 1,
+        leaving: false,
+        load: { running: slots, waiting: 4, slots },
+        warm: [],
+    };
+    router.observe("group-0", report.load, 0, report);
+    t.is(router.capacity("drafts", false, 0), 0);
+    router.observe("group-0", { running: 0, waiting: 0, slots }, 10, { ...report, sequence: 1 });
+    t.is(router.capacity("drafts", false, 10), 0);
+});
+
+test("prompts with the same beginning go to one replica until it is loaded; blocks are named as engines do", t => {
+    const router = createRouter(4);
+    const targets = ["1", "2", "3"].map(id => {
+        const group = send(router, id, 0);
+        router.progress(id, 1);
+        return group;
+    });
+    t.is(new Set(targets).size, 1);
+    const block = prompt.split(" ").slice(0, 64).join(" ") + " ";
+    t.is(blocksOf(prompt)[0], hashText(block));
+    t.is(blocksOf(prompt).length, 3);
+});
+
+test("cache events: old ones have no effect, and after a gap what is not confirmed again lapses", t => {
+    const index = PrefixIndex.create();
+    index.apply("g", [{ sequence: 1, kind: "stored", block: "b" }], 0);
+    index.apply("g", [{ sequence: 1, kind: "evicted", block: "b" }], 0);
+    t.is(index.matchOf("g", ["b"], 1e9), 1);
+    index.apply("g", [{ sequence: 5, kind: "stored", block: "c" }], 10);
+    t.is(index.matchOf("g", ["b", "c"], 11), 2);
+    t.is(index.matchOf("g", ["b", "c"], 11 + unconfirmedMilliseconds), 0);
+    index.apply("g", [{ sequence: 6, kind: "cleared", block: "" }], 20);
+    t.is(index.matchOf("g", ["c"], 21), 0);
+});
+
+function feed(paces: Stragglers, gaps: Readonly<Record<string, number>>, now: number): void {
+    for (const [replica, gap] of Object.entries(gaps)) {
+        paces.started(replica, now);
+        for (let count = 0; count < 40; count += 1) {
+            paces.progress(replica, gap, now);
+        }
+        paces.ended(replica, "finished", now);
+    }
+}
+
+test("a straggler is ejected within the cap, tried after a while, and returned by a good trial", t => {
+    const paces = Stragglers.create();
+    feed(paces, { a: 30, b: 30, c: 30, d: 150, e: 150 }, 1_000);
+    t.deepEqual(
+        ["a", "d", "e"].map(replica => paces.serviceOf(replica, 2_000)),
+        ["full", "ejected", "full"],
+    );
+    t.true(paces.slowdownOf("e", 2_000) > 3);
+    const later = 2_000 + ejectionMilliseconds;
+    t.is(paces.serviceOf("d", later), "trial");
+    feed(paces, { d: 150 }, later);
+    t.is(paces.serviceOf("d", later + ejectionMilliseconds), "ejected");
+    feed(paces, { d: 30 }, later + 3 * ejectionMilliseconds);
+    t.is(paces.serviceOf("d", later + 3 * ejectionMilliseconds), "full");
+    const mean = Stragglers.create(referenceByMean);
+    feed(mean, { a: 30, d: 150 }, 1_000);
+    t.is(mean.serviceOf("d", 2_000), "full");
+});
+
+test("a replica that fails three times in a row is ejected", t => {
+    const paces = Stragglers.create();
+    feed(paces, { a: 30, b: 30 }, 0);
+    for (let count = 0; count < 3; count += 1) {
+        paces.started("a", 10);
+        paces.ended("a", "failed", 10);
+    }
+    t.is(paces.serviceOf("a", 20), "ejected");
+    t.is(paces.serviceOf("b", 20), "full");
+});
