--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -1,5 +1,7 @@
 /** Runs one experiment by name: `npm run bench -- <experiment> --seed N [--json]`. */
 import { cac } from "cac";
+import { answers } from "./answers.js";
+import { atMostOnce } from "./at-most-once.js";
 import type { Experiment, ExperimentReport } from "./experiments.js";
 import { decisionCost } from "./decision-cost.js";
 import { domainCut } from "./domain-cut.js";
@@ -10,6 +12,8 @@
 import { stragglerExperiment } from "./straggler.js";
 
 const experiments: Readonly<Record<string, Experiment>> = {
+    answers,
+    "at-most-once": atMostOnce,
     fairness,
     overload,
     straggler: stragglerExperiment,
--- a/benchmarks/straggler.ts
+++ b/benchmarks/straggler.ts
@@ -33,10 +33,6 @@
     createRouting: () => ({ paceReference: referenceByMean }),
 };
 
-interface Return {
-    at: number | undefined;
-}
-
 interface Part {
     readonly world: World;
     readonly returnedAt: number | undefined;
@@ -44,7 +40,7 @@
 
 function run(policy: Policy, seed: number, capacity: number, factor: number): Part {
     const rates = equalSubscribers("team", 80, (load * capacity) / 80);
-    const returns: Return = { at: undefined };
+    const returns: { at: number | undefined } = { at: undefined };
     const world = World.create({
         policy,
         seed,
@@ -61,7 +57,7 @@
             prepared.loop.at(slowUntil, () => {
                 engine.slowdown = 1;
                 prepared.loop.every(500, () => {
-                    watchReturn(prepared, returns);
+                    returns.at ??= hasReturned(prepared) ? prepared.loop.now() : undefined;
                 });
             });
         },
@@ -71,13 +67,10 @@
 }
 
 /** The straggler is back once it runs at least half of what the others do on average. */
-function watchReturn(world: World, returns: Return): void {
+function hasReturned(world: World): boolean {
     const running = [...world.engines.values()].map(engine => engine.load.running);
     const mean = running.reduce((sum, count) => sum + count, 0) / running.length;
-    const own = world.engines.get(straggler)!.load.running;
-    if (own >= mean / 2) {
-        returns.at ??= world.loop.now();
-    }
+    return world.engines.get(straggler)!.load.running >= mean / 2;
 }
 
 function measure(policy: Policy, seed: number, capacity: number): Record<string, number | string> {
