--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -3,9 +3,12 @@
 import { answers } from "./answers.js";
 import { atMostOnce } from "./at-most-once.js";
 import type { Experiment, ExperimentReport } from "./experiments.js";
+import { decisionCost } from "./decision-cost.js";
+import { domainCut } from "./domain-cut.js";
 import { fairness } from "./fairness.js";
 import { overload } from "./overload.js";
 import { prefix } from "./prefix.js";
+import { retryStorm } from "./retry-storm.js";
 import { stragglerExperiment } from "./straggler.js";
 import { domainDark } from "./domain-dark.js";
 import { groupLoss } from "./group-loss.js";
@@ -21,6 +24,9 @@
     "group-loss": groupLoss,
     "domain-dark": domainDark,
     "platform-outage": platformOutage,
+    "domain-cut": domainCut,
+    "retry-storm": retryStorm,
+    "decision-cost": decisionCost,
 };
 
 function printTable(report: ExperimentReport): void {
