--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -1,10 +1,14 @@
 /** Runs one experiment by name: `npm run bench -- <experiment> --seed N [--json]`. */
 import { cac } from "cac";
 import type { Experiment, ExperimentReport } from "./experiments.js";
+import { configuration } from "./configuration.js";
 import { fairness } from "./fairness.js";
+import { meshSlopes } from "./mesh-slopes.js";
 
 const experiments: Readonly<Record<string, Experiment>> = {
+    configuration,
     fairness,
+    "mesh-slopes": meshSlopes,
 };
 
 function printTable(report: ExperimentReport): void {
--- a/benchmarks/mesh-nodes.ts
+++ b/benchmarks/mesh-nodes.ts
@@ -123,7 +123,7 @@
         }
         const confirmedAt = this.state.configurationConfirmedAt;
         this.follow({ kind: "mode", watching: this.isWatcher(now) });
-        this.follow({ kind: "tick", confirmedAt: this.around.follow === "mesh" ? confirmedAt : now });
+        this.follow({ kind: "tick", confirmedAt: this.around.follow === "mesh" ? confirmedAt : undefined });
         this.probe(now);
     }
 
--- a/benchmarks/mesh-worlds.ts
+++ b/benchmarks/mesh-worlds.ts
@@ -21,6 +21,8 @@
     readonly failureDomains: number;
     readonly daemonsPerDomain: number;
     readonly endpointsPerDomain: number;
+    /** Daemons over all; the last failure domains have one fewer if the division leaves a rest. */
+    readonly daemons?: number;
     readonly rules?: MeshRules;
     readonly readsAfterGap?: boolean;
     readonly follow?: FollowMode;
@@ -62,15 +64,17 @@
         for (let domain = 0; domain < options.failureDomains; domain += 1) {
             world.createEndpoints(`fd-${domain}`);
         }
+        const { instances, surroundings } = world;
         for (const id of world.nodeIds) {
-            world.start(id);
+            world.startWith(id, instances, surroundings);
         }
         return world;
     }
 
     public get nodeIds(): readonly string[] {
-        const { failureDomains, daemonsPerDomain } = this.options;
-        return Array.from({ length: failureDomains * daemonsPerDomain }, (_, index) => {
+        const { failureDomains, daemonsPerDomain, daemons } = this.options;
+        const length = daemons ?? failureDomains * daemonsPerDomain;
+        return Array.from({ length }, (_, index) => {
             const domain = index % failureDomains;
             return `fd-${domain}/entry-${Math.floor(index / failureDomains)}`;
         });
@@ -118,6 +122,15 @@
         endpoint.diedAt = undefined;
     }
 
+    private startWith(id: string, instances: readonly Instance[], around: NodeSurroundings): VirtualNode {
+        this.incarnation += 1;
+        const failureDomain = id.split("/")[0]!;
+        const node = VirtualNode.start({ id, failureDomain, incarnation: this.incarnation }, around);
+        node.state.setInstances(instances, this.loop.now());
+        this.nodes.set(id, node);
+        return node;
+    }
+
     private get surroundings(): NodeSurroundings {
         const { rules = meshRules, readsAfterGap = true, follow = "mesh" } = this.options;
         return {
@@ -130,7 +143,8 @@
             rules,
             readsAfterGap,
             follow,
-            contacts: this.nodeIds,
+            // The baselines know nobody, so they follow the store alone.
+            contacts: follow === "mesh" ? this.nodeIds : [],
         };
     }
 
--- a/tests/proofs.ts
+++ b/tests/proofs.ts
@@ -4,6 +4,7 @@
  */
 import { answersProof } from "./histories/answers.js";
 import { claimsProof } from "./histories/claims.js";
+import { meshProof } from "./histories/memberships.js";
 import { scenarioProofs } from "./processes/process-proofs.js";
 
 /** Options of one run. Equal options give equal histories. */
@@ -44,7 +45,7 @@
 }
 
 /** Proofs over the decisions in virtual time; each part adds its own. */
-export const proofs: readonly Proof[] = [answersProof, claimsProof];
+export const proofs: readonly Proof[] = [answersProof, claimsProof, meshProof];
 
 /** Proofs over real processes, run by `--processes`. */
 export const processProofs: readonly Proof[] = scenarioProofs;
