--- a/benchmarks/mesh-nodes.ts
+++ b/benchmarks/mesh-nodes.ts
@@ -3,7 +3,7 @@
 import type { FollowingCommand, FollowingEvent } from "../src/core/configuration-followings.js";
 import { StoreFollowing } from "../src/core/configuration-followings.js";
 import type { Instance } from "../src/core/instances.js";
-import type { MeshRules } from "../src/core/membership-meshes.js";
+import type { MeshRules } from "../src/core/membership-options.js";
 import { MeshState } from "../src/core/membership-meshes.js";
 import type { PeerExchange } from "../src/core/membership-messages.js";
 import { firstRoundDelay, roundMilliseconds } from "../src/core/membership-rounds.js";
@@ -116,6 +116,7 @@
     private tick(): void {
         const { loop } = this.around;
         const now = loop.now();
+        this.state.noticePause(now);
         if (now >= this.nextRoundAt) {
             this.nextRoundAt = now + roundMilliseconds;
             const { exchanges } = this.state.tick(now);
@@ -204,7 +205,7 @@
                 break;
             case "applyWatch":
                 state.configuration.applyWatch(command.event);
-                state.confirm(loop.now());
+                state.confirm(state.arrivalTime(loop.now()));
                 break;
         }
     }
--- a/benchmarks/mesh-worlds.ts
+++ b/benchmarks/mesh-worlds.ts
@@ -1,8 +1,8 @@
 /** A virtual mesh: daemons, endpoints, the store and the ways between them, with faults. */
 import type { EndpointReport } from "../src/core/endpoints.js";
 import type { Instance } from "../src/core/instances.js";
-import type { MeshRules } from "../src/core/membership-meshes.js";
-import { meshRules } from "../src/core/membership-meshes.js";
+import type { MeshRules } from "../src/core/membership-options.js";
+import { meshRules } from "../src/core/membership-options.js";
 import type { PeerExchange } from "../src/core/membership-messages.js";
 import { exchangeMilliseconds } from "../src/core/membership-rounds.js";
 import { probeMilliseconds } from "../src/core/probe-plans.js";
--- a/src/core/membership-meshes.ts
+++ b/src/core/membership-meshes.ts
@@ -2,55 +2,26 @@
  * The whole mesh state of one process: members, endpoint health, configuration, placement values and usage, with the
  * exchanges that spread them. Free of input, output and clocks; src/daemons/meshes.ts drives it.
  */
-import type { ConfigurationRules } from "./configuration-rules.js";
-import { configurationRules } from "./configuration-rules.js";
 import { ConfigurationFollower } from "./configurations.js";
 import type { EndpointHealth, EndpointReport } from "./endpoints.js";
-import type { EvidenceRules } from "./health-tables.js";
-import { HealthTable, evidenceRules, toEndpointRecord } from "./health-tables.js";
+import { HealthTable, toEndpointRecord } from "./health-tables.js";
 import type { Instance, InstanceId } from "./instances.js";
 import type { Absorbed, ExchangeTables } from "./membership-exchanges.js";
 import { absorbMessage, buildMessage } from "./membership-exchanges.js";
-import type { MemberBody, MemberId, PeerExchange } from "./membership-messages.js";
+import type { MemberId, PeerExchange } from "./membership-messages.js";
+import type { MeshStateOptions, MeshTick } from "./membership-options.js";
+import { meshRules } from "./membership-options.js";
+import { PauseDetector } from "./membership-pauses.js";
 import { ExchangeRounds } from "./membership-rounds.js";
 import { watchersOf } from "./membership-topologies.js";
 import type { PlacementEntry, Usage } from "./membership-values.js";
 import { PlacementTable, UsageTable } from "./membership-values.js";
-import type { Member, MemberChange } from "./memberships.js";
+import type { Member } from "./memberships.js";
 import { Membership } from "./memberships.js";
 
-/** A gap between two ticks above this many milliseconds is a pause of the process. */
-export const lateTickMilliseconds = 5_000;
 /** Time that a new process waits for peers before it trusts the store alone, in milliseconds. */
 export const peerGraceMilliseconds = 3_000;
 
-/** Who this process is, and where its random numbers come from. */
-export interface MeshStateOptions {
-    readonly id: MemberId;
-    readonly body: MemberBody;
-    readonly incarnation: number;
-    readonly seeds: readonly string[];
-    readonly now: number;
-    readonly random: () => number;
-    readonly rules?: MeshRules;
-}
-
-/** The safety rules; tests replace single ones. */
-export interface MeshRules {
-    readonly configuration: ConfigurationRules;
-    readonly evidence: EvidenceRules;
-}
-
-export const meshRules: MeshRules = { configuration: configurationRules, evidence: evidenceRules };
-
-/** What one tick brought about. */
-export interface MeshTick {
-    /** Milliseconds since the last tick, if that was a pause of the process. */
-    readonly pausedMilliseconds: number | undefined;
-    readonly memberChanges: readonly MemberChange[];
-    readonly exchanges: readonly { readonly address: string; readonly request: PeerExchange }[];
-}
-
 /** Holds all that the mesh carries. */
 export class MeshState {
     public readonly configuration: ConfigurationFollower;
@@ -64,7 +35,8 @@
     private change = 0;
     private confirmedAt: number | undefined;
     private usageSequence = 0;
-    private lastTickAt: number;
+    private readonly pauses: PauseDetector;
+    private pausedMilliseconds: number | undefined;
     private exchanged = false;
 
     private constructor(private readonly options: MeshStateOptions) {
@@ -76,7 +48,7 @@
         this.healthTable = HealthTable.create(nextChange, rules.evidence);
         this.usageTable = UsageTable.create(nextChange);
         this.placementTable = PlacementTable.create(nextChange);
-        this.lastTickAt = options.now;
+        this.pauses = PauseDetector.create(options.now);
         this.membership.beat(options.now);
         this.tables = {
             self: id,
@@ -124,12 +96,9 @@
 
     /** Advances heartbeats and ages, and starts the exchanges of a round. */
     public tick(now: number): MeshTick {
-        const gap = now - this.lastTickAt;
-        const pausedMilliseconds = gap > lateTickMilliseconds ? gap : undefined;
-        this.lastTickAt = now;
-        if (pausedMilliseconds !== undefined) {
-            this.forgetAfterPause(pausedMilliseconds, now);
-        }
+        this.noticePause(now);
+        const { pausedMilliseconds } = this;
+        this.pausedMilliseconds = undefined;
         this.healthTable.tick(now);
         this.usageTable.tick(now);
         this.observeLeavingInstances(now);
@@ -144,12 +113,30 @@
         return { pausedMilliseconds, memberChanges, exchanges };
     }
 
+    /**
+     * Notices that this process was paused. Called often, and before anything that came in is handled: after a long
+     * pause health is stale, and after any the messages that waited are as old as the pause.
+     */
+    public noticePause(now: number): void {
+        const pause = this.pauses.notice(now);
+        if (pause !== undefined) {
+            this.pausedMilliseconds = pause;
+            this.forgetAfterPause(pause, now);
+        }
+    }
+
+    /** The earliest time at which a message that is handled now can have arrived. */
+    public arrivalTime(now: number): number {
+        this.noticePause(now);
+        return this.pauses.arrivalTime(now);
+    }
+
     /** Answers a peer's half of an exchange. */
     public answer(
         request: PeerExchange,
         now: number,
     ): { readonly answer: PeerExchange; readonly absorbed: Absorbed } {
-        const absorbed = absorbMessage(this.tables, request, now);
+        const absorbed = absorbMessage(this.tables, request, this.arrivalTime(now));
         this.exchanged = true;
         const isCurrent = request.acknowledgedIncarnation === this.membership.ownIncarnation;
         const answer = buildMessage(
--- a/src/daemons/mesh-stores.ts
+++ b/src/daemons/mesh-stores.ts
@@ -78,7 +78,7 @@
     private watchConfiguration(event: WatchEvent): void {
         const { state, clock } = this.options;
         this.publish(state.configuration.applyWatch(event));
-        state.confirm(clock.monotonicMilliseconds());
+        state.confirm(state.arrivalTime(clock.monotonicMilliseconds()));
     }
 
     private publish(change: ConfigurationChange): void {
--- a/src/daemons/meshes.ts
+++ b/src/daemons/meshes.ts
@@ -11,7 +11,7 @@
 import { hashNumber } from "../core/hashes.js";
 import type { Absorbed } from "../core/membership-exchanges.js";
 import { MeshState } from "../core/membership-meshes.js";
-import type { MeshTick } from "../core/membership-meshes.js";
+import type { MeshTick } from "../core/membership-options.js";
 import type { PeerExchange } from "../core/membership-messages.js";
 import { exchangeMilliseconds, roundMilliseconds } from "../core/membership-rounds.js";
 import type { PlacementEntry, Usage } from "../core/membership-values.js";
@@ -125,6 +125,7 @@
 
     private tick(): void {
         const now = this.now();
+        this.state.noticePause(now);
         if (now >= this.nextRoundAt) {
             this.nextRoundAt = now + roundMilliseconds;
             this.takeTick(this.state.tick(now));
