Tell a restarted peer everything, also what it once said itself

A daemon whose wall clock went back between two lives never heard of its earlier incarnation, as records are not sent back to where they came from, and stayed unknown until its peers forgot it (30 s). A unit test failed first.

--- a/src/core/membership-pulses.ts
+++ b/src/core/membership-pulses.ts
@@ -134,7 +134,10 @@
         return taken ? "taken" : "old";
     }
 
-    /** Records that changed after a change number, without those that came from the peer itself. */
+    /**
+     * Records that changed after a change number, without those that came from the peer itself; all of them for 0, as
+     * the peer may have started anew and lost what it once sent.
+     */
     public changesSince(
         change: number,
         peer: string,
@@ -143,7 +146,8 @@
         const records: PulsedRecord<Body>[] = [];
         const pulses: Pulse[] = [];
         for (const entry of this.held.values()) {
-            if (entry.changedAt <= change || entry.source === peer || !select(entry.record)) {
+            const isFromPeer = change > 0 && entry.source === peer;
+            if (entry.changedAt <= change || isFromPeer || !select(entry.record)) {
                 continue;
             }
             if (entry.bodyChangedAt > change) {
--- /dev/null
+++ b/src/core/tests/memberships.test.ts
@@ -0,0 +1,165 @@
+import test from "ava";
+import type { EndpointReport } from "../endpoints.js";
+import { HealthTable, leavingForgetMilliseconds, toEndpointRecord } from "../health-tables.js";
+import type { Instance } from "../instances.js";
+import { MeshState } from "../membership-meshes.js";
+import { bridgesOf, neighboursOf, watchersOf } from "../membership-topologies.js";
+import { deadMilliseconds, forgetMilliseconds, suspectMilliseconds } from "../memberships.js";
+import { PlacementTable, UsageTable } from "../membership-values.js";
+import { ProbePlan, probersOf } from "../probe-plans.js";
+import { createRandomNumber } from "../random-numbers.js";
+
+function report(sequence: number, incarnation = 1): EndpointReport {
+    const load = { running: 0, waiting: 0, slots: 0 };
+    return { instance: "e", incarnation, sequence, state: "idle", epoch: 0, leaving: false, load, warm: [] };
+}
+
+function mesh(id: string, now = 0, incarnation = 1, failureDomain = "fd-1"): MeshState {
+    const body = { address: id, failureDomain, instance: id, role: "entry", state: "live" } as const;
+    return MeshState.create({ id, body, incarnation, seeds: [], now, random: createRandomNumber(1) });
+}
+
+/** One exchange that `from` starts with `to`. */
+function exchange(from: MeshState, to: MeshState, address: string, now: number): void {
+    const request = from.begin(address, now);
+    from.finishExchange(address, request, to.answer(request, now).answer, now);
+}
+
+function judged(state: MeshState, id: string, now: number): string | undefined {
+    return state.members(now).find(member => member.id === id)?.judged;
+}
+
+/** Ticks a mesh each half second, as its daemon does, so that it sees no pause. */
+function tickUntil(state: MeshState, from: number, to: number): void {
+    for (let now = from; now <= to; now += 500) {
+        state.tick(now);
+    }
+}
+
+test("a silent member is suspect, then dead, then forgotten, and comes back by a fresh heartbeat", t => {
+    const [a, b] = [mesh("a"), mesh("b")];
+    exchange(a, b, "b", 0);
+    t.is(judged(a, "b", 100), "live");
+    tickUntil(a, 0, suspectMilliseconds);
+    t.is(judged(a, "b", suspectMilliseconds), "suspect");
+    tickUntil(a, suspectMilliseconds, deadMilliseconds);
+    t.is(judged(a, "b", deadMilliseconds), "dead");
+    tickUntil(a, deadMilliseconds, forgetMilliseconds);
+    t.is(judged(a, "b", forgetMilliseconds), undefined);
+    tickUntil(b, 0, forgetMilliseconds);
+    exchange(a, b, "b", forgetMilliseconds);
+    exchange(a, b, "b", forgetMilliseconds);
+    t.is(judged(a, "b", forgetMilliseconds), "live");
+});
+
+test("an old heartbeat that is relayed late brings nobody back", t => {
+    const [a, b, c] = [mesh("a"), mesh("b"), mesh("c")];
+    exchange(b, c, "c", 0);
+    tickUntil(b, 0, 20_000);
+    exchange(a, b, "b", 20_000);
+    t.not(judged(a, "c", 20_000), "live");
+});
+
+test("a restarted member replaces its earlier life, and one whose clock went back raises its incarnation", t => {
+    const a = mesh("a");
+    exchange(mesh("b", 0, 50), a, "a", 0);
+    const again = mesh("b", 1_000, 40);
+    exchange(again, a, "a", 1_000);
+    exchange(again, a, "a", 2_000);
+    exchange(again, a, "a", 3_000);
+    t.true((a.members(3_000).find(member => member.id === "b")?.incarnation ?? 0) > 50);
+});
+
+test("a message that waited through a pause is as old as the pause", t => {
+    const [awake, paused] = [mesh("a"), mesh("b")];
+    awake.observeReport(report(1), 0);
+    const request = awake.begin("b", 1_000);
+    paused.tick(900);
+    paused.answer(request, 12_000);
+    t.true((paused.health("e")?.healthyUntil ?? 0) <= 12_000);
+});
+
+test("health counts until its deadline, a failure voids it, and a later report restores it", t => {
+    const table = HealthTable.create(() => 1);
+    table.endpoints.accept(toEndpointRecord(report(5), "fd-1", 1_000), "a");
+    t.is(table.health("e", 8_000)?.healthyUntil, 9_000);
+    t.true(table.observeFailure("e", 2_000, "a"));
+    t.is(table.health("e", 8_000)?.healthyUntil, 2_000);
+    t.false(table.endpoints.accept(toEndpointRecord(report(5), "fd-1", 2_100), "b"), "the same report again");
+    t.true(table.endpoints.accept(toEndpointRecord(report(6), "fd-1", 2_200), "b"));
+    t.false(table.endpoints.accept(toEndpointRecord(report(9, 0), "fd-1", 2_300), "b"), "an old incarnation");
+    t.is(table.health("e", 8_000)?.healthyUntil, 10_200);
+});
+
+test("leaving holds for the incarnation that was told, also before it was seen, and is forgotten when nobody repeats it", t => {
+    const table = HealthTable.create(() => 1);
+    table.acceptLeaving({ instance: "e", incarnation: 0, ageMilliseconds: 0 }, 0);
+    table.endpoints.accept(toEndpointRecord(report(1, 3), "fd-1", 10), "a");
+    t.true(table.isLeaving("e"));
+    table.tick(20);
+    table.endpoints.accept(toEndpointRecord(report(1, 4), "fd-1", 30), "a");
+    t.false(table.isLeaving("e"));
+    table.acceptLeaving({ instance: "f", incarnation: 0, ageMilliseconds: 0 }, 0);
+    table.tick(leavingForgetMilliseconds);
+    t.false(table.isLeaving("f"));
+});
+
+test("usage is keyed by incarnation and forgotten with its process", t => {
+    const table = UsageTable.create(() => 1);
+    const usage = { process: "p", home: "fd-1", incarnation: 2, sequence: 9, payload: "9", heardAt: 0 };
+    t.true(table.accept(usage, 0));
+    t.false(table.accept({ ...usage, incarnation: 1, sequence: 50 }, 0));
+    t.true(table.accept({ ...usage, incarnation: 3, sequence: 1 }, 0));
+    t.true(table.tick(30_000));
+    t.is(table.usages.length, 0);
+});
+
+test("the store's revision decides between placement values, and a deleted key stays deleted", t => {
+    const table = PlacementTable.create(() => 1);
+    const key = "placement/fabric-1";
+    t.true(table.applySnapshot(10, [{ key, modRevision: 8, text: "a" }]));
+    t.false(table.accept({ key, modRevision: 7, text: "old" }));
+    t.true(table.applySnapshot(12, []));
+    t.false(table.accept({ key, modRevision: 8, text: "a" }));
+    t.false(table.accept({ key: "placement/fabric-2", modRevision: 9, text: "gone before 12" }));
+    t.is(table.entries[0]?.text, undefined);
+});
+
+test("duties fall on two live members, and neighbours join all members", t => {
+    const members = Array.from({ length: 49 }, (_, index) => `m${index}`);
+    t.is(watchersOf("fd-1", members).length, 2);
+    t.is(bridgesOf("fd-1", "fd-2", members).length, 2);
+    const reached = new Set(["m0"]);
+    for (let round = 0; round < 49; round += 1) {
+        members
+            .filter(id => reached.has(id))
+            .forEach(id => neighboursOf(id, members, 1).forEach(next => reached.add(next)));
+    }
+    t.is(reached.size, 49);
+    const instance: Instance = {
+        id: "e",
+        address: "e",
+        failureDomain: "fd-1",
+        fabricDomain: "f",
+        role: "engine",
+        state: "live",
+    };
+    const view = {
+        self: "m0",
+        failureDomain: "fd-1",
+        instances: [instance],
+        liveIn: () => members,
+        liveAnywhere: () => members,
+        health: () => undefined,
+        healthMilliseconds: 8_000,
+    };
+    const probers = probersOf(instance, view);
+    t.is(probers.length, 2);
+    const plan = ProbePlan.create();
+    const own = { ...view, self: probers[0]! };
+    t.is(plan.due(own, 0).length + plan.due(own, 300).length, 1);
+    t.is(plan.due(own, 300).length, 0, "one probe at a time");
+    t.false(plan.failed("e", 400));
+    t.is(plan.due(own, 800).length, 1);
+    t.true(plan.failed("e", 900), "two failures in a row");
+});
--- /dev/null
+++ b/src/links/tests/peers.test.ts
@@ -0,0 +1,116 @@
+import test from "ava";
+import type { PeerExchange } from "../../core/membership-messages.js";
+import { decodeExchange, encodeExchange } from "../peers-messages.js";
+import { startPeerLink } from "../peers.js";
+
+const exchange: PeerExchange = {
+    sender: "entry-1/entry",
+    incarnation: 1_700_000_000_000,
+    failureDomain: "fd-1",
+    change: 12,
+    acknowledged: 7,
+    acknowledgedIncarnation: 5,
+    members: [
+        {
+            id: "entry-1/entry",
+            home: "fd-1",
+            incarnation: 5,
+            sequence: 9,
+            failed: false,
+            body: {
+                address: "127.0.0.1:1",
+                failureDomain: "fd-1",
+                instance: "entry-1",
+                role: "entry",
+                state: "leaving",
+            },
+            load: { running: 0, waiting: 0 },
+            ageMilliseconds: 20,
+        },
+    ],
+    endpoints: [
+        {
+            id: "engine-1",
+            home: "fd-1",
+            incarnation: 3,
+            sequence: 4,
+            failed: true,
+            body: {
+                state: "serving",
+                group: "g",
+                epoch: 7,
+                leaving: true,
+                slots: 3,
+                warm: [{ model: "draft", version: "2" }],
+            },
+            load: { running: 1, waiting: 2 },
+            ageMilliseconds: 30,
+        },
+    ],
+    memberPulses: [
+        {
+            key: 0xffff_ffff_fffe,
+            sequence: 70_000,
+            failed: false,
+            load: { running: 0, waiting: 0 },
+            ageMilliseconds: 40,
+        },
+    ],
+    endpointPulses: [
+        { key: 1, sequence: 8, failed: true, load: { running: 5, waiting: 6 }, ageMilliseconds: 990 },
+        { key: 2, sequence: 9, failed: false, load: { running: 0, waiting: 0 }, ageMilliseconds: 0 },
+    ],
+    wanted: [3, 4],
+    configuration: { revision: 44, hash: "h", standingHash: "s" },
+    confirmedAgeMilliseconds: 0,
+    configurationUpdate: {
+        from: 3,
+        revision: 44,
+        entries: [
+            {
+                path: "p",
+                text: "t",
+                modRevision: 40,
+                createRevision: 4,
+                standing: { text: "u", modRevision: 30 },
+            },
+            { path: "q", text: "t", modRevision: 41, createRevision: 41, standing: undefined },
+        ],
+        deletions: [{ path: "r", revision: 42 }],
+    },
+    placements: [
+        { key: "placement/a", modRevision: 4, text: "{}" },
+        { key: "placement/b", modRevision: 5, text: undefined },
+    ],
+    leavings: [{ instance: "engine-2", incarnation: 0, ageMilliseconds: 50 }],
+    usages: [{ process: "p", home: "fd-1", incarnation: 1, sequence: 2, payload: "x", ageMilliseconds: 60 }],
+};
+
+test("an exchange survives its codec, and garbage is a fault", t => {
+    const decoded = decodeExchange(encodeExchange(exchange));
+    t.deepEqual(decoded, { success: true, data: exchange });
+    t.false(decodeExchange(Buffer.from("no protobuf at all")).success);
+});
+
+test("peers exchange over gRPC; an unreachable one and one that throws are faults", async t => {
+    const options = { listen: "127.0.0.1:0", tls: undefined, monotonicMilliseconds: () => performance.now() };
+    const answering = await startPeerLink({
+        ...options,
+        onExchange: request => ({ ...request, sender: "other" }),
+    });
+    const throwing = await startPeerLink({
+        ...options,
+        onExchange: () => {
+            throw new Error("broken");
+        },
+    });
+    const deadline = performance.now() + 5_000;
+    const answer = await answering.exchange(answering.address, exchange, deadline);
+    t.is(answer.success && answer.data.sender, "other");
+    t.true(answering.bytes().sent > 0 && answering.bytes().received > 0);
+    t.false((await answering.exchange(throwing.address, exchange, deadline)).success);
+    await throwing.close();
+    const refused = await answering.exchange(throwing.address, exchange, performance.now() + 300);
+    t.is(!refused.success && refused.fault.code, "peerUnreachable");
+    await answering.close();
+});
