--- /dev/null
+++ b/tests/configuration-page.test.ts
@@ -0,0 +1,13 @@
+import { readFileSync } from "node:fs";
+import test from "ava";
+import { pathSchemas } from "../src/core/configuration-schemas.js";
+import { renderConfigurationPage } from "../scripts/configuration-page.js";
+
+test("docs/CONFIGURATION.md is what the schemas say, and every field has an effect", t => {
+    const page = renderConfigurationPage();
+    t.is(readFileSync("docs/CONFIGURATION.md", "utf8"), page);
+    t.notRegex(page, /\| {2}\|/);
+    for (const { pattern } of Object.values(pathSchemas)) {
+        t.true(page.includes(`## \`${pattern}\``));
+    }
+});
