--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,12 +1,9 @@
 /** The library surface of chervilrouter's decisions, free of input, output and clocks. */
 export * as admissions from "./admissions.js";
-export * as answers from "./answers.js";
-export * as answersCommands from "./answers-commands.js";
 export * as answersLosses from "./answers-losses.js";
-export * as answersOptions from "./answers-options.js";
-export * as answersPaces from "./answers-paces.js";
 export * as claimRecords from "./claim-records.js";
 export * as claimRules from "./claim-rules.js";
+export * as claimSweeps from "./claim-sweeps.js";
 export * as claims from "./claims.js";
 export * as configurationFollowings from "./configuration-followings.js";
 export * as configurationSchemas from "./configuration-schemas.js";
@@ -36,7 +33,6 @@
 export * as placementMessages from "./placement-messages.js";
 export * as placementPolicies from "./placement-policies.js";
 export * as placementShares from "./placement-shares.js";
-export * as placementValues from "./placement-values.js";
 export * as placements from "./placements.js";
 export * as prefixBlocks from "./prefix-blocks.js";
 export * as probePlans from "./probe-plans.js";
--- a/tests/processes/histories.ts
+++ b/tests/processes/histories.ts
@@ -10,6 +10,8 @@
     readonly notRun?: boolean;
     /** Why there was no whole answer. */
     readonly failure?: string;
+    /** True if an entry instance that nobody had killed broke the connection without an answer. */
+    readonly wasCut?: boolean;
 }
 
 /** One keyed action with all its attempts, in order. */
@@ -47,4 +49,6 @@
     readonly executions: Readonly<Record<string, number>>;
     /** Problems that the scenario found by itself. */
     readonly problems: readonly string[];
+    /** Counts that show what was provoked, for example the daemons' events by kind. */
+    readonly counts: Readonly<Record<string, number>>;
 }
