--- a/src/core/probe-plans.ts
+++ b/src/core/probe-plans.ts
@@ -51,6 +51,7 @@
     private readonly duties = new Map<InstanceId, Duty>();
     private basis = "";
     private listed: readonly Instance[] = [];
+    private domains: readonly FailureDomainId[] = [];
 
     private constructor() {}
 
@@ -102,12 +103,16 @@
     }
 
     private assign(view: ProbeView, now: number): void {
-        const basis = describeMembers(view);
-        if (basis === this.basis && view.instances === this.listed) {
+        const isSameList = view.instances === this.listed;
+        if (!isSameList) {
+            this.listed = view.instances;
+            this.domains = [...new Set(view.instances.map(instance => instance.failureDomain))];
+        }
+        const basis = describeMembers(this.domains, view);
+        if (basis === this.basis && isSameList) {
             return;
         }
         this.basis = basis;
-        this.listed = view.instances;
         const endpoints = view.instances.filter(instance => mayBeDuty(instance, view));
         const kept = new Set<InstanceId>();
         for (const instance of endpoints) {
@@ -157,8 +162,7 @@
     return instance.role !== "entry" && (isOwn || view.liveIn(instance.failureDomain).length === 0);
 }
 
-function describeMembers(view: ProbeView): string {
-    const domains = [...new Set(view.instances.map(instance => instance.failureDomain))];
+function describeMembers(domains: readonly FailureDomainId[], view: ProbeView): string {
     const members = domains.map(domain => view.liveIn(domain).join(","));
     const anywhere = members.includes("") ? view.liveAnywhere().join(",") : "";
     return [...members, anywhere].join("\n");
--- a/src/daemons/tests/meshes.test.ts
+++ b/src/daemons/tests/meshes.test.ts
@@ -8,6 +8,7 @@
 import type { EventBody } from "../../core/events.js";
 import type { Instance } from "../../core/instances.js";
 import { createRandomNumber } from "../../core/random-numbers.js";
+import { startConfigurationFollower } from "../configuration-followers.js";
 import { startMesh } from "../meshes.js";
 import type { Settings } from "../settings.js";
 
@@ -204,3 +205,27 @@
     t.false((only.mesh.health("engine-1")?.healthyUntil ?? 0) > world.now);
     t.true(world.events.some(event => event.kind === "lateTick"));
 });
+
+test("a tool follows the configuration from the store alone, through a gap and an outage", async t => {
+    const world = fixture();
+    const ticks = new Subject<void>();
+    const running = startConfigurationFollower({
+        store: world.fake.store,
+        clock: { monotonicMilliseconds: () => world.now, wallMilliseconds: () => world.now },
+        random: createRandomNumber(1),
+        ticks,
+    });
+    t.teardown(running.close);
+    const shares: (number | undefined)[] = [];
+    running.configuration.subscribe(each => shares.push(each.teams.get("anadolu")?.share));
+    t.true(await until(world, [{ ticks }], () => shares.includes(2)));
+    world.fake.put("3");
+    world.fake.isDown = true;
+    world.fake.watches.forEach(watch => watch.next({ kind: "gap", fault: down }));
+    world.fake.watches.clear();
+    world.fake.put("4");
+    await until(world, [{ ticks }], () => world.now > 10_000);
+    world.fake.isDown = false;
+    t.true(await until(world, [{ ticks }], () => shares.includes(4)));
+    t.deepEqual(shares, [undefined, 2, 3, 4]);
+});
--- a/src/links/tests/peers.test.ts
+++ b/src/links/tests/peers.test.ts
@@ -1,3 +1,4 @@
+import { fileURLToPath } from "node:url";
 import test from "ava";
 import type { PeerExchange } from "../../core/membership-messages.js";
 import { decodeExchange, encodeExchange } from "../peers-messages.js";
@@ -114,3 +115,42 @@
     t.is(!refused.success && refused.fault.code, "peerUnreachable");
     await answering.close();
 });
+
+const keyFile = (name: string) => fileURLToPath(new URL(`keys/${name}`, import.meta.url));
+
+/** Keys made for these tests alone. */
+function keys(owner: "peer" | "stranger") {
+    return {
+        certificate: keyFile(`${owner}.pem`),
+        key: keyFile(`${owner}.key.pem`),
+        authority: keyFile("authority.pem"),
+    };
+}
+
+test("with keys set, only a peer with a key of the same authority gets an answer", async t => {
+    let answered = 0;
+    const start = (tls: ReturnType<typeof keys> | undefined) =>
+        startPeerLink({
+            listen: "127.0.0.1:0",
+            tls,
+            monotonicMilliseconds: () => performance.now(),
+            onExchange: request => {
+                answered += 1;
+                return request;
+            },
+        });
+    const [one, two, stranger, plain] = await Promise.all([
+        start(keys("peer")),
+        start(keys("peer")),
+        start(keys("stranger")),
+        start(undefined),
+    ]);
+    const ask = async (link: typeof one) =>
+        (await link.exchange(two.address, exchange, performance.now() + 3_000)).success;
+    t.true(await ask(one));
+    t.is(answered, 1);
+    t.false(await ask(stranger));
+    t.false(await ask(plain));
+    t.is(answered, 1, "nobody else is answered");
+    await Promise.all([one, two, stranger, plain].map(link => link.close()));
+});
