--- a/benchmarks/mesh-nodes.ts
+++ b/benchmarks/mesh-nodes.ts
@@ -165,8 +165,11 @@
                     if (report !== undefined) {
                         this.probes.succeeded(instance.id, view, at);
                         this.state.observeReport(report, now);
-                    } else if (this.probes.failed(instance.id, at)) {
-                        this.state.observeFailure(instance.id, at);
+                        return;
+                    }
+                    const since = this.probes.failed(instance.id, now, at);
+                    if (since !== undefined) {
+                        this.state.observeFailure(instance.id, since, at);
                     }
                 }),
             );
--- a/src/core/health-tables.ts
+++ b/src/core/health-tables.ts
@@ -105,12 +105,13 @@
         return record.incarnation <= leaving.incarnation;
     }
 
-    /** Notes that a probe of an endpoint failed; the reports up to the last one no longer count. */
-    public observeFailure(instance: InstanceId, now: number, source: string): boolean {
+    /** Notes that an endpoint has not answered since a time; reports from before it no longer count. */
+    public observeFailure(instance: InstanceId, since: number, now: number, source: string): boolean {
         const record = this.endpoints.get(instance);
-        return (
-            record !== undefined && this.endpoints.accept({ ...record, failed: true, heardAt: now }, source)
-        );
+        if (record === undefined || record.heardAt > since) {
+            return false;
+        }
+        return this.endpoints.accept({ ...record, failed: true, heardAt: now }, source);
     }
 
     /** Notes that the instance list says "leaving"; repeated while it does. */
--- a/src/core/membership-meshes.ts
+++ b/src/core/membership-meshes.ts
@@ -189,9 +189,9 @@
         return this.healthTable.endpoints.accept(record, this.options.id);
     }
 
-    /** Takes a failed probe. */
-    public observeFailure(instance: InstanceId, now: number): boolean {
-        return this.healthTable.observeFailure(instance, now, this.options.id);
+    /** Notes that an endpoint has not answered this process since a time; an answer to another one after it counts. */
+    public observeFailure(instance: InstanceId, since: number, now: number): boolean {
+        return this.healthTable.observeFailure(instance, since, now, this.options.id);
     }
 
     public health(instance: InstanceId): EndpointHealth | undefined {
--- a/src/core/probe-plans.ts
+++ b/src/core/probe-plans.ts
@@ -16,6 +16,8 @@
 const retryMilliseconds = 300;
 /** Failures in a row after which an endpoint counts as failed. */
 export const failuresUntilFailed = 2;
+/** Failures in a row whose beginnings are kept. */
+const keptFailures = 3;
 /** Longest delay between probes of an endpoint that keeps failing. */
 const longestRetryMilliseconds = 4_000;
 
@@ -36,6 +38,8 @@
     readonly rank: number;
     readonly nextAt: number;
     readonly failures: number;
+    /** Local times at which the last failed probes began. */
+    readonly failedFrom: readonly number[];
     readonly isProbing: boolean;
 }
 
@@ -78,20 +82,24 @@
         const duty = this.duties.get(id);
         if (duty !== undefined) {
             const nextAt = now + this.interval(id, view);
-            this.duties.set(id, { ...duty, isProbing: false, failures: 0, nextAt });
+            this.duties.set(id, { ...duty, isProbing: false, failures: 0, failedFrom: [], nextAt });
         }
     }
 
-    /** Takes note of a failed probe; returns true if the endpoint now counts as failed. */
-    public failed(id: InstanceId, now: number): boolean {
+    /**
+     * Takes note of a failed probe. Returns the time since which the endpoint has given this process no answer, if it
+     * failed often enough to count as failed; an answer to another prober after that time still counts.
+     */
+    public failed(id: InstanceId, startedAt: number, now: number): number | undefined {
         const duty = this.duties.get(id);
         if (duty === undefined) {
-            return false;
+            return undefined;
         }
         const failures = duty.failures + 1;
+        const failedFrom = [...duty.failedFrom, startedAt].slice(-keptFailures);
         const delay = Math.min(longestRetryMilliseconds, retryMilliseconds * 2 ** Math.min(failures - 1, 10));
-        this.duties.set(id, { ...duty, isProbing: false, failures, nextAt: now + delay });
-        return failures >= failuresUntilFailed;
+        this.duties.set(id, { ...duty, isProbing: false, failures, failedFrom, nextAt: now + delay });
+        return failures >= failuresUntilFailed ? failedFrom[0] : undefined;
     }
 
     /** Probes an endpoint at once if it is this process's duty: a stream or a peer gave cause. */
@@ -136,6 +144,7 @@
             rank,
             nextAt,
             failures: isSame ? known.failures : 0,
+            failedFrom: isSame ? known.failedFrom : [],
             isProbing: isSame && known.isProbing,
         });
     }
--- a/src/daemons/mesh-probes.ts
+++ b/src/daemons/mesh-probes.ts
@@ -55,7 +55,7 @@
         const answer = await this.options.probe(instance, startedAt + probeMilliseconds);
         const now = this.now();
         if (!answer.success || answer.data.instance !== instance.id) {
-            this.takeFailure(instance, now);
+            this.takeFailure(instance, startedAt, now);
             return;
         }
         this.plan.succeeded(instance.id, this.options.view(now), now);
@@ -66,9 +66,9 @@
         }
     }
 
-    private takeFailure(instance: Instance, now: number): void {
-        const countsAsFailed = this.plan.failed(instance.id, now);
-        if (countsAsFailed && this.options.state.observeFailure(instance.id, now)) {
+    private takeFailure(instance: Instance, startedAt: number, now: number): void {
+        const since = this.plan.failed(instance.id, startedAt, now);
+        if (since !== undefined && this.options.state.observeFailure(instance.id, since, now)) {
             this.say(instance.id, "unreachable");
             this.options.onChange();
         }
