--- a/tests/processes/scenarios.ts
+++ b/tests/processes/scenarios.ts
@@ -1,4 +1,7 @@
 /** What is done to the real processes while callers run. */
+import type { DaemonLayout } from "../../scripts/demo-layouts.js";
+import { placementLeasePrefix } from "../../src/core/placement-values.js";
+import { systemClock } from "../../src/links/clocks.js";
 import type { Field } from "./fields.js";
 import { pause } from "./callers.js";
 import { ConfigurationObserver } from "./observers.js";
@@ -59,14 +62,38 @@
     }
 }
 
+/** Freezes an entry daemon and the placers that hold leases, past the leases' end. */
 async function freeze(field: Field): Promise<void> {
     await pause(500);
+    const holders = await leaseHolders(field);
     await Promise.all([
         field.freeze(field.pickOne(field.daemons("entry")), freezeMilliseconds),
-        field.freeze(field.pickOne(field.daemons("placer")), freezeMilliseconds),
+        ...holders.map(holder => field.freeze(holder, freezeMilliseconds)),
     ]);
 }
 
+/** Placers that hold a fabric domain's lease now. */
+async function leaseHolders(field: Field): Promise<readonly DaemonLayout[]> {
+    const deadline = systemClock.monotonicMilliseconds() + 2000;
+    const read = await field.store.list(placementLeasePrefix, { deadline, priority: "other" });
+    const values = read.success ? read.data.entries.map(entry => entry.value) : [];
+    return field
+        .daemons("placer")
+        .filter(daemon => values.some(value => value.startsWith(`${daemon.instance}/`)));
+}
+
+/** Cuts all processes of one failure domain off from the platform past their leases; they still reach engines. */
+async function cutDomain(field: Field): Promise<void> {
+    const zone = field.pickOne(["zone-a", "zone-b", "zone-c"]);
+    const daemons = field.demo.layout.daemons.filter(daemon => daemon.failureDomain === zone);
+    await Promise.all(
+        daemons.map(daemon => field.demo.switchFault(daemon.name, "cut", freezeMilliseconds + 3000)),
+    );
+    await pause(3000);
+    await switchFor(field, await pickServing(field, false), "killed", 2000);
+    await pause(freezeMilliseconds);
+}
+
 async function disturbPlatform(field: Field): Promise<void> {
     for (const fault of ["lostAnswers", "down", "watchGap", "lapsedLeases", "slow", "oldReads", "paused"]) {
         await pause(500);
@@ -166,6 +193,7 @@
 export const scenarios: readonly Scenario[] = [
     { name: "processes-killed", checksFencing: true, settleMilliseconds: 3000, disturb: kill },
     { name: "processes-frozen", checksFencing: false, settleMilliseconds: 3000, disturb: freeze },
+    { name: "domain-cut", checksFencing: false, settleMilliseconds: 3000, disturb: cutDomain },
     { name: "platform-disturbed", checksFencing: true, settleMilliseconds: 3000, disturb: disturbPlatform },
     { name: "engines-disturbed", checksFencing: true, settleMilliseconds: 3000, disturb: disturbEngines },
     { name: "services-disturbed", checksFencing: true, settleMilliseconds: 3000, disturb: disturbServices },
