--- a/tests/processes/scenarios.ts
+++ b/tests/processes/scenarios.ts
@@ -162,6 +162,16 @@
     field.counts.slowestLossMilliseconds = Math.max(...losses.map(loss => loss.after));
 }
 
+/** A daemon that starts while the platform is away takes the configuration from its peers. */
+async function restartInOutage(field: Field): Promise<void> {
+    const started = systemClock.monotonicMilliseconds();
+    await field.demo.switchFault("platform", "down", 60_000);
+    await field.killAndRestart(field.pickOne(field.daemons("entry")));
+    const taken = Math.round(systemClock.monotonicMilliseconds() - started);
+    field.counts.restartInOutageMilliseconds = taken;
+    await field.demo.switchFault("platform", "down", 0);
+}
+
 /** An operator raises a value over and over, through faults of the platform and restarts. */
 async function configure(field: Field): Promise<void> {
     const report = (problem: string): void => void field.problems.push(problem);
@@ -180,6 +190,7 @@
         await pause(1000);
     }
     await Promise.all([raise(10), field.killAndRestart(field.pickOne(field.daemons("entry")))]);
+    await restartInOutage(field);
     await observer.waitForLatest();
     await watching.stop();
     Object.assign(field.counts, observer.counts());
