--- a/benchmarks/fakes/worlds.ts
+++ b/benchmarks/fakes/worlds.ts
@@ -2,6 +2,7 @@
 import type { AdmissionOptions } from "../../src/core/admissions.js";
 import { Admission } from "../../src/core/admissions.js";
 import { ArrivalQueue } from "../../src/core/fair-queues.js";
+import { hashNumber } from "../../src/core/hashes.js";
 import { createRandomNumber } from "../../src/core/random-numbers.js";
 import type { Caller } from "../../src/core/requests.js";
 import { chooseInTurn, chooseLeastInFlight } from "../../src/core/route-policies.js";
@@ -80,6 +81,8 @@
 }
 
 const reportEvery = 1_000;
+/** Time after a report during which the serving gate is open. */
+const healthMilliseconds = 3_000;
 const exchangeEvery = 1_000;
 const lostCacheEvents = 0.05;
 const sampleEvery = 50;
@@ -89,13 +92,14 @@
     public readonly loop = VirtualLoop.create();
     public readonly engines = new Map<string, FakeEngine>();
     public readonly entries: FakeEntry[] = [];
-    public readonly figures: Figures;
+    /** Where results go; may be replaced between phases of a run. */
+    public figures: Figures;
     /** Failure domain of each entry and engine. */
     public readonly domains = new Map<string, string>();
     /** Failure domain that is cut off from all others. */
     public cutDomain: string | undefined;
-    /** Groups whose serving gate is closed. */
-    public readonly closed = new Set<string>();
+    /** Time until which each entry's serving gate is open, by group. */
+    private readonly healthyUntil: Map<string, number>[] = [];
     /** Samples with a request waiting at an entry: their number, and the free part of all slots. */
     public waitingSamples = 0;
     public idleWhileWaiting = 0;
@@ -139,6 +143,12 @@
         return left === right || (left !== this.cutDomain && right !== this.cutDomain);
     }
 
+    /** Names of the entries that an entry reaches, itself included. */
+    public reachableFrom(name: string): readonly string[] {
+        const names = [...this.entries.keys()].map(index => `entry-${index}`);
+        return names.filter(other => this.canReach(name, other));
+    }
+
     /** Idle part of all slots while a request waited. */
     public get idleFraction(): number {
         return this.waitingSamples === 0 ? 0 : this.idleWhileWaiting / this.waitingSamples;
@@ -157,19 +167,21 @@
         const names = Array.from(Array(count).keys(), index => `entry-${index}`);
         for (const [index, name] of names.entries()) {
             this.domains.set(name, `domain-${index % (this.options.failureDomains ?? 1)}`);
-            this.entries.push(this.createEntry(name, index, names));
+            this.entries.push(this.createEntry(name, names));
         }
     }
 
-    private createEntry(name: string, index: number, names: readonly string[]): FakeEntry {
+    private createEntry(name: string, names: readonly string[]): FakeEntry {
         const { policy, seed, teams, onRefused, mayRetry } = this.options;
-        const random = createRandomNumber(seed * 1_009 + index);
+        const random = createRandomNumber(hashNumber(`${seed}/${name}`));
+        const healthyUntil = new Map([...this.engines.keys()].map(id => [id, healthMilliseconds]));
+        this.healthyUntil.push(healthyUntil);
         const admission = Admission.create({ random, ...policy.admission });
         admission.applyTeams(teams);
         const router = Router.create({
             entry: name,
             failureDomain: this.domains.get(name)!,
-            isOpen: group => !this.closed.has(group.id) && this.canReach(name, group.id),
+            isOpen: (group, now) => now < (healthyUntil.get(group.id) ?? 0),
             random,
             ...policy.createRouting(),
         });
@@ -178,12 +190,15 @@
         for (const [id, engine] of this.engines) {
             router.observe(id, engine.load, 0);
         }
+        const currentFigures = (): Figures => this.figures;
         return FakeEntry.create({
             loop: this.loop,
             admission,
             router,
-            engines: this.engines,
-            figures: this.figures,
+            engineFor: id => (this.canReach(name, id) ? this.engines.get(id) : undefined),
+            get figures() {
+                return currentFigures();
+            },
             onRefused: onRefused?.(this) ?? (() => {}),
             mayRetry: mayRetry ?? (() => false),
         });
@@ -247,6 +262,7 @@
                     return;
                 }
                 const events = engine.cacheEventsAfter(entry.router.cacheSequenceOf(id));
+                this.healthyUntil[index]!.set(id, this.loop.now() + healthMilliseconds);
                 entry.router.observe(id, load, this.loop.now());
                 entry.router.applyCacheEvents(id, isLost ? events.slice(-1) : events, this.loop.now());
                 entry.pump();
--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -3,18 +3,34 @@
 import { answers } from "./answers.js";
 import { atMostOnce } from "./at-most-once.js";
 import type { Experiment, ExperimentReport } from "./experiments.js";
+import { decisionCost } from "./decision-cost.js";
+import { domainCut } from "./domain-cut.js";
+import { configuration } from "./configuration.js";
 import { fairness } from "./fairness.js";
+import { meshSlopes } from "./mesh-slopes.js";
 import { overload } from "./overload.js";
 import { prefix } from "./prefix.js";
+import { retryStorm } from "./retry-storm.js";
 import { stragglerExperiment } from "./straggler.js";
+import { domainDark } from "./domain-dark.js";
+import { groupLoss } from "./group-loss.js";
+import { platformOutage } from "./platform-outage.js";
 
 const experiments: Readonly<Record<string, Experiment>> = {
     answers,
     "at-most-once": atMostOnce,
+    configuration,
     fairness,
+    "mesh-slopes": meshSlopes,
     overload,
     straggler: stragglerExperiment,
     prefix,
+    "group-loss": groupLoss,
+    "domain-dark": domainDark,
+    "platform-outage": platformOutage,
+    "domain-cut": domainCut,
+    "retry-storm": retryStorm,
+    "decision-cost": decisionCost,
 };
 
 function printTable(report: ExperimentReport): void {
