--- a/benchmarks/fairness.ts
+++ b/benchmarks/fairness.ts
@@ -75,9 +75,9 @@
     const shares = { small: 1, middle: 2, large: 5 };
     const rates = Object.keys(shares).flatMap(team => equalSubscribers(team, 10, (0.9 * capacity) / 10));
     const { figures } = run(policy, seed, rates);
-    const total = [...figures.tokensOfTeam.values()].reduce((sum, tokens) => sum + tokens, 0);
+    const total = [...figures.costOfTeam.values()].reduce((sum, tokens) => sum + tokens, 0);
     const errors = Object.entries(shares).map(([team, share]) =>
-        Math.abs((figures.tokensOfTeam.get(team) ?? 0) / total / (share / 8) - 1),
+        Math.abs((figures.costOfTeam.get(team) ?? 0) / total / (share / 8) - 1),
     );
     return round(Math.max(...errors), 4);
 }
--- a/benchmarks/fakes/entries.ts
+++ b/benchmarks/fakes/entries.ts
@@ -178,6 +178,7 @@
         }
         if (now >= figures.from) {
             figures.addTokens(arrival.caller, 1);
+            figures.addCost(arrival.caller.team, request.tokens === 0 ? arrival.promptTokens + 1 : 1);
         }
         request.tokens += 1;
         request.lastTokenAt = now;
--- a/benchmarks/fakes/figures.ts
+++ b/benchmarks/fakes/figures.ts
@@ -35,7 +35,8 @@
     public readonly gap = Times.create();
     public readonly refusal = Times.create();
     public readonly tokensOf = new Map<string, number>();
-    public readonly tokensOfTeam = new Map<string, number>();
+    /** Prompt and generated tokens, which is what shares are of. */
+    public readonly costOfTeam = new Map<string, number>();
     public offered = 0;
     public refused = 0;
     public givenUp = 0;
@@ -69,7 +70,10 @@
     public addTokens(caller: Caller, tokens: number): void {
         const name = `${caller.team}/${caller.subscriber}`;
         this.tokensOf.set(name, (this.tokensOf.get(name) ?? 0) + tokens);
-        this.tokensOfTeam.set(caller.team, (this.tokensOfTeam.get(caller.team) ?? 0) + tokens);
+    }
+
+    public addCost(team: string, tokens: number): void {
+        this.costOfTeam.set(team, (this.costOfTeam.get(team) ?? 0) + tokens);
     }
 
     /** Jain's index over the tokens of the subscribers that are not heavy. */
