--- a/src/core/prefix-blocks.ts
+++ b/src/core/prefix-blocks.ts
@@ -50,3 +50,23 @@
     }
     return ends;
 }
+
+/** Blocks of the prompt looked at last: a choice and its dispatch follow each other. */
+export class PromptBlocks {
+    private prompt = "";
+    private blocks: readonly string[] = [];
+
+    private constructor() {}
+
+    public static create(): PromptBlocks {
+        return new PromptBlocks();
+    }
+
+    public blocksOf(prompt: string): readonly string[] {
+        if (this.prompt !== prompt) {
+            this.prompt = prompt;
+            this.blocks = blocksOf(prompt);
+        }
+        return this.blocks;
+    }
+}
--- a/src/core/route-shortlists.ts
+++ b/src/core/route-shortlists.ts
@@ -88,3 +88,15 @@
         state,
     }));
 }
+
+/** Groups by model. */
+export function indexByModel(all: Iterable<RouteState>): Map<string, ModelGroups> {
+    const index = new Map<string, RouteState[]>();
+    for (const state of all) {
+        const model = state.routed.group.model.model;
+        const known = index.get(model) ?? [];
+        known.push(state);
+        index.set(model, known);
+    }
+    return new Map([...index].map(([model, states]) => [model, ModelGroups.create(states)]));
+}
--- a/src/core/routes.ts
+++ b/src/core/routes.ts
@@ -8,49 +8,40 @@
 import { isLaterReport } from "./endpoints.js";
 import type { Fault, Result } from "./errors.js";
 import { fail, succeed } from "./errors.js";
-import { blockTokens, blocksOf } from "./prefix-blocks.js";
+import { PromptBlocks, blockTokens } from "./prefix-blocks.js";
 import { PrefixIndex } from "./prefix-indexes.js";
 import type { ReplicaGroupId } from "./replica-groups.js";
 import type { RequestId } from "./requests.js";
+import { KeptCapacities } from "./route-capacities.js";
 import type { Flight, FlightOutcome } from "./route-flights.js";
 import type { RouteRequest, RoutedGroup, RouterOptions } from "./route-options.js";
 import type { RouteCandidate } from "./route-policies.js";
 import { chooseByEstimate } from "./route-policies.js";
-import { ModelGroups } from "./route-shortlists.js";
+import type { ModelGroups } from "./route-shortlists.js";
+import { indexByModel } from "./route-shortlists.js";
 import type { RouteState } from "./route-states.js";
 import * as states from "./route-states.js";
-import { Stragglers } from "./stragglers.js";
+import { ModelPaces } from "./route-paces.js";
+import type { Stragglers } from "./stragglers.js";
 
 export type { RouteRequest, RoutedGroup, RouterOptions } from "./route-options.js";
 
 /** Time in milliseconds for which the answers of the serving gate count in `capacity`. */
 const gateMilliseconds = 50;
-/** Time in milliseconds for which the capacity of many groups is kept and counted on. */
-const capacityMilliseconds = 20;
-
-/** Capacity of a model, kept for a short time. */
-interface KeptCapacity {
-    room: number;
-    readonly until: number;
-}
-
 /** Routing of one entry process. */
 export class Router {
     private readonly groups = new Map<ReplicaGroupId, RouteState>();
     private byModel = new Map<string, ModelGroups>();
-    private readonly capacities = new Map<string, KeptCapacity>();
-    private readonly paces = new Map<string, Stragglers>();
+    private readonly capacities = KeptCapacities.create();
+    private readonly paces: ModelPaces;
     private readonly flights = new Map<RequestId, Flight>();
     private readonly prefixes = PrefixIndex.create();
     private entries: readonly string[];
-    /** Blocks of the request looked at last: a choice and its dispatch follow each other. */
-    private blocks: { readonly prompt: string; readonly names: readonly string[] } = {
-        prompt: "",
-        names: [],
-    };
+    private readonly prompts = PromptBlocks.create();
 
     private constructor(private readonly options: RouterOptions) {
         this.entries = [options.entry];
+        this.paces = ModelPaces.create(options.paceReference);
     }
 
     public static create(options: RouterOptions): Router {
@@ -127,14 +118,7 @@
         if (groups.isSmall) {
             return this.countRoom(groups, borrowed, now);
         }
-        const key = `${model}/${borrowed}`;
-        const kept = this.capacities.get(key);
-        if (kept !== undefined && now < kept.until) {
-            return kept.room;
-        }
-        const room = this.countRoom(groups, borrowed, now);
-        this.capacities.set(key, { room, until: now + capacityMilliseconds });
-        return room;
+        return this.capacities.get(model, borrowed, now, () => this.countRoom(groups, borrowed, now));
     }
 
     /** Chooses a group whose serving gate is open now, or says why there is none. */
@@ -143,7 +127,7 @@
         if (groups === undefined) {
             return fail(noReplica(request.model));
         }
-        const blocks = this.blocksOf(request.prompt);
+        const blocks = this.prompts.blocksOf(request.prompt);
         const preferred = blocks.length === 0 ? [] : groups.preferredFor(blocks[0]!);
         const shortlist = groups.shortlist(preferred, this.options.random);
         const usable = this.usableOf(shortlist, groups, request, now);
@@ -163,12 +147,12 @@
         if (state === undefined) {
             return;
         }
-        const blocks = this.blocksOf(request.prompt);
+        const blocks = this.prompts.blocksOf(request.prompt);
         const cachedTokens = this.prefixes.matchOf(group, blocks, now) * blockTokens;
         const prefillTokens = Math.max(0, request.promptTokens - cachedTokens);
         this.flights.set(request.id, { group, model: request.model, lastTokenAt: undefined, prefillTokens });
         state.load.change(1, now);
-        this.countKept(request.model, -1);
+        this.capacities.change(request.model, -1);
         state.prefillTokens += prefillTokens;
         this.paceOf(request.model).started(group, now);
         this.prefixes.sent(group, blocks, now);
@@ -209,7 +193,7 @@
         const state = this.groups.get(flight.group);
         if (state !== undefined) {
             state.load.change(-1, now);
-            this.countKept(flight.model, 1);
+            this.capacities.change(flight.model, 1);
             this.byModel.get(flight.model)?.noteFreed(state);
             this.paceOf(flight.model).ended(flight.group, outcome, now);
         }
@@ -265,15 +249,6 @@
         return isReserving ? Math.floor(room - credits * states.reservedFraction) : room;
     }
 
-    private countKept(model: string, change: 1 | -1): void {
-        for (const borrowed of [false, true]) {
-            const kept = this.capacities.get(`${model}/${borrowed}`);
-            if (kept !== undefined) {
-                kept.room += change;
-            }
-        }
-    }
-
     private isInService(state: RouteState, now: number): boolean {
         const { id, model } = state.routed.group;
         return (
@@ -323,13 +298,6 @@
         };
     }
 
-    private blocksOf(prompt: string): readonly string[] {
-        if (this.blocks.prompt !== prompt) {
-            this.blocks = { prompt, names: blocksOf(prompt) };
-        }
-        return this.blocks.names;
-    }
-
     private applyGroup(routed: RoutedGroup): void {
         const known = this.groups.get(routed.group.id);
         if (known !== undefined) {
@@ -354,28 +322,12 @@
     }
 
     private paceOf(model: string): Stragglers {
-        let pace = this.paces.get(model);
-        if (pace === undefined) {
-            pace = Stragglers.create(this.options.paceReference);
-            this.paces.set(model, pace);
-        }
-        return pace;
+        return this.paces.of(model);
     }
 }
 
 const defaultChoice = chooseByEstimate();
 
-function indexByModel(all: Iterable<RouteState>): Map<string, ModelGroups> {
-    const index = new Map<string, RouteState[]>();
-    for (const state of all) {
-        const model = state.routed.group.model.model;
-        const known = index.get(model) ?? [];
-        known.push(state);
-        index.set(model, known);
-    }
-    return new Map([...index].map(([model, ofModel]) => [model, ModelGroups.create(ofModel)]));
-}
-
 function haveSameItems(left: readonly string[], right: readonly string[]): boolean {
     return left.length === right.length && left.every((item, index) => item === right[index]);
 }
