Give every setting an effect, or remove it

Key windows stay constants: an entry process with a shorter window would forget a claim that another still honours, so no change of them in operation is safe. Retry fraction, stall time and the port's bounds follow the configuration now; header size, attempts and block size had no effect and are gone.

--- a/src/core/configuration-schemas.ts
+++ b/src/core/configuration-schemas.ts
@@ -33,12 +33,6 @@
     instancesPerReplica: z.int().min(1).max(64).default(8).describe("Instances that hold one copy together."),
     floor: count.default(1).describe("Replicas that placement keeps even without demand."),
     demand: z.number().min(0).max(1_000_000).default(1).describe("Weight of the model's claim on instances."),
-    promptBlockTokens: z
-        .int()
-        .min(1)
-        .max(4_096)
-        .default(64)
-        .describe("Tokens of one block of the engines' prefix cache."),
 });
 
 const service = z.strictObject({
@@ -90,7 +84,6 @@
 
 const requestLimits = z.strictObject({
     bodyBytes: z.int().min(1_024).max(67_108_864).default(1_048_576).describe("Largest request body."),
-    headerBytes: z.int().min(1_024).max(1_048_576).default(16_384).describe("Largest request head."),
     headerMilliseconds: milliseconds.default(10_000).describe("Time in which the whole head must arrive."),
     bodyMilliseconds: milliseconds.default(30_000).describe("Time in which the whole body must arrive."),
     connections: z.int().min(1).max(1_000_000).default(4_096).describe("Open connections of one process."),
@@ -107,21 +100,8 @@
     bufferedTokens: z.int().min(1).max(1_000_000).default(1_024).describe("Tokens held for a slow caller."),
 });
 
-const keyLimits = z.strictObject({
-    windowMilliseconds: z
-        .int()
-        .min(60_000)
-        .max(604_800_000)
-        .default(86_400_000)
-        .describe("Age after which an Idempotency-Key is refused."),
-    skewMilliseconds: milliseconds
-        .default(60_000)
-        .describe("Difference of wall clocks that key windows allow for."),
-});
-
 const retryLimits = z.strictObject({
     fraction: z.number().min(0).max(1).default(0.1).describe("Retries as a fraction of first attempts."),
-    attempts: z.int().min(1).max(10).default(3).describe("Most attempts of one request."),
 });
 
 const sealingKeys = z
@@ -180,7 +160,6 @@
     placementPolicy: { pattern: "config/placement/policy", schema: placementPolicy },
     requestLimits: { pattern: "config/limits/requests", schema: requestLimits },
     streamLimits: { pattern: "config/limits/streams", schema: streamLimits },
-    keyLimits: { pattern: "config/limits/keys", schema: keyLimits },
     retryLimits: { pattern: "config/limits/retries", schema: retryLimits },
     sealingKeys: { pattern: "config/keys/resume", schema: sealingKeys },
 } as const;
@@ -197,7 +176,6 @@
 export type PlacementPolicy = PathValue<"placementPolicy">;
 export type RequestLimits = PathValue<"requestLimits">;
 export type StreamLimits = PathValue<"streamLimits">;
-export type KeyLimits = PathValue<"keyLimits">;
 export type RetryLimits = PathValue<"retryLimits">;
 export type SealingKeys = PathValue<"sealingKeys">;
 
--- a/src/core/configuration-values.ts
+++ b/src/core/configuration-values.ts
@@ -2,7 +2,6 @@
 import type { Fault, Result } from "./errors.js";
 import { fail, succeed, unwrap } from "./errors.js";
 import type {
-    KeyLimits,
     ModelSettings,
     ParsedPath,
     PathKind,
@@ -40,7 +39,6 @@
     readonly limits: {
         readonly requests: RequestLimits;
         readonly streams: StreamLimits;
-        readonly keys: KeyLimits;
         readonly retries: RetryLimits;
     };
     /** Keys that seal resume tokens; undefined until operators have set them. */
@@ -174,7 +172,6 @@
         limits: {
             requests: single("requestLimits") ?? pathSchemas.requestLimits.schema.parse({}),
             streams: single("streamLimits") ?? pathSchemas.streamLimits.schema.parse({}),
-            keys: single("keyLimits") ?? pathSchemas.keyLimits.schema.parse({}),
             retries: single("retryLimits") ?? pathSchemas.retryLimits.schema.parse({}),
         },
         sealingKeys: single("sealingKeys"),
--- a/src/core/retries.ts
+++ b/src/core/retries.ts
@@ -28,7 +28,7 @@
 export class RetryBudget {
     private tokens: number;
 
-    private constructor(private readonly options: RetryBudgetOptions) {
+    private constructor(private options: RetryBudgetOptions) {
         this.tokens = options.reserve;
     }
 
@@ -36,6 +36,11 @@
         return new RetryBudget(options);
     }
 
+    /** Puts another fraction of the traffic in force. */
+    public applyFraction(fraction: number): void {
+        this.options = { ...this.options, fraction };
+    }
+
     /** Counts a first attempt. */
     public recordFirstAttempt(): void {
         this.tokens = Math.min(this.options.reserve, this.tokens + this.options.fraction);
--- a/src/daemons/entry/entries.ts
+++ b/src/daemons/entry/entries.ts
@@ -1,5 +1,6 @@
 /** The entry daemon's process: its callers' port, its admin port and its shutdown. */
 import type { RunningDaemon } from "../../commands/daemon-commands.js";
+import type { RequestLimits } from "../../core/configuration-schemas.js";
 import { pathSchemas } from "../../core/configuration-schemas.js";
 import { ChervilError } from "../../core/errors.js";
 import { startAdminServer } from "../../links/admin-servers.js";
@@ -35,7 +36,7 @@
     const server = await startCallerServer({
         listen: caller.listen,
         tls: caller.tls,
-        bounds: callerBounds(),
+        bounds: callerBounds(pathSchemas.requestLimits.schema.parse({})),
         handle: createCallerHandler({
             view: parts.view,
             clock: node.clock,
@@ -49,6 +50,9 @@
             }),
         }),
     });
+    const bounds = parts.view.mesh.configuration.subscribe(({ limits }) =>
+        server.applyBounds(callerBounds(limits.requests)),
+    );
     const admin = await startAdminServer(settings.admin.listen, {
         timeline: node.timeline,
         status: () => entryStatus(node, parts, readiness()),
@@ -63,6 +67,7 @@
             isLeaving = true;
             parts.view.mesh.startLeaving();
             await delay(noticeMilliseconds);
+            bounds.unsubscribe();
             const closed = server.close();
             await drained(parts);
             await closed;
@@ -83,12 +88,9 @@
     return { caller: settings.caller };
 }
 
-/** Bounds of the port itself; they hold before any configuration is known. */
-function callerBounds(): CallerBounds {
-    const limits = pathSchemas.requestLimits.schema.parse({});
+function callerBounds(limits: RequestLimits): CallerBounds {
     return {
         connections: limits.connections,
-        headerBytes: limits.headerBytes,
         headerMilliseconds: limits.headerMilliseconds,
         requestMilliseconds: limits.headerMilliseconds + limits.bodyMilliseconds,
     };
--- a/src/daemons/entry/entry-parts.ts
+++ b/src/daemons/entry/entry-parts.ts
@@ -41,7 +41,8 @@
 export async function createParts(node: Node): Promise<EntryParts> {
     const engines = createEngines(node.clock);
     const view = await startMeshView(node, "entry", engines);
-    const { admission, router, core } = createCore(node, view);
+    const retries = RetryBudget.create();
+    const { admission, router, core } = createCore(node, view, retries);
     const seals = createCurrent(view, sealsOf);
     const loop = EntryLoop.create({
         core,
@@ -51,6 +52,9 @@
         metrics: node.metrics,
         sealResume: command => sealStream(command, seals(), node.clock.wallMilliseconds()),
     });
+    const inForce = createCurrent(view, configuration =>
+        applyConfiguration(configuration, admission, retries),
+    );
     const inputs = startRoutingInputs({
         router,
         view,
@@ -58,7 +62,7 @@
         clock: node.clock,
         entryNames: () => entryNames(view),
         changed: () => {
-            admission.applyTeams([...(view.configuration()?.teams.values() ?? [])]);
+            inForce();
             loop.lookAgain();
         },
     });
@@ -71,6 +75,7 @@
         clock: node.clock,
         random: Math.random,
         record: node.record,
+        retries,
     });
     return {
         view,
@@ -88,6 +93,17 @@
     };
 }
 
+function applyConfiguration(
+    configuration: Configuration | undefined,
+    admission: Admission,
+    retries: RetryBudget,
+): void {
+    if (configuration !== undefined) {
+        admission.applyTeams([...configuration.teams.values()]);
+        retries.applyFraction(configuration.limits.retries.fraction);
+    }
+}
+
 /** Names of the live entry processes, as the mesh knows them. */
 function entryNames(view: MeshView): readonly string[] {
     return view.mesh
@@ -102,7 +118,7 @@
     readonly core: EntryCore;
 }
 
-function createCore(node: Node, view: SystemView): DecisionParts {
+function createCore(node: Node, view: SystemView, retries: RetryBudget): DecisionParts {
     const { settings } = node;
     const admission = Admission.create({ random: Math.random });
     const router = Router.create({
@@ -114,7 +130,7 @@
     const core = EntryCore.create({
         admission,
         router,
-        retries: RetryBudget.create(),
+        retries,
         instanceOf: view.instanceOf,
         missingMember: (group, now) => findMissingMember(group, view, now),
         answerOptions: () => answerOptionsOf(view.configuration()),
--- a/src/links/caller-servers.ts
+++ b/src/links/caller-servers.ts
@@ -7,10 +7,13 @@
 import type { ListeningServer } from "./admin-servers.js";
 import { listenOn } from "./admin-servers.js";
 
+const maximumHeaderBytes = 16_384;
+/** Time between two looks at connections that are too slow, in milliseconds. */
+const connectionCheckMilliseconds = 500;
+
 /** Bounds of the callers' port. */
 export interface CallerBounds {
     readonly connections: number;
-    readonly headerBytes: number;
     readonly headerMilliseconds: number;
     /** The longest time in which a whole request must have arrived. */
     readonly requestMilliseconds: number;
@@ -24,14 +27,18 @@
     readonly handle: (request: http.IncomingMessage, response: http.ServerResponse) => void;
 }
 
-/** Starts the callers' port. */
-export function startCallerServer(options: CallerServerOptions): Promise<ListeningServer> {
+/** The callers' port while it listens. */
+export interface CallerServer extends ListeningServer {
+    /** Puts other bounds in force for connections and requests from now on. */
+    readonly applyBounds: (bounds: CallerBounds) => void;
+}
+
+/** Starts the callers' port; rejects if it is taken. */
+export async function startCallerServer(options: CallerServerOptions): Promise<CallerServer> {
     const { bounds, tls, handle } = options;
     const serverOptions: http.ServerOptions = {
-        maxHeaderSize: bounds.headerBytes,
-        headersTimeout: bounds.headerMilliseconds,
-        requestTimeout: bounds.requestMilliseconds,
-        connectionsCheckingInterval: Math.min(bounds.headerMilliseconds, 1000),
+        maxHeaderSize: maximumHeaderBytes,
+        connectionsCheckingInterval: connectionCheckMilliseconds,
         noDelay: true,
     };
     const server =
@@ -41,8 +48,13 @@
                   { ...serverOptions, cert: readFileSync(tls.certificate), key: readFileSync(tls.key) },
                   handle,
               );
-    server.maxConnections = bounds.connections;
-    return listenOn(server as http.Server, options.listen);
+    const applyBounds = (next: CallerBounds): void => {
+        server.maxConnections = next.connections;
+        server.headersTimeout = next.headerMilliseconds;
+        server.requestTimeout = next.requestMilliseconds;
+    };
+    applyBounds(bounds);
+    return { ...(await listenOn(server as http.Server, options.listen)), applyBounds };
 }
 
 function tooLarge(maximumBytes: number): Fault {
