--- a/src/core/placement-repairs.ts
+++ b/src/core/placement-repairs.ts
@@ -47,7 +47,9 @@
     const { coldLoadMilliseconds, warmLoadMilliseconds } = view.policy.repair;
     const warmMilliseconds = Math.max(settleMilliseconds(view.policy), warmLoadMilliseconds);
     for (const group of draft.groups.filter(each => each.state === "loading")) {
-        const loading = group.members.filter(member => reportOf(view, member, now)?.state === "loading");
+        const loading = group.members.filter(
+            member => reportOf(view, member, now)?.state === "loading" && !isWarm(view, member, group.model),
+        );
         const since = loading.map(member => view.seenInGroupSince(member) ?? now);
         const isWorthIt = Math.max(...since) + coldLoadMilliseconds > now + warmMilliseconds;
         const spares = freeSpares(draft, view, group.model, now);
--- a/src/core/repairs.ts
+++ b/src/core/repairs.ts
@@ -60,39 +60,26 @@
     return isWaitingCheaper(situation, policy, warmMilliseconds(policy)) ? "wait" : "merge";
 };
 
-/** Chances per millisecond that a silent instance comes back now, with its weights or without them. */
-export interface ReturnRates {
-    readonly withWeights: number;
-    readonly withoutWeights: number;
-}
-
-/** Returns the rates of return of an instance that has been silent for this long. */
-export function returnRates(silentMilliseconds: number, policy: PlacementPolicy): ReturnRates {
+/** Returns the chance per millisecond that an instance that has been silent for this long comes back with its weights. */
+export function returnRate(silentMilliseconds: number, policy: PlacementPolicy): number {
     const { pauseChance, pauseMilliseconds, restartChance, restartMilliseconds } = policy.repair;
     const pauseLength = Math.max(1, pauseMilliseconds);
     const restartLength = Math.max(1, restartMilliseconds);
     const paused = pauseChance * Math.exp(-silentMilliseconds / pauseLength);
     const restarting = (1 - pauseChance) * restartChance * Math.exp(-silentMilliseconds / restartLength);
     const gone = (1 - pauseChance) * (1 - restartChance);
-    const all = Math.max(Number.EPSILON, paused + restarting + gone);
-    return {
-        withWeights: paused / all / pauseLength,
-        withoutWeights: restarting / all / restartLength,
-    };
+    return paused / Math.max(Number.EPSILON, paused + restarting + gone) / pauseLength;
 }
 
 /**
  * Compares one more millisecond of waiting with what a return in it saves; both are times in which the group is out of
  * service and the survivors and the spare are stranded, so both sides have the same price. A replacement that has begun
- * is given up for a member that returns with its weights, so such a return saves one warm load at most.
+ * is given up for a member that returns with its weights, so such a return saves one warm load at most. A member that
+ * returns without weights has to load like a spare, and saves nothing.
  */
 function isWaitingCheaper(situation: RepairSituation, policy: PlacementPolicy, act: number): boolean {
-    const rates = returnRates(situation.silentMilliseconds, policy);
-    const reload = Math.max(settleMilliseconds(policy), policy.repair.coldLoadMilliseconds);
-    const savedWithWeights = Math.min(act, warmMilliseconds(policy));
-    const saved = rates.withWeights * savedWithWeights + rates.withoutWeights * Math.max(0, act - reload);
-    const everyMemberReturns = situation.silent === 1;
-    return everyMemberReturns && saved > 1;
+    const rate = returnRate(situation.silentMilliseconds, policy);
+    return situation.silent === 1 && rate * Math.min(act, warmMilliseconds(policy)) > 1;
 }
 
 function hasSpares(situation: RepairSituation): boolean {
