--- a/src/core/claim-shards.ts
+++ b/src/core/claim-shards.ts
@@ -21,6 +21,8 @@
 export interface ShardStep {
     readonly resolved: readonly ResolvedOperation[];
     readonly fault?: Fault;
+    /** True if only this value is unusable, and not the store. */
+    readonly isValueFault?: boolean;
 }
 
 /** How shards treat lost answers; checkers replace it by broken ones. */
@@ -28,6 +30,8 @@
     readonly meet: MeetRecord;
     /** What an ambiguous write counts as. */
     readonly ambiguousCountsAs: "unknown" | "written" | "failed";
+    /** Whether a release also fences a lost write that may still take effect. */
+    readonly fencesLostWrites: boolean;
 }
 
 /** The rules in force. */
@@ -56,8 +60,11 @@
 /** The state of one value at one entry instance. */
 export class ClaimShard {
     private table: ClaimTable = emptyClaimTable;
+    private tableLength = 0;
     private revision = 0;
     private mustRead = false;
+    /** True if another entry instance writes this value too, so that the table is likely to be old after a rest. */
+    private isContended = false;
     /** Expected revision of a write whose answer was lost and that may still take effect. */
     private unfencedRevision: number | undefined;
     private pending: Pending[] = [];
@@ -95,6 +102,7 @@
 
     /** Adds an operation to the next write. */
     public add(operation: ClaimOperation): void {
+        this.mustRead ||= this.isContended && this.isIdle();
         this.pending.push({ operation, mayBeWritten: false, informed: false, withdrawn: false });
     }
 
@@ -151,6 +159,13 @@
         if (!result.success) {
             return { resolved: [], fault: result.fault };
         }
+        if (result.data.revision < this.revision) {
+            const message = "the store answered from an old read";
+            return {
+                resolved: [],
+                fault: { code: "storeUnavailable", message, step: "claim", notRun: false },
+            };
+        }
         return this.load(result.data.entries[0], batch);
     }
 
@@ -185,8 +200,9 @@
             batch.map(entry => entry.operation),
             {
                 writer: this.options.createNonce(),
-                isFenced: this.unfencedRevision !== this.revision,
+                isFenced: this.unfencedRevision !== this.revision || !this.options.fencesLostWrites,
                 meet: this.options.meet,
+                tableLength: this.tableLength,
             },
         );
     }
@@ -212,6 +228,7 @@
     private accept(draft: ClaimDraft | undefined, revision: number): void {
         if (draft !== undefined) {
             this.table = draft.table;
+            this.tableLength = draft.text.length;
             this.revision = revision;
             this.unfencedRevision = undefined;
         }
@@ -230,19 +247,28 @@
         return { resolved: [], fault: this.options.ambiguousCountsAs === "failed" ? fault : undefined };
     }
 
+    // There is nothing left in which an outcome could be recorded or a claim released.
+    private unusable(fault: Fault): ShardStep {
+        this.mustRead = true;
+        const dropped = this.pending.filter(entry => !isClaimEntry(entry));
+        this.pending = this.pending.filter(isClaimEntry);
+        const resolved = dropped.map(({ operation }) => ({ operation, outcome: { kind: "gone" } as const }));
+        return { resolved, fault, isValueFault: true };
+    }
+
     private load(entry: KeyValueEntry | undefined, batch: readonly Pending[]): ShardStep {
         const parsed = entry === undefined ? undefined : safeParseClaims(entry.value);
         if (parsed !== undefined && !parsed.success) {
-            this.mustRead = true;
-            return { resolved: [], fault: parsed.fault };
+            return this.unusable(parsed.fault);
         }
         // A value that was there and is gone was lost or expired: nothing may be claimed on what is left.
         if (entry === undefined && this.revision > 0) {
-            this.mustRead = true;
             const message = "a value of claims is gone";
-            return { resolved: [], fault: { code: "storeConflict", message, step: "claim", notRun: false } };
+            return this.unusable({ code: "storeConflict", message, step: "claim", notRun: false });
         }
+        this.isContended ||= entry !== undefined && entry.modRevision !== this.revision;
         this.table = parsed?.data ?? emptyClaimTable;
+        this.tableLength = entry?.value.length ?? 0;
         this.revision = entry?.modRevision ?? 0;
         this.mustRead = false;
         if (this.unfencedRevision !== this.revision) {
@@ -255,6 +281,10 @@
     }
 }
 
+function isClaimEntry({ operation }: Pending): boolean {
+    return operation.kind === "claim";
+}
+
 function asWritten({ operation }: Pending): ResolvedOperation {
     return { operation, outcome: { kind: "written" } };
 }
--- a/src/core/stragglers.ts
+++ b/src/core/stragglers.ts
@@ -1,5 +1,5 @@
 /**
- * Replicas that are far slower than their peers. A replica's pace is compared with the median of all; a slow one is
+ * Replicas that are far slower than their peers. A replica's pace is compared with that of all; a slow one is
  * discounted, a very slow, silent or failing one is ejected, and comes back by a trial with one request.
  */
 
@@ -11,6 +11,8 @@
 export const failuresToEject = 3;
 /** Largest part of the replicas that may be ejected at a time; one always may, the last never. */
 export const ejectedFraction = 0.1;
+/** The same for replicas that fail: keeping them would help no request. */
+export const failingFraction = 0.5;
 /** First time in milliseconds out of service; doubled each time a trial fails. */
 export const ejectionMilliseconds = 5_000;
 export const longestEjectionMilliseconds = 60_000;
@@ -35,6 +37,18 @@
     ejectionLength: number;
 }
 
+/** Returns the gap (milliseconds) with which all gaps are compared, 0 if there are none. */
+export type PaceReference = (gaps: readonly number[]) => number;
+
+export const referenceByMedian: PaceReference = gaps => {
+    const sorted = [...gaps].sort((left, right) => left - right);
+    return sorted[(sorted.length - 1) >> 1] ?? 0;
+};
+
+/** The mean, as in "Surge: optimizations of parallel downloads"; one slow replica of few moves it. */
+export const referenceByMean: PaceReference = gaps =>
+    gaps.length === 0 ? 0 : gaps.reduce((sum, gap) => sum + gap, 0) / gaps.length;
+
 /** Paces of the replicas of one model. */
 export class Stragglers {
     private readonly replicas = new Map<string, ReplicaPace>();
@@ -42,10 +56,10 @@
     private referenceUntil = -Infinity;
     private ejectedCount = 0;
 
-    private constructor() {}
+    private constructor(private readonly referenceOf: PaceReference) {}
 
-    public static create(): Stragglers {
-        return new Stragglers();
+    public static create(referenceOf: PaceReference = referenceByMedian): Stragglers {
+        return new Stragglers(referenceOf);
     }
 
     public started(replica: string, now: number): void {
@@ -81,18 +95,18 @@
             return;
         }
         if (pace.failures >= failuresToEject) {
-            this.eject(pace, now);
+            this.eject(pace, failingFraction, now);
         }
     }
 
-    /** Returns the factor by which the replica is slower than its peers, 1 if not noticeably. */
+    /** Returns the factor by which the replica is slower than its peers or fails, 1 if not noticeably. */
     public slowdownOf(replica: string, now: number): number {
         const pace = this.replicas.get(replica);
         if (pace === undefined) {
             return 1;
         }
         const ratio = this.ratioOf(pace, now);
-        return ratio > toleratedRatio ? ratio : 1;
+        return (ratio > toleratedRatio ? ratio : 1) * (1 + pace.failures);
     }
 
     /** Returns how the replica may be used now; ejects it if it has become far too slow. */
@@ -102,7 +116,7 @@
             return "full";
         }
         if (pace.ejectedUntil === undefined && this.ratioOf(pace, now) >= ejectionRatio) {
-            this.eject(pace, now);
+            this.eject(pace, ejectedFraction, now);
         }
         if (pace.ejectedUntil === undefined) {
             return "full";
@@ -131,8 +145,8 @@
         this.replicas.set(replica, { ...newPace(now), running: pace.running });
     }
 
-    private eject(pace: ReplicaPace, now: number): void {
-        const most = Math.max(1, Math.floor(this.replicas.size * ejectedFraction));
+    private eject(pace: ReplicaPace, fraction: number, now: number): void {
+        const most = Math.max(1, Math.floor(this.replicas.size * fraction));
         if (this.ejectedCount >= most || this.replicas.size < 2) {
             return;
         }
@@ -152,16 +166,15 @@
         return Math.max(silenceRatio, paceRatio);
     }
 
-    /** Median gap of the replicas in service. */
+    /** Gap that the replicas in service are compared with. */
     private reference(now: number): number {
         if (now < this.referenceUntil) {
             return this.referenceGap;
         }
         const gaps = [...this.replicas.values()]
             .filter(pace => pace.gaps >= gapsNeeded && pace.ejectedUntil === undefined)
-            .map(pace => pace.gapMilliseconds)
-            .sort((left, right) => left - right);
-        this.referenceGap = gaps[(gaps.length - 1) >> 1] ?? 0;
+            .map(pace => pace.gapMilliseconds);
+        this.referenceGap = this.referenceOf(gaps);
         this.referenceUntil = now + referenceMilliseconds;
         return this.referenceGap;
     }
--- a/tests/histories/claims-worlds.ts
+++ b/tests/histories/claims-worlds.ts
@@ -2,11 +2,15 @@
 import { VirtualLoop } from "../../benchmarks/loops.js";
 import type { SendOutcome } from "../../src/contracts/services.js";
 import type { ClaimOptions, ClaimRules } from "../../src/core/claim-rules.js";
+import { ClaimSweep } from "../../src/core/claim-sweeps.js";
 import type { Fault } from "../../src/core/errors.js";
+import type { KeyWindowOptions } from "../../src/core/idempotency-keys.js";
 import type { Instance } from "../../src/core/instances.js";
 import { createRandomNumber } from "../../src/core/random-numbers.js";
 import type { ServiceCall } from "../../src/core/requests.js";
 import type { SendRules, ServiceOutcome } from "../../src/daemons/entry/claim-calls.js";
+import type { ClaimSweepsOptions } from "../../src/daemons/entry/claim-sweeps.js";
+import { sweepBucket } from "../../src/daemons/entry/claim-sweeps.js";
 import type { ServiceCalls } from "../../src/daemons/entry/service-calls.js";
 import { createServiceCalls } from "../../src/daemons/entry/service-calls.js";
 import type { CallFate } from "./claims-stores.js";
@@ -40,6 +44,10 @@
     readonly lossRate: number;
     readonly rules?: { readonly claims?: ClaimRules; readonly sends?: SendRules };
     readonly claims?: Partial<ClaimOptions>;
+    /** Entry clocks lie this far apart; within the skew that `claims` allows. */
+    readonly skewMilliseconds?: number;
+    /** The window by which expired claims are swept; undefined: they are not. */
+    readonly sweepWindow?: KeyWindowOptions;
 }
 
 interface Entry {
@@ -61,6 +69,8 @@
     };
 }
 
+const sweepEveryMilliseconds = 100;
+const sweepLookbackBuckets = 20;
 const instances = [0, 1, 2].map(serviceInstance);
 const fault: Fault = { code: "endpointFailed", message: "lost", step: "send", notRun: false };
 
@@ -73,6 +83,7 @@
     public readonly crashedEntries = new Set<number>();
     public isCalm = false;
     public storeDownUntil = -1;
+    private readonly attemptsById = new Map<string, Attempt>();
     private readonly random: () => number;
     private readonly entries: Entry[] = [];
 
@@ -89,15 +100,22 @@
     }
 
     /** Sends a request to an entry; a repeat of the same key is another attempt. */
-    public request(index: number, call: Omit<ServiceCall, "id" | "deadline">, remaining: number): void {
+    public request(
+        index: number,
+        call: Omit<ServiceCall, "id" | "deadline">,
+        remaining: number,
+        tell: (attempt: Attempt) => void = () => undefined,
+    ): void {
         this.deliver(index, this.entries[index]!.incarnation, () => {
             const id = `attempt-${this.attempts.length}`;
             const deadline = this.loop.now() + remaining;
             const attempt: Attempt = { call: { ...call, id, deadline }, entry: index, isUnknown: false };
             this.attempts.push(attempt);
+            this.attemptsById.set(id, attempt);
             void this.entries[index]!.calls.run(attempt.call).then(told => {
                 attempt.told = told;
                 attempt.toldAt = this.loop.now();
+                tell(attempt);
             });
         });
     }
@@ -132,21 +150,47 @@
         const deliver = (action: () => void) => this.deliver(index, incarnation, action);
         const clock = {
             monotonicMilliseconds: () => this.loop.now(),
-            wallMilliseconds: () => wallStart + this.loop.now(),
+            // Entry clocks differ by up to the allowed skew.
+            wallMilliseconds: () =>
+                wallStart + this.loop.now() + (index - 1) * (this.options.skewMilliseconds ?? 0),
         };
+        const store = connectStore(this.store, this.loop, () => this.storeFate(index), deliver);
+        this.startSweeps(index, incarnation, { store, clock });
         this.entries[index]!.calls = createServiceCalls({
-            store: connectStore(this.store, this.loop, () => this.storeFate(index), deliver),
+            store,
             send: (call, instance) => this.send(call, instance, deliver),
             route: (_, tried) => instances.find(({ id }) => !tried.includes(id)),
             clock,
             random: this.random,
             record: () => undefined,
-            claims: { storeMilliseconds: 300, shards: 1, ...this.options.claims },
+            claims: { storeMilliseconds: 300, shards: 2, ...this.options.claims },
             schedule: (at, action) => this.loop.at(at, () => deliver(action)),
             rules: this.options.rules,
         });
     }
 
+    private startSweeps(index: number, incarnation: number, options: ClaimSweepsOptions): void {
+        const { sweepWindow } = this.options;
+        if (sweepWindow === undefined) {
+            return;
+        }
+        const { clock } = options;
+        const sweep = ClaimSweep.create(
+            sweepWindow,
+            () => true,
+            clock.wallMilliseconds(),
+            sweepLookbackBuckets,
+        );
+        this.loop.every(sweepEveryMilliseconds, () => {
+            const sweepDue = () => {
+                const bucket = sweep.due(clock.wallMilliseconds());
+                return bucket === undefined ? undefined : sweepBucket(options, sweep, bucket);
+            };
+            this.deliver(index, incarnation, () => void sweepDue());
+            return this.entries[index]!.incarnation === incarnation;
+        });
+    }
+
     private deliver(index: number, incarnation: number, action: () => void): void {
         const entry = this.entries[index]!;
         if (entry.incarnation !== incarnation) {
@@ -173,6 +217,7 @@
             effectAfter: isNever ? undefined : isLate ? 200 + this.random() * 1_500 : delay,
             answerAfter: this.isLost() ? undefined : delay,
             isDoubled: this.isLost(),
+            isStale: this.isLost(),
             isRefused: isAway && this.random() < 0.5,
         };
     }
@@ -182,7 +227,7 @@
         instance: Instance,
         deliver: (action: () => void) => void,
     ): Promise<SendOutcome> {
-        const attempt = this.attempts.find(candidate => candidate.call.id === call.id)!;
+        const attempt = this.attemptsById.get(call.id)!;
         attempt.sentAt = this.loop.now();
         return new Promise(resolve => {
             const answer = (milliseconds: number, outcome: SendOutcome) => {
