--- a/benchmarks/mesh-nodes.ts
+++ b/benchmarks/mesh-nodes.ts
@@ -3,7 +3,7 @@
 import type { FollowingCommand, FollowingEvent } from "../src/core/configuration-followings.js";
 import { StoreFollowing } from "../src/core/configuration-followings.js";
 import type { Instance } from "../src/core/instances.js";
-import type { MeshRules } from "../src/core/membership-meshes.js";
+import type { MeshRules } from "../src/core/membership-options.js";
 import { MeshState } from "../src/core/membership-meshes.js";
 import type { PeerExchange } from "../src/core/membership-messages.js";
 import { firstRoundDelay, roundMilliseconds } from "../src/core/membership-rounds.js";
@@ -116,6 +116,7 @@
     private tick(): void {
         const { loop } = this.around;
         const now = loop.now();
+        this.state.noticePause(now);
         if (now >= this.nextRoundAt) {
             this.nextRoundAt = now + roundMilliseconds;
             const { exchanges } = this.state.tick(now);
@@ -123,7 +124,7 @@
         }
         const confirmedAt = this.state.configurationConfirmedAt;
         this.follow({ kind: "mode", watching: this.isWatcher(now) });
-        this.follow({ kind: "tick", confirmedAt: this.around.follow === "mesh" ? confirmedAt : now });
+        this.follow({ kind: "tick", confirmedAt: this.around.follow === "mesh" ? confirmedAt : undefined });
         this.probe(now);
     }
 
@@ -164,8 +165,11 @@
                     if (report !== undefined) {
                         this.probes.succeeded(instance.id, view, at);
                         this.state.observeReport(report, now);
-                    } else if (this.probes.failed(instance.id, at)) {
-                        this.state.observeFailure(instance.id, at);
+                        return;
+                    }
+                    const since = this.probes.failed(instance.id, now, at);
+                    if (since !== undefined) {
+                        this.state.observeFailure(instance.id, since, at);
                     }
                 }),
             );
@@ -204,7 +208,7 @@
                 break;
             case "applyWatch":
                 state.configuration.applyWatch(command.event);
-                state.confirm(loop.now());
+                state.confirm(state.arrivalTime(loop.now()));
                 break;
         }
     }
