--- a/src/core/membership-exchanges.ts
+++ b/src/core/membership-exchanges.ts
@@ -124,10 +124,16 @@
     readonly usage: (usage: Usage) => boolean;
 }
 
-/** Inside a failure domain everything travels; over a bridge only what the own failure domain saw itself. */
+/**
+ * Inside a failure domain everything travels; over a bridge only what the own failure domain saw itself; to a peer of
+ * whom nothing is known yet, this process itself.
+ */
 function selectors(tables: ExchangeTables, position: MessagePosition, now: number): Selectors {
     const { failureDomain: target } = position;
-    if (target === undefined || target === tables.failureDomain) {
+    if (target === undefined) {
+        return { member: record => record.id === tables.self, endpoint: () => false, usage: () => false };
+    }
+    if (target === tables.failureDomain) {
         return { member: () => true, endpoint: () => true, usage: () => true };
     }
     const own = tables.failureDomain;
--- a/src/core/membership-meshes.ts
+++ b/src/core/membership-meshes.ts
@@ -22,6 +22,9 @@
 /** Time that a new process waits for peers before it trusts the store alone, in milliseconds. */
 export const peerGraceMilliseconds = 3_000;
 
+/** Time after its start in which a process probes its own failure domain only, in milliseconds. */
+const adoptionGraceMilliseconds = 30_000;
+
 /** Holds all that the mesh carries. */
 export class MeshState {
     public readonly configuration: ConfigurationFollower;
@@ -210,6 +213,16 @@
         return this.membership.liveIn(failureDomain, now);
     }
 
+    /**
+     * The daemons that may probe endpoints of a failure domain without live daemons; none while this process is too new
+     * to know the others.
+     */
+    public adopters(now: number): readonly MemberId[] {
+        const isNew = now - this.options.now < adoptionGraceMilliseconds;
+        const live = this.membership.members(now).filter(member => member.judged === "live");
+        return isNew ? [] : live.map(member => member.id);
+    }
+
     /** True if this process is one of the store's watchers of its failure domain. */
     public isWatcher(now: number): boolean {
         const own = this.options.body.failureDomain;
--- a/src/core/membership-rounds.ts
+++ b/src/core/membership-rounds.ts
@@ -15,7 +15,7 @@
 export const contactRoundMilliseconds = 3_000;
 /** Time after which an exchange counts as failed. */
 export const exchangeMilliseconds = 2_000;
-/** Time after which the freely picked neighbours change. */
+/** Time after which the other end of a bridge changes. */
 const epochMilliseconds = 60_000;
 /** Time for which an address that failed is passed over. */
 const avoidMilliseconds = 3_000;
@@ -123,12 +123,14 @@
     ): void {
         const position = this.positions.get(address) ?? freshPosition;
         const isSameProcess = position.peer === answer.sender && position.incarnation === answer.incarnation;
-        const wasWhole = request.acknowledgedIncarnation === 0 && position.sentThrough === 0;
+        // A peer whose failure domain was not known was told of this process only.
+        const wasWhole = position.failureDomain !== undefined && position.sentThrough === 0;
+        const isSameDomain = position.failureDomain === answer.failureDomain;
         this.positions.set(address, {
             peer: answer.sender,
             failureDomain: answer.failureDomain,
             incarnation: answer.incarnation,
-            sentThrough: isSameProcess || wasWhole ? request.change : 0,
+            sentThrough: isSameProcess || (wasWhole && isSameDomain) ? request.change : 0,
             receivedThrough: answer.change,
             wantedByPeer: answer.wanted,
             wanted: unknownKeys,
@@ -156,7 +158,6 @@
             neighboursOf(
                 view.self.id,
                 reachable.map(member => member.id),
-                Math.floor(now / epochMilliseconds),
             ),
             reachable,
         );
--- a/src/core/membership-topologies.ts
+++ b/src/core/membership-topologies.ts
@@ -26,18 +26,21 @@
 }
 
 /**
- * The peers that `self` starts exchanges with: its successor on a ring in hash order, which joins all members, and
- * others picked by hash, which keep the paths short. The others change with `epoch`, so that no bad pick lasts.
+ * The peers that `self` starts exchanges with: the next member on a ring in hash order, which joins all members, and one
+ * about the square root of the ring further on, which keeps the paths short. Everyone is picked by equally many others,
+ * so the load is even.
  */
-export function neighboursOf(self: string, members: readonly string[], epoch: number): readonly string[] {
+export function neighboursOf(self: string, members: readonly string[]): readonly string[] {
     const others = members.filter(member => member !== self);
     if (others.length <= neighboursPerRound) {
         return others;
     }
-    const ring = [...members].sort((left, right) => hashNumber(left) - hashNumber(right));
-    const successor = ring[(ring.indexOf(self) + 1) % ring.length]!;
-    const chords = rankByRendezvous(`chord/${self}/${epoch}`, others).filter(other => other !== successor);
-    return [successor, ...chords.slice(0, neighboursPerRound - 1)];
+    const ring = [...members].sort(
+        (left, right) => hashNumber(left) - hashNumber(right) || (left < right ? -1 : 1),
+    );
+    const index = ring.indexOf(self);
+    const stride = Math.max(2, Math.round(Math.sqrt(ring.length)));
+    return [1, stride].map(step => ring[(index + step) % ring.length]!);
 }
 
 /** The member of another failure domain that `self` exchanges with over a bridge; undefined if none is known. */
--- a/src/daemons/meshes.ts
+++ b/src/daemons/meshes.ts
@@ -56,11 +56,7 @@
                 failureDomain: settings.failureDomain,
                 instances: state.instances,
                 liveIn: domain => state.liveIn(domain, now),
-                liveAnywhere: () =>
-                    state
-                        .members(now)
-                        .filter(member => member.judged === "live")
-                        .map(member => member.id),
+                liveAnywhere: () => state.adopters(now),
                 health: instance => state.health(instance),
                 healthMilliseconds: state.configuration.configuration.placement.healthMilliseconds,
             }),
