--- a/benchmarks/fakes/entries.ts
+++ b/benchmarks/fakes/entries.ts
@@ -14,6 +14,8 @@
 /** Time from arrival within which an answer must be whole, in milliseconds. */
 export const answerMilliseconds = 60_000;
 const tickMilliseconds = 20;
+/** Wait before a failed send is repeated, in milliseconds. */
+const retryMilliseconds = 25;
 
 /** What a caller learns when its request has not been served. */
 export type OnRefused = (arrival: Arrival, retryAt: number | undefined, now: number) => void;
@@ -37,7 +39,8 @@
     readonly loop: VirtualLoop;
     readonly admission: Admission;
     readonly router: Router;
-    readonly engines: ReadonlyMap<string, FakeEngine>;
+    /** The engine of a group; undefined if it cannot be reached. */
+    readonly engineFor: (group: string) => FakeEngine | undefined;
     readonly figures: Figures;
     readonly onRefused: OnRefused;
     readonly mayRetry: MayRetry;
@@ -130,10 +133,16 @@
         const group = chosen.data.group.id;
         router.dispatched(route, group, loop.now());
         figures.sends += 1;
+        figures.retries += request.attempt > 0 ? 1 : 0;
         request.attempt += 1;
         const attempt = request.attempt;
         loop.after(engineMilliseconds, () => {
-            this.parts.engines.get(group)!.submit({
+            const engine = this.parts.engineFor(group);
+            if (engine === undefined) {
+                this.ended(request, started, false, loop.now());
+                return;
+            }
+            engine.submit({
                 id: started.id,
                 priority: started.priority,
                 promptTokens: request.arrival.promptTokens + request.tokens,
@@ -169,6 +178,7 @@
         }
         if (now >= figures.from) {
             figures.addTokens(arrival.caller, 1);
+            figures.addCost(arrival.caller.team, request.tokens === 0 ? arrival.promptTokens + 1 : 1);
         }
         request.tokens += 1;
         request.lastTokenAt = now;
@@ -204,7 +214,7 @@
         const { arrival } = request;
         figures.failures += 1;
         if (now < request.deadline && mayRetry(arrival, request.attempt, now)) {
-            loop.after(1, () => {
+            loop.after(retryMilliseconds, () => {
                 this.send(started);
             });
             return;
