--- a/stand-ins/engines.ts
+++ b/stand-ins/engines.ts
@@ -1,5 +1,6 @@
 /** One engine instance on its own port; docs/PROTOCOLS.md has the calls. */
 import type { EndpointReport } from "../src/core/endpoints.js";
+import type { ModelVersion } from "../src/core/replica-groups.js";
 import { Batch } from "./batches.js";
 import { EngineCalls } from "./engine-calls.js";
 import type { EngineMember } from "./engine-members.js";
@@ -15,6 +16,27 @@
     readonly fabricDomain: string;
 }
 
+/** What an engine instance believes, and what it has accepted. */
+export interface EngineDescription {
+    readonly instance: string;
+    readonly address: string;
+    readonly fabricDomain: string;
+    readonly failureDomain: string;
+    readonly incarnation: number;
+    readonly group: string | undefined;
+    readonly epoch: number;
+    readonly state: string;
+    readonly members: readonly string[];
+    readonly model: ModelVersion | undefined;
+    readonly requestsAccepted: number;
+    /** Requests accepted while a member of the group was missing. */
+    readonly acceptedWhileIncomplete: number;
+    readonly lastAcceptedAfterLeavingMilliseconds: number;
+    readonly lastAcceptedAfterLossMilliseconds: number;
+    readonly running: number;
+    readonly waiting: number;
+}
+
 /** What an engine instance is made of. */
 export interface EngineOptions extends EnginePlace {
     readonly settings: StandInSettings["engines"];
@@ -129,7 +151,7 @@
     }
 
     /** What the instance believes, and what it has accepted. */
-    public describe(): unknown {
+    public describe(): EngineDescription {
         this.member.step(this.options.now());
         const { id, fabricDomain, failureDomain } = this.options;
         return {
--- a/stand-ins/tests/engines.test.ts
+++ b/stand-ins/tests/engines.test.ts
@@ -136,6 +136,9 @@
             ["accepted"],
         );
         reading.unsubscribe();
+        const leader = fixture.deployment.engines[0]!.describe();
+        t.is(leader.acceptedWhileIncomplete, 1);
+        t.true(leader.lastAcceptedAfterLossMilliseconds > 0);
         faults.switchOff(member!.id, "killed");
         await new Promise(resolve => setTimeout(resolve, 30));
         const back = unwrap(await engines.probe(member!, now() + 2000));
--- a/tests/processes/scenarios.ts
+++ b/tests/processes/scenarios.ts
@@ -110,6 +110,8 @@
     await switchFor(field, await pickServing(field, true), "lostStreams", 500);
     await switchFor(field, await pickServing(field, false), "killed", 1500);
     await switchFor(field, await pickServing(field, true), "killed", 1500);
+    await switchFor(field, await pickServing(field, false), "paused", 6000);
+    await switchFor(field, await pickServing(field, false), "cut", 6000);
     await switchFor(field, await pickServing(field, true), "paused", 6000);
     await switchFor(field, await pickServing(field, true), "cut", 6000);
     await switchFor(field, await pickServing(field, true), "slowed", 3000);
