--- a/src/daemons/entry/entries.ts
+++ b/src/daemons/entry/entries.ts
@@ -13,6 +13,7 @@
 import { handleCompletion } from "./completions.js";
 import type { EntryParts } from "./entry-parts.js";
 import { createParts } from "./entry-parts.js";
+import { startGauges } from "./gauges.js";
 import { createServiceHandler } from "./service-routes.js";
 import { entryStatus } from "./statuses.js";
 
@@ -21,6 +22,12 @@
 /** Time between looks at whether all requests have ended, in milliseconds. */
 const drainPollMilliseconds = 50;
 
+/**
+ * Longest wait of a leaving process for outcomes to be recorded, in milliseconds; longer than any call of a service. An
+ * outcome that is not recorded is told as unknown to a repeat.
+ */
+const recordMilliseconds = 30_000;
+
 /** Starts the daemon; throws a ChervilError if a port cannot be opened. */
 export async function startEntry(settings: Settings): Promise<RunningDaemon> {
     const { caller } = requireCaller(settings);
@@ -47,6 +54,7 @@
                 view: parts.view,
                 clock: node.clock,
                 run: parts.serviceCalls.run,
+                settled: outcome => node.metrics.count("chervil.action.settled", 1, { outcome }),
             }),
         }),
     });
@@ -57,6 +65,7 @@
         timeline: node.timeline,
         status: () => entryStatus(node, parts, readiness()),
     });
+    const gauges = startGauges(node, parts);
     node.record({ kind: "processStarted" });
     const log = node.logs("entry");
     log.info("started", { callers: server.address, admin: admin.address });
@@ -68,6 +77,7 @@
             parts.view.mesh.startLeaving();
             await delay(noticeMilliseconds);
             bounds.unsubscribe();
+            gauges.unsubscribe();
             const closed = server.close();
             await drained(parts);
             await closed;
@@ -104,5 +114,5 @@
     while (parts.loop.size > 0) {
         await delay(drainPollMilliseconds);
     }
-    await parts.serviceCalls.idle();
+    await Promise.race([parts.serviceCalls.idle(), delay(recordMilliseconds)]);
 }
--- a/src/daemons/entry/entry-loops.ts
+++ b/src/daemons/entry/entry-loops.ts
@@ -178,6 +178,9 @@
                 this.endCaller(command.request)?.fail(command.fault);
                 return;
             case "record":
+                if (command.event.kind === "requestResumed") {
+                    this.options.metrics.count("chervil.request.resumed");
+                }
                 this.options.record(command.event);
         }
     }
--- a/src/daemons/entry/service-routes.ts
+++ b/src/daemons/entry/service-routes.ts
@@ -25,6 +25,8 @@
     readonly view: SystemView;
     readonly clock: Clock;
     readonly run: (call: ServiceCall) => Promise<ServiceOutcome>;
+    /** Told of the end of each call that is not idempotent: "answered" or the fault's code. */
+    readonly settled: (outcome: string) => void;
 }
 
 /** Header by which a caller says that it has sent this Idempotency-Key before. */
@@ -43,6 +45,9 @@
             return;
         }
         const outcome = await options.run(call.data);
+        if (!call.data.idempotent) {
+            options.settled(outcome.kind === "answered" ? "answered" : outcome.fault.code);
+        }
         if (outcome.kind === "refused") {
             sendFault(exchange.response, outcome.fault, options.clock);
             return;
@@ -50,6 +55,8 @@
         const { status, contentType, body } = outcome.answer;
         exchange.response.writeHead(status, {
             "x-chervil-request": call.data.id,
+            ...(outcome.isReplay ? { "x-chervil-replay": "true" } : {}),
+            ...(outcome.bodyOmitted ? { "x-chervil-body-omitted": "true" } : {}),
             ...(contentType === undefined ? {} : { "content-type": contentType }),
         });
         exchange.response.end(body);
--- a/src/links/metrics.ts
+++ b/src/links/metrics.ts
@@ -15,7 +15,6 @@
     "chervil.configuration.revision": "gauge, revision in force",
     "chervil.configuration.rejected": "gauge, paths whose latest value is invalid",
     "chervil.peer.bytes": "counter, bytes sent to and received from peers",
-    "chervil.store.calls": "counter, calls of the key-value service",
     "chervil.groups.serving": "gauge, groups whose gate is open as this process sees it",
     "chervil.loop.late": "timing, milliseconds by which a tick came late",
 } as const;
@@ -37,6 +36,8 @@
     close: () => undefined,
 };
 
+const datagramBytes = 1_400;
+
 /** Sends metrics to a StatsD address (host:port); without one, drops them. */
 export function createMetrics(address: string | undefined, processName: string): Metrics {
     if (address === undefined) {
@@ -47,6 +48,7 @@
         host,
         port: Number(port),
         globalTags: { process: processName },
+        maxBufferSize: datagramBytes,
         errorHandler: () => undefined,
     });
     return {
