Take a conflict for one's own write only where the value shows it

Cause: the release after a doubled swap was asked for on every conflict, also where the value was gone; a test of claims caught it (one more read than needed). Now the claim's own nonce in the value decides.

--- a/src/core/claim-shards.ts
+++ b/src/core/claim-shards.ts
@@ -178,10 +178,8 @@
                 this.accept(draft, outcome.revision);
                 return { resolved: batch.map(asWritten) };
             case "conflict":
-                // The network may have doubled the swap: the conflict can be with this very write.
-                markPossiblyWritten(batch, this.options.ambiguousCountsAs);
                 this.requeue(batch);
-                return this.load(outcome.current, batch);
+                return this.loadAfterConflict(outcome.current, batch);
             case "notSent":
                 this.requeue(batch);
                 return { resolved: [], fault: outcome.fault };
@@ -242,7 +240,9 @@
         if (this.options.ambiguousCountsAs === "written") {
             return { resolved: batch.map(asWritten) };
         }
-        markPossiblyWritten(batch, this.options.ambiguousCountsAs);
+        for (const entry of batch) {
+            entry.mayBeWritten = this.options.ambiguousCountsAs === "unknown";
+        }
         this.requeue(batch);
         return { resolved: [], fault: this.options.ambiguousCountsAs === "failed" ? fault : undefined };
     }
@@ -256,6 +256,16 @@
         return { resolved, fault, isValueFault: true };
     }
 
+    // The network may have doubled the swap: the conflict can be with this very write.
+    private loadAfterConflict(current: KeyValueEntry | undefined, batch: readonly Pending[]): ShardStep {
+        const step = this.load(current, batch);
+        for (const entry of batch) {
+            const { key, nonce } = entry.operation;
+            entry.mayBeWritten ||= this.table.get(key)?.nonce === nonce;
+        }
+        return step;
+    }
+
     private load(entry: KeyValueEntry | undefined, batch: readonly Pending[]): ShardStep {
         const parsed = entry === undefined ? undefined : safeParseClaims(entry.value);
         if (parsed !== undefined && !parsed.success) {
@@ -281,15 +291,6 @@
     }
 }
 
-function markPossiblyWritten(
-    batch: readonly Pending[],
-    ambiguousCountsAs: ShardOptions["ambiguousCountsAs"],
-): void {
-    for (const entry of batch) {
-        entry.mayBeWritten = ambiguousCountsAs === "unknown";
-    }
-}
-
 function isClaimEntry({ operation }: Pending): boolean {
     return operation.kind === "claim";
 }
