--- a/src/commands/versions.ts
+++ b/src/commands/common-behaviours.ts
@@ -1,4 +1,4 @@
-/** Version of this package, as every command shows it. */
+/** What every command does alike: its version, and its end when nobody reads its output. */
 import { readFileSync } from "node:fs";
 import { z } from "zod";
 
@@ -16,3 +16,8 @@
     }
     return "unknown";
 }
+
+/** Ends the command quietly once the reader of its output has gone, as when it is piped into `head`. */
+export function endWithReader(): void {
+    process.stdout.on("error", () => process.exit());
+}
--- a/src/commands/control.ts
+++ b/src/commands/control.ts
@@ -9,7 +9,7 @@
 import type { OutputFormat } from "./control/outputs.js";
 import { exitCodes } from "./control/outputs.js";
 import { showStatus } from "./control/statuses.js";
-import { readVersion } from "./versions.js";
+import { endWithReader, readVersion } from "./common-behaviours.js";
 
 const callMilliseconds = 5_000;
 
@@ -59,6 +59,7 @@
     await showStatus(formatOf(options), addresses);
 }
 
+endWithReader();
 const commands = cac("chervil-control");
 commands.option("--store <addresses>", "Addresses of the key-value service, separated by commas");
 commands.option("--output <format>", "text or json (one document a line)", { default: "text" });
--- a/src/commands/timeline.ts
+++ b/src/commands/timeline.ts
@@ -8,7 +8,7 @@
 import { filterTimeline, mergeTimelines } from "../core/timeline-filters.js";
 import { formatEventLine, formatTimelinePage } from "../links/timeline-pages.js";
 import { readAdmin } from "./admin-readers.js";
-import { readVersion } from "./versions.js";
+import { endWithReader, readVersion } from "./common-behaviours.js";
 
 const pageSchema = z.object({
     events: z.array(
@@ -62,6 +62,7 @@
     writeFileSync(options.output, text);
 }
 
+endWithReader();
 const commands = cac("chervil-timeline");
 commands
     .command("", "Merge the events of daemons by hybrid logical clock")
