Give the place of a request a module of its own

entry-requests held both the answer's life and the choice and release of replica groups; the second part is entry-places now.

--- a/src/core/entry-requests.ts
+++ b/src/core/entry-requests.ts
@@ -7,10 +7,12 @@
 import type { AnswerCommand, AnswerStep } from "./answers-commands.js";
 import { AnswerLog } from "./answers.js";
 import type { AnswerStart, EntryCommand, EntryOptions } from "./entry-commands.js";
+import type { ChosenPlace, PlaceOutcome } from "./entry-places.js";
+import { EntryPlace } from "./entry-places.js";
 import type { Fault } from "./errors.js";
 import type { EventBody } from "./events.js";
-import type { Instance, InstanceId } from "./instances.js";
-import type { ReplicaGroup, ReplicaGroupId } from "./replica-groups.js";
+import type { Instance } from "./instances.js";
+import type { ReplicaGroup } from "./replica-groups.js";
 import type { CompletionRequest } from "./requests.js";
 import type { RouteRequest } from "./routes.js";
 
@@ -29,9 +31,7 @@
 export class EntryRequest {
     private log: AnswerLog | undefined;
     private tickAt: number | undefined;
-    private group: ReplicaGroup | undefined;
-    private leader: Instance | undefined;
-    private avoided: ReplicaGroupId | undefined;
+    private readonly place: EntryPlace;
     /** A restart that no replica could take yet. */
     private unplaced: RestartCommand | undefined;
     private hasFirstToken = false;
@@ -41,7 +41,9 @@
         private current: CompletionRequest,
         private readonly start: AnswerStart,
         private readonly context: EntryRequestContext,
-    ) {}
+    ) {
+        this.place = EntryPlace.create(context.options);
+    }
 
     public static create(
         request: CompletionRequest,
@@ -70,14 +72,14 @@
     public tryStart({ priority, borrowed }: StartedRequest, now: number): boolean {
         this.current = { ...this.current, priority };
         this.borrowed = borrowed;
-        const chosen = this.choose(now);
+        const chosen = this.place.choose(this.routeRequest(), now);
         if (chosen === undefined) {
             return false;
         }
         const { fromOffset, delivered } = this.start;
         const attempt = fromOffset > 0 ? 2 : 1;
         this.openLog(attempt, now);
-        this.place(chosen.group, chosen.leader, now);
+        this.take(chosen, now);
         this.send("start", attempt, fromOffset, delivered ?? "");
         return true;
     }
@@ -85,7 +87,7 @@
     /** Attaches to a stream that an engine already holds. */
     public attach(group: ReplicaGroup, leader: Instance, attempt: number, now: number): void {
         this.openLog(attempt, now);
-        this.place(group, leader, now);
+        this.take({ group, leader }, now);
         this.send("resume", attempt, this.start.fromOffset, "");
     }
 
@@ -95,7 +97,7 @@
             return;
         }
         if (event.kind === "failed" && attempt === this.log.currentAttempt()) {
-            const instance = this.leader?.id;
+            const instance = this.place.leader?.id;
             const code = event.fault.code;
             this.record({ kind: "attemptFailed", request: this.request.id, attempt, code, instance });
         }
@@ -138,9 +140,12 @@
 
     /** Moves the stream away if its replica group has lost a member. */
     public moveIfMissing(now: number): void {
-        const missing = this.missingMember(now);
-        if (missing !== undefined && this.group !== undefined) {
-            this.loseReplica(`replica group "${this.group.id}" lost its member "${missing}"`, now);
+        const missing = this.place.missingMember(now);
+        if (missing !== undefined) {
+            this.loseReplica(
+                `replica group "${this.place.current?.group.id}" lost its member "${missing}"`,
+                now,
+            );
         }
     }
 
@@ -162,48 +167,24 @@
         this.tickAt = now;
     }
 
-    private choose(now: number): { readonly group: ReplicaGroup; readonly leader: Instance } | undefined {
-        const { router, instanceOf } = this.context.options;
-        const route = this.routeRequest();
-        const other = router.choose(
-            { ...route, excluded: this.avoided === undefined ? [] : [this.avoided] },
-            now,
-        );
-        const result = other.success ? other : router.choose(route, now);
-        if (!result.success) {
-            return undefined;
-        }
-        const { group } = result.data;
-        const leader = instanceOf(group.members[0]!);
-        return leader === undefined ? undefined : { group, leader };
-    }
-
     private routeRequest(): RouteRequest {
         const { id, model, prompt, promptTokens } = this.current;
         return { id, model, prompt, promptTokens, borrowed: this.borrowed };
     }
 
-    private place(group: ReplicaGroup, leader: Instance, now: number): void {
-        this.group = group;
-        this.leader = leader;
+    private take(chosen: ChosenPlace, now: number): void {
         this.unplaced = undefined;
-        this.context.options.router.dispatched(this.routeRequest(), group.id, now);
-    }
-
-    private unplace(outcome: "finished" | "failed" | "abandoned", now: number): void {
-        if (this.group !== undefined) {
-            this.context.options.router[outcome](this.request.id, now);
-            this.avoided = this.group.id;
-            this.group = undefined;
-        }
+        this.place.take(chosen, this.routeRequest(), now);
     }
 
     private send(kind: "start" | "resume", attempt: number, fromOffset: number, delivered: string): void {
-        const { request, group, leader } = this;
-        if (group === undefined || leader === undefined) {
+        const chosen = this.place.current;
+        if (chosen === undefined) {
             return;
         }
-        const { id, epoch } = group;
+        const { request } = this;
+        const { leader } = chosen;
+        const { id, epoch } = chosen.group;
         const dispatch = { request, attempt, group: id, epoch, leader, delivered, fromOffset };
         this.context.emit({ kind, dispatch });
         const instance = leader.id;
@@ -259,8 +240,8 @@
     }
 
     private resume(attempt: number, fromOffset: number, now: number): void {
-        const missing = this.missingMember(now);
-        if (this.group === undefined || missing !== undefined) {
+        const missing = this.place.missingMember(now);
+        if (this.place.current === undefined || missing !== undefined) {
             this.loseReplica("the replica that held the stream is gone", now);
             return;
         }
@@ -268,31 +249,28 @@
         this.send("resume", attempt, fromOffset, "");
     }
 
-    private missingMember(now: number): InstanceId | undefined {
-        return this.group === undefined ? undefined : this.context.options.missingMember(this.group, now);
-    }
-
     private restart(command: RestartCommand, now: number): void {
         this.unplaced = undefined;
         if (command.attempt !== this.log?.currentAttempt()) {
             return;
         }
-        this.unplace("failed", now);
-        const chosen = this.choose(now);
+        this.place.release(this.request.id, "failed", now);
+        const chosen = this.place.choose(this.routeRequest(), now);
         if (chosen === undefined) {
             this.unplaced = command;
             return;
         }
         const { attempt, fromOffset, delivered } = command;
-        this.place(chosen.group, chosen.leader, now);
+        this.take(chosen, now);
         this.record({ kind: "requestResumed", request: this.request.id, attempt, offset: fromOffset });
         this.send("start", attempt, fromOffset, delivered);
     }
 
     private cancel(attempt: number, now: number): void {
-        if (this.leader !== undefined && this.group !== undefined) {
-            this.context.emit({ kind: "cancel", request: this.request.id, attempt, leader: this.leader });
-            this.unplace("abandoned", now);
+        const leader = this.place.current?.leader;
+        if (leader !== undefined) {
+            this.context.emit({ kind: "cancel", request: this.request.id, attempt, leader });
+            this.place.release(this.request.id, "abandoned", now);
         }
     }
 
@@ -302,14 +280,14 @@
             code: "noReplica",
             message,
             step: "stream",
-            peer: this.leader?.id,
+            peer: this.place.leader?.id,
             notRun: false,
         };
         this.receive(attempt, { kind: "failed", fault }, now);
     }
 
-    private end(outcome: "finished" | "failed" | "abandoned", now: number): void {
-        this.unplace(outcome, now);
+    private end(outcome: PlaceOutcome, now: number): void {
+        this.place.release(this.request.id, outcome, now);
         this.tickAt = undefined;
         this.context.ended(this, now);
     }
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -15,6 +15,7 @@
 export * as endpoints from "./endpoints.js";
 export * as entries from "./entries.js";
 export * as entryCommands from "./entry-commands.js";
+export * as entryPlaces from "./entry-places.js";
 export * as errors from "./errors.js";
 export * as events from "./events.js";
 export * as failureDomains from "./failure-domains.js";
