Answer an oversized request whole before its connection is closed; show engines on the time line

The answer is written at once and the rest of the request is read and dropped for at most 2 s. A keyed caller that is refused early still gets Retry-After.

--- a/src/daemons/entry/caller-handlers.ts
+++ b/src/daemons/entry/caller-handlers.ts
@@ -5,7 +5,7 @@
 import type { Fault } from "../../core/errors.js";
 import { sendJson } from "../../links/admin-servers.js";
 import { readCallerBody } from "../../links/caller-servers.js";
-import { sendFault } from "../../links/fault-answers.js";
+import { sendFault, sendFaultEarly } from "../../links/fault-answers.js";
 import type { SystemView } from "../views.js";
 import type { CompletionForm } from "./completion-bodies.js";
 import { safeParseCompletion } from "./completion-bodies.js";
@@ -139,8 +139,9 @@
         response.destroy();
         return;
     }
-    if (!request.complete) {
-        response.setHeader("connection", "close");
+    if (!request.complete && fault.code !== "cancelled") {
+        sendFaultEarly(request, response, fault, options.clock);
+        return;
     }
     sendFault(response, fault, options.clock);
 }
--- a/src/daemons/entry/tests/caller-handlers.test.ts
+++ b/src/daemons/entry/tests/caller-handlers.test.ts
@@ -133,6 +133,7 @@
             t.is(answer.error?.code, code);
             t.true(answer.error?.notRun);
         }
+        t.is((await call("x".repeat(8_000_000), bearer("secret-a"))).status, 413);
         const chunked = await call("x".repeat(4096), {
             ...bearer("secret-a"),
             "transfer-encoding": "chunked",
--- a/src/links/caller-servers.ts
+++ b/src/links/caller-servers.ts
@@ -62,7 +62,7 @@
     return { code: "requestTooLarge", message, step: "parse", notRun: true };
 }
 
-/** Reads a request's body within a bound; the rest of an oversized body is not read. */
+/** Reads a request's body within a bound; the rest of an oversized body is dropped as it comes. */
 export function readCallerBody(request: http.IncomingMessage, maximumBytes: number): Promise<Result<string>> {
     if (Number(request.headers["content-length"] ?? 0) > maximumBytes) {
         return Promise.resolve(fail(tooLarge(maximumBytes)));
@@ -73,7 +73,6 @@
         request.on("data", (part: Buffer) => {
             length += part.length;
             if (length > maximumBytes) {
-                request.pause();
                 resolve(fail(tooLarge(maximumBytes)));
                 return;
             }
--- a/src/links/fault-answers.ts
+++ b/src/links/fault-answers.ts
@@ -62,10 +62,43 @@
     return Math.max(0, Math.ceil(fault.retryAt - clock.monotonicMilliseconds()));
 }
 
+/** Longest time for which the rest of a refused request is read and dropped, in milliseconds. */
+const lingerMilliseconds = 2_000;
+
+/**
+ * Sends a fault to a caller that is still sending its request. The whole answer is written at once; the connection is
+ * closed only when the caller has ended, since closing it before could lose the answer on its way.
+ */
+export function sendFaultEarly(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    fault: Fault,
+    clock: Clock,
+): void {
+    const text = JSON.stringify(faultBody(fault, clock));
+    response.writeHead(statusByCode[fault.code], {
+        "content-type": "application/json",
+        "content-length": String(Buffer.byteLength(text)),
+        connection: "close",
+        ...retryHeaders(fault, clock),
+    });
+    response.write(text);
+    const timer = setTimeout(() => response.end(), lingerMilliseconds);
+    const end = (): void => {
+        clearTimeout(timer);
+        response.end();
+    };
+    request.once("end", end);
+    request.once("close", end);
+    request.resume();
+}
+
 /** Sends a fault as a whole answer, with Retry-After in whole seconds where the fault says when to come back. */
 export function sendFault(response: http.ServerResponse, fault: Fault, clock: Clock): void {
+    sendJson(response, statusByCode[fault.code], faultBody(fault, clock), retryHeaders(fault, clock));
+}
+
+function retryHeaders(fault: Fault, clock: Clock): Readonly<Record<string, string>> {
     const after = retryAfter(fault, clock);
-    const headers: Readonly<Record<string, string>> =
-        after === undefined ? {} : { "retry-after": String(Math.max(1, Math.ceil(after / 1000))) };
-    sendJson(response, statusByCode[fault.code], faultBody(fault, clock), headers);
+    return after === undefined ? {} : { "retry-after": String(Math.max(1, Math.ceil(after / 1000))) };
 }
--- a/stand-ins/admin.ts
+++ b/stand-ins/admin.ts
@@ -81,6 +81,9 @@
                 deployment.engines.map(engine => engine.describe()),
             );
             break;
+        case "GET /events":
+            sendJson(response, 200, { process: "stand-ins", next: 0, events: deployment.events() });
+            break;
         case "GET /services":
             sendJson(response, 200, {
                 withoutKey: deployment.executions.withoutKey(),
--- a/stand-ins/deployments.ts
+++ b/stand-ins/deployments.ts
@@ -1,4 +1,9 @@
 /** All stand-ins of one process: the platform, engine instances, plain services, and the platform's instance list. */
+import type { TimelineEvent } from "../src/core/events.js";
+import { HybridClock } from "../src/core/hybrid-times.js";
+import { mergeTimelines } from "../src/core/timeline-filters.js";
+import { Timeline } from "../src/core/timelines.js";
+import { systemClock } from "../src/links/clocks.js";
 import type { Instance, InstanceState } from "../src/core/instances.js";
 import { createRandomNumber } from "../src/core/random-numbers.js";
 import { EngineMember, WeightStore } from "./engine-members.js";
@@ -9,6 +14,8 @@
 import { Executions, ServiceReplica } from "./services.js";
 import type { StandInSettings } from "./settings.js";
 
+const eventsPerEngine = 1_000;
+
 /** Everything that the settings name, running. */
 export class Deployment {
     public readonly faults: FaultSwitches;
@@ -19,6 +26,7 @@
     private readonly now: () => number;
     private readonly weights: WeightStore;
     private readonly byId = new Map<string, Engine>();
+    private readonly timelines: Timeline[] = [];
     private readonly timers = new Set<NodeJS.Timeout>();
     private platformPort: Platform | undefined;
 
@@ -29,6 +37,26 @@
         this.weights = WeightStore.create(settings.engines.loadsAtOnce);
     }
 
+    /** Events of all engines, for the time line. */
+    public events(): readonly TimelineEvent[] {
+        return mergeTimelines(this.timelines.map(timeline => timeline.page(0).events));
+    }
+
+    private recordAccepted(
+        instance: string,
+        failureDomain: string,
+    ): (request: string, epoch: number) => void {
+        const clock = HybridClock.create(systemClock.wallMilliseconds);
+        const timeline = Timeline.create({
+            process: instance,
+            failureDomain,
+            clock,
+            capacity: eventsPerEngine,
+        });
+        this.timelines.push(timeline);
+        return (request, epoch) => timeline.record({ kind: "engineAccepted", request, instance, epoch });
+    }
+
     /** Opens all ports; `now` gives local monotonic milliseconds. */
     public static async create(settings: StandInSettings, now: () => number): Promise<Deployment> {
         const deployment = new Deployment(settings, now);
@@ -95,6 +123,7 @@
             now: this.now,
             random: createRandomNumber(this.settings.seed + this.engines.length),
             find: other => this.byId.get(other),
+            onAccepted: this.recordAccepted(id, failureDomain),
             createMember: owner =>
                 EngineMember.create({
                     ...settings,
--- a/stand-ins/engine-calls.ts
+++ b/stand-ins/engine-calls.ts
@@ -131,7 +131,7 @@
             sendError(response, 409, "staleEpoch", "a later attempt runs");
             return;
         }
-        this.engine.countAccepted();
+        this.engine.countAccepted(id, Number(header("epoch")));
         const fromOffset = Number(header("from-offset"));
         const remaining = Number(request.headers["x-chervil-remaining"] ?? Infinity);
         this.engine.batch.start({
--- a/stand-ins/engines.ts
+++ b/stand-ins/engines.ts
@@ -46,6 +46,8 @@
     readonly createMember: (engine: Engine) => EngineMember;
     /** The other instances, to see whether the group is complete. */
     readonly find: (id: string) => Engine | undefined;
+    /** Told of each request that the instance accepts. */
+    readonly onAccepted?: (request: string, epoch: number) => void;
 }
 
 /** One engine instance. */
@@ -212,8 +214,9 @@
         };
     }
 
-    public countAccepted(): void {
+    public countAccepted(request: string, epoch: number): void {
         this.accepted += 1;
+        this.options.onAccepted?.(request, epoch);
         if (!this.canRun()) {
             this.acceptedWhileIncomplete += 1;
             this.lastAcceptedAfterLossMilliseconds =
