Keep groups' members with a leader that may serve; share connections and repeats by service

Leaders are now known from registrations too, also lapsed ones. BUDGET: a restarted process had the whole allowance at once. MIXED: an unframed answer was framed by us.

--- a/src/daemons/serving/followers.ts
+++ b/src/daemons/serving/followers.ts
@@ -23,6 +23,23 @@
 /** The same until the first others are known. */
 const firstPeerReadMilliseconds = 700;
 
+/** Another entry instance, as it registers itself. */
+export interface Peer {
+    /** Where it takes datagrams, host and port. */
+    readonly address: string;
+    readonly failureDomain: string;
+}
+
+/** Value under which an entry instance registers itself; the incarnation tells its starts apart. */
+export function formatPeer(peer: Peer, incarnation: string): string {
+    return `${peer.address} ${peer.failureDomain} ${incarnation}`;
+}
+
+function parsePeer(value: string): Peer {
+    const [address = "", failureDomain = ""] = value.split(" ");
+    return { address, failureDomain };
+}
+
 export interface FollowerOptions {
     readonly store: KeyValueStore;
     readonly clock: Clock;
@@ -34,7 +51,7 @@
     readonly peerPrefix: string;
     readonly onConfiguration: (table: RouteTable) => void;
     readonly onFleet: () => void;
-    readonly onPeers: (addresses: readonly string[]) => void;
+    readonly onPeers: (peers: readonly Peer[]) => void;
     readonly log: PartLog;
     readonly metrics: ServingMetrics;
 }
@@ -161,7 +178,7 @@
             return;
         }
         this.noteStore(peerPrefix, undefined);
-        onPeers(answer.data.entries.map(entry => entry.value.split(" ")[0]!));
+        onPeers(answer.data.entries.map(entry => parsePeer(entry.value)));
         if (answer.data.entries.length <= 1) {
             this.nextPeerReadAt = this.now() + firstPeerReadMilliseconds;
         }
--- a/src/daemons/serving/group-placers.ts
+++ b/src/daemons/serving/group-placers.ts
@@ -39,6 +39,10 @@
         return new GroupPlacer(options);
     }
 
+    public get isHolder(): boolean {
+        return this.plannedTerm !== undefined;
+    }
+
     /** Someone has cause to think that these instances are dead. */
     public suspect(instances: readonly string[]): void {
         instances.forEach(instance => this.planner?.suspect(instance));
@@ -59,7 +63,9 @@
             return;
         }
         const now = clock.monotonicMilliseconds();
-        planner.applyRegistrations(this.ownEngines(routes), now);
+        const { instances, lapsed } = view().fleet;
+        const isOwn = (instance: FleetInstance): boolean => this.isOwnEngine(instance, routes);
+        planner.applyRegistrations([...instances.values()].filter(isOwn), lapsed.filter(isOwn), now);
         const surroundings = {
             profileOf: (service: string) => routes.findService(service)?.engine,
             groupsElsewhere: countGroups(view()),
@@ -97,13 +103,9 @@
         );
     }
 
-    private ownEngines(routes: RouteTable): readonly FleetInstance[] {
-        const { failureDomain, view } = this.options;
-        return [...view().fleet.instances.values()].filter(
-            instance =>
-                instance.failureDomain === failureDomain &&
-                routes.findService(instance.service)?.engine !== undefined,
-        );
+    private isOwnEngine(instance: FleetInstance, routes: RouteTable): boolean {
+        const isEngine = routes.findService(instance.service)?.engine !== undefined;
+        return isEngine && instance.failureDomain === this.options.failureDomain;
     }
 
     private run(planner: GroupPlanner, command: PlannerCommand): void {
--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -29,7 +29,8 @@
 import { createServingMetrics } from "../../serving/serving-metrics.js";
 import type { ServingSettings } from "../../serving/settings.js";
 import type { WireFormat } from "../../serving/wire.js";
-import { Followers } from "./followers.js";
+import type { Peer } from "./followers.js";
+import { Followers, formatPeer } from "./followers.js";
 import { GroupPlacer } from "./group-placers.js";
 import { HeldKey } from "./held-keys.js";
 
@@ -48,6 +49,11 @@
 /** Place of this process in the order of takers of another failure domain's duty. */
 const foreignRank = 2;
 
+/** Connections to one replica that a process may always have. */
+const leastConnections = 4;
+/** Part of a replica's connections that is shared out; the rest is for entry instances that nobody knows yet. */
+const connectionPart = 0.9;
+
 const peerPrefix = "chervil/entries/";
 const placementPrefix = "chervil/placement/";
 
@@ -100,6 +106,8 @@
     private lastTickAt: number;
     private wallOffset: number;
     private nextPeerAt = 0;
+    /** Failure domains that have entry instances of their own. */
+    private mannedDomains: ReadonlySet<string> = new Set();
 
     private constructor(private readonly options: ServingProcessOptions) {
         const { settings, platform, clock, random, logs, incarnation } = options;
@@ -108,7 +116,7 @@
         this.startedAt = clock.monotonicMilliseconds();
         this.lastTickAt = this.startedAt;
         this.wallOffset = clock.wallMilliseconds() - this.startedAt;
-        this.upstreams = Upstreams.create(clock, () => this.connectionsPerReplica());
+        this.upstreams = Upstreams.create(clock, replica => this.connectionsTo(replica));
         const engines = platform.engines(clock, this.upstreams);
         const store = platform.store(clock);
         this.suspicions = GroupSuspicions.create({
@@ -154,7 +162,7 @@
             HeldKey.create({ key, value, rank, leaseMilliseconds: settings.leaseMilliseconds, store, clock });
         this.registration = held(
             `${peerPrefix}${settings.name}`,
-            `${settings.peerAddress} ${incarnation}`,
+            formatPeer({ address: settings.peerAddress, failureDomain: settings.failureDomain }, incarnation),
             0,
         );
         for (const failureDomain of settings.failureDomains) {
@@ -221,11 +229,11 @@
     }
 
     /** This process's part of the connections that a replica accepts from all entry instances. */
-    private connectionsPerReplica(): number {
-        const services = this.followers.table?.configuration.services ?? [];
-        const smallest = Math.min(...services.map(service => service.maximumConnections), Infinity);
-        const part = Number.isFinite(smallest) ? smallest / (this.peers.peerCount + 2) : 8;
-        return Math.max(4, Math.floor(part));
+    private connectionsTo(replica: string): number {
+        const service = this.view.fleet.instances.get(replica)?.service;
+        const profile = service === undefined ? undefined : this.followers.table?.findService(service);
+        const part = (profile?.maximumConnections ?? 0) / (this.peers.peerCount + 1);
+        return Math.max(leastConnections, Math.floor(part * connectionPart));
     }
 
     private createFollowers(store: KeyValueStore): Followers {
@@ -241,7 +249,7 @@
             peerPrefix,
             onConfiguration: table => this.handleConfiguration(table),
             onFleet: () => this.rebuildView(),
-            onPeers: addresses => this.handlePeers(addresses),
+            onPeers: peers => this.handlePeers(peers),
             log: logs("store"),
             metrics: this.metrics,
         });
@@ -266,8 +274,9 @@
         counts.forEach((count, model) => this.metrics.servableGroups.set({ model }, count));
     }
 
-    private handlePeers(addresses: readonly string[]): void {
-        this.peers.setPeers(addresses);
+    private handlePeers(peers: readonly Peer[]): void {
+        this.peers.setPeers(peers.map(peer => peer.address));
+        this.mannedDomains = new Set(peers.map(peer => peer.failureDomain));
         const allowance = this.retryAllowance();
         this.retries.forEach(window => window.setAllowance(allowance));
     }
@@ -280,10 +289,8 @@
     private retriesOf(service: string): RetryWindow {
         let window = this.retries.get(service);
         if (window === undefined) {
-            window = RetryWindow.create({
-                ...this.retrySettings,
-                allowance: this.retryAllowance(),
-            });
+            const options = { ...this.retrySettings, allowance: this.retryAllowance() };
+            window = RetryWindow.create(options, this.startedAt);
             this.retries.set(service, window);
         }
         return window;
@@ -340,10 +347,12 @@
     }
 
     private tickPlacers(now: number): void {
-        const takesForeign = now >= this.startedAt + foreignDutyMilliseconds;
+        const mayTakeForeign = now >= this.startedAt + foreignDutyMilliseconds && this.mannedDomains.size > 0;
         const { failureDomains, failureDomain } = this.options.settings;
         this.placers.forEach((placer, index) => {
-            if (takesForeign || failureDomains[index] === failureDomain) {
+            const domain = failureDomains[index]!;
+            const isOwn = domain === failureDomain;
+            if (isOwn || placer.isHolder || (mayTakeForeign && !this.mannedDomains.has(domain))) {
                 placer.tick();
             }
         });
--- a/src/links/upstreams.ts
+++ b/src/links/upstreams.ts
@@ -53,14 +53,15 @@
         if (idleMilliseconds <= 0 || socket.destroyed) {
             return false;
         }
-        socket.setKeepAlive(true, 1_000);
+        super.keepSocketAlive(socket);
         kept.onIdleData = () => socket.destroy();
         socket.once("data", kept.onIdleData);
         kept.idleTimer = setTimeout(() => socket.destroy(), idleMilliseconds);
         return true;
     }
 
-    public override reuseSocket(socket: Socket): void {
+    public override reuseSocket(socket: Socket, request: http.ClientRequest): void {
+        super.reuseSocket(socket, request);
         const kept = socket as KeptSocket;
         clearTimeout(kept.idleTimer);
         if (kept.onIdleData !== undefined) {
@@ -214,9 +215,12 @@
     };
 }
 
+/** Statuses whose answers have no body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /** True if the message itself shows its end; otherwise it ends with its connection. */
-function isFramed(message: http.IncomingMessage): boolean {
-    return (
-        message.headers["content-length"] !== undefined || message.headers["transfer-encoding"] !== undefined
-    );
+export function isFramed(message: http.IncomingMessage): boolean {
+    const { headers, statusCode = 0 } = message;
+    const hasLength = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+    return hasLength || bodilessStatuses.has(statusCode);
 }
--- a/src/serving/exchanges.ts
+++ b/src/serving/exchanges.ts
@@ -3,6 +3,7 @@
  * and the replica's own answer passed on unchanged. An event stream may go on at another replica within one answer.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Clock } from "../contracts/clocks.js";
 import type { PartLog } from "../links/logs.js";
 import type { UpstreamCall, Upstreams } from "../links/upstreams.js";
@@ -85,6 +86,7 @@
     private lastEventId: number | undefined;
     private lastFailure: { readonly head: AnswerHead; readonly body: Buffer } | undefined;
     private isSettled = false;
+    private isCloseDelimited = false;
     private resumeUntil: number | undefined;
     private firstByteAt: number | undefined;
     private readonly deadlineTimer: NodeJS.Timeout;
@@ -357,10 +359,15 @@
         }
         this.firstByteAt = this.now();
         const headers = [...head.headers];
-        if (length !== undefined) {
+        if (!head.isFramed) {
+            // Whether such an answer is whole shows only in how its connection ends, so the caller's ends likewise.
+            this.isCloseDelimited = true;
+            this.response.shouldKeepAlive = false;
+            this.response.useChunkedEncodingByDefault = false;
+        } else if (length !== undefined) {
             headers.push("Content-Length", String(length));
         }
-        if (this.context.isStopping()) {
+        if (this.context.isStopping() && head.isFramed) {
             headers.push("Connection", "close");
         }
         this.response.sendDate = false;
@@ -493,7 +500,13 @@
     /** Ends the caller's connection so that its answer does not look whole. */
     private cut(reason: string): void {
         this.settle("cut", { reason });
-        this.response.destroy();
+        const socket = this.response.socket as Socket | undefined;
+        if (this.isCloseDelimited && socket) {
+            // A plain close would look like the end of such an answer.
+            socket.resetAndDestroy();
+        } else {
+            this.response.destroy();
+        }
     }
 
     private handleCallerGone(): void {
--- a/src/serving/fleet-followers.ts
+++ b/src/serving/fleet-followers.ts
@@ -9,6 +9,9 @@
 /** Time after the store's return in which registrations may still be missing, in milliseconds. */
 const returnMilliseconds = 2_300;
 
+/** Time for which an instance is remembered after its registration ended, in milliseconds. */
+const lapsedMilliseconds = 20_000;
+
 /** Parses the value under a key; undefined for one that names no instance. */
 export type ParseRegistration = (key: string, text: string) => FleetInstance | undefined;
 
@@ -23,6 +26,7 @@
     private readonly byKey = new Map<string, FleetInstance>();
     /** Keys that are missing, with the time at which they count as gone. */
     private readonly missing = new Map<string, number>();
+    private readonly lapsed = new Map<string, { readonly instance: FleetInstance; readonly until: number }>();
     private settledAt = 0;
     private hasRead = false;
 
@@ -50,7 +54,7 @@
         const present = new Set(answer.entries.map(entry => entry.key));
         const absent = [...this.byKey.keys()].filter(key => !present.has(key));
         absent.forEach(key => this.remove(key, now));
-        return this.put(answer.entries, answer.revision);
+        return this.put(answer.entries, answer.revision, now);
     }
 
     public applyWatch(event: WatchEvent, now: number): FleetChange {
@@ -60,22 +64,22 @@
         }
         event.deletes.forEach(key => this.remove(key, now));
         this.dropMissing(now);
-        return this.put(event.puts, event.revision);
+        return this.put(event.puts, event.revision, now);
     }
 
-    private put(entries: readonly KeyValueEntry[], revision: number): FleetChange {
+    private put(entries: readonly KeyValueEntry[], revision: number, now: number): FleetChange {
         const unreadable: string[] = [];
         for (const entry of entries) {
             const instance = this.parse(entry.key, entry.value);
             this.missing.delete(entry.key);
             if (instance === undefined) {
                 unreadable.push(entry.key);
-                this.byKey.delete(entry.key);
+                this.forget(entry.key, now);
             } else {
                 this.byKey.set(entry.key, instance);
             }
         }
-        this.publish(revision);
+        this.publish(revision, now);
         return { unreadable };
     }
 
@@ -84,7 +88,7 @@
             return;
         }
         if (now >= this.settledAt) {
-            this.byKey.delete(key);
+            this.forget(key, now);
         } else if (!this.missing.has(key)) {
             this.missing.set(key, this.settledAt);
         }
@@ -93,14 +97,27 @@
     private dropMissing(now: number): void {
         const gone = [...this.missing].filter(([, goneAt]) => now >= goneAt).map(([key]) => key);
         if (gone.length > 0 && now >= this.settledAt) {
-            gone.forEach(key => this.byKey.delete(key));
+            gone.forEach(key => this.forget(key, now));
             gone.forEach(key => this.missing.delete(key));
-            this.publish(this.fleet.revision);
+            this.publish(this.fleet.revision, now);
+        }
+    }
+
+    private forget(key: string, now: number): void {
+        const instance = this.byKey.get(key);
+        if (instance !== undefined) {
+            this.byKey.delete(key);
+            this.lapsed.set(instance.id, { instance, until: now + lapsedMilliseconds });
         }
     }
 
-    private publish(revision: number): void {
+    private publish(revision: number, now: number): void {
         const instances = new Map([...this.byKey.values()].map(instance => [instance.id, instance]));
-        this.fleet = { revision, instances };
+        for (const [id, { until }] of this.lapsed) {
+            if (now >= until || instances.has(id)) {
+                this.lapsed.delete(id);
+            }
+        }
+        this.fleet = { revision, instances, lapsed: [...this.lapsed.values()].map(each => each.instance) };
     }
 }
--- a/src/serving/fleets.ts
+++ b/src/serving/fleets.ts
@@ -45,9 +45,11 @@
 export interface Fleet {
     readonly revision: number;
     readonly instances: ReadonlyMap<string, FleetInstance>;
+    /** Instances whose registration ended lately; some of them still serve. */
+    readonly lapsed: readonly FleetInstance[];
 }
 
-export const emptyFleet: Fleet = { revision: 0, instances: new Map() };
+export const emptyFleet: Fleet = { revision: 0, instances: new Map(), lapsed: [] };
 
 /** A replica group as its members describe it. */
 export interface ObservedGroup {
--- a/src/serving/group-choices.ts
+++ b/src/serving/group-choices.ts
@@ -87,23 +87,28 @@
     return scarcest && chooseMembers(scarcest, situation.free);
 }
 
-/** Which model a free instance should have staged next; undefined if the staged mix is right. */
+/**
+ * Which free instance should load which model next; undefined if the staged mix is right. A spare that holds weights
+ * loads others only if a second spare holds the same and a model has none.
+ */
 export function chooseStaging(
     models: readonly EngineModel[],
     spares: readonly Candidate[],
 ): { readonly id: string; readonly model: EngineModel } | undefined {
-    const bySize = [...models].sort((left, right) => right.size - left.size);
-    const wanted = spares.map((_, index) => bySize[index % bySize.length]!);
-    const unassigned = [...spares];
-    const unmet: EngineModel[] = [];
-    for (const model of wanted) {
-        const index = unassigned.findIndex(spare => joinCost(spare, model) < 2);
-        if (index === -1) {
-            unmet.push(model);
-        } else {
-            unassigned.splice(index, 1);
-        }
+    const holders = (model: EngineModel): number =>
+        spares.filter(spare => spare.staged.includes(model.name)).length;
+    const bySupply = [...models].sort(
+        (left, right) => holders(left) - holders(right) || right.size - left.size,
+    );
+    const scarcest = bySupply[0];
+    if (scarcest === undefined) {
+        return undefined;
+    }
+    const empty = spares.find(spare => spare.staged.length === 0);
+    if (empty !== undefined) {
+        return { id: empty.id, model: scarcest };
     }
-    const empty = unassigned.find(spare => spare.staged.length === 0) ?? unassigned[0];
-    return empty === undefined || unmet[0] === undefined ? undefined : { id: empty.id, model: unmet[0] };
+    const surplus = models.find(model => holders(model) >= 2);
+    const spare = surplus && spares.find(each => each.staged.includes(surplus.name));
+    return holders(scarcest) === 0 && spare !== undefined ? { id: spare.id, model: scarcest } : undefined;
 }
--- a/src/serving/group-formations.ts
+++ b/src/serving/group-formations.ts
@@ -8,7 +8,7 @@
 import type { GroupOrder, OrderReply } from "./group-orders.js";
 
 /** Time between two reports asked of a member while the group forms, in milliseconds. */
-export const formationReportMilliseconds = 100;
+export const formationReportMilliseconds = 150;
 /** Time beyond the expected one after which forming is given up, in milliseconds. */
 const formationSlackMilliseconds = 20_000;
 
--- a/src/serving/group-orders.ts
+++ b/src/serving/group-orders.ts
@@ -16,11 +16,14 @@
     /** Loads a model's weights onto the host beside all other work. */
     | { readonly kind: "stage"; readonly model: string };
 
-/** "holds": the state was there already. "unknown": the order may still be carried out, at any time. */
+/**
+ * "holds": the state was there already. "unknown": the order may still be carried out, at any time. "absent": the
+ * instance has ended.
+ */
 export type OrderReply =
     | { readonly kind: "begun" }
     | { readonly kind: "holds" }
-    | { readonly kind: "refused" | "notSent" | "unknown"; readonly message: string };
+    | { readonly kind: "refused" | "notSent" | "unknown" | "absent"; readonly message: string };
 
 /** Functions of engines that form groups by orders. Deadlines are local monotonic milliseconds; nothing rejects. */
 export interface GroupEngines {
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -6,7 +6,7 @@
 import type { Candidate, GroupChoice } from "./group-choices.js";
 import { chooseGroup, chooseStaging } from "./group-choices.js";
 import type { EngineModel, EngineProfile } from "./engine-models.js";
-import type { FleetInstance } from "./fleets.js";
+import type { FleetInstance, GroupMembership } from "./fleets.js";
 import { groupKey } from "./fleets.js";
 import { GroupFormation, formationReportMilliseconds } from "./group-formations.js";
 import type { GroupOrder, OrderReply } from "./group-orders.js";
@@ -18,12 +18,14 @@
 const readBackMilliseconds = 700;
 /** Time between two reports of an instance that does not answer, in milliseconds. */
 const silentReportMilliseconds = 100;
-/** The same once it is dead. */
+/** The same once it is dead, and of one that answers though its heartbeats are missing. */
 const deadReportMilliseconds = 1_000;
 /** Time between two orders to one instance, in milliseconds. */
 const orderPauseMilliseconds = 150;
 /** Epochs of one term; the next term's are all higher. */
 const epochsPerTerm = 1_000;
+/** Time in which a leader that a term has never seen may be serving without a registration, in milliseconds. */
+const hiddenLeaderMilliseconds = 15_000;
 /** Time after a first start in which spares are not staged yet, so that groups get the weight store first. */
 const stagingDelayMilliseconds = 4_500;
 
@@ -96,8 +98,14 @@
         return new GroupPlanner(options);
     }
 
-    public applyRegistrations(registered: readonly FleetInstance[], now: number): void {
-        this.book.applyRegistrations(registered, now);
+    /** Takes the registered instances, and those whose registration ended lately. */
+    public applyRegistrations(
+        registered: readonly FleetInstance[],
+        lapsed: readonly FleetInstance[],
+        now: number,
+    ): void {
+        this.book.applyRegistrations(registered, lapsed, now);
+        [...lapsed, ...registered].forEach(({ id, status }) => this.noteMembership(id, status.membership));
     }
 
     /** Someone has cause to think that an instance is dead: it is asked at once. */
@@ -111,24 +119,30 @@
         if (outcome.kind !== "answered") {
             return;
         }
-        const { membership } = outcome.status;
+        this.noteMembership(id, outcome.status.membership);
+        for (const formation of this.formations.values()) {
+            if (formation.options.members.includes(id)) {
+                formation.handleReport(id, outcome.status);
+            }
+        }
+    }
+
+    private noteMembership(id: string, membership: GroupMembership | undefined): void {
         if (membership !== undefined) {
             this.lastKeyById.set(id, groupKey(membership));
         }
         if (membership?.rank === 0) {
             this.leaderByKey.set(groupKey(membership), id);
         }
-        for (const formation of this.formations.values()) {
-            if (formation.options.members.includes(id)) {
-                formation.handleReport(id, outcome.status);
-            }
-        }
     }
 
     public handleReply(id: string, order: GroupOrder, reply: OrderReply, now: number): void {
         if (order.kind !== "stage") {
             this.formations.get(`${order.group}@${order.epoch}`)?.handleReply(id, order, reply, now);
         }
+        if (reply.kind === "absent") {
+            this.book.applyReport(id, { kind: "refused" }, now);
+        }
         this.nextReportAt.delete(id);
         this.suspected.add(id);
         this.note("order answered", { instance: id, order: order.kind, reply });
@@ -177,10 +191,13 @@
     }
 
     private reportPause(known: KnownInstance, isForming: boolean, now: number): number {
-        if (this.book.isDead(known, now) && !this.awaitedLeaders.has(known.instance.id)) {
-            return deadReportMilliseconds;
+        if (isForming) {
+            return formationReportMilliseconds;
         }
-        return isForming ? formationReportMilliseconds : silentReportMilliseconds;
+        const isUrgent = known.status === undefined || known.silentSince !== undefined || known.needsReport;
+        const isSettled = this.book.isDead(known, now) || !isUrgent;
+        const isAwaited = this.awaitedLeaders.has(known.instance.id);
+        return isSettled && !isAwaited ? deadReportMilliseconds : silentReportMilliseconds;
     }
 
     private advanceFormations(now: number): void {
@@ -245,7 +262,7 @@
             instances: domain.known.length,
             groups: this.countByModel(whole, domain),
             free: free.map(toCandidate),
-            freeSoon: countFreeSoon(groups, whole),
+            freeSoon: countFreeSoon(groups, whole, new Set(free)),
             groupsOverall: surroundings.groupsElsewhere,
         });
         if (choice !== undefined) {
@@ -370,11 +387,15 @@
         const leaderId = this.leaderByKey.get(key);
         const leader = leaderId === undefined ? undefined : this.book.get(leaderId);
         if (leader === undefined) {
-            return leaderId !== undefined || !this.mayHideLeader(known, now);
-        }
-        const leaderMembership = leader.status?.membership;
-        const hasLeft = leaderMembership === undefined || groupKey(leaderMembership) !== key;
-        if (hasLeft || leaderMembership.state === "broken" || this.book.isSurelyGone(leader, now)) {
+            const mayHide =
+                now < this.options.startedAt + hiddenLeaderMilliseconds || this.mayHideLeader(known, now);
+            return leaderId !== undefined || !mayHide;
+        }
+        const membership = leader.status?.membership;
+        const isMember =
+            membership !== undefined && groupKey(membership) === key && membership.state !== "broken";
+        const hasLeft = leader.status !== undefined && !isMember;
+        if (hasLeft || this.book.isSurelyGone(leader, now)) {
             return true;
         }
         this.awaitedLeaders.add(leader.instance.id);
@@ -482,12 +503,14 @@
 function countFreeSoon(
     groups: readonly PlannedGroup[],
     whole: readonly PlannedGroup[],
+    free: ReadonlySet<KnownInstance>,
 ): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
     for (const group of groups) {
         const name = group.model?.name;
         if (name !== undefined && !whole.includes(group)) {
-            counts.set(name, (counts.get(name) ?? 0) + group.members.length);
+            const bound = group.members.filter(member => !free.has(member));
+            counts.set(name, (counts.get(name) ?? 0) + bound.length);
         }
     }
     return counts;
--- a/src/serving/group-suspicions.ts
+++ b/src/serving/group-suspicions.ts
@@ -22,7 +22,7 @@
 /** Pause between two rounds of questions to one group, in milliseconds. */
 const roundPauseMilliseconds = 200;
 /** Pause between two rounds to a group that is already suspect, in milliseconds. */
-const suspectRoundPauseMilliseconds = 500;
+const suspectRoundPauseMilliseconds = 1_500;
 /** Age up to which progress elsewhere shows that this process's links work, in milliseconds. */
 const linkProofMilliseconds = 300;
 
--- a/src/serving/known-instances.ts
+++ b/src/serving/known-instances.ts
@@ -64,9 +64,15 @@
         return this.byId.get(id);
     }
 
-    /** Takes the present registrations. */
-    public applyRegistrations(registered: readonly FleetInstance[], now: number): void {
+    /** Takes the present registrations, and those that ended lately: such an instance may still lead a group. */
+    public applyRegistrations(
+        registered: readonly FleetInstance[],
+        lapsed: readonly FleetInstance[],
+        now: number,
+    ): void {
         const ids = new Set(registered.map(instance => instance.id));
+        const unknown = lapsed.filter(instance => !this.byId.has(instance.id));
+        unknown.forEach(instance => this.byId.set(instance.id, this.register(instance, now)));
         registered.forEach(instance => this.byId.set(instance.id, this.register(instance, now)));
         for (const known of this.all) {
             if (!ids.has(known.instance.id)) {
@@ -171,7 +177,7 @@
 
     private unregister(known: KnownInstance, now: number): void {
         const unregisteredAt = known.unregisteredAt ?? now;
-        if (now - unregisteredAt > forgetMilliseconds) {
+        if (now - unregisteredAt > forgetMilliseconds && this.isDead(known, now)) {
             this.byId.delete(known.instance.id);
             return;
         }
--- a/src/serving/retry-windows.ts
+++ b/src/serving/retry-windows.ts
@@ -3,6 +3,9 @@
  * bounds what a failing service gets on top of its traffic, however the failures cluster.
  */
 
+/** Part of the budget that is spent; the rest covers sends in flight while entry instances come and go. */
+const safePart = 0.85;
+
 export interface RetryWindowOptions {
     readonly windowMilliseconds: number;
     /** Repeats allowed per request. */
@@ -16,10 +19,13 @@
     private readonly requests: number[] = [];
     private readonly repeats: number[] = [];
 
-    private constructor(private options: RetryWindowOptions) {}
+    private constructor(
+        private options: RetryWindowOptions,
+        private readonly startedAt: number,
+    ) {}
 
-    public static create(options: RetryWindowOptions): RetryWindow {
-        return new RetryWindow(options);
+    public static create(options: RetryWindowOptions, now: number): RetryWindow {
+        return new RetryWindow(options, now);
     }
 
     /** Changes the allowance, for example when the number of entry instances changes. */
@@ -45,8 +51,11 @@
         const start = now - this.options.windowMilliseconds;
         dropBefore(this.requests, start);
         dropBefore(this.repeats, start);
-        const budget = this.options.allowance + this.options.fraction * this.requests.length;
-        return Math.floor(budget - this.repeats.length);
+        const { allowance, fraction, windowMilliseconds } = this.options;
+        // The process before this one may have spent the window's allowance just before it ended.
+        const earned = allowance * Math.min(1, (now - this.startedAt) / windowMilliseconds);
+        const budget = earned + fraction * this.requests.length;
+        return Math.floor(safePart * budget - this.repeats.length);
     }
 }
 
--- a/src/serving/tests/fake-engines.ts
+++ b/src/serving/tests/fake-engines.ts
@@ -41,6 +41,8 @@
     isUp: boolean;
     /** True while the placer's questions do not reach it, though others' do. */
     isHidden: boolean;
+    /** True while it serves but cannot register. */
+    isCutFromStore: boolean;
     isLeaving: boolean;
     heartbeat: number;
     membership: GroupMembership | undefined;
@@ -95,6 +97,7 @@
             incarnation: this.now,
             isUp: true,
             isHidden: false,
+            isCutFromStore: false,
             isLeaving: false,
             heartbeat: 1,
             membership: undefined,
@@ -144,6 +147,11 @@
         this.engineOf(id).isHidden = isHidden;
     }
 
+    /** Cuts an instance off from the store; callers and placers reach it. */
+    public cutFromStore(id: string, isCut: boolean): void {
+        this.engineOf(id).isCutFromStore = isCut;
+    }
+
     public leave(id: string): void {
         this.engineOf(id).isLeaving = true;
     }
@@ -186,7 +194,7 @@
                 this.due.splice(this.due.indexOf(each), 1);
                 each.run();
             });
-            this.planner.applyRegistrations(this.registered, this.now);
+            this.planner.applyRegistrations(this.registered, [], this.now);
             const surroundings = { profileOf: () => profile, groupsElsewhere: new Map<string, number>() };
             for (const command of this.planner.step(surroundings, this.now)) {
                 if (command.kind === "report") {
@@ -221,7 +229,7 @@
         if (!engine.isUp) {
             return;
         }
-        if (this.now % heartbeatMilliseconds < stepMilliseconds) {
+        if (this.now % heartbeatMilliseconds < stepMilliseconds && !engine.isCutFromStore) {
             engine.heartbeat += 1;
         }
         if (this.now >= engine.stagingUntil) {
@@ -258,7 +266,7 @@
 
     /** Registrations lapse after three heartbeats of silence. */
     private isRegistered(engine: FakeEngine): boolean {
-        if (engine.isUp) {
+        if (engine.isUp && !engine.isCutFromStore) {
             this.seenAt.set(engine.id, this.now);
         }
         return this.now - (this.seenAt.get(engine.id) ?? 0) < 3 * heartbeatMilliseconds;
@@ -298,8 +306,10 @@
             );
             return;
         }
-        const reply = this.carryOut(engine, order);
-        this.after(stepMilliseconds, () => planner.handleReply(id, order, reply, this.now));
+        this.after(stepMilliseconds * Math.floor(3 * this.random()), () => {
+            const reply = this.carryOut(engine, order);
+            this.after(stepMilliseconds, () => planner.handleReply(id, order, reply, this.now));
+        });
     }
 
     private carryOut(engine: FakeEngine, order: GroupOrder): OrderReply {
--- a/src/serving/tests/group-planners.test.ts
+++ b/src/serving/tests/group-planners.test.ts
@@ -68,6 +68,19 @@
     t.deepEqual(fleet.violations, []);
 });
 
+test("members of a leader that a new term cannot see stay with it", t => {
+    const fleet = startFleet();
+    const large = fleet.servingGroups().find(group => group.model === "large")!;
+    fleet.cutFromStore(large.members[0]!, true);
+    fleet.play(5_000);
+    fleet.replacePlanner();
+    fleet.play(8_000);
+    fleet.cutFromStore(large.members[0]!, false);
+    fleet.play(20_000);
+    t.deepEqual(fleet.violations, []);
+    t.deepEqual(modelsOf(fleet), ["large", "small"]);
+});
+
 test("a leaving member is replaced by a spare", t => {
     const fleet = startFleet();
     const large = fleet.servingGroups().find(group => group.model === "large")!;
@@ -112,7 +125,11 @@
                 fleet.hide(id, true);
                 fleet.play(wholeNumberBetween(100, 5_000, random));
                 fleet.hide(id, false);
-            } else if (kind < 0.85) {
+            } else if (kind < 0.8) {
+                fleet.cutFromStore(id, true);
+                fleet.play(wholeNumberBetween(100, 9_000, random));
+                fleet.cutFromStore(id, false);
+            } else if (kind < 0.9) {
                 fleet.replacePlanner();
             }
             fleet.play(wholeNumberBetween(50, 4_000, random));
--- a/src/serving/wire.ts
+++ b/src/serving/wire.ts
@@ -49,6 +49,8 @@
     readonly isSigned: boolean;
     /** True only if the replica states that it did not run the request. */
     readonly isNotRun: boolean;
+    /** True if the message itself shows where it ends; otherwise it ends with its connection. */
+    readonly isFramed: boolean;
     /** True if the body is in an encoding that no caller asked for. */
     readonly hasForeignEncoding: boolean;
     /** The instance that the replica blames for a refusal. */
