Stage spares beside one another; keep the place of members that only cannot register

Cause: a spare's staging was remembered for 1.5 load times, so that a domain's second spare had no weights until 24 s after the start, and groups of the small model were then loaded from the weight store (10 s each). Five instances cut from the store for 5 s ended four groups that worked.

Ruled out: too few instances; 57 in 100 of their time was spent serving.

--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -310,7 +310,7 @@
         this.nextPeerAt = 0;
         for (const exchange of this.exchanges) {
             if (exchange.group === suspicion.group) {
-                exchange.leaveGroup();
+                exchange.leaveGroup(suspicion.instances);
             }
         }
     }
--- a/src/serving/exchanges.ts
+++ b/src/serving/exchanges.ts
@@ -121,8 +121,8 @@
         return this.attempt?.target.group;
     }
 
-    /** The group of the present attempt stands still: goes on elsewhere. */
-    public leaveGroup(): void {
+    /** The group of the present attempt stands still, since `silent` members are lost: goes on elsewhere. */
+    public leaveGroup(silent: readonly string[]): void {
         const { attempt } = this;
         if (attempt === undefined || this.isSettled) {
             return;
@@ -130,7 +130,9 @@
         const { route } = this.admitted;
         if (route.repeatability === "stream" && route.isResumable) {
             attempt.call?.cancel();
-            this.endAttempt(attempt, "lost", "its group stands still", true);
+            // A stream that had not begun never will: its leader drops it with the connection.
+            const hasRun = attempt.hasEvents && !silent.includes(attempt.target.instance.id);
+            this.endAttempt(attempt, "lost", "its group stands still", hasRun);
         }
     }
 
@@ -217,7 +219,7 @@
                 onData: piece => this.handleData(attempt, piece),
                 onEnd: () => this.handleEnd(attempt),
                 onFailure: (message, mayHaveBeenSent) =>
-                    this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message, false),
+                    this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message, mayHaveBeenSent),
             },
         );
         this.armAttemptTimer(attempt);
@@ -244,7 +246,8 @@
         const hasBudget = this.context.retriesOf(this.admitted.service).available(this.now()) > 0;
         if (this.attempt === attempt && !this.isSettled && !attempt.hasEvents && hasBudget) {
             attempt.call?.cancel();
-            this.endAttempt(attempt, "lost", "no answer in time to try elsewhere", false);
+            const isStream = this.admitted.route.repeatability === "stream";
+            this.endAttempt(attempt, "lost", "no answer in time to try elsewhere", !isStream);
         }
     }
 
@@ -254,7 +257,7 @@
         const isOther = head.requestId !== undefined && head.requestId !== this.admitted.request.id;
         if (isOther) {
             attempt.call?.cancel();
-            this.endAttempt(attempt, "lost", "the answer belongs to another request", false);
+            this.endAttempt(attempt, "lost", "the answer belongs to another request", true);
         }
     }
 
@@ -318,22 +321,22 @@
         }
         const { head } = attempt;
         if (head === undefined) {
-            this.endAttempt(attempt, "lost", "an answer without a head", false);
+            this.endAttempt(attempt, "lost", "an answer without a head", true);
         } else if (head.isNotRun) {
             this.endAttempt(attempt, "refused", `refused with ${head.status}`, false);
         } else if (isGood(head)) {
             this.handleGoodEnd(attempt, head);
         } else if (head.isSigned && head.status >= 300) {
             this.lastFailure = { head, body: Buffer.concat(attempt.pieces) };
-            this.endAttempt(attempt, "failed", `failed with ${head.status}`, false);
+            this.endAttempt(attempt, "failed", `failed with ${head.status}`, true);
         } else {
-            this.endAttempt(attempt, "lost", `an answer ${head.status} that nobody vouches for`, false);
+            this.endAttempt(attempt, "lost", `an answer ${head.status} that nobody vouches for`, true);
         }
     }
 
     private handleGoodEnd(attempt: Attempt, head: AnswerHead): void {
         if (this.isRelayedStream(attempt) && attempt.splitter.hasPartialEvent) {
-            this.endAttempt(attempt, "lost", "the stream ended within an event", false);
+            this.endAttempt(attempt, "lost", "the stream ended within an event", true);
             return;
         }
         this.release(attempt);
@@ -374,8 +377,8 @@
         this.response.writeHead(head.status, headers);
     }
 
-    /** Ends the present attempt and decides what follows. `hasEnded`: the replica is known to be gone. */
-    private endAttempt(attempt: Attempt, outcome: AttemptOutcome, reason: string, hasEnded: boolean): void {
+    /** Ends the present attempt and decides what follows. `hasRun`: the replica lives and may have run it. */
+    private endAttempt(attempt: Attempt, outcome: AttemptOutcome, reason: string, hasRun: boolean): void {
         if (this.isSettled || this.attempt !== attempt) {
             return;
         }
@@ -389,7 +392,7 @@
         }
         if (outcome === "lost" || outcome === "failed") {
             this.mayHaveRun = true;
-            this.runs += hasEnded ? 0 : 1;
+            this.runs += hasRun ? 1 : 0;
         }
         context.log.info("attempt ended", {
             ...this.describe(),
--- a/src/serving/fleet-views.ts
+++ b/src/serving/fleet-views.ts
@@ -22,7 +22,9 @@
 
     public static create(fleet: Fleet, table: RouteTable | undefined): FleetView {
         const instances = [...fleet.instances.values()];
-        const groups = observeGroups(instances).flatMap(group => {
+        // A member that only cannot register does its work all the same; a leader must be registered to get requests.
+        const lapsedMembers = fleet.lapsed.filter(instance => instance.status.membership?.rank !== 0);
+        const groups = observeGroups([...instances, ...lapsedMembers]).flatMap(group => {
             const profile = table?.findService(group.service)?.engine;
             const model = profile && servableModel(group, profile);
             return profile && model ? [{ group, model, profile }] : [];
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -26,6 +26,8 @@
 const epochsPerTerm = 1_000;
 /** Time in which a leader that a term has never seen may be serving without a registration, in milliseconds. */
 const hiddenLeaderMilliseconds = 15_000;
+/** Factor on a load's usual time after which a staging counts as failed: loads share the weight store. */
+const stagingPatience = 2.5;
 /** Time after a first start in which spares are not staged yet, so that groups get the weight store first. */
 const stagingDelayMilliseconds = 4_500;
 
@@ -68,6 +70,13 @@
     readonly members: readonly KnownInstance[];
 }
 
+/** A load of weights onto a spare's host that is under way. */
+interface Staging {
+    readonly model: string;
+    /** Local monotonic milliseconds at which it counts as failed. */
+    readonly until: number;
+}
+
 /** Instances of one service in one fabric domain. */
 interface FabricDomain {
     readonly profile: EngineProfile;
@@ -82,7 +91,7 @@
     private readonly lastKeyById = new Map<string, string>();
     private readonly nextReportAt = new Map<string, number>();
     private readonly nextOrderAt = new Map<string, number>();
-    private readonly stagingUntil = new Map<string, number>();
+    private readonly stagings = new Map<string, Staging>();
     private readonly allowances = new Map<string, LoadAllowance>();
     private readonly suspected = new Set<string>();
     /** Leaders whose end would free other instances. */
@@ -181,7 +190,7 @@
                 forming.has(id) ||
                 this.suspected.has(id) ||
                 this.awaitedLeaders.has(id) ||
-                (known.isRegistered && this.book.hasMissedHeartbeat(known, now));
+                (this.isOfUse(known) && this.book.hasMissedHeartbeat(known, now));
             if (isDue && isWanted) {
                 this.suspected.delete(id);
                 this.nextReportAt.set(id, now + this.reportPause(known, forming.has(id), now));
@@ -190,6 +199,10 @@
         }
     }
 
+    private isOfUse(known: KnownInstance): boolean {
+        return known.isRegistered || known.status?.membership !== undefined;
+    }
+
     private reportPause(known: KnownInstance, isForming: boolean, now: number): number {
         if (isForming) {
             return formationReportMilliseconds;
@@ -300,10 +313,16 @@
             group.leader !== undefined &&
             group.leader.status?.membership?.state !== "broken" &&
             group.members.length === group.model.size &&
-            group.members.every(member => this.isUsable(member, now))
+            group.members.every(member => this.holdsPlace(member, now))
         );
     }
 
+    /** True if a member need not be replaced. One that only cannot register does its work all the same. */
+    private holdsPlace(member: KnownInstance, now: number): boolean {
+        const isCutFromStore = !member.isRegistered && rankOf(member) > 0;
+        return this.isUsable(member, now) || (isCutFromStore && !this.book.isDead(member, now));
+    }
+
     /** Ends a group that lost a member, and takes over one that an earlier term left half formed. */
     private repair(group: PlannedGroup, domain: FabricDomain, now: number): void {
         if (this.formations.has(group.key) || group.leader === undefined) {
@@ -454,21 +473,30 @@
         if (this.options.isFirstStart && now < this.options.startedAt + stagingDelayMilliseconds) {
             return;
         }
-        const isStaging = (known: KnownInstance): boolean =>
-            now < (this.stagingUntil.get(known.instance.id) ?? 0);
         const idle = free.filter(known => known.status?.membership === undefined);
-        if (idle.some(isStaging)) {
-            return;
-        }
-        const choice = chooseStaging(domain.profile.models, idle.map(toCandidate));
+        const spares = idle.map(known => this.toStagedCandidate(known, now));
+        const choice = chooseStaging(domain.profile.models, spares);
         if (choice === undefined || !this.allowanceOf(domain, now).tryTake(1, now)) {
             return;
         }
-        this.stagingUntil.set(choice.id, now + 1.5 * choice.model.loadMilliseconds);
+        const until = now + stagingPatience * choice.model.loadMilliseconds;
+        this.stagings.set(choice.id, { model: choice.model.name, until });
         this.note("staging a spare", { instance: choice.id, model: choice.model.name });
         this.order(choice.id, { kind: "stage", model: choice.model.name }, now);
     }
 
+    /** A spare that is loading weights counts as holding them. */
+    private toStagedCandidate(known: KnownInstance, now: number): Candidate {
+        const { id } = known.instance;
+        const candidate = toCandidate(known);
+        const staging = this.stagings.get(id);
+        if (staging === undefined || candidate.staged.includes(staging.model) || now >= staging.until) {
+            this.stagings.delete(id);
+            return candidate;
+        }
+        return { ...candidate, staged: [staging.model] };
+    }
+
     private allowanceOf(domain: FabricDomain, now: number): LoadAllowance {
         const { service } = domain.known[0]!.instance;
         let allowance = this.allowances.get(service);
