Do not wait for dead leaders; place on while nobody reaches the store; prefer the own failure domain

Cause: a fabric domain without a warm spare waited until its dead leader was forgotten (18 s) before it loaded weights: the leader counted as a member that would soon be free. A test plays it. Streams at other failure domains broke at each cut. Placement rested while the store was down.

--- a/src/daemons/serving/followers.ts
+++ b/src/daemons/serving/followers.ts
@@ -25,19 +25,20 @@
 
 /** Another entry instance, as it registers itself. */
 export interface Peer {
+    readonly name: string;
     /** Where it takes datagrams, host and port. */
     readonly address: string;
     readonly failureDomain: string;
 }
 
 /** Value under which an entry instance registers itself; the incarnation tells its starts apart. */
-export function formatPeer(peer: Peer, incarnation: string): string {
+export function formatPeer(peer: Omit<Peer, "name">, incarnation: string): string {
     return `${peer.address} ${peer.failureDomain} ${incarnation}`;
 }
 
-function parsePeer(value: string): Peer {
+function parsePeer(name: string, value: string): Peer {
     const [address = "", failureDomain = ""] = value.split(" ");
-    return { address, failureDomain };
+    return { name, address, failureDomain };
 }
 
 export interface FollowerOptions {
@@ -63,6 +64,7 @@
     private readonly faultsByPrefix = new Map<string, boolean>();
     private readonly unreadable = new Set<string>();
     private nextPeerReadAt = 0;
+    private lastReachedAt = 0;
 
     private constructor(private readonly options: FollowerOptions) {
         this.fleet = FleetFollower.create(options.parseRegistration);
@@ -81,6 +83,11 @@
         return this.fleet;
     }
 
+    /** Local monotonic milliseconds at which the store last answered. */
+    public get storeReachedAt(): number {
+        return this.lastReachedAt;
+    }
+
     public tick(): void {
         this.followings.forEach(following => following.tick(true, undefined));
         const now = this.options.clock.monotonicMilliseconds();
@@ -139,7 +146,12 @@
                 this.noteStore(prefix, undefined);
                 handlers.onRead(answer, startedAt);
             },
-            onWatch: event => handlers.onWatch(event),
+            onWatch: event => {
+                if (event.kind !== "gap") {
+                    this.lastReachedAt = this.now();
+                }
+                handlers.onWatch(event);
+            },
             onFault: fault => {
                 this.noteStore(prefix, fault);
                 handlers.onFault?.();
@@ -178,7 +190,7 @@
             return;
         }
         this.noteStore(peerPrefix, undefined);
-        onPeers(answer.data.entries.map(entry => parsePeer(entry.value)));
+        onPeers(answer.data.entries.map(entry => parsePeer(entry.key.slice(peerPrefix.length), entry.value)));
         if (answer.data.entries.length <= 1) {
             this.nextPeerReadAt = this.now() + firstPeerReadMilliseconds;
         }
@@ -188,6 +200,9 @@
     private noteStore(prefix: string, fault: Fault | undefined): void {
         const { log, metrics } = this.options;
         const isFailing = fault !== undefined;
+        if (!isFailing) {
+            this.lastReachedAt = this.now();
+        }
         if (fault !== undefined) {
             metrics.storeFaults.inc({ code: fault.code });
         }
--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -20,6 +20,8 @@
 import type { GroupEngines } from "../../serving/group-orders.js";
 import type { Suspicion } from "../../serving/group-suspicions.js";
 import { GroupSuspicions } from "../../serving/group-suspicions.js";
+import type { NeighbourView } from "../../serving/placement-extensions.js";
+import { foreignTakeoverMilliseconds, mayGoOn } from "../../serving/placement-extensions.js";
 import type { PeerMessage } from "../../serving/peer-links.js";
 import { PeerLink } from "../../serving/peer-links.js";
 import { ReplicaRecords } from "../../serving/replica-records.js";
@@ -44,8 +46,6 @@
 const balancerMilliseconds = 3_000;
 /** Time before SIGKILL at which a stopping process ends by itself, in milliseconds. */
 const stopMarginMilliseconds = 400;
-/** Time after which a process takes placement duties of other failure domains that nobody holds, in milliseconds. */
-const foreignDutyMilliseconds = 6_000;
 /** Place of this process in the order of takers of another failure domain's duty. */
 const foreignRank = 2;
 
@@ -106,8 +106,11 @@
     private lastTickAt: number;
     private wallOffset: number;
     private nextPeerAt = 0;
-    /** Failure domains that have entry instances of their own. */
-    private mannedDomains: ReadonlySet<string> = new Set();
+    private registeredPeers: readonly Peer[] = [];
+    /** When entry instances of each failure domain were last registered. */
+    private readonly mannedAt = new Map<string, number>();
+    /** The last word of each entry instance. */
+    private readonly heardPeers = new Map<string, NeighbourView>();
 
     private constructor(private readonly options: ServingProcessOptions) {
         const { settings, platform, clock, random, logs, incarnation } = options;
@@ -177,6 +180,7 @@
                     engines,
                     table: () => this.followers.table,
                     view: () => this.view,
+                    mayGoOn: heldAt => this.mayGoOn(failureDomain, heldAt),
                     log: logs("placer"),
                     metrics: this.metrics,
                 }),
@@ -276,7 +280,9 @@
 
     private handlePeers(peers: readonly Peer[]): void {
         this.peers.setPeers(peers.map(peer => peer.address));
-        this.mannedDomains = new Set(peers.map(peer => peer.failureDomain));
+        this.registeredPeers = peers;
+        const now = this.now();
+        peers.forEach(peer => this.mannedAt.set(peer.failureDomain, now));
         const allowance = this.retryAllowance();
         this.retries.forEach(window => window.setAllowance(allowance));
     }
@@ -321,7 +327,9 @@
     }
 
     private handlePeer(message: PeerMessage): void {
-        this.flights.applyPeer(message.from, message.loads, this.now());
+        const now = this.now();
+        this.flights.applyPeer(message.from, message.loads, now);
+        this.heardPeers.set(message.from, { heardAt: now, storeAge: message.storeAge });
         for (const { group, instances } of message.suspicions) {
             this.suspicions.checkNow(group);
             this.placers.forEach(placer => placer.suspect(instances));
@@ -342,22 +350,45 @@
         if (now >= this.nextPeerAt) {
             this.nextPeerAt = now + peerMilliseconds;
             this.dropOldSuspicions();
-            this.peers.send(this.flights.ownLoads(), [...this.ownSuspicions.values()]);
+            this.peers.send({
+                storeAge: now - this.followers.storeReachedAt,
+                loads: this.flights.ownLoads(),
+                suspicions: [...this.ownSuspicions.values()],
+            });
         }
     }
 
     private tickPlacers(now: number): void {
-        const mayTakeForeign = now >= this.startedAt + foreignDutyMilliseconds && this.mannedDomains.size > 0;
         const { failureDomains, failureDomain } = this.options.settings;
         this.placers.forEach((placer, index) => {
             const domain = failureDomains[index]!;
-            const isOwn = domain === failureDomain;
-            if (isOwn || placer.isHolder || (mayTakeForeign && !this.mannedDomains.has(domain))) {
+            const mannedAt = this.mannedAt.get(domain) ?? this.startedAt;
+            const isUnmanned = now - mannedAt >= foreignTakeoverMilliseconds;
+            if (domain === failureDomain || placer.isHolder || isUnmanned) {
                 placer.tick();
             }
         });
     }
 
+    private mayGoOn(failureDomain: string, heldAt: number): boolean {
+        const { settings } = this.options;
+        if (failureDomain !== settings.failureDomain) {
+            return false;
+        }
+        const others = this.registeredPeers.filter(
+            peer => peer.failureDomain === failureDomain && peer.name !== settings.name,
+        );
+        return mayGoOn({
+            now: this.now(),
+            heldAt,
+            storeReachedAt: this.followers.storeReachedAt,
+            leaseMilliseconds: settings.leaseMilliseconds,
+            neighbours: others.map(
+                peer => this.heardPeers.get(peer.name) ?? { heardAt: undefined, storeAge: 0 },
+            ),
+        });
+    }
+
     private dropOldSuspicions(): void {
         const gone = [...this.ownSuspicions.keys()].filter(group => !this.view.groups.has(group));
         gone.forEach(group => this.ownSuspicions.delete(group));
--- a/src/serving/exchanges.ts
+++ b/src/serving/exchanges.ts
@@ -246,8 +246,7 @@
         const hasBudget = this.context.retriesOf(this.admitted.service).available(this.now()) > 0;
         if (this.attempt === attempt && !this.isSettled && !attempt.hasEvents && hasBudget) {
             attempt.call?.cancel();
-            const isStream = this.admitted.route.repeatability === "stream";
-            this.endAttempt(attempt, "lost", "no answer in time to try elsewhere", !isStream);
+            this.endAttempt(attempt, "lost", "no answer in time to try elsewhere", true);
         }
     }
 
--- a/src/serving/group-flights.ts
+++ b/src/serving/group-flights.ts
@@ -18,6 +18,15 @@
     readonly group: string;
 }
 
+/** A group at which this process has flights. */
+export interface ActiveGroup {
+    readonly group: string;
+    /** Local monotonic milliseconds of the last event of any of them. */
+    readonly progressAt: number;
+    /** True if a stream has begun, so that events are due all the time. */
+    readonly hasWriters: boolean;
+}
+
 interface PeerLoads {
     readonly loads: ReadonlyMap<string, EngineLoad>;
     readonly expiresAt: number;
@@ -65,11 +74,12 @@
         }
     }
 
-    /** Groups with own flights, with the time of their last progress. */
-    public active(): readonly { readonly group: string; readonly progressAt: number }[] {
-        return [...this.flights.keys()].map(group => ({
+    /** Groups with own flights. */
+    public active(): readonly ActiveGroup[] {
+        return [...this.flights].map(([group, flights]) => ({
             group,
             progressAt: this.progressAt.get(group) ?? 0,
+            hasWriters: [...flights.values()].some(flight => flight.hasBegun),
         }));
     }
 
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -14,6 +14,8 @@
 import { KnownInstances } from "./known-instances.js";
 import { LoadAllowance } from "./load-allowances.js";
 
+/** Time for which a term gives no orders: the holder before it may still be told that it has lost the lease. */
+const settleMilliseconds = 300;
 /** Time in which a term's first reports are awaited before anything is planned, in milliseconds. */
 const readBackMilliseconds = 700;
 /** Time between two reports of an instance that does not answer, in milliseconds. */
@@ -259,7 +261,9 @@
     private isReadBack(domain: FabricDomain, now: number): boolean {
         const isKnown = (known: KnownInstance): boolean =>
             known.status !== undefined || this.book.isDead(known, now);
-        return now >= this.options.startedAt + readBackMilliseconds || domain.known.every(isKnown);
+        const { startedAt } = this.options;
+        const isSettled = now >= startedAt + settleMilliseconds;
+        return now >= startedAt + readBackMilliseconds || (isSettled && domain.known.every(isKnown));
     }
 
     private planDomain(domain: FabricDomain, surroundings: PlannerSurroundings, now: number): void {
@@ -275,7 +279,10 @@
             instances: domain.known.length,
             groups: this.countByModel(whole, domain),
             free: free.map(toCandidate),
-            freeSoon: countFreeSoon(groups, whole, new Set(free)),
+            freeSoon: countFreeSoon(
+                groups.filter(group => !whole.includes(group)),
+                member => this.isUsable(member, now) && !free.includes(member),
+            ),
             groupsOverall: surroundings.groupsElsewhere,
         });
         if (choice !== undefined) {
@@ -528,18 +535,15 @@
     };
 }
 
+/** Counts the members of ended groups that are still bound to their leader. */
 function countFreeSoon(
-    groups: readonly PlannedGroup[],
-    whole: readonly PlannedGroup[],
-    free: ReadonlySet<KnownInstance>,
+    ended: readonly PlannedGroup[],
+    isBound: (member: KnownInstance) => boolean,
 ): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
-    for (const group of groups) {
-        const name = group.model?.name;
-        if (name !== undefined && !whole.includes(group)) {
-            const bound = group.members.filter(member => !free.has(member));
-            counts.set(name, (counts.get(name) ?? 0) + bound.length);
-        }
+    for (const group of ended) {
+        const name = group.model?.name ?? "";
+        counts.set(name, (counts.get(name) ?? 0) + group.members.filter(isBound).length);
     }
     return counts;
 }
--- a/src/serving/group-routes.ts
+++ b/src/serving/group-routes.ts
@@ -8,8 +8,11 @@
 
 /** Part of an estimate by which choices vary, so that entry instances with the same view do not choose the same. */
 const spread = 0.2;
-/** Cost of leaving the own failure domain, in milliseconds. */
-const crossDomainMilliseconds = 4;
+/**
+ * Cost of leaving the own failure domain, in milliseconds: about a usual prompt ahead in the queue. A stream that stays
+ * is not hit by a cut between failure domains.
+ */
+const crossDomainMilliseconds = 30;
 
 /** A group that may take requests. */
 export interface GroupOption {
--- a/src/serving/group-suspicions.ts
+++ b/src/serving/group-suspicions.ts
@@ -9,10 +9,12 @@
 import { groupKey } from "./fleets.js";
 import type { FleetView } from "./fleet-views.js";
 import { estimatePass } from "./engine-models.js";
-import type { GroupFlights } from "./group-flights.js";
+import type { ActiveGroup, GroupFlights } from "./group-flights.js";
 
-/** Shortest silence of a group's streams that raises the question, in milliseconds; a lone first event takes as long. */
-const shortestSilenceMilliseconds = 200;
+/** Shortest silence of running streams that raises the question, in milliseconds: about three events' time. */
+const shortestSilenceMilliseconds = 130;
+/** The same while no stream has begun, in milliseconds: a lone first event takes as long. */
+const firstEventSilenceMilliseconds = 200;
 /** Factor on the expected time of a pass, for what the estimate does not know. */
 const silenceFactor = 1.5;
 /** Time that a member has for its answer, in milliseconds. */
@@ -26,6 +28,15 @@
 /** Age up to which progress elsewhere shows that this process's links work, in milliseconds. */
 const linkProofMilliseconds = 300;
 
+/** Time for which a group's reported pace is believed, in milliseconds. */
+const slownessMilliseconds = 2_000;
+
+/** Factor by which a group is slower than its model says. */
+interface Slowness {
+    readonly factor: number;
+    readonly until: number;
+}
+
 /** One suspicion as it is told to others. */
 export interface Suspicion {
     readonly group: string;
@@ -45,7 +56,7 @@
 export class GroupSuspicions {
     private readonly suspects = new Map<string, readonly string[]>();
     private readonly nextRoundAt = new Map<string, number>();
-    private readonly slowness = new Map<string, number>();
+    private readonly slowness = new Map<string, Slowness>();
 
     private constructor(private readonly parts: GroupSuspicionParts) {}
 
@@ -59,7 +70,9 @@
 
     /** Factor by which a group was last seen to be slower than its model says. */
     public slownessOf(group: string): number {
-        return this.slowness.get(group) ?? 1;
+        const slowness = this.slowness.get(group);
+        const isFresh = slowness !== undefined && this.parts.clock.monotonicMilliseconds() < slowness.until;
+        return isFresh ? slowness.factor : 1;
     }
 
     /** Asks the members of groups that have been silent for too long, and of those that are suspect. */
@@ -67,9 +80,10 @@
         const now = this.parts.clock.monotonicMilliseconds();
         const { groups } = this.parts.view();
         this.forget(new Set(groups.keys()));
-        for (const { group, progressAt } of this.parts.flights.active()) {
-            if (!this.suspects.has(group) && now - progressAt > this.allowedSilence(group, now)) {
-                this.check(group, now);
+        for (const active of this.parts.flights.active()) {
+            const isSilent = now - active.progressAt > this.allowedSilence(active, now);
+            if (isSilent && !this.suspects.has(active.group)) {
+                this.check(active.group, now);
             }
         }
         for (const group of this.suspects.keys()) {
@@ -84,14 +98,15 @@
         }
     }
 
-    private allowedSilence(key: string, now: number): number {
-        const servable = this.parts.view().groups.get(key);
+    private allowedSilence({ group, hasWriters }: ActiveGroup, now: number): number {
+        const shortest = hasWriters ? shortestSilenceMilliseconds : firstEventSilenceMilliseconds;
+        const servable = this.parts.view().groups.get(group);
         if (servable === undefined) {
-            return shortestSilenceMilliseconds;
+            return shortest;
         }
-        const load = this.parts.flights.loadOf(key, now);
-        const pass = estimatePass(servable.profile, servable.model, load) * this.slownessOf(key);
-        return Math.max(shortestSilenceMilliseconds, silenceFactor * pass);
+        const load = this.parts.flights.loadOf(group, now);
+        const pass = estimatePass(servable.profile, servable.model, load) * this.slownessOf(group);
+        return Math.max(shortest, silenceFactor * pass);
     }
 
     private check(key: string, now: number): void {
@@ -149,7 +164,8 @@
     private noteSlowness(key: string, answers: readonly (EngineStatus | undefined)[]): void {
         const paces = answers.flatMap(answer => (answer?.pace === undefined ? [] : [answer.pace]));
         if (paces.length > 0) {
-            this.slowness.set(key, Math.max(1, ...paces));
+            const until = this.parts.clock.monotonicMilliseconds() + slownessMilliseconds;
+            this.slowness.set(key, { factor: Math.max(1, ...paces), until });
         }
     }
 
--- a/src/serving/peer-links.ts
+++ b/src/serving/peer-links.ts
@@ -16,6 +16,7 @@
     /** Distinguishes the starts of one process. */
     incarnation: z.string(),
     sequence: z.number(),
+    storeAge: z.number(),
     loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
     suspicions: z.array(z.tuple([z.string(), z.array(z.string())])),
 });
@@ -24,6 +25,8 @@
 export interface PeerMessage {
     readonly from: string;
     readonly incarnation: string;
+    /** Time since it last reached the store, in milliseconds. */
+    readonly storeAge: number;
     readonly loads: readonly GroupLoad[];
     readonly suspicions: readonly Suspicion[];
 }
@@ -64,14 +67,15 @@
         return this.peers.length;
     }
 
-    public send(loads: readonly GroupLoad[], suspicions: readonly Suspicion[]): void {
+    public send(state: Pick<PeerMessage, "storeAge" | "loads" | "suspicions">): void {
         this.sequence += 1;
         const text = JSON.stringify({
             from: this.options.name,
             incarnation: this.options.incarnation,
             sequence: this.sequence,
-            loads: loads.map(load => [load.group, load.requests, load.unreadTokens]),
-            suspicions: suspicions.map(suspicion => [suspicion.group, suspicion.instances]),
+            storeAge: Math.round(state.storeAge),
+            loads: state.loads.map(load => [load.group, load.requests, load.unreadTokens]),
+            suspicions: state.suspicions.map(suspicion => [suspicion.group, suspicion.instances]),
         });
         for (const peer of this.peers) {
             const [host, port] = peer.split(":");
@@ -93,7 +97,7 @@
             this.options.log.warn("unreadable datagram", { reason: parsed.error.issues[0]?.message });
             return;
         }
-        const { from, incarnation, sequence, loads, suspicions } = parsed.data;
+        const { from, incarnation, sequence, storeAge, loads, suspicions } = parsed.data;
         const sender = `${from} ${incarnation}`;
         if (sequence <= (this.lastSequences.get(sender) ?? 0)) {
             return;
@@ -102,6 +106,7 @@
         this.options.onMessage({
             from,
             incarnation,
+            storeAge,
             loads: loads.map(([group, requests, unreadTokens]) => ({ group, requests, unreadTokens })),
             suspicions: suspicions.map(([group, instances]) => ({ group, instances })),
         });
--- a/src/serving/tests/fake-engines.ts
+++ b/src/serving/tests/fake-engines.ts
@@ -176,6 +176,10 @@
         });
     }
 
+    public stagedOf(id: string): readonly string[] {
+        return this.engineOf(id).staged;
+    }
+
     public stagedModels(): readonly (readonly string[])[] {
         return [...this.engines.values()]
             .filter(each => each.membership === undefined)
--- a/src/serving/tests/group-planners.test.ts
+++ b/src/serving/tests/group-planners.test.ts
@@ -44,6 +44,21 @@
     t.deepEqual(fleet.violations, []);
 });
 
+test("a group without a warm spare does not wait for its dead leader", t => {
+    const fleet = startFleet();
+    const large = fleet.servingGroups().find(group => group.model === "large")!;
+    const spare = fleet
+        .ids()
+        .find(id => fleet.stagedOf(id).includes("large") && !large.members.includes(id))!;
+    fleet.crash(spare);
+    fleet.play(6_000);
+    fleet.crash(large.members[0]!);
+    fleet.suspect(large.members[0]!);
+    fleet.play(4_000 + 16_000 + 2_000);
+    t.deepEqual(modelsOf(fleet), ["large", "small"]);
+    t.deepEqual(fleet.violations, []);
+});
+
 test("a member that restarted is not taken while the leader of its old group is open", t => {
     const fleet = startFleet();
     const small = fleet.servingGroups().find(group => group.model === "small")!;
