Wait for returning instances before a load; let a single spare hold the larger model

Cause: when a dark fabric domain came back, a group was formed with two loads from the first instances seen, though others with the weights came 0.2 s later. A domain whose larger model's spare was used kept only the smaller one's.

--- a/src/serving/group-choices.ts
+++ b/src/serving/group-choices.ts
@@ -34,6 +34,8 @@
     readonly free: readonly Candidate[];
     /** Members of ended groups that will be free soon, by the model that they hold. */
     readonly freeSoon: ReadonlyMap<string, number>;
+    /** True while instances are appearing, so that a better choice may be possible in a moment. */
+    readonly isSettling: boolean;
     /** Group count by model over all fabric domains, this one included. */
     readonly groupsOverall: ReadonlyMap<string, number>;
 }
@@ -73,9 +75,10 @@
     return missing.length > 0 ? undefined : chooseExtraGroup(situation);
 }
 
-/** A load takes longer than it takes until members that hold the weights are free. */
+/** A load takes longer than it takes until instances that hold the weights are there and free. */
 function shouldWait(choice: GroupChoice, situation: DomainSituation): boolean {
-    return choice.loads > 0 && (situation.freeSoon.get(choice.model.name) ?? 0) > 0;
+    const isBetterSoon = situation.isSettling || (situation.freeSoon.get(choice.model.name) ?? 0) > 0;
+    return choice.loads > 0 && isBetterSoon;
 }
 
 function chooseExtraGroup(situation: DomainSituation): GroupChoice | undefined {
@@ -88,27 +91,25 @@
 }
 
 /**
- * Which free instance should load which model next; undefined if the staged mix is right. A spare that holds weights
- * loads others only if a second spare holds the same and a model has none.
+ * Which free instance should load which model next; undefined if the staged mix is right. The larger a group, the more
+ * likely it is hit next: a single spare holds the largest model, a second one the next.
  */
 export function chooseStaging(
     models: readonly EngineModel[],
     spares: readonly Candidate[],
 ): { readonly id: string; readonly model: EngineModel } | undefined {
-    const holders = (model: EngineModel): number =>
-        spares.filter(spare => spare.staged.includes(model.name)).length;
-    const bySupply = [...models].sort(
-        (left, right) => holders(left) - holders(right) || right.size - left.size,
-    );
-    const scarcest = bySupply[0];
-    if (scarcest === undefined) {
-        return undefined;
-    }
-    const empty = spares.find(spare => spare.staged.length === 0);
-    if (empty !== undefined) {
-        return { id: empty.id, model: scarcest };
+    const bySize = [...models].sort((left, right) => right.size - left.size);
+    const unassigned = [...spares];
+    const unmet: EngineModel[] = [];
+    for (let index = 0; index < spares.length && bySize.length > 0; index += 1) {
+        const model = bySize[index % bySize.length]!;
+        const holder = unassigned.findIndex(spare => spare.staged.includes(model.name));
+        if (holder === -1) {
+            unmet.push(model);
+        } else {
+            unassigned.splice(holder, 1);
+        }
     }
-    const surplus = models.find(model => holders(model) >= 2);
-    const spare = surplus && spares.find(each => each.staged.includes(surplus.name));
-    return holders(scarcest) === 0 && spare !== undefined ? { id: spare.id, model: scarcest } : undefined;
+    const next = unassigned.find(spare => spare.staged.length === 0) ?? unassigned[0];
+    return next === undefined || unmet[0] === undefined ? undefined : { id: next.id, model: unmet[0] };
 }
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -28,6 +28,8 @@
 const epochsPerTerm = 1_000;
 /** Time in which a leader that a term has never seen may be serving without a registration, in milliseconds. */
 const hiddenLeaderMilliseconds = 15_000;
+/** Time in which instances that were lost together come back one after the other, in milliseconds. */
+const appearingMilliseconds = 1_500;
 /** Factor on a load's usual time after which a staging counts as failed: loads share the weight store. */
 const stagingPatience = 2.5;
 /** Time after a first start in which spares are not staged yet, so that groups get the weight store first. */
@@ -283,6 +285,7 @@
                 groups.filter(group => !whole.includes(group)),
                 member => this.isUsable(member, now) && !free.includes(member),
             ),
+            isSettling: this.isSettling(domain, now),
             groupsOverall: surroundings.groupsElsewhere,
         });
         if (choice !== undefined) {
@@ -292,6 +295,11 @@
         this.stageSpares(domain, free, now);
     }
 
+    private isSettling(domain: FabricDomain, now: number): boolean {
+        const isNew = (known: KnownInstance): boolean => now - known.appearedAt < appearingMilliseconds;
+        return !this.options.isFirstStart && domain.known.some(isNew);
+    }
+
     private collectGroups(domain: FabricDomain): readonly PlannedGroup[] {
         const byKey = new Map<string, KnownInstance[]>();
         for (const known of domain.known) {
--- a/src/serving/known-instances.ts
+++ b/src/serving/known-instances.ts
@@ -39,6 +39,8 @@
     readonly silentAt: number;
     /** True once its process is known to have ended. */
     readonly isEnded: boolean;
+    /** Time at which this incarnation was first seen. */
+    readonly appearedAt: number;
     /** Time of its last new heartbeat. */
     readonly heartbeatAt: number;
     readonly unregisteredAt: number | undefined;
@@ -158,6 +160,7 @@
                 silentReports: 0,
                 silentAt: 0,
                 isEnded: false,
+                appearedAt: now,
                 heartbeatAt: now,
                 unregisteredAt: undefined,
                 needsReport: true,
