--- /dev/null
+++ b/src/serving/tests/attempt-decisions.test.ts
@@ -0,0 +1,52 @@
+import test from "ava";
+import type { AttemptFacts } from "../attempt-decisions.js";
+import { decideNextStep } from "../attempt-decisions.js";
+
+const base: AttemptFacts = {
+    repeatability: "idempotent",
+    isResumable: false,
+    runs: 0,
+    sends: 1,
+    maximumAttempts: 2,
+    mayHaveRun: false,
+    hasBegunAnswer: false,
+    remainingMilliseconds: 1_000,
+    hasBudget: true,
+};
+const once: AttemptFacts = { ...base, repeatability: "once", maximumAttempts: 1 };
+const stream: AttemptFacts = { ...base, repeatability: "stream", isResumable: true };
+
+test("what may run once is never sent again after it may have run", t => {
+    for (const maximumAttempts of [1, 2, 5]) {
+        for (const outcome of ["lost", "failed", "refused"] as const) {
+            const step = decideNextStep(outcome, { ...once, maximumAttempts, mayHaveRun: true, runs: 1 });
+            t.not(step, "retry");
+            t.not(step, "refuse");
+        }
+    }
+});
+
+test("a request that no replica can have begun is refused as not run", t => {
+    t.is(decideNextStep("refused", once), "refuse");
+    t.is(decideNextStep("notSent", { ...once, remainingMilliseconds: 5 }), "refuse");
+});
+
+test("a send that never left is tried elsewhere without a budget", t => {
+    t.is(decideNextStep("notSent", { ...once, hasBudget: false }), "retry");
+});
+
+test("an idempotent request is tried elsewhere up to its attempts", t => {
+    t.is(decideNextStep("lost", { ...base, mayHaveRun: true, runs: 1 }), "retry");
+    t.is(decideNextStep("lost", { ...base, mayHaveRun: true, runs: 2, sends: 2 }), "unknown");
+    t.is(decideNextStep("failed", { ...base, mayHaveRun: true, runs: 2, sends: 2 }), "pass");
+    t.is(decideNextStep("lost", { ...base, mayHaveRun: true, runs: 1, hasBudget: false }), "unknown");
+});
+
+test("a stream that has begun goes on elsewhere or is cut, never answered anew", t => {
+    const begun = { ...stream, hasBegunAnswer: true, mayHaveRun: true };
+    t.is(decideNextStep("lost", { ...begun, runs: 1 }), "retry");
+    t.is(decideNextStep("lost", { ...begun, runs: 0, sends: 3 }), "retry");
+    t.is(decideNextStep("lost", { ...begun, runs: 2 }), "cut");
+    t.is(decideNextStep("lost", { ...begun, isResumable: false, runs: 0 }), "cut");
+    t.is(decideNextStep("refused", { ...begun, runs: 1, sends: 2 }), "cut");
+});
--- /dev/null
+++ b/src/serving/tests/fleet-followers.test.ts
@@ -0,0 +1,57 @@
+import test from "ava";
+import type { KeyValueEntry } from "../../contracts/key-value-stores.js";
+import { FleetFollower } from "../fleet-followers.js";
+import type { FleetInstance } from "../fleets.js";
+
+function parse(key: string, text: string): FleetInstance | undefined {
+    return text === "unreadable"
+        ? undefined
+        : {
+              id: key,
+              service: text,
+              address: "10.0.0.1:1",
+              failureDomain: "a",
+              fabricDomain: "f",
+              slots: 1,
+              isLeaving: false,
+              heartbeat: 1,
+              status: { membership: undefined, model: undefined, staged: [], incarnation: undefined },
+          };
+}
+
+function entry(key: string, value = "service"): KeyValueEntry {
+    return { key, value, modRevision: 1 };
+}
+
+function ids(follower: FleetFollower): readonly string[] {
+    return [...follower.current.instances.keys()].sort();
+}
+
+test("a removal counts at once while the store is sound", t => {
+    const follower = FleetFollower.create(parse);
+    follower.applyRead({ revision: 1, entries: [entry("a"), entry("b")] }, 0);
+    follower.applyWatch({ kind: "changes", revision: 2, puts: [], deletes: ["a"] }, 100);
+    t.deepEqual(ids(follower), ["b"]);
+    t.deepEqual(
+        follower.current.lapsed.map(instance => instance.id),
+        ["a"],
+    );
+});
+
+test("registrations that lapse while the store is away count as gone only if they stay missing", t => {
+    const follower = FleetFollower.create(parse);
+    follower.applyRead({ revision: 1, entries: [entry("a"), entry("b"), entry("c")] }, 0);
+    follower.recordFault(5_000);
+    follower.applyRead({ revision: 2, entries: [entry("c")] }, 5_200);
+    t.deepEqual(ids(follower), ["a", "b", "c"]);
+    follower.applyWatch({ kind: "changes", revision: 3, puts: [entry("a")], deletes: [] }, 6_500);
+    follower.applyWatch({ kind: "progress", revision: 4 }, 7_400);
+    t.deepEqual(ids(follower), ["a", "c"]);
+});
+
+test("an unreadable registration names no instance and leaves the others", t => {
+    const follower = FleetFollower.create(parse);
+    const change = follower.applyRead({ revision: 1, entries: [entry("a"), entry("b", "unreadable")] }, 0);
+    t.deepEqual(change.unreadable, ["b"]);
+    t.deepEqual(ids(follower), ["a"]);
+});
