Have the members of an ended group leave it themselves; pace store calls and datagrams by the number of entry instances

Ruled out: two holders at once (one term in the log). Going on without a lease while nobody reaches the store was taken out: it never took effect.

--- a/src/daemons/serving/followers.ts
+++ b/src/daemons/serving/followers.ts
@@ -18,9 +18,7 @@
     shortestBackoffMilliseconds: 100,
     longestBackoffMilliseconds: 500,
 };
-/** Time between two reads of the entry instances' addresses, in milliseconds. */
-const peerReadMilliseconds = 4_000;
-/** The same until the first others are known. */
+/** Time between two reads of the entry instances' addresses until the first others are known, in milliseconds. */
 const firstPeerReadMilliseconds = 700;
 
 /** Another entry instance, as it registers itself. */
@@ -50,6 +48,8 @@
     readonly instancePrefix: string;
     readonly parseRegistration: ParseRegistration;
     readonly peerPrefix: string;
+    /** Time between two reads of the entry instances' addresses. */
+    readonly peerReadMilliseconds: () => number;
     readonly onConfiguration: (table: RouteTable) => void;
     readonly onFleet: () => void;
     readonly onPeers: (peers: readonly Peer[]) => void;
@@ -64,7 +64,6 @@
     private readonly faultsByPrefix = new Map<string, boolean>();
     private readonly unreadable = new Set<string>();
     private nextPeerReadAt = 0;
-    private lastReachedAt = 0;
 
     private constructor(private readonly options: FollowerOptions) {
         this.fleet = FleetFollower.create(options.parseRegistration);
@@ -83,16 +82,11 @@
         return this.fleet;
     }
 
-    /** Local monotonic milliseconds at which the store last answered. */
-    public get storeReachedAt(): number {
-        return this.lastReachedAt;
-    }
-
     public tick(): void {
         this.followings.forEach(following => following.tick(true, undefined));
         const now = this.options.clock.monotonicMilliseconds();
         if (now >= this.nextPeerReadAt) {
-            this.nextPeerReadAt = now + peerReadMilliseconds;
+            this.nextPeerReadAt = now + this.options.peerReadMilliseconds();
             void this.readPeers();
         }
     }
@@ -146,12 +140,7 @@
                 this.noteStore(prefix, undefined);
                 handlers.onRead(answer, startedAt);
             },
-            onWatch: event => {
-                if (event.kind !== "gap") {
-                    this.lastReachedAt = this.now();
-                }
-                handlers.onWatch(event);
-            },
+            onWatch: event => handlers.onWatch(event),
             onFault: fault => {
                 this.noteStore(prefix, fault);
                 handlers.onFault?.();
@@ -200,9 +189,6 @@
     private noteStore(prefix: string, fault: Fault | undefined): void {
         const { log, metrics } = this.options;
         const isFailing = fault !== undefined;
-        if (!isFailing) {
-            this.lastReachedAt = this.now();
-        }
         if (fault !== undefined) {
             metrics.storeFaults.inc({ code: fault.code });
         }
--- a/src/daemons/serving/group-placers.ts
+++ b/src/daemons/serving/group-placers.ts
@@ -25,8 +25,6 @@
     readonly engines: GroupEngines;
     readonly table: () => RouteTable | undefined;
     readonly view: () => FleetView;
-    /** True if a placer that last held its lease at the given time may go on without it. */
-    readonly mayGoOn: (heldAt: number) => boolean;
     readonly log: PartLog;
     readonly metrics: ServingMetrics;
 }
@@ -34,7 +32,6 @@
 export class GroupPlacer {
     private planner: GroupPlanner | undefined;
     private plannedTerm: number | undefined;
-    private heldAt = 0;
 
     private constructor(private readonly options: GroupPlacerOptions) {}
 
@@ -60,7 +57,7 @@
     public tick(): void {
         const { key, clock, table, view } = this.options;
         key.tick();
-        this.followTerm(this.presentTerm());
+        this.followTerm(key.term);
         const routes = table();
         const { planner } = this;
         if (planner === undefined || routes === undefined) {
@@ -77,17 +74,6 @@
         planner.step(surroundings, now).forEach(command => this.run(planner, command));
     }
 
-    /** The term held, or the last one while nobody else can hold the next. */
-    private presentTerm(): number | undefined {
-        const { key, clock, mayGoOn } = this.options;
-        const { term } = key;
-        if (term !== undefined) {
-            this.heldAt = clock.monotonicMilliseconds();
-            return term;
-        }
-        return this.plannedTerm !== undefined && mayGoOn(this.heldAt) ? this.plannedTerm : undefined;
-    }
-
     private followTerm(term: number | undefined): void {
         if (term === this.plannedTerm) {
             return;
@@ -148,8 +134,8 @@
         planner: GroupPlanner,
         { instance, order }: Extract<PlannerCommand, { readonly kind: "order" }>,
     ): Promise<void> {
-        const { clock, engines, metrics } = this.options;
-        if (this.presentTerm() === undefined || this.planner !== planner) {
+        const { clock, engines, key, metrics } = this.options;
+        if (key.term === undefined || this.planner !== planner) {
             return;
         }
         const reply = await engines.order(instance, order, clock.monotonicMilliseconds() + orderMilliseconds);
--- a/src/daemons/serving/held-keys.ts
+++ b/src/daemons/serving/held-keys.ts
@@ -11,7 +11,7 @@
     readonly value: string;
     readonly leaseMilliseconds: number;
     /** Place in the order in which processes should take the key; 0 is the first. */
-    readonly rank: number;
+    readonly rank: () => number;
     readonly store: KeyValueStore;
     readonly clock: Clock;
 }
@@ -24,7 +24,7 @@
         this.lease = PlacerLease.create({
             leaseSeconds: () => options.leaseMilliseconds / 1000,
             holder: options.value,
-            rank: () => options.rank,
+            rank: options.rank,
         });
     }
 
--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -14,14 +14,14 @@
 import type { AdmittedRequest, ExchangeContext } from "../../serving/exchanges.js";
 import { Exchange } from "../../serving/exchanges.js";
 import type { ParseRegistration } from "../../serving/fleet-followers.js";
+import type { FleetPace } from "../../serving/fleet-paces.js";
+import { paceOf } from "../../serving/fleet-paces.js";
 import { FleetView } from "../../serving/fleet-views.js";
 import { emptyFleet } from "../../serving/fleets.js";
 import { GroupFlights } from "../../serving/group-flights.js";
 import type { GroupEngines } from "../../serving/group-orders.js";
 import type { Suspicion } from "../../serving/group-suspicions.js";
 import { GroupSuspicions } from "../../serving/group-suspicions.js";
-import type { NeighbourView } from "../../serving/placement-extensions.js";
-import { foreignTakeoverMilliseconds, mayGoOn } from "../../serving/placement-extensions.js";
 import type { PeerMessage } from "../../serving/peer-links.js";
 import { PeerLink } from "../../serving/peer-links.js";
 import { ReplicaRecords } from "../../serving/replica-records.js";
@@ -38,14 +38,18 @@
 
 /** Time between two looks at what is due, in milliseconds. */
 const tickMilliseconds = 25;
-/** Time between two datagrams to the other entry instances, in milliseconds. */
-const peerMilliseconds = 100;
+/** Life of the lease under which a process registers itself, in milliseconds; its address outlives a restart. */
+const registrationMilliseconds = 6_000;
+/** Entry instances of a failure domain that look for its lease as often as its life allows. */
+const eagerPlacers = 2;
 /** Delay of a tick after which all that is known counts as old, in milliseconds. */
 const lateTickMilliseconds = 1_000;
 /** Time after SIGTERM in which the balancer still sends callers, in milliseconds: two of its looks and one more. */
 const balancerMilliseconds = 3_000;
 /** Time before SIGKILL at which a stopping process ends by itself, in milliseconds. */
 const stopMarginMilliseconds = 400;
+/** Time without own entry instances after which others place a failure domain, in milliseconds; longer than a cut. */
+const foreignTakeoverMilliseconds = 12_000;
 /** Place of this process in the order of takers of another failure domain's duty. */
 const foreignRank = 2;
 
@@ -59,7 +63,8 @@
 
 /** What an adapter supplies for its platform. */
 export interface ServingPlatform {
-    readonly store: (clock: Clock) => KeyValueStore;
+    /** `gatherMilliseconds`: pause between two watch calls in which registrations gather. */
+    readonly store: (clock: Clock, gatherMilliseconds: () => number) => KeyValueStore;
     readonly engines: (clock: Clock, upstreams: Upstreams) => GroupEngines;
     readonly wire: WireFormat;
     readonly readinessPath: string;
@@ -109,8 +114,6 @@
     private registeredPeers: readonly Peer[] = [];
     /** When entry instances of each failure domain were last registered. */
     private readonly mannedAt = new Map<string, number>();
-    /** The last word of each entry instance. */
-    private readonly heardPeers = new Map<string, NeighbourView>();
 
     private constructor(private readonly options: ServingProcessOptions) {
         const { settings, platform, clock, random, logs, incarnation } = options;
@@ -121,7 +124,7 @@
         this.wallOffset = clock.wallMilliseconds() - this.startedAt;
         this.upstreams = Upstreams.create(clock, replica => this.connectionsTo(replica));
         const engines = platform.engines(clock, this.upstreams);
-        const store = platform.store(clock);
+        const store = platform.store(clock, () => this.pace.gatherMilliseconds);
         this.suspicions = GroupSuspicions.create({
             clock,
             view: () => this.view,
@@ -161,16 +164,27 @@
             onMessage: message => this.handlePeer(message),
             log: logs("peer"),
         });
-        const held = (key: string, value: string, rank: number): HeldKey =>
-            HeldKey.create({ key, value, rank, leaseMilliseconds: settings.leaseMilliseconds, store, clock });
-        this.registration = held(
-            `${peerPrefix}${settings.name}`,
-            formatPeer({ address: settings.peerAddress, failureDomain: settings.failureDomain }, incarnation),
-            0,
-        );
+        this.registration = HeldKey.create({
+            key: `${peerPrefix}${settings.name}`,
+            value: formatPeer(
+                { address: settings.peerAddress, failureDomain: settings.failureDomain },
+                incarnation,
+            ),
+            rank: () => 0,
+            leaseMilliseconds: registrationMilliseconds,
+            store,
+            clock,
+        });
         for (const failureDomain of settings.failureDomains) {
-            const rank = failureDomain === settings.failureDomain ? 0 : foreignRank;
-            const key = held(`${placementPrefix}${failureDomain}`, `${settings.name} ${incarnation}`, rank);
+            const isOwn = failureDomain === settings.failureDomain;
+            const key = HeldKey.create({
+                key: `${placementPrefix}${failureDomain}`,
+                value: `${settings.name} ${incarnation}`,
+                rank: () => (isOwn ? this.placerRank() : foreignRank),
+                leaseMilliseconds: settings.leaseMilliseconds,
+                store,
+                clock,
+            });
             this.placers.push(
                 GroupPlacer.create({
                     failureDomain,
@@ -180,7 +194,6 @@
                     engines,
                     table: () => this.followers.table,
                     view: () => this.view,
-                    mayGoOn: heldAt => this.mayGoOn(failureDomain, heldAt),
                     log: logs("placer"),
                     metrics: this.metrics,
                 }),
@@ -251,6 +264,7 @@
             instancePrefix: platform.instancePrefix,
             parseRegistration: platform.parseRegistration,
             peerPrefix,
+            peerReadMilliseconds: () => this.pace.peerReadMilliseconds,
             onConfiguration: table => this.handleConfiguration(table),
             onFleet: () => this.rebuildView(),
             onPeers: peers => this.handlePeers(peers),
@@ -316,7 +330,7 @@
         this.nextPeerAt = 0;
         for (const exchange of this.exchanges) {
             if (exchange.group === suspicion.group) {
-                exchange.leaveGroup(suspicion.instances);
+                exchange.leaveGroup();
             }
         }
     }
@@ -328,8 +342,7 @@
 
     private handlePeer(message: PeerMessage): void {
         const now = this.now();
-        this.flights.applyPeer(message.from, message.loads, now);
-        this.heardPeers.set(message.from, { heardAt: now, storeAge: message.storeAge });
+        this.flights.applyPeer(message.from, message.loads, now + 2 * this.pace.heardMilliseconds);
         for (const { group, instances } of message.suspicions) {
             this.suspicions.checkNow(group);
             this.placers.forEach(placer => placer.suspect(instances));
@@ -348,10 +361,9 @@
         }
         this.suspicions.tick();
         if (now >= this.nextPeerAt) {
-            this.nextPeerAt = now + peerMilliseconds;
+            this.nextPeerAt = now + this.pace.peerMilliseconds;
             this.dropOldSuspicions();
             this.peers.send({
-                storeAge: now - this.followers.storeReachedAt,
                 loads: this.flights.ownLoads(),
                 suspicions: [...this.ownSuspicions.values()],
             });
@@ -370,23 +382,16 @@
         });
     }
 
-    private mayGoOn(failureDomain: string, heldAt: number): boolean {
-        const { settings } = this.options;
-        if (failureDomain !== settings.failureDomain) {
-            return false;
-        }
-        const others = this.registeredPeers.filter(
-            peer => peer.failureDomain === failureDomain && peer.name !== settings.name,
-        );
-        return mayGoOn({
-            now: this.now(),
-            heldAt,
-            storeReachedAt: this.followers.storeReachedAt,
-            leaseMilliseconds: settings.leaseMilliseconds,
-            neighbours: others.map(
-                peer => this.heardPeers.get(peer.name) ?? { heardAt: undefined, storeAge: 0 },
-            ),
-        });
+    private get pace(): FleetPace {
+        return paceOf(this.registeredPeers.length);
+    }
+
+    /** Place of this process among those that look for the lease of its failure domain. */
+    private placerRank(): number {
+        const { name, failureDomain } = this.options.settings;
+        const neighbours = this.registeredPeers.filter(peer => peer.failureDomain === failureDomain);
+        const place = neighbours.filter(peer => peer.name < name).length;
+        return Math.max(0, place - eagerPlacers + 1);
     }
 
     private dropOldSuspicions(): void {
--- a/src/serving/dispatchers.ts
+++ b/src/serving/dispatchers.ts
@@ -15,6 +15,8 @@
     readonly group: string | undefined;
     /** Expected time to the first byte of the answer, in milliseconds. */
     readonly expectedMilliseconds: number;
+    /** Store revision of the registrations that the choice rests on. */
+    readonly fleetRevision: number;
 }
 
 export interface DispatchQuestion {
@@ -76,6 +78,7 @@
                 instance: route.option.group.leader!,
                 group: route.option.group.key,
                 expectedMilliseconds: route.expectedMilliseconds,
+                fleetRevision: this.parts.view().fleet.revision,
             }
         );
     }
@@ -93,6 +96,7 @@
             0.05 * random();
         const ranked = candidates.map(instance => ({ instance, cost: cost(instance) }));
         const best = ranked.sort((left, right) => left.cost - right.cost)[0];
-        return best && { instance: best.instance, group: undefined, expectedMilliseconds: 0 };
+        const fleetRevision = this.parts.view().fleet.revision;
+        return best && { instance: best.instance, group: undefined, expectedMilliseconds: 0, fleetRevision };
     }
 }
--- a/src/serving/exchanges.ts
+++ b/src/serving/exchanges.ts
@@ -84,6 +84,7 @@
     private runs = 0;
     private mayHaveRun = false;
     private lastEventId: number | undefined;
+    private lastTarget: DispatchTarget | undefined;
     private lastFailure: { readonly head: AnswerHead; readonly body: Buffer } | undefined;
     private isSettled = false;
     private isCloseDelimited = false;
@@ -121,8 +122,8 @@
         return this.attempt?.target.group;
     }
 
-    /** The group of the present attempt stands still, since `silent` members are lost: goes on elsewhere. */
-    public leaveGroup(silent: readonly string[]): void {
+    /** The group of the present attempt stands still: goes on elsewhere. */
+    public leaveGroup(): void {
         const { attempt } = this;
         if (attempt === undefined || this.isSettled) {
             return;
@@ -131,8 +132,7 @@
         if (route.repeatability === "stream" && route.isResumable) {
             attempt.call?.cancel();
             // A stream that had not begun never will: its leader drops it with the connection.
-            const hasRun = attempt.hasEvents && !silent.includes(attempt.target.instance.id);
-            this.endAttempt(attempt, "lost", "its group stands still", hasRun);
+            this.endAttempt(attempt, "lost", "its group stands still", attempt.hasEvents);
         }
     }
 
@@ -192,6 +192,7 @@
             timer: undefined,
         };
         this.attempt = attempt;
+        this.lastTarget = target;
         this.sends += 1;
         this.tried.add(instance.id);
         context.records.start(instance.id);
@@ -401,7 +402,11 @@
             outcome,
             reason,
             tookMilliseconds: Math.round(now - attempt.sentAt),
-            events: this.lastEventId,
+            expectedMilliseconds: Math.round(attempt.target.expectedMilliseconds),
+            fleetRevision: attempt.target.fleetRevision,
+            lastEvent: this.lastEventId,
+            runs: this.runs,
+            repeatsLeft: context.retriesOf(admitted.service).available(now),
         });
         this.finishWithout(outcome, reason);
     }
@@ -540,16 +545,15 @@
             ...this.describe(),
             outcome,
             ...fields,
+            instance: this.lastTarget?.instance.id,
+            group: this.lastTarget?.group,
+            fleetRevision: this.lastTarget?.fleetRevision,
             sends: this.sends,
             runs: this.runs,
             firstByteMilliseconds: this.firstByteAt && Math.round(this.firstByteAt - arrivedAt),
             tookMilliseconds: Math.round(now - arrivedAt),
         };
-        if (outcome === "served" && this.sends === 1) {
-            log.debug("request ended", line);
-        } else {
-            log.info("request ended", line);
-        }
+        log.info("request ended", line);
     }
 
     private describe(): Readonly<Record<string, unknown>> {
--- a/src/serving/group-flights.ts
+++ b/src/serving/group-flights.ts
@@ -4,9 +4,6 @@
  */
 import type { EngineLoad } from "./engine-models.js";
 
-/** Time after which another entry instance's figures no longer count, in milliseconds. */
-const peerLoadMilliseconds = 1_500;
-
 /** One request at a group. */
 interface Flight {
     readonly promptTokens: number;
@@ -93,9 +90,10 @@
         return [...this.flights.keys()].map(group => ({ group, ...this.ownLoad(group) }));
     }
 
-    public applyPeer(peer: string, loads: readonly GroupLoad[], now: number): void {
+    /** Takes another entry instance's figures, which count until `expiresAt` (local monotonic milliseconds). */
+    public applyPeer(peer: string, loads: readonly GroupLoad[], expiresAt: number): void {
         const byGroup = new Map(loads.map(load => [load.group, load]));
-        this.peers.set(peer, { loads: byGroup, expiresAt: now + peerLoadMilliseconds });
+        this.peers.set(peer, { loads: byGroup, expiresAt });
     }
 
     /** Entry instances heard of lately, this one included. */
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -6,7 +6,7 @@
 import type { Candidate, GroupChoice } from "./group-choices.js";
 import { chooseGroup, chooseStaging } from "./group-choices.js";
 import type { EngineModel, EngineProfile } from "./engine-models.js";
-import type { FleetInstance, GroupMembership } from "./fleets.js";
+import type { EngineStatus, FleetInstance } from "./fleets.js";
 import { groupKey } from "./fleets.js";
 import { GroupFormation, formationReportMilliseconds } from "./group-formations.js";
 import type { GroupOrder, OrderReply } from "./group-orders.js";
@@ -26,8 +26,6 @@
 const orderPauseMilliseconds = 150;
 /** Epochs of one term; the next term's are all higher. */
 const epochsPerTerm = 1_000;
-/** Time in which a leader that a term has never seen may be serving without a registration, in milliseconds. */
-const hiddenLeaderMilliseconds = 15_000;
 /** Time in which instances that were lost together come back one after the other, in milliseconds. */
 const appearingMilliseconds = 1_500;
 /** Factor on a load's usual time after which a staging counts as failed: loads share the weight store. */
@@ -74,6 +72,12 @@
     readonly members: readonly KnownInstance[];
 }
 
+/** A group that an instance was in. */
+interface LastGroup {
+    readonly key: string;
+    readonly incarnation: number | undefined;
+}
+
 /** A load of weights onto a spare's host that is under way. */
 interface Staging {
     readonly model: string;
@@ -91,8 +95,8 @@
     private readonly book: KnownInstances;
     private readonly formations = new Map<string, GroupFormation>();
     private readonly leaderByKey = new Map<string, string>();
-    /** The group that each instance was in last; one that restarted says nothing of it. */
-    private readonly lastKeyById = new Map<string, string>();
+    /** The group that each instance was in last and has not left. */
+    private readonly lastGroupById = new Map<string, LastGroup>();
     private readonly nextReportAt = new Map<string, number>();
     private readonly nextOrderAt = new Map<string, number>();
     private readonly stagings = new Map<string, Staging>();
@@ -118,7 +122,7 @@
         now: number,
     ): void {
         this.book.applyRegistrations(registered, lapsed, now);
-        [...lapsed, ...registered].forEach(({ id, status }) => this.noteMembership(id, status.membership));
+        [...lapsed, ...registered].forEach(({ id, status }) => this.noteRegistration(id, status));
     }
 
     /** Someone has cause to think that an instance is dead: it is asked at once. */
@@ -132,7 +136,7 @@
         if (outcome.kind !== "answered") {
             return;
         }
-        this.noteMembership(id, outcome.status.membership);
+        this.noteMembership(id, outcome.status);
         for (const formation of this.formations.values()) {
             if (formation.options.members.includes(id)) {
                 formation.handleReport(id, outcome.status);
@@ -140,13 +144,25 @@
         }
     }
 
-    private noteMembership(id: string, membership: GroupMembership | undefined): void {
-        if (membership !== undefined) {
-            this.lastKeyById.set(id, groupKey(membership));
+    /** A registration lags: it tells of groups, not that an instance has left one. */
+    private noteRegistration(id: string, status: EngineStatus): void {
+        if (status.membership !== undefined && !this.lastGroupById.has(id)) {
+            this.noteMembership(id, status);
         }
+    }
+
+    private noteMembership(id: string, status: EngineStatus): void {
+        const { membership, incarnation } = status;
         if (membership?.rank === 0) {
             this.leaderByKey.set(groupKey(membership), id);
         }
+        const last = this.lastGroupById.get(id);
+        if (membership !== undefined) {
+            this.lastGroupById.set(id, { key: groupKey(membership), incarnation });
+        } else if (last !== undefined && last.incarnation === incarnation) {
+            // It has left the group itself; only a restart leaves the group's leader serving without it.
+            this.lastGroupById.delete(id);
+        }
     }
 
     public handleReply(id: string, order: GroupOrder, reply: OrderReply, now: number): void {
@@ -274,7 +290,7 @@
             this.repair(group, domain, now);
         }
         const usable = domain.known.filter(known => this.isUsable(known, now) && known.status !== undefined);
-        const free = usable.filter(known => this.isFree(known, groups, now));
+        const free = usable.filter(known => this.isFree(known, now));
         const whole = groups.filter(group => this.isWhole(group, now) || this.formations.has(group.key));
         const choice = chooseGroup({
             models: domain.profile.models,
@@ -340,33 +356,47 @@
 
     /** Ends a group that lost a member, and takes over one that an earlier term left half formed. */
     private repair(group: PlannedGroup, domain: FabricDomain, now: number): void {
-        if (this.formations.has(group.key) || group.leader === undefined) {
+        if (this.formations.has(group.key)) {
             return;
         }
-        const state = group.leader.status?.membership?.state;
+        const state = group.leader?.status?.membership?.state;
         if (this.isWhole(group, now)) {
             if (state === "joining" || state === "ready") {
                 this.adopt(group, now);
             }
             return;
         }
-        if (this.book.isDead(group.leader, now)) {
-            return;
-        }
-        const { name, epoch } = group;
         const isOnlyLeaving =
             group.members.length === group.model?.size &&
             group.members.every(member => !this.book.isDead(member, now));
         const isServing = state === "open" || state === "closing";
-        if (isOnlyLeaving && isServing) {
-            if (state === "open" && this.hasReplacements(group, domain, now)) {
-                this.order(group.leader.instance.id, { kind: "close", group: name, epoch }, now);
-            }
-            this.suspect(group.leader.instance.id);
+        if (group.leader !== undefined && isOnlyLeaving && isServing) {
+            this.closeGently(group, group.leader, domain, now);
             return;
         }
-        if (state !== "broken") {
-            this.order(group.leader.instance.id, { kind: "leave", group: name, epoch }, now);
+        this.disband(group, now);
+    }
+
+    /** Lets a group whose members are leaving finish its work, once others can take their places. */
+    private closeGently(group: PlannedGroup, leader: KnownInstance, domain: FabricDomain, now: number): void {
+        const { name, epoch } = group;
+        const isOpen = leader.status?.membership?.state === "open";
+        if (isOpen && this.hasReplacements(group, domain, now)) {
+            this.order(leader.instance.id, { kind: "close", group: name, epoch }, now);
+        }
+        this.suspect(leader.instance.id);
+    }
+
+    /**
+     * Has every member leave the group itself. Only then may it join another one: a leader that is out of sight, or that
+     * a late order opens again, could still count on it.
+     */
+    private disband(group: PlannedGroup, now: number): void {
+        const { name, epoch } = group;
+        for (const member of group.members) {
+            if (!this.book.isDead(member, now) && member.status?.membership?.state !== "broken") {
+                this.order(member.instance.id, { kind: "leave", group: name, epoch }, now);
+            }
         }
     }
 
@@ -395,57 +425,37 @@
         this.note("took over a group that is being formed", { group: group.key });
     }
 
-    /** True if an instance may join another group: the leader of its own group serves no more, or is gone. */
-    private isFree(known: KnownInstance, groups: readonly PlannedGroup[], now: number): boolean {
+    /** True if an instance may join another group. */
+    private isFree(known: KnownInstance, now: number): boolean {
         const { id } = known.instance;
         if ([...this.formations.values()].some(formation => formation.options.members.includes(id))) {
             return false;
         }
         const membership = known.status?.membership;
-        if (membership?.state === "broken") {
-            return true;
-        }
-        const key = membership === undefined ? this.lastKeyById.get(id) : groupKey(membership);
-        const group = groups.find(each => each.key === key);
-        if (key === undefined || this.leaderByKey.get(key) === id) {
-            return membership === undefined;
-        }
-        if (membership?.rank === 0 || (group !== undefined && this.isWhole(group, now))) {
-            return false;
+        if (membership !== undefined) {
+            return membership.state === "broken";
         }
-        return this.hasLeaderLeft(key, known, now);
+        const last = this.lastGroupById.get(id);
+        return last === undefined || this.hasLeaderLeft(last.key, id, now);
     }
 
-    /** True if the leader of a group serves no more, so that its members may go elsewhere. */
-    private hasLeaderLeft(key: string, known: KnownInstance, now: number): boolean {
+    /** True if the leader of the group that an instance was in before its restart serves no more. */
+    private hasLeaderLeft(key: string, id: string, now: number): boolean {
         const leaderId = this.leaderByKey.get(key);
         const leader = leaderId === undefined ? undefined : this.book.get(leaderId);
-        if (leader === undefined) {
-            const mayHide =
-                now < this.options.startedAt + hiddenLeaderMilliseconds || this.mayHideLeader(known, now);
-            return leaderId !== undefined || !mayHide;
+        if (leader === undefined || leaderId === id) {
+            return true;
         }
         const membership = leader.status?.membership;
         const isMember =
             membership !== undefined && groupKey(membership) === key && membership.state !== "broken";
-        const hasLeft = leader.status !== undefined && !isMember;
-        if (hasLeft || this.book.isSurelyGone(leader, now)) {
+        if ((leader.status !== undefined && !isMember) || this.book.isSurelyGone(leader, now)) {
             return true;
         }
         this.awaitedLeaders.add(leader.instance.id);
         return false;
     }
 
-    /** True if an instance that never answered this term could be the unknown leader of another's group. */
-    private mayHideLeader(member: KnownInstance, now: number): boolean {
-        return this.book.all.some(
-            known =>
-                known.instance.fabricDomain === member.instance.fabricDomain &&
-                known.status === undefined &&
-                !this.book.isSurelyGone(known, now),
-        );
-    }
-
     private countByModel(whole: readonly PlannedGroup[], domain: FabricDomain): ReadonlyMap<string, number> {
         const keys = new Map(whole.map(group => [group.key, group.model?.name]));
         for (const formation of this.formations.values()) {
--- a/src/serving/group-suspicions.ts
+++ b/src/serving/group-suspicions.ts
@@ -21,6 +21,8 @@
 const answerMilliseconds = 80;
 /** Time after which a member that has not answered is asked again, in milliseconds: one lost packet is no verdict. */
 const secondAskMilliseconds = 30;
+/** Lateness of this process beyond which its time-outs prove nothing, in milliseconds. */
+const lateMilliseconds = 30;
 /** Pause between two rounds of questions to one group, in milliseconds. */
 const roundPauseMilliseconds = 200;
 /** Pause between two rounds to a group that is already suspect, in milliseconds. */
@@ -121,6 +123,10 @@
 
     private async askAll(group: ObservedGroup, askedAt: number): Promise<void> {
         const answers = await Promise.all(group.members.map(member => this.ask(group, member)));
+        if (this.parts.clock.monotonicMilliseconds() - askedAt > answerMilliseconds + lateMilliseconds) {
+            // This process was late itself: answers may lie unread.
+            return;
+        }
         const silent = group.members.filter((_, index) => answers[index] === undefined);
         this.noteSlowness(group.key, answers);
         if (silent.length === 0) {
--- a/src/serving/peer-links.ts
+++ b/src/serving/peer-links.ts
@@ -16,7 +16,6 @@
     /** Distinguishes the starts of one process. */
     incarnation: z.string(),
     sequence: z.number(),
-    storeAge: z.number(),
     loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
     suspicions: z.array(z.tuple([z.string(), z.array(z.string())])),
 });
@@ -25,8 +24,6 @@
 export interface PeerMessage {
     readonly from: string;
     readonly incarnation: string;
-    /** Time since it last reached the store, in milliseconds. */
-    readonly storeAge: number;
     readonly loads: readonly GroupLoad[];
     readonly suspicions: readonly Suspicion[];
 }
@@ -67,13 +64,12 @@
         return this.peers.length;
     }
 
-    public send(state: Pick<PeerMessage, "storeAge" | "loads" | "suspicions">): void {
+    public send(state: Pick<PeerMessage, "loads" | "suspicions">): void {
         this.sequence += 1;
         const text = JSON.stringify({
             from: this.options.name,
             incarnation: this.options.incarnation,
             sequence: this.sequence,
-            storeAge: Math.round(state.storeAge),
             loads: state.loads.map(load => [load.group, load.requests, load.unreadTokens]),
             suspicions: state.suspicions.map(suspicion => [suspicion.group, suspicion.instances]),
         });
@@ -97,7 +93,7 @@
             this.options.log.warn("unreadable datagram", { reason: parsed.error.issues[0]?.message });
             return;
         }
-        const { from, incarnation, sequence, storeAge, loads, suspicions } = parsed.data;
+        const { from, incarnation, sequence, loads, suspicions } = parsed.data;
         const sender = `${from} ${incarnation}`;
         if (sequence <= (this.lastSequences.get(sender) ?? 0)) {
             return;
@@ -106,7 +102,6 @@
         this.options.onMessage({
             from,
             incarnation,
-            storeAge,
             loads: loads.map(([group, requests, unreadTokens]) => ({ group, requests, unreadTokens })),
             suspicions: suspicions.map(([group, instances]) => ({ group, instances })),
         });
--- /dev/null
+++ b/src/serving/tests/group-suspicions.test.ts
@@ -0,0 +1,123 @@
+import test from "ava";
+import type { Result } from "../../core/errors.js";
+import { fail, succeed } from "../../core/errors.js";
+import { RouteTable } from "../configurations.js";
+import { FleetView } from "../fleet-views.js";
+import type { EngineStatus, FleetInstance } from "../fleets.js";
+import { GroupFlights } from "../group-flights.js";
+import { GroupSuspicions } from "../group-suspicions.js";
+import { profile } from "./fake-engines.js";
+
+const group = "g1@1";
+const silentFault = { code: "endpointFailed", message: "silent", step: "probe", notRun: true } as const;
+
+function member(rank: number): FleetInstance {
+    const state = rank === 0 ? "open" : "ready";
+    return {
+        id: `i-${rank}`,
+        service: "llm",
+        address: `10.0.0.${rank}:80`,
+        failureDomain: "a",
+        fabricDomain: "f",
+        slots: 18,
+        isLeaving: false,
+        heartbeat: 1,
+        status: {
+            membership: { group: "g1", epoch: 1, rank, state },
+            model: "small",
+            staged: ["small"],
+            incarnation: 1,
+        },
+    };
+}
+
+interface World {
+    readonly suspicions: GroupSuspicions;
+    readonly flights: GroupFlights;
+    readonly suspected: string[];
+    readonly moveTo: (milliseconds: number) => void;
+    readonly settle: () => Promise<void>;
+}
+
+/** A group of two whose members answer as told; answers take no time unless `lateness` says so. */
+function createWorld(answers: (id: string) => boolean, lateness = 0): World {
+    let now = 1_000;
+    const suspected: string[] = [];
+    const flights = GroupFlights.create();
+    const members = [member(0), member(1)];
+    const table = RouteTable.create({
+        version: 1,
+        routes: [],
+        services: [{ name: "llm", healthPath: "/", maximumConnections: 10, engine: profile }],
+        limits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
+        workspaces: undefined,
+    });
+    const instances = new Map(members.map(each => [each.id, each]));
+    const view = FleetView.create({ revision: 1, instances, lapsed: [] }, table);
+    const report = (instance: FleetInstance): Promise<Result<EngineStatus>> => {
+        now += lateness;
+        return Promise.resolve(answers(instance.id) ? succeed(instance.status) : fail(silentFault));
+    };
+    const suspicions = GroupSuspicions.create({
+        clock: { monotonicMilliseconds: () => now, wallMilliseconds: () => now },
+        view: () => view,
+        flights,
+        report,
+        onSuspect: suspicion => suspected.push(...suspicion.instances),
+        onCleared: () => undefined,
+    });
+    return {
+        suspicions,
+        flights,
+        suspected,
+        moveTo: milliseconds => (now = milliseconds),
+        settle: () => new Promise(resolve => setTimeout(resolve, 60)),
+    };
+}
+
+test("a silent group whose member does not answer is suspect", async t => {
+    const world = createWorld(id => id !== "i-1");
+    world.flights.start(group, 100, 1_000);
+    world.moveTo(1_100);
+    world.suspicions.tick();
+    await world.settle();
+    t.false(world.suspicions.isSuspect(group));
+    world.moveTo(1_400);
+    world.suspicions.tick();
+    await world.settle();
+    t.true(world.suspicions.isSuspect(group));
+    t.deepEqual(world.suspected, ["i-1"]);
+});
+
+test("a silent group whose members all answer is only busy", async t => {
+    const world = createWorld(() => true);
+    world.flights.start(group, 100, 1_000);
+    world.moveTo(2_000);
+    world.suspicions.tick();
+    await world.settle();
+    t.false(world.suspicions.isSuspect(group));
+});
+
+test("nobody answers: only progress elsewhere shows that the own links work", async t => {
+    const world = createWorld(() => false);
+    world.flights.start(group, 100, 1_000);
+    world.moveTo(1_400);
+    world.suspicions.tick();
+    await world.settle();
+    t.false(world.suspicions.isSuspect(group));
+    const flight = world.flights.start("g2@2", 100, 1_600);
+    world.flights.progress("g2@2", flight, 1_690);
+    world.moveTo(1_700);
+    world.suspicions.tick();
+    await world.settle();
+    t.true(world.suspicions.isSuspect(group));
+});
+
+test("a process that is late itself does not take unread answers for silence", async t => {
+    const world = createWorld(id => id !== "i-1", 100);
+    world.flights.start(group, 100, 1_000);
+    world.moveTo(1_400);
+    world.suspicions.tick();
+    await world.settle();
+    t.false(world.suspicions.isSuspect(group));
+});
