--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -1,5 +1,4 @@
 /** One serving process: callers' port, placement, store and peers wired together on one loop. */
-import { createServer } from "node:http";
 import type { Server, ServerResponse } from "node:http";
 import { interval } from "rxjs";
 import type { Subscription } from "rxjs";
@@ -11,7 +10,7 @@
 import { CallerPort } from "../../serving/callers.js";
 import type { RouteTable, ServingConfiguration } from "../../serving/configurations.js";
 import { Dispatcher } from "../../serving/dispatchers.js";
-import type { AdmittedRequest, ExchangeContext } from "../../serving/exchanges.js";
+import type { AdmittedRequest, ExchangeContext } from "../../serving/exchange-contexts.js";
 import { Exchange } from "../../serving/exchanges.js";
 import type { ParseRegistration } from "../../serving/fleet-followers.js";
 import type { FleetPace } from "../../serving/fleet-paces.js";
@@ -35,6 +34,8 @@
 import { Followers, formatPeer } from "./followers.js";
 import { GroupPlacer } from "./group-placers.js";
 import { HeldKey } from "./held-keys.js";
+import { PauseDetector } from "./pause-detectors.js";
+import { serveMetrics, serveReadiness } from "./side-servers.js";
 
 /** Time between two looks at what is due, in milliseconds. */
 const tickMilliseconds = 25;
@@ -42,8 +43,6 @@
 const registrationMilliseconds = 6_000;
 /** Entry instances of a failure domain that look for its lease as often as its life allows. */
 const eagerPlacers = 2;
-/** Delay of a tick after which all that is known counts as old, in milliseconds. */
-const lateTickMilliseconds = 1_000;
 /** Time after SIGTERM in which the balancer still sends callers, in milliseconds: two of its looks and one more. */
 const balancerMilliseconds = 3_000;
 /** Time before SIGKILL at which a stopping process ends by itself, in milliseconds. */
@@ -108,8 +107,7 @@
     private retrySettings: RetryWindowOptions;
     private view = FleetView.create(emptyFleet, undefined);
     private stoppingSince: number | undefined;
-    private lastTickAt: number;
-    private wallOffset: number;
+    private readonly pauses: PauseDetector;
     private nextPeerAt = 0;
     private registeredPeers: readonly Peer[] = [];
     /** When entry instances of each failure domain were last registered. */
@@ -120,8 +118,7 @@
         this.log = logs("entry");
         this.retrySettings = settings.retries;
         this.startedAt = clock.monotonicMilliseconds();
-        this.lastTickAt = this.startedAt;
-        this.wallOffset = clock.wallMilliseconds() - this.startedAt;
+        this.pauses = PauseDetector.create(this.startedAt, clock.wallMilliseconds());
         this.upstreams = Upstreams.create(clock, replica => this.connectionsTo(replica));
         const engines = platform.engines(clock, this.upstreams);
         const store = platform.store(clock, () => this.pace.gatherMilliseconds);
@@ -210,7 +207,10 @@
             log: logs("caller"),
             metrics: this.metrics,
         });
-        this.sideServers = [this.serveReadiness(), this.serveMetrics()];
+        this.sideServers = [
+            serveReadiness(settings.readinessAddress, platform.readinessPath, () => this.isReady, this.log),
+            serveMetrics(settings.metricsAddress, this.metrics, this.log),
+        ];
         this.ticks = interval(tickMilliseconds).subscribe(() => this.tick());
         this.log.info("started", { name: settings.name, failureDomain: settings.failureDomain, incarnation });
     }
@@ -399,22 +399,12 @@
         gone.forEach(group => this.ownSuspicions.delete(group));
     }
 
-    /**
-     * A process that was paused may have lost its leases. A suspended machine's monotonic clock stands still, so the
-     * wall clock is compared as well; a mere step of the wall clock costs a lease that is taken again.
-     */
+    /** A process that was paused may have lost its leases: it gives up its duties and takes them again. */
     private checkPause(now: number): void {
-        const gap = now - this.lastTickAt;
-        this.lastTickAt = now;
-        const offset = this.options.clock.wallMilliseconds() - now;
-        const step = Math.abs(offset - this.wallOffset);
-        this.wallOffset = offset;
-        this.metrics.loopDelaySeconds.observe(Math.max(0, gap - tickMilliseconds) / 1000);
-        if (gap > lateTickMilliseconds || step > lateTickMilliseconds) {
-            this.log.warn("paused, or the clock was stepped", {
-                gapMilliseconds: gap,
-                stepMilliseconds: step,
-            });
+        const pause = this.pauses.check(now, this.options.clock.wallMilliseconds());
+        this.metrics.loopDelaySeconds.observe(Math.max(0, pause.gapMilliseconds - tickMilliseconds) / 1000);
+        if (pause.isPaused) {
+            this.log.warn("paused, or the clock was stepped", { ...pause });
             this.placers.forEach(placer => placer.drop());
         }
     }
@@ -437,43 +427,4 @@
         this.log.info("stopped", { openRequests: this.callers.openCount });
         this.options.onStopped();
     }
-
-    private serveReadiness(): Server {
-        const { platform, settings } = this.options;
-        return listen(settings.readinessAddress, this.log, (path, response) => {
-            response.statusCode = path === platform.readinessPath && this.isReady ? 200 : 503;
-            response.end();
-        });
-    }
-
-    private serveMetrics(): Server {
-        return listen(this.options.settings.metricsAddress, this.log, (path, response) => {
-            if (path !== "/metrics") {
-                response.statusCode = 404;
-                response.end();
-                return;
-            }
-            response.setHeader("content-type", "text/plain; version=0.0.4");
-            this.metrics.text().then(
-                text => response.end(text),
-                (thrown: unknown) => {
-                    this.log.error("metrics failed", { reason: String(thrown) });
-                    response.statusCode = 500;
-                    response.end();
-                },
-            );
-        });
-    }
-}
-
-function listen(
-    address: string,
-    log: PartLog,
-    handle: (path: string, response: ServerResponse) => void,
-): Server {
-    const server = createServer((message, response) => handle(message.url ?? "/", response));
-    server.on("error", error => log.error("listening failed", { address, reason: error.message }));
-    const [host, port] = address.split(":");
-    server.listen(Number(port), host);
-    return server;
 }
--- /dev/null
+++ b/src/daemons/serving/tests/pause-detectors.test.ts
@@ -0,0 +1,12 @@
+import test from "ava";
+import { PauseDetector } from "../pause-detectors.js";
+
+test("a late tick and a suspended machine are both noticed, once", t => {
+    const detector = PauseDetector.create(0, 100_000);
+    t.false(detector.check(25, 100_025).isPaused);
+    t.true(detector.check(2_025, 102_025).isPaused);
+    t.false(detector.check(2_050, 102_050).isPaused);
+    t.true(detector.check(2_075, 107_075).isPaused);
+    t.false(detector.check(2_100, 107_100).isPaused);
+    t.true(detector.check(2_125, 105_000).isPaused);
+});
--- a/src/serving/callers.ts
+++ b/src/serving/callers.ts
@@ -5,7 +5,7 @@
 import type { PartLog } from "../links/logs.js";
 import type { CallerLimits, RouteTable } from "./configurations.js";
 import { pickTarget } from "./configurations.js";
-import type { AdmittedRequest } from "./exchanges.js";
+import type { AdmittedRequest } from "./exchange-contexts.js";
 import type { ServingMetrics } from "./serving-metrics.js";
 import type { CallerRequest, WireFormat } from "./wire.js";
 
--- /dev/null
+++ b/src/serving/exchange-contexts.ts
@@ -0,0 +1,41 @@
+/** What an exchange works with: the parts that all share, and the admitted request. */
+import type { Clock } from "../contracts/clocks.js";
+import type { PartLog } from "../links/logs.js";
+import type { Upstreams } from "../links/upstreams.js";
+import type { Route, RouteTable } from "./configurations.js";
+import type { Dispatcher } from "./dispatchers.js";
+import type { GroupFlights } from "./group-flights.js";
+import type { ReplicaRecords } from "./replica-records.js";
+import type { RetryWindow } from "./retry-windows.js";
+import type { ServingMetrics } from "./serving-metrics.js";
+import type { CallerRequest, WireFormat } from "./wire.js";
+
+/** What all exchanges of a process share. */
+export interface ExchangeContext {
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly wire: WireFormat;
+    readonly upstreams: Upstreams;
+    readonly dispatcher: Dispatcher;
+    readonly flights: GroupFlights;
+    readonly records: ReplicaRecords;
+    readonly retriesOf: (service: string) => RetryWindow;
+    readonly log: PartLog;
+    readonly metrics: ServingMetrics;
+    /** True while this process ends: its connections are not to be used again. */
+    readonly isStopping: () => boolean;
+}
+
+/** One admitted request. */
+export interface AdmittedRequest {
+    readonly request: CallerRequest;
+    readonly table: RouteTable;
+    readonly route: Route;
+    readonly service: string;
+    readonly workspace: string | undefined;
+    readonly rank: number;
+    readonly body: Buffer | undefined;
+    readonly arrivedAt: number;
+    /** Local monotonic milliseconds. */
+    readonly deadline: number;
+}
--- a/src/serving/exchanges.ts
+++ b/src/serving/exchanges.ts
@@ -3,21 +3,15 @@
  * and the replica's own answer passed on unchanged. An event stream may go on at another replica within one answer.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
-import type { Clock } from "../contracts/clocks.js";
-import type { PartLog } from "../links/logs.js";
-import type { UpstreamCall, Upstreams } from "../links/upstreams.js";
 import type { AttemptOutcome } from "./attempt-decisions.js";
 import { decideNextStep } from "./attempt-decisions.js";
-import type { Route, RouteTable } from "./configurations.js";
-import type { Dispatcher, DispatchTarget } from "./dispatchers.js";
+import { CallerAnswer } from "./caller-answers.js";
+import type { DispatchTarget } from "./dispatchers.js";
 import type { StreamEvent } from "./event-splitters.js";
-import { EventSplitter } from "./event-splitters.js";
-import type { GroupFlights } from "./group-flights.js";
-import type { ReplicaRecords } from "./replica-records.js";
-import type { RetryWindow } from "./retry-windows.js";
-import type { ServingMetrics } from "./serving-metrics.js";
-import type { AnswerHead, CallerRequest, WireFormat } from "./wire.js";
+import type { Attempt } from "./exchange-attempts.js";
+import { createAttempt, isGood } from "./exchange-attempts.js";
+import type { AdmittedRequest, ExchangeContext } from "./exchange-contexts.js";
+import type { AnswerHead } from "./wire.js";
 
 /** Longest answer that is held back until it is whole, in bytes; longer ones are passed on as they come. */
 const heldAnswerBytes = 256 * 1024;
@@ -32,51 +26,6 @@
 /** Time after which a refused caller may come back, in milliseconds, before jitter. */
 const comeBackMilliseconds = 400;
 
-/** What all exchanges of a process share. */
-export interface ExchangeContext {
-    readonly clock: Clock;
-    readonly random: () => number;
-    readonly wire: WireFormat;
-    readonly upstreams: Upstreams;
-    readonly dispatcher: Dispatcher;
-    readonly flights: GroupFlights;
-    readonly records: ReplicaRecords;
-    readonly retriesOf: (service: string) => RetryWindow;
-    readonly log: PartLog;
-    readonly metrics: ServingMetrics;
-    /** True while this process ends: its connections are not to be used again. */
-    readonly isStopping: () => boolean;
-}
-
-/** One admitted request. */
-export interface AdmittedRequest {
-    readonly request: CallerRequest;
-    readonly table: RouteTable;
-    readonly route: Route;
-    readonly service: string;
-    readonly workspace: string | undefined;
-    readonly rank: number;
-    readonly body: Buffer | undefined;
-    readonly arrivedAt: number;
-    /** Local monotonic milliseconds. */
-    readonly deadline: number;
-}
-
-/** One send to a replica. */
-interface Attempt {
-    readonly number: number;
-    readonly target: DispatchTarget;
-    readonly sentAt: number;
-    readonly flight: number | undefined;
-    readonly splitter: EventSplitter;
-    call: UpstreamCall | undefined;
-    head: AnswerHead | undefined;
-    pieces: Buffer[];
-    heldBytes: number;
-    hasEvents: boolean;
-    timer: NodeJS.Timeout | undefined;
-}
-
 export class Exchange {
     private attempt: Attempt | undefined;
     private readonly tried = new Set<string>();
@@ -87,16 +36,15 @@
     private lastTarget: DispatchTarget | undefined;
     private lastFailure: { readonly head: AnswerHead; readonly body: Buffer } | undefined;
     private isSettled = false;
-    private isCloseDelimited = false;
     private resumeUntil: number | undefined;
-    private firstByteAt: number | undefined;
     private readonly deadlineTimer: NodeJS.Timeout;
     private waitTimer: NodeJS.Timeout | undefined;
 
     private constructor(
         private readonly context: ExchangeContext,
         private readonly admitted: AdmittedRequest,
-        private readonly response: ServerResponse,
+        private readonly answer: CallerAnswer,
+        response: ServerResponse,
     ) {
         this.lastEventId = admitted.request.lastEventId;
         const remaining = Math.max(0, admitted.deadline - this.now());
@@ -111,7 +59,12 @@
         admitted: AdmittedRequest,
         response: ServerResponse,
     ): Exchange {
-        const exchange = new Exchange(context, admitted, response);
+        const exchange = new Exchange(
+            context,
+            admitted,
+            CallerAnswer.create(response, context.isStopping),
+            response,
+        );
         context.retriesOf(admitted.service).recordRequest(exchange.now());
         exchange.next();
         return exchange;
@@ -156,7 +109,7 @@
     }
 
     private handleNoTarget(): void {
-        if (!this.response.headersSent) {
+        if (!this.answer.hasBegun) {
             this.refuse("no replica can take the request");
             return;
         }
@@ -178,25 +131,14 @@
         }
         const { instance, group } = target;
         const tokens = request.work?.promptTokens ?? 0;
-        const attempt: Attempt = {
-            number: this.sends + 1,
-            target,
-            sentAt: now,
-            flight: group === undefined ? undefined : context.flights.start(group, tokens, now),
-            splitter: EventSplitter.create(),
-            call: undefined,
-            head: undefined,
-            pieces: [],
-            heldBytes: 0,
-            hasEvents: false,
-            timer: undefined,
-        };
+        const flight = group === undefined ? undefined : context.flights.start(group, tokens, now);
+        const attempt = createAttempt(this.sends + 1, target, now, flight);
         this.attempt = attempt;
         this.lastTarget = target;
         this.sends += 1;
         this.tried.add(instance.id);
         context.records.start(instance.id);
-        const isResumed = this.response.headersSent;
+        const isResumed = this.answer.hasBegun;
         const headers = context.wire.encodeSend(request, {
             instance: instance.id,
             remainingMilliseconds: admitted.deadline - now,
@@ -230,7 +172,7 @@
     private armAttemptTimer(attempt: Attempt): void {
         const { route } = this.admitted;
         const hasSpare = this.runs + 1 < route.maximumAttempts;
-        if (!hasSpare || this.response.headersSent) {
+        if (!hasSpare || this.answer.hasBegun) {
             return;
         }
         const { objectiveMilliseconds: objective } = route;
@@ -299,18 +241,18 @@
         }
         this.lastEventId = event.id ?? this.lastEventId;
         this.resumeUntil = undefined;
-        this.writeHead(attempt.head!, undefined);
-        if (!this.response.write(event.bytes)) {
+        this.answer.begin(attempt.head!, undefined, this.now());
+        if (!this.answer.write(event.bytes)) {
             attempt.call?.pause();
         }
     }
 
     /** Passes on an answer that is too long to be held back. */
     private relayPieces(attempt: Attempt, piece: Buffer): void {
-        this.writeHead(attempt.head!, undefined);
-        attempt.pieces.forEach(held => this.response.write(held));
+        this.answer.begin(attempt.head!, undefined, this.now());
+        attempt.pieces.forEach(held => this.answer.write(held));
         attempt.pieces = [];
-        if (!this.response.write(piece)) {
+        if (!this.answer.write(piece)) {
             attempt.call?.pause();
         }
     }
@@ -342,39 +284,18 @@
         this.release(attempt);
         this.context.records.recordSuccess(attempt.target.instance.id, this.now() - attempt.sentAt);
         this.context.metrics.attempts.inc({ service: this.admitted.service, outcome: "served" });
-        if (this.response.headersSent) {
+        if (this.answer.hasBegun) {
             this.settle("served", {});
-            this.response.end();
+            this.answer.end();
             return;
         }
         this.answerWhole(head, Buffer.concat(attempt.pieces), "served");
     }
 
     private answerWhole(head: AnswerHead, body: Buffer, outcome: string): void {
-        this.writeHead(head, body.length);
+        this.answer.begin(head, body.length, this.now());
         this.settle(outcome, { status: head.status });
-        this.response.end(body);
-    }
-
-    private writeHead(head: AnswerHead, length: number | undefined): void {
-        if (this.response.headersSent) {
-            return;
-        }
-        this.firstByteAt = this.now();
-        const headers = [...head.headers];
-        if (!head.isFramed) {
-            // Whether such an answer is whole shows only in how its connection ends, so the caller's ends likewise.
-            this.isCloseDelimited = true;
-            this.response.shouldKeepAlive = false;
-            this.response.useChunkedEncodingByDefault = false;
-        } else if (length !== undefined) {
-            headers.push("Content-Length", String(length));
-        }
-        if (this.context.isStopping() && head.isFramed) {
-            headers.push("Connection", "close");
-        }
-        this.response.sendDate = false;
-        this.response.writeHead(head.status, headers);
+        this.answer.end(body);
     }
 
     /** Ends the present attempt and decides what follows. `hasRun`: the replica lives and may have run it. */
@@ -422,7 +343,7 @@
             sends: this.sends,
             maximumAttempts: admitted.route.maximumAttempts,
             mayHaveRun: this.mayHaveRun,
-            hasBegunAnswer: this.response.headersSent,
+            hasBegunAnswer: this.answer.hasBegun,
             remainingMilliseconds: admitted.deadline - now,
             hasBudget: context.retriesOf(admitted.service).available(now) > 0,
         });
@@ -474,7 +395,7 @@
             attempt.call?.cancel();
             this.release(attempt);
         }
-        if (this.response.headersSent) {
+        if (this.answer.hasBegun) {
             this.cut("the deadline has passed");
             return;
         }
@@ -487,33 +408,15 @@
         reason: string,
         headers: readonly string[] = [],
     ): void {
-        const body = Buffer.from(JSON.stringify({ error: { message: reason, outcome } }));
+        this.settle(outcome, { status, reason });
         const { id } = this.admitted.request;
-        const close = this.context.isStopping() ? ["Connection", "close"] : [];
         const named = id === undefined ? [] : [this.context.wire.answeredRequestHeader, id];
-        this.settle(outcome, { status, reason });
-        this.response.writeHead(status, [
-            "Content-Type",
-            "application/json",
-            "Content-Length",
-            String(body.length),
-            ...named,
-            ...headers,
-            ...close,
-        ]);
-        this.response.end(body);
+        this.answer.refuse(status, { message: reason, outcome }, [...named, ...headers]);
     }
 
-    /** Ends the caller's connection so that its answer does not look whole. */
     private cut(reason: string): void {
         this.settle("cut", { reason });
-        const socket = this.response.socket as Socket | undefined;
-        if (this.isCloseDelimited && socket) {
-            // A plain close would look like the end of such an answer.
-            socket.resetAndDestroy();
-        } else {
-            this.response.destroy();
-        }
+        this.answer.cut();
     }
 
     private handleCallerGone(): void {
@@ -537,8 +440,8 @@
         const { route, arrivedAt } = this.admitted;
         metrics.requests.inc({ route: route.repeatability, outcome });
         metrics.answerSeconds.observe({ route: route.repeatability }, (now - arrivedAt) / 1000);
-        if (this.firstByteAt !== undefined) {
-            const seconds = (this.firstByteAt - arrivedAt) / 1000;
+        if (this.answer.firstByteAt !== undefined) {
+            const seconds = (this.answer.firstByteAt - arrivedAt) / 1000;
             metrics.firstByteSeconds.observe({ route: route.repeatability }, seconds);
         }
         const line = {
@@ -550,7 +453,7 @@
             fleetRevision: this.lastTarget?.fleetRevision,
             sends: this.sends,
             runs: this.runs,
-            firstByteMilliseconds: this.firstByteAt && Math.round(this.firstByteAt - arrivedAt),
+            firstByteMilliseconds: this.answer.firstByteAt && Math.round(this.answer.firstByteAt - arrivedAt),
             tookMilliseconds: Math.round(now - arrivedAt),
         };
         log.info("request ended", line);
@@ -567,15 +470,3 @@
         };
     }
 }
-
-/** True for a success that the replica vouches for. */
-function isGood(head: AnswerHead | undefined): boolean {
-    return (
-        head !== undefined &&
-        head.isSigned &&
-        !head.isNotRun &&
-        !head.hasForeignEncoding &&
-        head.status >= 200 &&
-        head.status < 300
-    );
-}
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -3,33 +3,32 @@
  * Events and the present time go in, commands come out; times are local monotonic milliseconds. Nothing is stored: what
  * the engines say of themselves is the placement, and every new term reads it back.
  */
-import type { Candidate, GroupChoice } from "./group-choices.js";
+import type { GroupChoice } from "./group-choices.js";
 import { chooseGroup, chooseStaging } from "./group-choices.js";
-import type { EngineModel, EngineProfile } from "./engine-models.js";
-import type { EngineStatus, FleetInstance } from "./fleets.js";
+import type { EngineProfile } from "./engine-models.js";
+import type { FleetInstance } from "./fleets.js";
 import { groupKey } from "./fleets.js";
-import { GroupFormation, formationReportMilliseconds } from "./group-formations.js";
+import { GroupFormation } from "./group-formations.js";
 import type { GroupOrder, OrderReply } from "./group-orders.js";
+import { GroupMemory } from "./group-memories.js";
 import type { KnownInstance, ReportOutcome } from "./known-instances.js";
 import { KnownInstances } from "./known-instances.js";
 import { LoadAllowance } from "./load-allowances.js";
+import type { PlannedGroup } from "./planned-groups.js";
+import { collectPlannedGroups, countFreeSoon, rankOf, toCandidate } from "./planned-groups.js";
+import { ReportSchedule } from "./report-schedules.js";
+import { SpareStagings } from "./spare-stagings.js";
 
 /** Time for which a term gives no orders: the holder before it may still be told that it has lost the lease. */
 const settleMilliseconds = 300;
 /** Time in which a term's first reports are awaited before anything is planned, in milliseconds. */
 const readBackMilliseconds = 700;
-/** Time between two reports of an instance that does not answer, in milliseconds. */
-const silentReportMilliseconds = 100;
-/** The same once it is dead, and of one that answers though its heartbeats are missing. */
-const deadReportMilliseconds = 1_000;
 /** Time between two orders to one instance, in milliseconds. */
 const orderPauseMilliseconds = 150;
 /** Epochs of one term; the next term's are all higher. */
 const epochsPerTerm = 1_000;
 /** Time in which instances that were lost together come back one after the other, in milliseconds. */
 const appearingMilliseconds = 1_500;
-/** Factor on a load's usual time after which a staging counts as failed: loads share the weight store. */
-const stagingPatience = 2.5;
 /** Time after a first start in which spares are not staged yet, so that groups get the weight store first. */
 const stagingDelayMilliseconds = 4_500;
 
@@ -62,29 +61,6 @@
     readonly groupsElsewhere: ReadonlyMap<string, number>;
 }
 
-/** A group as its members, asked one by one, describe it. */
-interface PlannedGroup {
-    readonly key: string;
-    readonly name: string;
-    readonly epoch: number;
-    readonly model: EngineModel | undefined;
-    readonly leader: KnownInstance | undefined;
-    readonly members: readonly KnownInstance[];
-}
-
-/** A group that an instance was in. */
-interface LastGroup {
-    readonly key: string;
-    readonly incarnation: number | undefined;
-}
-
-/** A load of weights onto a spare's host that is under way. */
-interface Staging {
-    readonly model: string;
-    /** Local monotonic milliseconds at which it counts as failed. */
-    readonly until: number;
-}
-
 /** Instances of one service in one fabric domain. */
 interface FabricDomain {
     readonly profile: EngineProfile;
@@ -94,21 +70,17 @@
 export class GroupPlanner {
     private readonly book: KnownInstances;
     private readonly formations = new Map<string, GroupFormation>();
-    private readonly leaderByKey = new Map<string, string>();
-    /** The group that each instance was in last and has not left. */
-    private readonly lastGroupById = new Map<string, LastGroup>();
-    private readonly nextReportAt = new Map<string, number>();
+    private readonly reports: ReportSchedule;
+    private readonly memory = GroupMemory.create();
     private readonly nextOrderAt = new Map<string, number>();
-    private readonly stagings = new Map<string, Staging>();
+    private readonly stagings = SpareStagings.create();
     private readonly allowances = new Map<string, LoadAllowance>();
-    private readonly suspected = new Set<string>();
-    /** Leaders whose end would free other instances. */
-    private readonly awaitedLeaders = new Set<string>();
     private epochs = 0;
     private commands: PlannerCommand[] = [];
 
     private constructor(private readonly options: GroupPlannerOptions) {
         this.book = KnownInstances.create(options.heartbeatMilliseconds);
+        this.reports = ReportSchedule.create(this.book);
     }
 
     public static create(options: GroupPlannerOptions): GroupPlanner {
@@ -122,13 +94,12 @@
         now: number,
     ): void {
         this.book.applyRegistrations(registered, lapsed, now);
-        [...lapsed, ...registered].forEach(({ id, status }) => this.noteRegistration(id, status));
+        [...lapsed, ...registered].forEach(({ id, status }) => this.memory.noteRegistration(id, status));
     }
 
     /** Someone has cause to think that an instance is dead: it is asked at once. */
     public suspect(id: string): void {
-        this.nextReportAt.delete(id);
-        this.suspected.add(id);
+        this.reports.hasten(id);
     }
 
     public handleReport(id: string, outcome: ReportOutcome, askedAt: number): void {
@@ -136,7 +107,7 @@
         if (outcome.kind !== "answered") {
             return;
         }
-        this.noteMembership(id, outcome.status);
+        this.memory.noteReport(id, outcome.status);
         for (const formation of this.formations.values()) {
             if (formation.options.members.includes(id)) {
                 formation.handleReport(id, outcome.status);
@@ -144,27 +115,6 @@
         }
     }
 
-    /** A registration lags: it tells of groups, not that an instance has left one. */
-    private noteRegistration(id: string, status: EngineStatus): void {
-        if (status.membership !== undefined && !this.lastGroupById.has(id)) {
-            this.noteMembership(id, status);
-        }
-    }
-
-    private noteMembership(id: string, status: EngineStatus): void {
-        const { membership, incarnation } = status;
-        if (membership?.rank === 0) {
-            this.leaderByKey.set(groupKey(membership), id);
-        }
-        const last = this.lastGroupById.get(id);
-        if (membership !== undefined) {
-            this.lastGroupById.set(id, { key: groupKey(membership), incarnation });
-        } else if (last !== undefined && last.incarnation === incarnation) {
-            // It has left the group itself; only a restart leaves the group's leader serving without it.
-            this.lastGroupById.delete(id);
-        }
-    }
-
     public handleReply(id: string, order: GroupOrder, reply: OrderReply, now: number): void {
         if (order.kind !== "stage") {
             this.formations.get(`${order.group}@${order.epoch}`)?.handleReply(id, order, reply, now);
@@ -172,16 +122,17 @@
         if (reply.kind === "absent") {
             this.book.applyReport(id, { kind: "refused" }, now);
         }
-        this.nextReportAt.delete(id);
-        this.suspected.add(id);
+        this.reports.hasten(id);
         this.note("order answered", { instance: id, order: order.kind, reply });
     }
 
     /** Plans what is due. */
     public step(surroundings: PlannerSurroundings, now: number): readonly PlannerCommand[] {
-        this.askReports(now);
+        const forming = [...this.formations.values()].flatMap(each => each.awaitedMembers());
+        for (const instance of this.reports.takeDue(new Set(forming), now)) {
+            this.commands.push({ kind: "report", instance });
+        }
         this.advanceFormations(now);
-        this.awaitedLeaders.clear();
         const domains = this.fabricDomains(surroundings);
         for (const domain of domains) {
             if (this.isReadBack(domain, now)) {
@@ -197,42 +148,6 @@
         this.commands.push({ kind: "note", sentence, fields });
     }
 
-    private askReports(now: number): void {
-        const forming = new Set([...this.formations.values()].flatMap(each => each.awaitedMembers()));
-        for (const known of this.book.all) {
-            const { id } = known.instance;
-            const isDue = now >= (this.nextReportAt.get(id) ?? 0);
-            const isWanted =
-                known.status === undefined ||
-                known.needsReport ||
-                known.silentSince !== undefined ||
-                known.isEnded ||
-                forming.has(id) ||
-                this.suspected.has(id) ||
-                this.awaitedLeaders.has(id) ||
-                (this.isOfUse(known) && this.book.hasMissedHeartbeat(known, now));
-            if (isDue && isWanted) {
-                this.suspected.delete(id);
-                this.nextReportAt.set(id, now + this.reportPause(known, forming.has(id), now));
-                this.commands.push({ kind: "report", instance: known.instance });
-            }
-        }
-    }
-
-    private isOfUse(known: KnownInstance): boolean {
-        return known.isRegistered || known.status?.membership !== undefined;
-    }
-
-    private reportPause(known: KnownInstance, isForming: boolean, now: number): number {
-        if (isForming) {
-            return formationReportMilliseconds;
-        }
-        const isUrgent = known.status === undefined || known.silentSince !== undefined || known.needsReport;
-        const isSettled = this.book.isDead(known, now) || !isUrgent;
-        const isAwaited = this.awaitedLeaders.has(known.instance.id);
-        return isSettled && !isAwaited ? deadReportMilliseconds : silentReportMilliseconds;
-    }
-
     private advanceFormations(now: number): void {
         for (const [key, formation] of this.formations) {
             const members = formation.options.members.map(member => this.book.get(member));
@@ -285,7 +200,7 @@
     }
 
     private planDomain(domain: FabricDomain, surroundings: PlannerSurroundings, now: number): void {
-        const groups = this.collectGroups(domain);
+        const groups = collectPlannedGroups(domain.known, domain.profile.models);
         for (const group of groups) {
             this.repair(group, domain, now);
         }
@@ -316,28 +231,6 @@
         return !this.options.isFirstStart && domain.known.some(isNew);
     }
 
-    private collectGroups(domain: FabricDomain): readonly PlannedGroup[] {
-        const byKey = new Map<string, KnownInstance[]>();
-        for (const known of domain.known) {
-            const membership = known.status?.membership;
-            if (membership !== undefined && !known.isEnded) {
-                const key = groupKey(membership);
-                byKey.set(key, [...(byKey.get(key) ?? []), known]);
-            }
-        }
-        return [...byKey].map(([key, members]) => {
-            const { status } = members[0]!;
-            return {
-                key,
-                name: status!.membership!.group,
-                epoch: status!.membership!.epoch,
-                model: domain.profile.models.find(model => model.name === status!.model),
-                leader: members.find(member => member.status?.membership?.rank === 0),
-                members,
-            };
-        });
-    }
-
     private isWhole(group: PlannedGroup, now: number): boolean {
         return (
             group.model !== undefined &&
@@ -435,13 +328,13 @@
         if (membership !== undefined) {
             return membership.state === "broken";
         }
-        const last = this.lastGroupById.get(id);
-        return last === undefined || this.hasLeaderLeft(last.key, id, now);
+        const key = this.memory.groupBefore(id);
+        return key === undefined || this.hasLeaderLeft(key, id, now);
     }
 
     /** True if the leader of the group that an instance was in before its restart serves no more. */
     private hasLeaderLeft(key: string, id: string, now: number): boolean {
-        const leaderId = this.leaderByKey.get(key);
+        const leaderId = this.memory.leaderOf(key);
         const leader = leaderId === undefined ? undefined : this.book.get(leaderId);
         if (leader === undefined || leaderId === id) {
             return true;
@@ -452,7 +345,7 @@
         if ((leader.status !== undefined && !isMember) || this.book.isSurelyGone(leader, now)) {
             return true;
         }
-        this.awaitedLeaders.add(leader.instance.id);
+        this.reports.await(leader.instance.id);
         return false;
     }
 
@@ -499,29 +392,16 @@
             return;
         }
         const idle = free.filter(known => known.status?.membership === undefined);
-        const spares = idle.map(known => this.toStagedCandidate(known, now));
+        const spares = idle.map(known => this.stagings.complete(toCandidate(known), now));
         const choice = chooseStaging(domain.profile.models, spares);
         if (choice === undefined || !this.allowanceOf(domain, now).tryTake(1, now)) {
             return;
         }
-        const until = now + stagingPatience * choice.model.loadMilliseconds;
-        this.stagings.set(choice.id, { model: choice.model.name, until });
+        this.stagings.start(choice.id, choice.model, now);
         this.note("staging a spare", { instance: choice.id, model: choice.model.name });
         this.order(choice.id, { kind: "stage", model: choice.model.name }, now);
     }
 
-    /** A spare that is loading weights counts as holding them. */
-    private toStagedCandidate(known: KnownInstance, now: number): Candidate {
-        const { id } = known.instance;
-        const candidate = toCandidate(known);
-        const staging = this.stagings.get(id);
-        if (staging === undefined || candidate.staged.includes(staging.model) || now >= staging.until) {
-            this.stagings.delete(id);
-            return candidate;
-        }
-        return { ...candidate, staged: [staging.model] };
-    }
-
     private allowanceOf(domain: FabricDomain, now: number): LoadAllowance {
         const { service } = domain.known[0]!.instance;
         let allowance = this.allowances.get(service);
@@ -540,28 +420,3 @@
         return allowance;
     }
 }
-
-function rankOf(known: KnownInstance): number {
-    return known.status?.membership?.rank ?? 0;
-}
-
-function toCandidate(known: KnownInstance): Candidate {
-    return {
-        id: known.instance.id,
-        lastModel: known.status?.model,
-        staged: known.status?.staged ?? [],
-    };
-}
-
-/** Counts the members of ended groups that are still bound to their leader. */
-function countFreeSoon(
-    ended: readonly PlannedGroup[],
-    isBound: (member: KnownInstance) => boolean,
-): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>();
-    for (const group of ended) {
-        const name = group.model?.name ?? "";
-        counts.set(name, (counts.get(name) ?? 0) + group.members.filter(isBound).length);
-    }
-    return counts;
-}
--- /dev/null
+++ b/src/serving/planned-groups.ts
@@ -0,0 +1,66 @@
+/** Replica groups as their members, asked one by one, describe them. */
+import type { EngineModel } from "./engine-models.js";
+import { groupKey } from "./fleets.js";
+import type { Candidate } from "./group-choices.js";
+import type { KnownInstance } from "./known-instances.js";
+
+/** A group as its members, asked one by one, describe it. */
+export interface PlannedGroup {
+    readonly key: string;
+    readonly name: string;
+    readonly epoch: number;
+    readonly model: EngineModel | undefined;
+    readonly leader: KnownInstance | undefined;
+    readonly members: readonly KnownInstance[];
+}
+
+/** Collects the groups that the instances of a fabric domain say they are in. */
+export function collectPlannedGroups(
+    instances: readonly KnownInstance[],
+    models: readonly EngineModel[],
+): readonly PlannedGroup[] {
+    const byKey = new Map<string, KnownInstance[]>();
+    for (const known of instances) {
+        const membership = known.status?.membership;
+        if (membership !== undefined && !known.isEnded) {
+            const key = groupKey(membership);
+            byKey.set(key, [...(byKey.get(key) ?? []), known]);
+        }
+    }
+    return [...byKey].map(([key, members]) => {
+        const { status } = members[0]!;
+        return {
+            key,
+            name: status!.membership!.group,
+            epoch: status!.membership!.epoch,
+            model: models.find(model => model.name === status!.model),
+            leader: members.find(member => member.status?.membership?.rank === 0),
+            members,
+        };
+    });
+}
+
+export function rankOf(known: KnownInstance): number {
+    return known.status?.membership?.rank ?? 0;
+}
+
+export function toCandidate(known: KnownInstance): Candidate {
+    return {
+        id: known.instance.id,
+        lastModel: known.status?.model,
+        staged: known.status?.staged ?? [],
+    };
+}
+
+/** Counts the members of ended groups that are still bound to their leader. */
+export function countFreeSoon(
+    ended: readonly PlannedGroup[],
+    isBound: (member: KnownInstance) => boolean,
+): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const group of ended) {
+        const name = group.model?.name ?? "";
+        counts.set(name, (counts.get(name) ?? 0) + group.members.filter(isBound).length);
+    }
+    return counts;
+}
--- /dev/null
+++ b/src/serving/spare-stagings.ts
@@ -0,0 +1,36 @@
+/** Loads of weights onto the hosts of spares that are under way. */
+import type { EngineModel } from "./engine-models.js";
+import type { Candidate } from "./group-choices.js";
+
+/** Factor on a load's usual time after which a staging counts as failed: loads share the weight store. */
+const stagingPatience = 2.5;
+
+interface Staging {
+    readonly model: string;
+    /** Local monotonic milliseconds at which it counts as failed. */
+    readonly until: number;
+}
+
+export class SpareStagings {
+    private readonly byId = new Map<string, Staging>();
+
+    private constructor() {}
+
+    public static create(): SpareStagings {
+        return new SpareStagings();
+    }
+
+    public start(id: string, model: EngineModel, now: number): void {
+        this.byId.set(id, { model: model.name, until: now + stagingPatience * model.loadMilliseconds });
+    }
+
+    /** A spare that is loading weights counts as holding them. */
+    public complete(candidate: Candidate, now: number): Candidate {
+        const staging = this.byId.get(candidate.id);
+        if (staging === undefined || candidate.staged.includes(staging.model) || now >= staging.until) {
+            this.byId.delete(candidate.id);
+            return candidate;
+        }
+        return { ...candidate, staged: [staging.model] };
+    }
+}
