--- a/src/serving/configurations.ts
+++ b/src/serving/configurations.ts
@@ -28,14 +28,11 @@
     readonly allowsAnonymous: boolean;
     /** True if a stream may go on at another replica after its last delivered event. */
     readonly isResumable: boolean;
-    /** Longest pause between events of a stream that is on time, in milliseconds. */
-    readonly gapMilliseconds: number;
 }
 
 /** One service that replicas offer. */
 export interface ServiceProfile {
     readonly name: string;
-    readonly healthPath: string;
     /** Connections that one replica accepts from all callers together. */
     readonly maximumConnections: number;
     /** Present if the replicas are model engines. */
--- a/src/serving/engine-models.ts
+++ b/src/serving/engine-models.ts
@@ -22,8 +22,6 @@
 export interface EngineProfile {
     /** Requests that one group runs at once. */
     readonly slots: number;
-    /** Tokens that fit into one group's memory. */
-    readonly memoryTokens: number;
     readonly models: readonly EngineModel[];
     readonly stepMilliseconds: number;
     readonly perSequenceMilliseconds: number;
--- a/src/serving/group-flights.ts
+++ b/src/serving/group-flights.ts
@@ -96,11 +96,6 @@
         this.peers.set(peer, { loads: byGroup, expiresAt });
     }
 
-    /** Entry instances heard of lately, this one included. */
-    public countEntries(now: number): number {
-        return 1 + [...this.peers.values()].filter(peer => now < peer.expiresAt).length;
-    }
-
     /** All that is known to be at a group. */
     public loadOf(group: string, now: number): EngineLoad {
         const own = this.ownLoad(group);
--- a/src/serving/settings.ts
+++ b/src/serving/settings.ts
@@ -20,10 +20,6 @@
     readonly heartbeatMilliseconds: number;
     /** Time from SIGTERM to SIGKILL. */
     readonly shutdownMilliseconds: number;
-    /** Time in which an engine notices a lost member by itself. */
-    readonly engineStallMilliseconds: number;
-    /** File descriptors that this process may use. */
-    readonly descriptors: number;
     /** Retry budget of each service, over all entry instances together. */
     readonly retries: RetryWindowOptions;
 }
--- a/src/serving/tests/fake-engines.ts
+++ b/src/serving/tests/fake-engines.ts
@@ -17,7 +17,6 @@
 
 export const profile: EngineProfile = {
     slots: 18,
-    memoryTokens: 900_000,
     models: [
         { name: "large", size: 4, pace: 1, share: 0.67, loadMilliseconds: 16_000, warmMilliseconds: 1_600 },
         { name: "small", size: 2, pace: 0.6, share: 0.33, loadMilliseconds: 12_000, warmMilliseconds: 1_100 },
--- a/src/serving/tests/group-suspicions.test.ts
+++ b/src/serving/tests/group-suspicions.test.ts
@@ -48,7 +48,7 @@
     const table = RouteTable.create({
         version: 1,
         routes: [],
-        services: [{ name: "llm", healthPath: "/", maximumConnections: 10, engine: profile }],
+        services: [{ name: "llm", maximumConnections: 10, engine: profile }],
         limits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
         workspaces: undefined,
     });
--- a/src/serving/wire.ts
+++ b/src/serving/wire.ts
@@ -5,8 +5,6 @@
 export interface EngineWork {
     readonly model: string;
     readonly promptTokens: number;
-    /** The most tokens that the answer may have. */
-    readonly answerTokens: number;
 }
 
 /** One request of a caller, without its body. */
@@ -53,8 +51,6 @@
     readonly isFramed: boolean;
     /** True if the body is in an encoding that no caller asked for. */
     readonly hasForeignEncoding: boolean;
-    /** The instance that the replica blames for a refusal. */
-    readonly faultyInstance: string | undefined;
     /** Names and values in turn, without those that concern one connection. */
     readonly headers: readonly string[];
 }
