Stage weights before groups are formed, the most urgent first and within the weight store's rate

Every empty host was staged at once, so that loads shared the weight store and took several times as long. A model that was short in its own fabric domain was formed with loads although free instances held the other's.

Now a group is formed without loads only, but for the first start; hosts are staged in the order of what the domain lacks most (a group of each model, repair spares, further groups of the scarcest model), within this failure domain's part of the loads that run at full speed. Weights give way only to those that a repair needs. Further groups are formed while another model waits for its weights.

A member that only loses the store while its group forms no longer ends the forming: the group's own check and the forming's check differed, and the planner took the group over and gave it up again in turn.

Tests: choosing and staging without loads, conversions, scarcity; forming across a loss of the store (fails before). The old staging tests called the choice with the spares alone; they now pass the whole domain and check the same cases.

--- a/src/serving/engine-models.ts
+++ b/src/serving/engine-models.ts
@@ -34,6 +34,8 @@
     readonly stride: number;
     /** Weight loads that may begin per second, over all instances. */
     readonly loadsPerSecond: number;
+    /** Weight loads that the weight store serves at full speed at a time; more share its rate. */
+    readonly concurrentLoads: number;
     readonly usualPromptTokens: number;
     readonly usualAnswerTokens: number;
 }
--- a/src/serving/group-choices.ts
+++ b/src/serving/group-choices.ts
@@ -36,6 +36,21 @@
     readonly freeSoon: ReadonlyMap<string, number>;
     /** True while instances are appearing, so that a better choice may be possible in a moment. */
     readonly isSettling: boolean;
+    /** True if members may load weights while they join; otherwise weights are staged first. */
+    readonly mayLoad: boolean;
+    /** Group count by model over all fabric domains, this one included. */
+    readonly groupsOverall: ReadonlyMap<string, number>;
+}
+
+/** What a fabric domain holds of one model, as the plan of its stagings sees it. */
+export interface StagingSituation {
+    readonly models: readonly EngineModel[];
+    /** Instances in all states that can serve. */
+    readonly instances: number;
+    /** Instances by the model of the group that they are in. */
+    readonly members: ReadonlyMap<string, number>;
+    /** Free instances; weights that are being loaded count as staged. */
+    readonly spares: readonly Candidate[];
     /** Group count by model over all fabric domains, this one included. */
     readonly groupsOverall: ReadonlyMap<string, number>;
 }
@@ -62,54 +77,124 @@
     return { model, members: chosen.map(candidate => candidate.id), loads };
 }
 
-/** Returns the next group that the fabric domain should form, or undefined if it has what it should. */
+/** Returns the next group that the fabric domain should form, or undefined if it has what it can have now. */
 export function chooseGroup(situation: DomainSituation): GroupChoice | undefined {
     const missing = situation.models.filter(model => (situation.groups.get(model.name) ?? 0) === 0);
-    const bySize = [...missing].sort((left, right) => right.size - left.size);
-    for (const model of bySize) {
+    for (const model of bySizeDescending(missing)) {
         const choice = chooseMembers(model, situation.free);
         if (choice !== undefined && !shouldWait(choice, situation)) {
             return choice;
         }
     }
-    return missing.length > 0 ? undefined : chooseExtraGroup(situation);
+    return chooseExtraGroup(situation, missing);
 }
 
 /** A load takes longer than it takes until instances that hold the weights are there and free. */
 function shouldWait(choice: GroupChoice, situation: DomainSituation): boolean {
     const isBetterSoon = situation.isSettling || (situation.freeSoon.get(choice.model.name) ?? 0) > 0;
-    return choice.loads > 0 && isBetterSoon;
+    return choice.loads > 0 && (isBetterSoon || !situation.mayLoad);
 }
 
-function chooseExtraGroup(situation: DomainSituation): GroupChoice | undefined {
-    const reserve = Math.ceil(situation.instances * reservedPart);
-    const supply = (model: EngineModel): number =>
-        (situation.groupsOverall.get(model.name) ?? 0) / (model.share * model.pace);
-    const affordable = situation.models.filter(model => situation.free.length - model.size >= reserve);
-    const scarcest = [...affordable].sort((left, right) => supply(left) - supply(right))[0];
-    return scarcest && chooseMembers(scarcest, situation.free);
+/** A further group of the scarcest model, of instances that neither repairs nor the missing models need. */
+function chooseExtraGroup(
+    situation: DomainSituation,
+    missing: readonly EngineModel[],
+): GroupChoice | undefined {
+    const { models, free, instances, groupsOverall } = situation;
+    const kept = reserveOf(instances) + missing.reduce((sum, model) => sum + model.size, 0);
+    const choices = byScarcity(models, groupsOverall)
+        .filter(model => free.length - model.size >= kept)
+        .flatMap(model => chooseMembers(model, free) ?? []);
+    return choices.find(choice => !shouldWait(choice, situation));
 }
 
-/**
- * Which free instance should load which model next; undefined if the staged mix is right. The larger a group, the more
- * likely it is hit next: a single spare holds the largest model, a second one the next.
- */
+/** Returns which free instance should load which model next; undefined if the domain holds what it should. */
 export function chooseStaging(
-    models: readonly EngineModel[],
-    spares: readonly Candidate[],
+    situation: StagingSituation,
 ): { readonly id: string; readonly model: EngineModel } | undefined {
-    const bySize = [...models].sort((left, right) => right.size - left.size);
-    const unassigned = [...spares];
-    const unmet: EngineModel[] = [];
-    for (let index = 0; index < spares.length && bySize.length > 0; index += 1) {
-        const model = bySize[index % bySize.length]!;
-        const holder = unassigned.findIndex(spare => spare.staged.includes(model.name));
-        if (holder === -1) {
-            unmet.push(model);
-        } else {
-            unassigned.splice(holder, 1);
+    const { spares } = situation;
+    const left = new Map(situation.members);
+    for (const spare of spares) {
+        const name = heldModel(spare) ?? "";
+        left.set(name, (left.get(name) ?? 0) + 1);
+    }
+    const isUnmet = (model: EngineModel): boolean => {
+        const count = left.get(model.name) ?? 0;
+        left.set(model.name, count - 1);
+        return count <= 0;
+    };
+    const wanted = wantedUnits(situation);
+    const unmetNeeds = wanted.needed.filter(isUnmet);
+    const unmetRest = wanted.further.filter(isUnmet);
+    const empty = spares.find(spare => heldModel(spare) === undefined);
+    const surplus = spares.find(spare => (left.get(heldModel(spare) ?? "") ?? 0) > 0);
+    // Weights that a host holds give way only to those that a repair needs.
+    const spare = empty ?? (unmetNeeds.length > 0 ? surplus : undefined);
+    const model = unmetNeeds[0] ?? unmetRest[0];
+    return spare === undefined || model === undefined ? undefined : { id: spare.id, model };
+}
+
+/** Models that the instances of a domain should hold, one for each instance, the most urgent first. */
+interface WantedUnits {
+    /** A group of each model, and the spares that repair them. */
+    readonly needed: readonly EngineModel[];
+    /** Further groups, and the spares that are left. */
+    readonly further: readonly EngineModel[];
+}
+
+/**
+ * Groups and spares in turn. The larger a group, the more likely it is hit next: a single spare holds the largest model,
+ * a second one the next.
+ */
+function wantedUnits({ models, instances, groupsOverall }: StagingSituation): WantedUnits {
+    const bySize = bySizeDescending(models);
+    const overall = new Map(groupsOverall);
+    const units: EngineModel[] = [];
+    let spares = 0;
+    const free = (): number => instances - units.length;
+    const addGroup = (model: EngineModel): void => {
+        units.push(...Array.from({ length: model.size }, () => model));
+    };
+    const addSpares = (count: number): void => {
+        for (let index = 0; index < count && bySize.length > 0; index += 1) {
+            units.push(bySize[spares % bySize.length]!);
+            spares += 1;
+        }
+    };
+    bySize.forEach(model => model.size <= free() && addGroup(model));
+    addSpares(Math.min(reserveOf(instances), free()));
+    const needed = units.length;
+    for (;;) {
+        const model = byScarcity(models, overall).find(each => each.size <= free());
+        if (model === undefined) {
+            break;
         }
+        overall.set(model.name, (overall.get(model.name) ?? 0) + 1);
+        addGroup(model);
     }
-    const next = unassigned.find(spare => spare.staged.length === 0) ?? unassigned[0];
-    return next === undefined || unmet[0] === undefined ? undefined : { id: next.id, model: unmet[0] };
+    addSpares(free());
+    return { needed: units.slice(0, needed), further: units.slice(needed) };
+}
+
+/** The model whose weights an instance has, on its host or in its memory. */
+function heldModel({ staged, lastModel }: Candidate): string | undefined {
+    return staged[0] ?? lastModel;
+}
+
+function reserveOf(instances: number): number {
+    return Math.ceil(instances * reservedPart);
+}
+
+function bySizeDescending(models: readonly EngineModel[]): readonly EngineModel[] {
+    return [...models].sort((left, right) => right.size - left.size);
+}
+
+/** Models by the groups that there are for their part of the work, the scarcest first. */
+function byScarcity(
+    models: readonly EngineModel[],
+    groupsOverall: ReadonlyMap<string, number>,
+): readonly EngineModel[] {
+    const supply = (model: EngineModel): number =>
+        (groupsOverall.get(model.name) ?? 0) / (model.share * model.pace);
+    return [...models].sort((left, right) => supply(left) - supply(right));
 }
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -15,7 +15,13 @@
 import { KnownInstances } from "./known-instances.js";
 import { LoadAllowance } from "./load-allowances.js";
 import type { PlannedGroup } from "./planned-groups.js";
-import { collectPlannedGroups, countFreeSoon, rankOf, toCandidate } from "./planned-groups.js";
+import {
+    collectPlannedGroups,
+    countByModelHeld,
+    countFreeSoon,
+    rankOf,
+    toCandidate,
+} from "./planned-groups.js";
 import { ReportSchedule } from "./report-schedules.js";
 import { SpareStagings } from "./spare-stagings.js";
 
@@ -149,8 +155,9 @@
 
     private advanceFormations(now: number): void {
         for (const [key, formation] of this.formations) {
-            const members = formation.options.members.map(member => this.book.get(member));
-            const isIncomplete = members.some(member => member === undefined || !this.isUsable(member, now));
+            const isIncomplete = formation.options.members.some(
+                (member, rank) => !this.holdsPlace(this.book.get(member), rank, now),
+            );
             if (formation.isOpen || formation.hasFailed(now) || isIncomplete) {
                 this.note(formation.isOpen ? "group opened" : "forming a group failed", {
                     group: key,
@@ -208,7 +215,7 @@
         const whole = groups.filter(group => this.isWhole(group, now) || this.formations.has(group.key));
         const choice = chooseGroup({
             models: domain.profile.models,
-            instances: domain.known.length,
+            instances: usable.length,
             groups: this.countByModel(whole, domain),
             free: free.map(toCandidate),
             freeSoon: countFreeSoon(
@@ -216,13 +223,14 @@
                 member => this.isUsable(member, now) && !free.includes(member),
             ),
             isSettling: this.isSettling(domain, now),
+            mayLoad: this.allowanceOf(domain, now).isFree(now),
             groupsOverall: surroundings.groupsOverall,
         });
         if (choice !== undefined) {
             this.form(choice, domain, now);
             return;
         }
-        this.stageSpares(domain, free, now);
+        this.stageSpares(domain, usable, surroundings, now);
     }
 
     private isSettling(domain: FabricDomain, now: number): boolean {
@@ -236,13 +244,16 @@
             group.leader !== undefined &&
             group.leader.status?.membership?.state !== "broken" &&
             group.members.length === group.model.size &&
-            group.members.every(member => this.holdsPlace(member, now))
+            group.members.every(member => this.holdsPlace(member, rankOf(member), now))
         );
     }
 
     /** True if a member need not be replaced. One that only cannot register does its work all the same. */
-    private holdsPlace(member: KnownInstance, now: number): boolean {
-        const isCutFromStore = !member.isRegistered && rankOf(member) > 0;
+    private holdsPlace(member: KnownInstance | undefined, rank: number, now: number): boolean {
+        if (member === undefined) {
+            return false;
+        }
+        const isCutFromStore = !member.isRegistered && rank > 0;
         return this.isUsable(member, now) || (isCutFromStore && !this.book.isDead(member, now));
     }
 
@@ -386,14 +397,27 @@
         formation.dueOrders(now).forEach(({ instance, order }) => this.order(instance, order, now));
     }
 
-    private stageSpares(domain: FabricDomain, free: readonly KnownInstance[], now: number): void {
-        if (this.options.isFirstStart && now < this.options.startedAt + stagingDelayMilliseconds) {
+    private stageSpares(
+        domain: FabricDomain,
+        usable: readonly KnownInstance[],
+        { groupsOverall }: PlannerSurroundings,
+        now: number,
+    ): void {
+        const allowance = this.allowanceOf(domain, now);
+        const isFirstForming =
+            this.options.isFirstStart && now < this.options.startedAt + stagingDelayMilliseconds;
+        if (isFirstForming || (!allowance.isFree(now) && this.loadsUnderWay(now) >= this.mostLoads(domain))) {
             return;
         }
-        const idle = free.filter(known => known.status?.membership === undefined);
-        const spares = idle.map(known => this.stagings.complete(toCandidate(known), now));
-        const choice = chooseStaging(domain.profile.models, spares);
-        if (choice === undefined || !this.allowanceOf(domain, now).tryTake(1, now)) {
+        const idle = usable.filter(known => this.isFree(known, now) && isIdle(known));
+        const choice = chooseStaging({
+            models: domain.profile.models,
+            instances: usable.length,
+            members: countByModelHeld(usable.filter(known => !idle.includes(known))),
+            spares: idle.map(known => this.stagings.complete(toCandidate(known), now)),
+            groupsOverall,
+        });
+        if (choice === undefined || !allowance.tryTake(1, now)) {
             return;
         }
         this.stagings.start(choice.id, choice.model, now);
@@ -401,6 +425,19 @@
         this.order(choice.id, { kind: "stage", model: choice.model.name }, now);
     }
 
+    private loadsUnderWay(now: number): number {
+        const isSpare = (id: string): boolean => {
+            const known = this.book.get(id);
+            return known !== undefined && this.isUsable(known, now) && isIdle(known);
+        };
+        return this.stagings.countUnderWay(isSpare, now);
+    }
+
+    /** This failure domain's part of the loads that the weight store serves at full speed. */
+    private mostLoads({ profile }: FabricDomain): number {
+        return Math.max(1, Math.floor(profile.concurrentLoads / this.options.failureDomains));
+    }
+
     private allowanceOf(domain: FabricDomain, now: number): LoadAllowance {
         const { service } = domain.known[0]!.instance;
         let allowance = this.allowances.get(service);
@@ -419,3 +456,7 @@
         return allowance;
     }
 }
+
+function isIdle(known: KnownInstance): boolean {
+    return known.status?.membership === undefined;
+}
--- a/src/serving/load-allowances.ts
+++ b/src/serving/load-allowances.ts
@@ -21,9 +21,14 @@
         return new LoadAllowance(options, now);
     }
 
+    /** True while loads cost nothing. */
+    public isFree(now: number): boolean {
+        return now < this.options.freeUntil;
+    }
+
     /** Takes `loads` loads, or none of them and returns false. */
     public tryTake(loads: number, now: number): boolean {
-        if (now < this.options.freeUntil) {
+        if (this.isFree(now)) {
             return true;
         }
         const earned = ((now - this.updatedAt) / 1000) * this.options.loadsPerSecond;
--- a/src/serving/planned-groups.ts
+++ b/src/serving/planned-groups.ts
@@ -64,3 +64,13 @@
     }
     return counts;
 }
+
+/** Counts instances by the model that they run or are about to run. */
+export function countByModelHeld(instances: readonly KnownInstance[]): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const { status } of instances) {
+        const name = status?.model ?? "";
+        counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+    return counts;
+}
--- a/src/serving/spare-stagings.ts
+++ b/src/serving/spare-stagings.ts
@@ -24,6 +24,16 @@
         this.byId.set(id, { model: model.name, until: now + stagingPatience * model.loadMilliseconds });
     }
 
+    /** Number of loads under way; `isIdle` tells whether an instance is still a spare. */
+    public countUnderWay(isIdle: (id: string) => boolean, now: number): number {
+        for (const [id, staging] of this.byId) {
+            if (now >= staging.until || !isIdle(id)) {
+                this.byId.delete(id);
+            }
+        }
+        return this.byId.size;
+    }
+
     /** A spare that is loading weights counts as holding them. */
     public complete(candidate: Candidate, now: number): Candidate {
         const staging = this.byId.get(candidate.id);
--- a/src/serving/tests/fake-engines.ts
+++ b/src/serving/tests/fake-engines.ts
@@ -29,6 +29,7 @@
     chunkTokens: 2_048,
     stride: 5,
     loadsPerSecond: 4,
+    concurrentLoads: 6,
     usualPromptTokens: 1_076,
     usualAnswerTokens: 116,
 };
@@ -191,6 +192,13 @@
         });
     }
 
+    /** Groups that their leaders are still joining. */
+    public joiningGroups(): readonly { readonly model: string; readonly members: readonly string[] }[] {
+        return [...this.engines.values()]
+            .filter(({ membership }) => membership?.rank === 0 && membership.state === "joining")
+            .map(leader => ({ model: leader.model ?? "", members: leader.members }));
+    }
+
     public stagedOf(id: string): readonly string[] {
         return this.engineOf(id).staged;
     }
--- a/src/serving/tests/group-choices.test.ts
+++ b/src/serving/tests/group-choices.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import type { Candidate, DomainSituation } from "../group-choices.js";
+import type { Candidate, DomainSituation, StagingSituation } from "../group-choices.js";
 import { chooseGroup, chooseStaging } from "../group-choices.js";
 import { profile } from "./fake-engines.js";
 
@@ -16,6 +16,7 @@
     free: [],
     freeSoon: new Map(),
     isSettling: false,
+    mayLoad: true,
     groupsOverall: new Map(),
 };
 
@@ -45,10 +46,76 @@
     t.truthy(chooseGroup({ ...situation, instances: 13, groups, free: many }));
 });
 
+test("without the right to load, a group is formed only of instances that hold the weights", t => {
+    const situationOfRepair = { ...situation, mayLoad: false };
+    const short = candidates(["large"], ["large"], ["large"], ["small"], []);
+    t.is(chooseGroup({ ...situationOfRepair, free: short }), undefined);
+    const other = candidates(["large"], ["large"], ["small"], ["small"], []);
+    t.is(chooseGroup({ ...situationOfRepair, free: other })?.model.name, "small");
+});
+
+test("a further group of one model is formed while another model waits for its weights", t => {
+    const groups = new Map([["small", 1]]);
+    const free = candidates(["large"], ["large"], ["large"], ["small"], ["small"], ["small"], ["small"], []);
+    const few = { ...situation, mayLoad: false, groups, instances: 10, free };
+    t.is(chooseGroup(few)?.model.name, "small");
+    t.is(chooseGroup({ ...few, free: free.slice(0, 5) }), undefined);
+});
+
+const domainOfEight: StagingSituation = {
+    models,
+    instances: 8,
+    members: new Map([
+        ["large", 4],
+        ["small", 2],
+    ]),
+    spares: [],
+    groupsOverall: new Map(),
+};
+
+/** What is staged next in a whole domain whose members are not among `spares`. */
+function stage(
+    spares: readonly Candidate[],
+    changes: Partial<StagingSituation> = {},
+): ReturnType<typeof chooseStaging> {
+    return chooseStaging({ ...domainOfEight, instances: 6 + spares.length, ...changes, spares });
+}
+
 test("spares hold the larger model first, then the next", t => {
-    t.is(chooseStaging(models, candidates([], []))?.model.name, "large");
-    t.deepEqual(chooseStaging(models, candidates(["large"], [])), { id: "i-1", model: models[1]! });
-    t.is(chooseStaging(models, candidates(["large"], ["small"])), undefined);
-    t.deepEqual(chooseStaging(models, candidates(["large"], ["large"])), { id: "i-1", model: models[1]! });
-    t.deepEqual(chooseStaging(models, candidates(["small"])), { id: "i-0", model: models[0]! });
+    t.is(stage(candidates([], []))?.model.name, "large");
+    t.deepEqual(stage(candidates(["large"], [])), { id: "i-1", model: models[1]! });
+    t.is(stage(candidates(["large"], ["small"])), undefined);
+    t.deepEqual(stage(candidates(["large"], ["large"])), { id: "i-0", model: models[1]! });
+    t.deepEqual(stage(candidates(["small"])), { id: "i-0", model: models[0]! });
+});
+
+test("an empty instance loads what a broken group lacks before any spare is staged", t => {
+    const members = new Map([["small", 2]]);
+    const survivors = candidates(["large"], ["large"], ["large"], []);
+    t.deepEqual(stage(survivors, { members, instances: 6 }), { id: "i-3", model: models[0]! });
+    const withSmall = candidates(["large"], ["large"], ["large"], ["small"], []);
+    t.deepEqual(stage(withSmall, { members, instances: 7 }), { id: "i-4", model: models[0]! });
+});
+
+test("weights that a host holds give way only to those that a repair needs", t => {
+    const members = new Map([
+        ["large", 4],
+        ["small", 2],
+    ]);
+    const staged = candidates(["large"], ["small"], ["large"], ["large"], ["large"], ["large"], ["large"]);
+    t.is(stage(staged, { members, instances: 13 }), undefined);
+});
+
+test("further groups are staged for the model that is scarcest over all domains", t => {
+    const spares = candidates(["large"], ["small"], ["large"], [], [], [], []);
+    const scarceLarge = new Map([
+        ["large", 1],
+        ["small", 30],
+    ]);
+    const scarceSmall = new Map([
+        ["large", 30],
+        ["small", 1],
+    ]);
+    t.is(stage(spares, { groupsOverall: scarceLarge })?.model.name, "large");
+    t.is(stage(spares, { groupsOverall: scarceSmall })?.model.name, "small");
 });
--- a/src/serving/tests/group-planners.test.ts
+++ b/src/serving/tests/group-planners.test.ts
@@ -130,6 +130,20 @@
     t.deepEqual(fleet.violations, []);
 });
 
+test("a member that loses the store while its group forms does not hold the group up", t => {
+    const fleet = FakeFleet.create(8, createRandomNumber(4));
+    fleet.play(6_000);
+    const forming = fleet.joiningGroups().find(group => group.model === "large")!;
+    fleet.cutFromStore(forming.members[2]!, true);
+    fleet.play(firstStartMilliseconds);
+    t.true(modelsOf(fleet).includes("large"));
+    t.true(
+        fleet.servingGroups().some(group => group.members.join() === forming.members.join()),
+        "the same group has opened",
+    );
+    t.deepEqual(fleet.violations, []);
+});
+
 for (let seed = 1; seed <= 40; seed += 1) {
     test(`random losses, restarts, late orders and new terms keep groups apart, seed ${seed}`, t => {
         const random = createRandomNumber(seed);
