Share the retry allowance only among entry instances that are known, and pace the store's watches by the deployment's bounds

Instances that were cut off dropped out of the count although they went on sending. Now the allowance is used only once a second read shows nobody new, reads follow each other until then, and an instance counts for a minute after it was last registered.

--- a/src/daemons/serving/followers.ts
+++ b/src/daemons/serving/followers.ts
@@ -11,15 +11,13 @@
 import type { ServingMetrics } from "../../serving/serving-metrics.js";
 import { PrefixFollowing } from "../mesh-store-followings.js";
 
-/** Bounds of the followings: a dead watch is noticed well within the time in which a configuration must be in force. */
+/** Bounds of the followings. Calls of a watch have deadlines of their own; the bound on its silence is a second line. */
 const followingTimes: FollowingTimes = {
     listMilliseconds: 600,
-    watchSilenceMilliseconds: 2_000,
+    watchSilenceMilliseconds: 6_000,
     shortestBackoffMilliseconds: 100,
     longestBackoffMilliseconds: 500,
 };
-/** Time between two reads of the entry instances' addresses until the first others are known, in milliseconds. */
-const firstPeerReadMilliseconds = 700;
 
 /** Another entry instance, as it registers itself. */
 export interface Peer {
@@ -63,7 +61,7 @@
     private readonly followings: readonly PrefixFollowing[];
     private readonly faultsByPrefix = new Map<string, boolean>();
     private readonly unreadable = new Set<string>();
-    private nextPeerReadAt = 0;
+    private peersReadAt = -Infinity;
 
     private constructor(private readonly options: FollowerOptions) {
         this.fleet = FleetFollower.create(options.parseRegistration);
@@ -85,8 +83,8 @@
     public tick(): void {
         this.followings.forEach(following => following.tick(true, undefined));
         const now = this.options.clock.monotonicMilliseconds();
-        if (now >= this.nextPeerReadAt) {
-            this.nextPeerReadAt = now + this.options.peerReadMilliseconds();
+        if (now >= this.peersReadAt + this.options.peerReadMilliseconds()) {
+            this.peersReadAt = now;
             void this.readPeers();
         }
     }
@@ -180,9 +178,6 @@
         }
         this.noteStore(peerPrefix, undefined);
         onPeers(answer.data.entries.map(entry => parsePeer(entry.key.slice(peerPrefix.length), entry.value)));
-        if (answer.data.entries.length <= 1) {
-            this.nextPeerReadAt = this.now() + firstPeerReadMilliseconds;
-        }
     }
 
     /** One line at each loss and return of the store. */
--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -13,6 +13,7 @@
 import type { AdmittedRequest, ExchangeContext } from "../../serving/exchange-contexts.js";
 import { Exchange } from "../../serving/exchanges.js";
 import type { ParseRegistration } from "../../serving/fleet-followers.js";
+import { EntryShares } from "../../serving/entry-shares.js";
 import type { FleetPace } from "../../serving/fleet-paces.js";
 import { paceOf } from "../../serving/fleet-paces.js";
 import { FleetView } from "../../serving/fleet-views.js";
@@ -52,6 +53,9 @@
 /** Place of this process in the order of takers of another failure domain's duty. */
 const foreignRank = 2;
 
+/** Time between two reads of the entry instances' addresses until those that started together are known, in milliseconds. */
+const firstPeerReadMilliseconds = 700;
+
 /** Connections to one replica that a process may always have. */
 const leastConnections = 4;
 /** Part of a replica's connections that is shared out; the rest is for entry instances that nobody knows yet. */
@@ -62,8 +66,8 @@
 
 /** What an adapter supplies for its platform. */
 export interface ServingPlatform {
-    /** `gatherMilliseconds`: pause between two watch calls in which registrations gather. */
-    readonly store: (clock: Clock, gatherMilliseconds: () => number) => KeyValueStore;
+    /** `pace` tells how watches of the store are paced at the moment. */
+    readonly store: (clock: Clock, pace: () => FleetPace) => KeyValueStore;
     readonly engines: (clock: Clock, upstreams: Upstreams) => GroupEngines;
     readonly wire: WireFormat;
     readonly readinessPath: string;
@@ -89,6 +93,7 @@
     private readonly upstreams: Upstreams;
     private readonly metrics: ServingMetrics = createServingMetrics();
     private readonly flights = GroupFlights.create();
+    private readonly shares: EntryShares;
     private readonly records = ReplicaRecords.create();
     private readonly retries = new Map<string, RetryWindow>();
     private readonly exchanges = new Set<Exchange>();
@@ -118,10 +123,11 @@
         this.log = logs("entry");
         this.retrySettings = settings.retries;
         this.startedAt = clock.monotonicMilliseconds();
+        this.shares = EntryShares.create(settings.name);
         this.pauses = PauseDetector.create(this.startedAt, clock.wallMilliseconds());
         this.upstreams = Upstreams.create(clock, replica => this.connectionsTo(replica));
         const engines = platform.engines(clock, this.upstreams);
-        const store = platform.store(clock, () => this.pace.gatherMilliseconds);
+        const store = platform.store(clock, () => this.pace);
         this.suspicions = GroupSuspicions.create({
             clock,
             view: () => this.view,
@@ -248,7 +254,7 @@
     private connectionsTo(replica: string): number {
         const service = this.view.fleet.instances.get(replica)?.service;
         const profile = service === undefined ? undefined : this.followers.table?.findService(service);
-        const part = (profile?.maximumConnections ?? 0) / (this.peers.peerCount + 1);
+        const part = (profile?.maximumConnections ?? 0) / this.shares.count;
         return Math.max(leastConnections, Math.floor(part * connectionPart));
     }
 
@@ -263,7 +269,8 @@
             instancePrefix: platform.instancePrefix,
             parseRegistration: platform.parseRegistration,
             peerPrefix,
-            peerReadMilliseconds: () => this.pace.peerReadMilliseconds,
+            peerReadMilliseconds: () =>
+                this.shares.isSettled ? this.pace.peerReadMilliseconds : firstPeerReadMilliseconds,
             onConfiguration: table => this.handleConfiguration(table),
             onFleet: () => this.rebuildView(),
             onPeers: peers => this.handlePeers(peers),
@@ -291,14 +298,18 @@
         this.peers.setPeers(peers.map(peer => peer.address));
         this.registeredPeers = peers;
         const now = this.now();
+        this.shares.noteRegistered(
+            peers.map(peer => peer.name),
+            now,
+        );
         peers.forEach(peer => this.mannedAt.set(peer.failureDomain, now));
         const allowance = this.retryAllowance();
         this.retries.forEach(window => window.setAllowance(allowance));
     }
 
-    /** This process's part of the fixed allowance of repeats. */
+    /** This process's part of the fixed allowance of repeats; none until it knows with whom it shares. */
     private retryAllowance(): number {
-        return this.retrySettings.allowance / (this.peers.peerCount + 1);
+        return this.shares.isSettled ? this.retrySettings.allowance / this.shares.count : 0;
     }
 
     private retriesOf(service: string): RetryWindow {
@@ -378,7 +389,7 @@
     }
 
     private get pace(): FleetPace {
-        return paceOf(this.registeredPeers.length);
+        return paceOf(this.registeredPeers.length, this.options.settings.bounds);
     }
 
     /** Place of this process among those that look for the lease of its failure domain. */
--- a/src/serving/fleet-paces.ts
+++ b/src/serving/fleet-paces.ts
@@ -4,11 +4,13 @@
  */
 
 /** Pause in which registrations gather between two watch calls, at few entry instances, in milliseconds. */
-const shortestGatherMilliseconds = 400;
-/** Longest such pause, in milliseconds: leaving instances get no requests after a few seconds. */
-const longestGatherMilliseconds = 1_000;
-/** What each entry instance adds to that pause, in milliseconds. */
-const gatherMillisecondsPerEntry = 20;
+const shortestGatherMilliseconds = 800;
+/** What each entry instance adds to that pause, in milliseconds: 40 calls a second over all of them. */
+const gatherMillisecondsPerEntry = 25;
+/** Longest such pause as a part of the time in which a leaving instance must get no more requests. */
+const gatherPartOfLeaving = 0.5;
+/** Longest wait of a watch call as a part of the tolerance: a dead one is noticed, and the state read anew, within it. */
+const watchPartOfTolerance = 0.6;
 /** Time between two datagrams to the other entry instances, at few of them, in milliseconds. */
 const shortestPeerMilliseconds = 100;
 /** What each entry instance adds to that time, in milliseconds. */
@@ -20,8 +22,18 @@
 /** Datagrams after which a silent entry instance is no longer heard. */
 const heardIntervals = 3.5;
 
+/** Bounds of the deployment that the pace must keep, in milliseconds. */
+export interface PaceBounds {
+    /** Time from an instance's notice that it leaves until it must get no more requests. */
+    readonly leavingMilliseconds: number;
+    /** Time after a disruption of its connections in which an entry instance may still act on old state. */
+    readonly toleranceMilliseconds: number;
+}
+
 export interface FleetPace {
     readonly gatherMilliseconds: number;
+    /** Longest wait of one watch call at the store. */
+    readonly watchMilliseconds: number;
     readonly peerMilliseconds: number;
     readonly peerReadMilliseconds: number;
     /** Age up to which a peer's last word counts. */
@@ -29,11 +41,12 @@
 }
 
 /** Returns the pace of each of `entries` entry instances. */
-export function paceOf(entries: number): FleetPace {
+export function paceOf(entries: number, bounds: PaceBounds): FleetPace {
     const peerMilliseconds = Math.max(shortestPeerMilliseconds, entries * peerMillisecondsPerEntry);
     const gatherMilliseconds = Math.max(shortestGatherMilliseconds, entries * gatherMillisecondsPerEntry);
     return {
-        gatherMilliseconds: Math.min(longestGatherMilliseconds, gatherMilliseconds),
+        gatherMilliseconds: Math.min(gatherPartOfLeaving * bounds.leavingMilliseconds, gatherMilliseconds),
+        watchMilliseconds: Math.round(watchPartOfTolerance * bounds.toleranceMilliseconds),
         peerMilliseconds,
         peerReadMilliseconds: Math.max(shortestPeerReadMilliseconds, entries * peerReadMillisecondsPerEntry),
         heardMilliseconds: heardIntervals * peerMilliseconds,
--- a/src/serving/peer-links.ts
+++ b/src/serving/peer-links.ts
@@ -58,10 +58,6 @@
         this.peers = addresses.filter(address => address !== this.options.address);
     }
 
-    public get peerCount(): number {
-        return this.peers.length;
-    }
-
     public send(state: Pick<PeerMessage, "loads" | "suspicions">): void {
         this.sequence += 1;
         const text = JSON.stringify({
--- a/src/serving/settings.ts
+++ b/src/serving/settings.ts
@@ -1,4 +1,5 @@
 /** What one serving process must know before it reads the store. */
+import type { PaceBounds } from "./fleet-paces.js";
 import type { RetryWindowOptions } from "./retry-windows.js";
 
 export interface ServingSettings {
@@ -20,6 +21,8 @@
     readonly heartbeatMilliseconds: number;
     /** Time from SIGTERM to SIGKILL. */
     readonly shutdownMilliseconds: number;
+    /** Bounds on how old the state may be that this process acts on. */
+    readonly bounds: PaceBounds;
     /** Retry budget of each service, over all entry instances together. */
     readonly retries: RetryWindowOptions;
 }
--- /dev/null
+++ b/src/serving/tests/entry-shares.test.ts
@@ -0,0 +1,47 @@
+import test from "ava";
+import { EntryShares } from "../entry-shares.js";
+import { RetryWindow } from "../retry-windows.js";
+
+const names = Array.from({ length: 18 }, (_, index) => `entry-${index}`);
+
+test("instances that restart together do not each take a large part of the allowance", t => {
+    const allowance = 60;
+    const windows = names.map(() =>
+        RetryWindow.create({ windowMilliseconds: 10_000, fraction: 0, allowance }, 0),
+    );
+    const shares = names.map(name => EntryShares.create(name));
+    let taken = 0;
+    for (let now = 0; now < 10_000; now += 100) {
+        // One more of them has registered every 80 ms.
+        const registered = names.slice(0, Math.floor(now / 80) + 1);
+        shares.forEach((share, index) => {
+            if (now % 700 === 0) {
+                share.noteRegistered(registered, now);
+            }
+            windows[index]!.setAllowance(share.isSettled ? allowance / share.count : 0);
+            while (windows[index]!.tryTake(now)) {
+                taken += 1;
+            }
+        });
+    }
+    t.true(taken <= allowance, `${taken}`);
+    t.true(taken > allowance / 3, `${taken}`);
+});
+
+test("an instance that is cut off keeps its part while the others go on", t => {
+    const share = EntryShares.create("entry-0");
+    share.noteRegistered(names, 0);
+    share.noteRegistered(names, 700);
+    share.noteRegistered(names.slice(0, 10), 12_000);
+    t.is(share.count, 18);
+    share.noteRegistered(names.slice(0, 10), 70_000);
+    t.is(share.count, 10);
+});
+
+test("an instance that knows nobody counts itself", t => {
+    const share = EntryShares.create("entry-0");
+    t.is(share.count, 1);
+    t.false(share.isSettled);
+    share.noteRegistered(["entry-1"], 0);
+    t.is(share.count, 2);
+});
