Place by the work that is seen, keep fewer spares under pressure, and leave queued streams where they are

Now scarcity is groups against the work in flight (serving/model-demands.ts), the stated shares, in instances, decide before traffic; under pressure one instance in twenty stays free instead of three. A stream that waits at a group that works on others is left there for three objectives. A replica that answers 421 is left alone for two seconds.

--- a/src/daemons/serving/group-placers.ts
+++ b/src/daemons/serving/group-placers.ts
@@ -3,9 +3,11 @@
 import type { PartLog } from "../../links/logs.js";
 import type { FleetInstance } from "../../serving/fleets.js";
 import type { FleetView } from "../../serving/fleet-views.js";
+import type { GroupFlights } from "../../serving/group-flights.js";
 import type { GroupEngines } from "../../serving/group-orders.js";
 import type { PlannerCommand } from "../../serving/group-planners.js";
 import { GroupPlanner } from "../../serving/group-planners.js";
+import { ModelDemands } from "../../serving/model-demands.js";
 import type { ReportOutcome } from "../../serving/known-instances.js";
 import type { RouteTable } from "../../serving/configurations.js";
 import type { ServingMetrics } from "../../serving/serving-metrics.js";
@@ -25,6 +27,7 @@
     readonly engines: GroupEngines;
     readonly table: () => RouteTable | undefined;
     readonly view: () => FleetView;
+    readonly flights: GroupFlights;
     readonly log: PartLog;
     readonly metrics: ServingMetrics;
 }
@@ -33,7 +36,11 @@
     private planner: GroupPlanner | undefined;
     private plannedTerm: number | undefined;
 
-    private constructor(private readonly options: GroupPlacerOptions) {}
+    private readonly demands: ModelDemands;
+
+    private constructor(private readonly options: GroupPlacerOptions) {
+        this.demands = ModelDemands.create(options.flights);
+    }
 
     public static create(options: GroupPlacerOptions): GroupPlacer {
         return new GroupPlacer(options);
@@ -64,12 +71,13 @@
             return;
         }
         const now = clock.monotonicMilliseconds();
+        this.demands.tick(view(), now);
         const { instances, lapsed } = view().fleet;
         const isOwn = (instance: FleetInstance): boolean => this.isOwnEngine(instance, routes);
         planner.applyRegistrations([...instances.values()].filter(isOwn), lapsed.filter(isOwn), now);
         const surroundings = {
             profileOf: (service: string) => routes.findService(service)?.engine,
-            groupsOverall: view().countByModel(),
+            supplies: this.demands.supplies(view()),
         };
         planner.step(surroundings, now).forEach(command => this.run(planner, command));
     }
--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -198,6 +198,7 @@
                     engines,
                     table: () => this.followers.table,
                     view: () => this.view,
+                    flights: this.flights,
                     log: logs("placer"),
                     metrics: this.metrics,
                 }),
--- a/src/serving/exchanges.ts
+++ b/src/serving/exchanges.ts
@@ -23,6 +23,10 @@
 const hedgePart = 0.6;
 /** Factor on the expected time of a first event after which a stream is tried elsewhere. */
 const firstEventFactor = 4;
+/** The same, in objectives, while the group works on other streams: the request is probably only queued there. */
+const queuedObjectives = 3;
+/** Age up to which an event of another stream shows that a group works, in milliseconds: several events' time. */
+const progressMilliseconds = 300;
 /** Time after which a caller that a replica refused may come back, in milliseconds, before jitter. */
 const comeBackMilliseconds = 400;
 /** The same while no replica group serves the model: about the time of forming one from hosts with the weights. */
@@ -32,6 +36,8 @@
 /** Callers wait for the first event of a stream for this long at least, in milliseconds, and these many objectives. */
 const shortestPatienceMilliseconds = 2_000;
 const patienceObjectives = 4;
+/** Status of a replica that is not the one that should take the request. */
+const misdirectedStatus = 421;
 /** Urgency of what goes last at a replica. */
 const lastRank = 9;
 
@@ -218,7 +224,16 @@
     }
 
     private handleSlowAttempt(attempt: Attempt): void {
-        const hasBudget = this.context.retriesOf(this.admitted.service).available(this.now()) > 0;
+        const now = this.now();
+        const { group } = attempt.target;
+        const longestAt = attempt.sentAt + queuedObjectives * this.admitted.route.objectiveMilliseconds;
+        const isQueued =
+            group !== undefined && this.context.flights.hasProgressedSince(group, now - progressMilliseconds);
+        if (isQueued && now < longestAt) {
+            attempt.timer = setTimeout(() => this.handleSlowAttempt(attempt), longestAt - now);
+            return;
+        }
+        const hasBudget = this.context.retriesOf(this.admitted.service).available(now) > 0;
         if (this.attempt === attempt && !this.isSettled && !attempt.hasEvents && hasBudget) {
             attempt.call?.cancel();
             this.endAttempt(attempt, "lost", "no answer in time to try elsewhere", true);
@@ -297,6 +312,9 @@
         if (head === undefined) {
             this.endAttempt(attempt, "lost", "an answer without a head", true);
         } else if (head.isNotRun) {
+            if (head.status === misdirectedStatus) {
+                this.context.records.recordMisdirected(attempt.target.instance.id, this.now());
+            }
             this.endAttempt(attempt, "refused", `refused with ${head.status}`, false);
         } else if (isGood(head)) {
             this.handleGoodEnd(attempt, head);
--- a/src/serving/group-choices.ts
+++ b/src/serving/group-choices.ts
@@ -4,9 +4,16 @@
  * of a warm join instead of a load from the weight store.
  */
 import type { EngineModel } from "./engine-models.js";
+import type { ModelSupply } from "./model-demands.js";
 
 /** Part of a fabric domain's instances that stays free for repairs. */
 const reservedPart = 0.15;
+/** The same while some model is short of groups: one that serves now is worth more than a repair later. */
+const pressedReservedPart = 0.05;
+/** Part of a model's groups in use from which on it is short of groups: work is uneven over groups and time. */
+const pressedPart = 0.6;
+/** Weight of the stated share of the work beside the work that is seen; it decides before traffic starts. */
+const statedWeight = 0.01;
 
 /** A free instance that could join a group. */
 export interface Candidate {
@@ -38,8 +45,8 @@
     readonly isSettling: boolean;
     /** True if members may load weights while they join; otherwise weights are staged first. */
     readonly mayLoad: boolean;
-    /** Group count by model over all fabric domains, this one included. */
-    readonly groupsOverall: ReadonlyMap<string, number>;
+    /** Supply by model over all fabric domains, this one included. */
+    readonly supplies: ReadonlyMap<string, ModelSupply>;
 }
 
 /** What a fabric domain holds of one model, as the plan of its stagings sees it. */
@@ -51,8 +58,8 @@
     readonly members: ReadonlyMap<string, number>;
     /** Free instances; weights that are being loaded count as staged. */
     readonly spares: readonly Candidate[];
-    /** Group count by model over all fabric domains, this one included. */
-    readonly groupsOverall: ReadonlyMap<string, number>;
+    /** Supply by model over all fabric domains, this one included. */
+    readonly supplies: ReadonlyMap<string, ModelSupply>;
 }
 
 /** Joining costs nothing, a warm join, or a load. */
@@ -100,9 +107,9 @@
     situation: DomainSituation,
     missing: readonly EngineModel[],
 ): GroupChoice | undefined {
-    const { models, free, instances, groupsOverall } = situation;
-    const kept = reserveOf(instances) + missing.reduce((sum, model) => sum + model.size, 0);
-    const choices = byScarcity(models, groupsOverall)
+    const { models, free, supplies } = situation;
+    const kept = reserveOf(situation) + missing.reduce((sum, model) => sum + model.size, 0);
+    const choices = byScarcity(models, supplies)
         .filter(model => free.length - model.size >= kept)
         .flatMap(model => chooseMembers(model, free) ?? []);
     return choices.find(choice => !shouldWait(choice, situation));
@@ -146,9 +153,10 @@
  * Groups and spares in turn. The larger a group, the more likely it is hit next: a single spare holds the largest model,
  * a second one the next.
  */
-function wantedUnits({ models, instances, groupsOverall }: StagingSituation): WantedUnits {
+function wantedUnits(situation: StagingSituation): WantedUnits {
+    const { models, instances } = situation;
     const bySize = bySizeDescending(models);
-    const overall = new Map(groupsOverall);
+    const supplies = new Map(situation.supplies);
     const units: EngineModel[] = [];
     let spares = 0;
     const free = (): number => instances - units.length;
@@ -162,14 +170,15 @@
         }
     };
     bySize.forEach(model => model.size <= free() && addGroup(model));
-    addSpares(Math.min(reserveOf(instances), free()));
+    addSpares(Math.min(reserveOf(situation), free()));
     const needed = units.length;
     for (;;) {
-        const model = byScarcity(models, overall).find(each => each.size <= free());
+        const model = byScarcity(models, supplies).find(each => each.size <= free());
         if (model === undefined) {
             break;
         }
-        overall.set(model.name, (overall.get(model.name) ?? 0) + 1);
+        const supply = supplies.get(model.name) ?? noSupply;
+        supplies.set(model.name, { ...supply, groups: supply.groups + 1 });
         addGroup(model);
     }
     addSpares(free());
@@ -181,20 +190,28 @@
     return staged[0] ?? lastModel;
 }
 
-function reserveOf(instances: number): number {
-    return Math.ceil(instances * reservedPart);
+function reserveOf({ models, instances, supplies }: Omit<StagingSituation, "members" | "spares">): number {
+    const isPressed = models.some(model => {
+        const { groups, groupsInUse } = supplies.get(model.name) ?? noSupply;
+        return groupsInUse > pressedPart * groups;
+    });
+    return Math.ceil(instances * (isPressed ? pressedReservedPart : reservedPart));
 }
 
+const noSupply: ModelSupply = { groups: 0, groupsInUse: 0 };
+
 function bySizeDescending(models: readonly EngineModel[]): readonly EngineModel[] {
     return [...models].sort((left, right) => right.size - left.size);
 }
 
-/** Models by the groups that there are for their part of the work, the scarcest first. */
+/** Models by the groups that there are for their work, the scarcest first. */
 function byScarcity(
     models: readonly EngineModel[],
-    groupsOverall: ReadonlyMap<string, number>,
+    supplies: ReadonlyMap<string, ModelSupply>,
 ): readonly EngineModel[] {
-    const supply = (model: EngineModel): number =>
-        (groupsOverall.get(model.name) ?? 0) / (model.share * model.pace);
-    return [...models].sort((left, right) => supply(left) - supply(right));
+    const plenty = (model: EngineModel): number => {
+        const { groups, groupsInUse } = supplies.get(model.name) ?? noSupply;
+        return groups / (groupsInUse + (statedWeight * model.share) / model.size);
+    };
+    return [...models].sort((left, right) => plenty(left) - plenty(right));
 }
--- a/src/serving/group-flights.ts
+++ b/src/serving/group-flights.ts
@@ -95,6 +95,11 @@
         return Math.max(0, ...others);
     }
 
+    /** True if a stream of this process at the group has moved on since `since` (local monotonic milliseconds). */
+    public hasProgressedSince(group: string, since: number): boolean {
+        return (this.progressAt.get(group) ?? 0) >= since;
+    }
+
     public ownLoads(): readonly GroupLoad[] {
         return [...this.flights.keys()].map(group => ({ group, ...this.ownBacklog(group) }));
     }
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -14,6 +14,7 @@
 import type { KnownInstance, ReportOutcome } from "./known-instances.js";
 import { KnownInstances } from "./known-instances.js";
 import { LoadAllowance } from "./load-allowances.js";
+import type { ModelSupply } from "./model-demands.js";
 import type { PlannedGroup } from "./planned-groups.js";
 import {
     collectPlannedGroups,
@@ -62,8 +63,8 @@
 /** What the planner is told besides the instances of its own failure domain. */
 export interface PlannerSurroundings {
     readonly profileOf: (service: string) => EngineProfile | undefined;
-    /** Open groups by model over all failure domains, the own one included. */
-    readonly groupsOverall: ReadonlyMap<string, number>;
+    /** Supply by model over all failure domains, the own one included. */
+    readonly supplies: ReadonlyMap<string, ModelSupply>;
 }
 
 /** Instances of one service in one fabric domain. */
@@ -224,7 +225,7 @@
             ),
             isSettling: this.isSettling(domain, now),
             mayLoad: this.allowanceOf(domain, now).isFree(now),
-            groupsOverall: surroundings.groupsOverall,
+            supplies: surroundings.supplies,
         });
         if (choice !== undefined) {
             this.form(choice, domain, now);
@@ -400,7 +401,7 @@
     private stageSpares(
         domain: FabricDomain,
         usable: readonly KnownInstance[],
-        { groupsOverall }: PlannerSurroundings,
+        { supplies }: PlannerSurroundings,
         now: number,
     ): void {
         const allowance = this.allowanceOf(domain, now);
@@ -415,7 +416,7 @@
             instances: usable.length,
             members: countByModelHeld(usable.filter(known => !idle.includes(known))),
             spares: idle.map(known => this.stagings.complete(toCandidate(known), now)),
-            groupsOverall,
+            supplies,
         });
         if (choice === undefined || !allowance.tryTake(1, now)) {
             return;
--- a/src/serving/replica-records.ts
+++ b/src/serving/replica-records.ts
@@ -7,6 +7,8 @@
 const newestWeight = 0.25;
 /** Time after which a bad record is tried again, in milliseconds. */
 const forgetMilliseconds = 3_000;
+/** Time for which a replica that turned a request away as not its own gets no more, in milliseconds: until its new state is known. */
+const misdirectedMilliseconds = 2_000;
 /** Failures in a row without a success after which a replica gets no requests for a while. */
 const failuresToEject = 3;
 
@@ -22,6 +24,7 @@
 
 export class ReplicaRecords {
     private readonly records = new Map<string, ReplicaRecord>();
+    private readonly misdirectedAt = new Map<string, number>();
     private readonly inFlight = new Map<string, number>();
 
     private constructor() {}
@@ -58,12 +61,21 @@
         });
     }
 
+    /** Notes that a replica does not take such requests: it left its group, or its address is somebody else's. */
+    public recordMisdirected(replica: string, now: number): void {
+        this.misdirectedAt.set(replica, now);
+    }
+
     public requestsAt(replica: string): number {
         return this.inFlight.get(replica) ?? 0;
     }
 
-    /** True while a replica that failed several times in a row is left alone. */
+    /** True while a replica that failed several times in a row, or does not take such requests, is left alone. */
     public isEjected(replica: string, now: number): boolean {
+        const misdirectedAt = this.misdirectedAt.get(replica);
+        if (misdirectedAt !== undefined && now - misdirectedAt < misdirectedMilliseconds) {
+            return true;
+        }
         const record = this.records.get(replica) ?? cleanRecord;
         return record.failuresInRow >= failuresToEject && now - record.failedAt < forgetMilliseconds;
     }
@@ -78,8 +90,9 @@
     }
 
     public keepOnly(replicas: ReadonlySet<string>): void {
-        const gone = [...this.records.keys()].filter(replica => !replicas.has(replica));
-        gone.forEach(replica => this.records.delete(replica));
+        for (const book of [this.records, this.misdirectedAt]) {
+            [...book.keys()].filter(replica => !replicas.has(replica)).forEach(gone => book.delete(gone));
+        }
     }
 }
 
--- a/src/serving/tests/fake-engines.ts
+++ b/src/serving/tests/fake-engines.ts
@@ -6,6 +6,7 @@
 import type { EngineStatus, FleetInstance, GroupMembership } from "../fleets.js";
 import { groupKey } from "../fleets.js";
 import type { GroupOrder, OrderReply } from "../group-orders.js";
+import type { ModelSupply } from "../model-demands.js";
 import { GroupPlanner } from "../group-planners.js";
 
 export const stepMilliseconds = 25;
@@ -222,7 +223,7 @@
                 each.run();
             });
             this.planner.applyRegistrations(this.registered, [], this.now);
-            const surroundings = { profileOf: () => profile, groupsOverall: new Map<string, number>() };
+            const surroundings = { profileOf: () => profile, supplies: new Map<string, ModelSupply>() };
             for (const command of this.planner.step(surroundings, this.now)) {
                 if (command.kind === "report") {
                     this.answerReport(command.instance.id, this.planner);
--- a/src/serving/tests/group-choices.test.ts
+++ b/src/serving/tests/group-choices.test.ts
@@ -17,7 +17,7 @@
     freeSoon: new Map(),
     isSettling: false,
     mayLoad: true,
-    groupsOverall: new Map(),
+    supplies: new Map(),
 };
 
 test("members that hold the weights are chosen before those that would load them", t => {
@@ -70,7 +70,7 @@
         ["small", 2],
     ]),
     spares: [],
-    groupsOverall: new Map(),
+    supplies: new Map(),
 };
 
 /** What is staged next in a whole domain whose members are not among `spares`. */
@@ -106,16 +106,39 @@
     t.is(stage(staged, { members, instances: 13 }), undefined);
 });
 
-test("further groups are staged for the model that is scarcest over all domains", t => {
+/** Supply of the models, as numbers of groups that serve and that the present work takes. */
+function supply(
+    large: readonly [number, number],
+    small: readonly [number, number],
+): DomainSituation["supplies"] {
+    return new Map([
+        ["large", { groups: large[0], groupsInUse: large[1] }],
+        ["small", { groups: small[0], groupsInUse: small[1] }],
+    ]);
+}
+
+test("further groups are staged for the model that is scarcest for its present work", t => {
+    const spares = candidates(["large"], ["small"], ["large"], [], [], [], []);
+    t.is(stage(spares, { supplies: supply([9, 4], [18, 2]) })?.model.name, "large");
+    t.is(stage(spares, { supplies: supply([9, 2], [18, 9]) })?.model.name, "small");
+});
+
+test("before there is traffic the stated shares decide", t => {
     const spares = candidates(["large"], ["small"], ["large"], [], [], [], []);
-    const scarceLarge = new Map([
+    t.is(stage(spares, { supplies: supply([1, 0], [30, 0]) })?.model.name, "large");
+    t.is(stage(spares, { supplies: supply([30, 0], [1, 0]) })?.model.name, "small");
+});
+
+test("fewer spares are kept while a model is short of groups", t => {
+    const groups = new Map([
         ["large", 1],
-        ["small", 30],
-    ]);
-    const scarceSmall = new Map([
-        ["large", 30],
         ["small", 1],
     ]);
-    t.is(stage(spares, { groupsOverall: scarceLarge })?.model.name, "large");
-    t.is(stage(spares, { groupsOverall: scarceSmall })?.model.name, "small");
+    const free = candidates(["small"], ["small"], ["large"], ["large"], ["large"]);
+    const domain = { ...situation, mayLoad: false, groups, instances: 17, free };
+    t.is(chooseGroup({ ...domain, supplies: supply([9, 3], [18, 9]) })?.model.name, "small");
+    t.is(chooseGroup({ ...domain, supplies: supply([9, 3], [18, 12]) })?.model.name, "small");
+    const few = free.slice(0, 3);
+    t.is(chooseGroup({ ...domain, free: few, supplies: supply([9, 3], [18, 9]) }), undefined);
+    t.is(chooseGroup({ ...domain, free: few, supplies: supply([9, 3], [18, 12]) })?.model.name, "small");
 });
