Spread the questions to silent groups, and trust kept connections only as long as replicas keep them

Each of 58 entry instances asked all members of a silent group by itself, five times a second as long as the group was merely busy, and each datagram that named a suspect had it asked again.

Now first questions are spread where many entry instances share a group; the others ask only the member that was named; a group that is silent but sound is asked ever more rarely; a report that fails early is repeated. Idle times are learnt from connections that ended as soon as they were used again (links/idle-limits.ts), what may run once goes only over connections used a moment ago, and among groups that are alike one with a kept connection is chosen.

--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -134,6 +134,8 @@
             view: () => this.view,
             flights: this.flights,
             report: (instance, deadline) => engines.report(instance, deadline),
+            spreadMilliseconds: () => this.pace.questionSpreadMilliseconds,
+            random,
             onSuspect: suspicion => this.handleSuspicion(suspicion),
             onCleared: group => this.clearSuspicion(group),
         });
@@ -145,6 +147,7 @@
             flights: this.flights,
             suspicions: this.suspicions,
             records: this.records,
+            isConnected: instance => this.upstreams.hasIdle(instance),
             admit: decideAdmission,
         });
         this.context = {
@@ -352,9 +355,10 @@
     private handlePeer(message: PeerMessage): void {
         const now = this.now();
         this.flights.applyPeer(message.from, message.loads, now + 2 * this.pace.heardMilliseconds);
-        for (const { group, instances } of message.suspicions) {
-            this.suspicions.checkNow(group);
-            this.placers.forEach(placer => placer.suspect(instances));
+        const news = message.suspicions.filter(({ group }) => !this.suspicions.isSuspect(group));
+        for (const suspicion of news) {
+            this.suspicions.checkNow(suspicion);
+            this.placers.forEach(placer => placer.suspect(suspicion.instances));
         }
     }
 
--- /dev/null
+++ b/src/links/tests/idle-limits.test.ts
@@ -0,0 +1,20 @@
+import test from "ava";
+import { IdleLimits } from "../idle-limits.js";
+
+test("connections stay idle for less than the server announces, or for a few seconds", t => {
+    const limits = IdleLimits.create();
+    t.is(limits.allowed(undefined, 0), 4_000);
+    t.is(limits.allowed(10_000, 0), 8_500);
+    t.true(limits.allowed(1_000, 0) <= 0);
+});
+
+test("after a dropped connection others are kept for a shorter time, until it is forgotten", t => {
+    const limits = IdleLimits.create();
+    limits.noteDropped(2_000, 1_000);
+    t.is(limits.allowed(undefined, 1_000), 1_200);
+    limits.noteDropped(3_000, 2_000);
+    t.is(limits.allowed(undefined, 2_000), 1_200);
+    limits.noteDropped(100, 3_000);
+    t.is(limits.allowed(undefined, 3_000), 300);
+    t.is(limits.allowed(undefined, 63_000), 4_000);
+});
--- a/src/links/upstreams.ts
+++ b/src/links/upstreams.ts
@@ -5,13 +5,14 @@
 import * as http from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../contracts/clocks.js";
+import { IdleLimits } from "./idle-limits.js";
 
 /** Time in which a connection must be established, in milliseconds: several round trips of the widest link. */
 const connectMilliseconds = 250;
-/** Time before a replica's announced idle time-out at which a connection is not used any more, in milliseconds. */
-const idleMarginMilliseconds = 1_500;
-/** Idle time of a connection whose replica announces none, in milliseconds. */
-const defaultIdleMilliseconds = 4_000;
+/** Idle time up to which a connection takes a request that must not run twice, in milliseconds. */
+const freshMilliseconds = 250;
+/** Time after its reuse in which a connection that ends without an answer was dropped before, in milliseconds. */
+const droppedMilliseconds = 15;
 
 /** One request to a replica; header names and values in turn. */
 export interface UpstreamRequest {
@@ -20,6 +21,8 @@
     readonly target: string;
     readonly headers: readonly string[];
     readonly body: Buffer | undefined;
+    /** False if a connection that the replica may have dropped is no way to send it. */
+    readonly isRepeatable: boolean;
 }
 
 /** What a request's owner is told. After `onEnd` or `onFailure` nothing follows. */
@@ -43,17 +46,44 @@
 interface KeptSocket extends Socket {
     idleTimer?: NodeJS.Timeout;
     onIdleData?: () => void;
+    /** Local monotonic milliseconds at which its last answer ended. */
+    idleSince?: number;
 }
 
 class UpstreamAgent extends http.Agent {
+    public constructor(
+        options: http.AgentOptions,
+        private readonly clock: Clock,
+        private readonly idleLimits: IdleLimits,
+    ) {
+        super(options);
+    }
+
+    /** True if a kept connection waits for a request. */
+    public get hasIdle(): boolean {
+        return Object.values(this.freeSockets).some(sockets => (sockets?.length ?? 0) > 0);
+    }
+
+    /** Closes the connections that have been idle for longer than `milliseconds`. */
+    public closeIdle(milliseconds: number): void {
+        const since = this.clock.monotonicMilliseconds() - milliseconds;
+        for (const socket of Object.values(this.freeSockets).flatMap(sockets => sockets ?? [])) {
+            if (((socket as KeptSocket).idleSince ?? 0) <= since) {
+                socket.destroy();
+            }
+        }
+    }
+
     public override keepSocketAlive(socket: Socket): boolean {
         const kept = socket as KeptSocket;
         const message = (socket as { _httpMessage?: { res?: http.IncomingMessage } })._httpMessage;
-        const idleMilliseconds = idleTimeOf(message?.res);
+        const now = this.clock.monotonicMilliseconds();
+        const idleMilliseconds = this.idleLimits.allowed(announcedIdleTime(message?.res), now);
         if (idleMilliseconds <= 0 || socket.destroyed) {
             return false;
         }
         super.keepSocketAlive(socket);
+        kept.idleSince = now;
         kept.onIdleData = () => socket.destroy();
         socket.once("data", kept.onIdleData);
         kept.idleTimer = setTimeout(() => socket.destroy(), idleMilliseconds);
@@ -67,20 +97,39 @@
         if (kept.onIdleData !== undefined) {
             socket.removeListener("data", kept.onIdleData);
         }
+        this.watchReused(kept);
+    }
+
+    /** A connection that ends at once when it is used again had been dropped: the other idle ones are old, too. */
+    private watchReused(socket: KeptSocket): void {
+        const reusedAt = this.clock.monotonicMilliseconds();
+        const idleMilliseconds = reusedAt - (socket.idleSince ?? reusedAt);
+        const onData = (): void => {
+            socket.removeListener("close", onClose);
+        };
+        const onClose = (): void => {
+            socket.removeListener("data", onData);
+            const now = this.clock.monotonicMilliseconds();
+            if (now - reusedAt <= droppedMilliseconds) {
+                this.idleLimits.noteDropped(idleMilliseconds, now);
+                this.closeIdle(0);
+            }
+        };
+        socket.once("data", onData);
+        socket.once("close", onClose);
     }
 }
 
-/** How long a connection may stay idle after this answer, in milliseconds. */
-function idleTimeOf(message: http.IncomingMessage | undefined): number {
-    const announced = /timeout=(\d+)/i.exec(String(message?.headers["keep-alive"] ?? ""))?.[1];
-    return announced === undefined
-        ? defaultIdleMilliseconds
-        : Number(announced) * 1000 - idleMarginMilliseconds;
+/** Idle time-out that an answer announces, in milliseconds. */
+function announcedIdleTime(message: http.IncomingMessage | undefined): number | undefined {
+    const seconds = /timeout=(\d+)/i.exec(String(message?.headers["keep-alive"] ?? ""))?.[1];
+    return seconds === undefined ? undefined : Number(seconds) * 1000;
 }
 
 /** Connection pools, one for each incarnation of a replica. */
 export class Upstreams {
     private readonly agents = new Map<string, UpstreamAgent>();
+    private readonly idleLimits = IdleLimits.create();
 
     private constructor(
         public readonly clock: Clock,
@@ -93,34 +142,45 @@
 
     /** Returns the connections to a replica, for calls that are no caller's. */
     public agentOf(replica: string): http.Agent {
+        return this.upstreamAgentOf(replica);
+    }
+
+    private upstreamAgentOf(replica: string): UpstreamAgent {
         let agent = this.agents.get(replica);
         if (agent === undefined) {
-            agent = new UpstreamAgent({
-                keepAlive: true,
-                scheduling: "lifo",
-                maxSockets: this.maximumConnections(replica),
-                maxFreeSockets: this.maximumConnections(replica),
-            });
+            const maximum = this.maximumConnections(replica);
+            agent = new UpstreamAgent(
+                { keepAlive: true, scheduling: "lifo", maxSockets: maximum, maxFreeSockets: maximum },
+                this.clock,
+                this.idleLimits,
+            );
             this.agents.set(replica, agent);
         }
         return agent;
     }
 
+    /** True if a kept connection to a replica waits for a request. */
+    public hasIdle(replica: string): boolean {
+        return this.agents.get(replica)?.hasIdle ?? false;
+    }
+
     /** Closes the idle connections of replicas that are gone. */
     public keepOnly(replicas: ReadonlySet<string>): void {
         for (const [replica, agent] of this.agents) {
             if (!replicas.has(replica)) {
                 this.agents.delete(replica);
-                Object.values(agent.freeSockets).forEach(sockets =>
-                    sockets?.forEach(socket => socket.destroy()),
-                );
+                agent.closeIdle(0);
             }
         }
     }
 
     /** Sends one request. */
     public send(replica: string, outgoing: UpstreamRequest, observer: UpstreamObserver): UpstreamCall {
-        return sendRequest(this.agentOf(replica), outgoing, observer);
+        const agent = this.upstreamAgentOf(replica);
+        if (!outgoing.isRepeatable) {
+            agent.closeIdle(freshMilliseconds);
+        }
+        return sendRequest(agent, outgoing, observer);
     }
 }
 
--- a/src/serving/dispatchers.ts
+++ b/src/serving/dispatchers.ts
@@ -56,6 +56,8 @@
     readonly flights: GroupFlights;
     readonly suspicions: GroupSuspicions;
     readonly records: ReplicaRecords;
+    /** True if a kept connection to an instance waits for a request. */
+    readonly isConnected: (instance: string) => boolean;
     /** Decides on requests to replica groups. */
     readonly admit: (facts: AdmissionFacts) => Admission;
 }
@@ -129,7 +131,7 @@
         loadOf: (backlog: GroupBacklog) => EngineLoad,
         now: number,
     ): GroupRoute | undefined {
-        const { flights, suspicions, random, failureDomain } = this.parts;
+        const { flights, suspicions, random, failureDomain, isConnected } = this.parts;
         const [first] = candidates;
         if (first === undefined) {
             return undefined;
@@ -139,6 +141,7 @@
             model,
             load: loadOf(flights.backlogOf(group.key, now)),
             slowness: suspicions.slownessOf(group.key),
+            isConnected: isConnected(group.leader!.id),
         }));
         return chooseRoute({ profile: first.profile, promptTokens, failureDomain, options, random });
     }
--- a/src/serving/exchanges.ts
+++ b/src/serving/exchanges.ts
@@ -104,6 +104,12 @@
         }
     }
 
+    /** True if the request may run more than once. */
+    private get isRepeatable(): boolean {
+        const { repeatability, isResumable } = this.admitted.route;
+        return repeatability === "idempotent" || (repeatability === "stream" && isResumable);
+    }
+
     private now(): number {
         return this.context.clock.monotonicMilliseconds();
     }
@@ -186,7 +192,14 @@
         });
         attempt.call = context.upstreams.send(
             instance.id,
-            { address: instance.address, method: request.method, target: request.target, headers, body },
+            {
+                address: instance.address,
+                method: request.method,
+                target: request.target,
+                headers,
+                body,
+                isRepeatable: this.isRepeatable,
+            },
             {
                 onHead: message => this.handleHead(attempt, message),
                 onData: piece => this.handleData(attempt, piece),
--- a/src/serving/fleet-paces.ts
+++ b/src/serving/fleet-paces.ts
@@ -19,6 +19,12 @@
 const shortestPeerReadMilliseconds = 4_000;
 /** What each entry instance adds to that time, in milliseconds. */
 const peerReadMillisecondsPerEntry = 150;
+/** What each entry instance beyond the first few adds to the time over which they spread their questions, in milliseconds. */
+const spreadMillisecondsPerEntry = 4;
+/** Entry instances that may all ask the members of a silent group at once. */
+const unspreadEntries = 10;
+/** Longest such time, in milliseconds: a datagram that names the silent member is there before. */
+const longestSpreadMilliseconds = 200;
 /** Datagrams after which a silent entry instance is no longer heard. */
 const heardIntervals = 3.5;
 
@@ -36,6 +42,8 @@
     readonly watchMilliseconds: number;
     readonly peerMilliseconds: number;
     readonly peerReadMilliseconds: number;
+    /** Time over which entry instances spread their first questions to the members of a silent group. */
+    readonly questionSpreadMilliseconds: number;
     /** Age up to which a peer's last word counts. */
     readonly heardMilliseconds: number;
 }
@@ -49,6 +57,10 @@
         watchMilliseconds: Math.round(watchPartOfTolerance * bounds.toleranceMilliseconds),
         peerMilliseconds,
         peerReadMilliseconds: Math.max(shortestPeerReadMilliseconds, entries * peerReadMillisecondsPerEntry),
+        questionSpreadMilliseconds: Math.min(
+            longestSpreadMilliseconds,
+            Math.max(0, entries - unspreadEntries) * spreadMillisecondsPerEntry,
+        ),
         heardMilliseconds: heardIntervals * peerMilliseconds,
     };
 }
--- a/src/serving/group-flights.ts
+++ b/src/serving/group-flights.ts
@@ -95,9 +95,14 @@
         return Math.max(0, ...others);
     }
 
+    /** Local monotonic milliseconds of the last event of this process's streams at the group, 0 if there was none. */
+    public progressOf(group: string): number {
+        return this.progressAt.get(group) ?? 0;
+    }
+
     /** True if a stream of this process at the group has moved on since `since` (local monotonic milliseconds). */
     public hasProgressedSince(group: string, since: number): boolean {
-        return (this.progressAt.get(group) ?? 0) >= since;
+        return this.progressOf(group) >= since;
     }
 
     public ownLoads(): readonly GroupLoad[] {
--- a/src/serving/group-routes.ts
+++ b/src/serving/group-routes.ts
@@ -14,6 +14,9 @@
  */
 const crossDomainMilliseconds = 30;
 
+/** Cost of opening a connection, in milliseconds: its round trips, and the slot that it may take for a moment. */
+const connectMilliseconds = 10;
+
 /** A group that may take requests. */
 export interface GroupOption {
     readonly group: ObservedGroup;
@@ -21,6 +24,8 @@
     readonly load: EngineLoad;
     /** Factor by which the group is slower than its model says. */
     readonly slowness: number;
+    /** True if a kept connection to its leader waits for a request. */
+    readonly isConnected: boolean;
 }
 
 /** The group chosen, with the expected time to the first event in milliseconds. */
@@ -63,7 +68,8 @@
         const isElsewhere = option.group.leader?.failureDomain !== question.failureDomain;
         const cost =
             expectedMilliseconds * (1 + spread * question.random()) +
-            (isElsewhere ? crossDomainMilliseconds : 0);
+            (isElsewhere ? crossDomainMilliseconds : 0) +
+            (option.isConnected ? 0 : connectMilliseconds);
         if (cost < bestCost) {
             best = { option, expectedMilliseconds };
             bestCost = cost;
--- a/src/serving/group-suspicions.ts
+++ b/src/serving/group-suspicions.ts
@@ -23,8 +23,10 @@
 const secondAskMilliseconds = 30;
 /** Lateness of this process beyond which its time-outs prove nothing, in milliseconds. */
 const lateMilliseconds = 30;
-/** Pause between two rounds of questions to one group, in milliseconds. */
+/** Pause after the first round of questions to a silent group whose members all answer, in milliseconds; it doubles. */
 const roundPauseMilliseconds = 200;
+/** Most doublings of that pause. */
+const mostDoublings = 3;
 /** Pause between two rounds to a group that is already suspect, in milliseconds. */
 const suspectRoundPauseMilliseconds = 1_500;
 /** Age up to which progress elsewhere shows that this process's links work, in milliseconds. */
@@ -50,6 +52,13 @@
     readonly view: () => FleetView;
     readonly flights: GroupFlights;
     readonly report: (instance: FleetInstance, deadline: number) => Promise<Result<EngineStatus>>;
+    /**
+     * Time over which entry instances spread their first questions, in milliseconds. Where many share a group, one of
+     * them asks all members, and the others only those that it names.
+     */
+    readonly spreadMilliseconds: () => number;
+    /** Returns a number in [0, 1). */
+    readonly random: () => number;
     /** Takes each new suspicion of this process's own. */
     readonly onSuspect: (suspicion: Suspicion) => void;
     readonly onCleared: (group: string) => void;
@@ -59,6 +68,10 @@
     private readonly suspects = new Map<string, readonly string[]>();
     private readonly nextRoundAt = new Map<string, number>();
     private readonly slowness = new Map<string, Slowness>();
+    /** Rounds in a row in which all members of a silent group answered, with the progress that they followed. */
+    private readonly cleanRounds = new Map<string, { readonly progressAt: number; readonly count: number }>();
+    /** This process's place in the spread of first questions, by group, in [0, 1). */
+    private readonly places = new Map<string, number>();
 
     private constructor(private readonly parts: GroupSuspicionParts) {}
 
@@ -83,23 +96,30 @@
         const { groups } = this.parts.view();
         this.forget(new Set(groups.keys()));
         for (const active of this.parts.flights.active()) {
-            const isSilent = now - active.progressAt > this.allowedSilence(active, now);
-            if (isSilent && !this.suspects.has(active.group)) {
-                this.check(active.group, now);
+            const allowed = this.allowedSilence(active, now) + this.delayOf(active.group);
+            if (now - active.progressAt > allowed && !this.suspects.has(active.group)) {
+                this.check(active.group, undefined, now);
             }
         }
-        for (const group of this.suspects.keys()) {
-            this.check(group, now);
+        for (const [group, instances] of this.suspects) {
+            this.check(group, instances, now);
         }
     }
 
-    /** Another process suspects a group: its members are asked now. */
-    public checkNow(group: string): void {
+    /** Another process suspects a group: the members that it found silent are asked now. */
+    public checkNow({ group, instances }: Suspicion): void {
         if (!this.suspects.has(group)) {
-            this.check(group, this.parts.clock.monotonicMilliseconds());
+            this.check(group, instances, this.parts.clock.monotonicMilliseconds());
         }
     }
 
+    /** Delay of this process's first questions to a silent group. */
+    private delayOf(group: string): number {
+        const place = this.places.get(group) ?? this.parts.random();
+        this.places.set(group, place);
+        return place * this.parts.spreadMilliseconds();
+    }
+
     private allowedSilence({ group, hasWriters }: ActiveGroup, now: number): number {
         const shortest = hasWriters ? shortestSilenceMilliseconds : firstEventSilenceMilliseconds;
         const servable = this.parts.view().groups.get(group);
@@ -111,23 +131,45 @@
         return Math.max(shortest, silenceFactor * pass);
     }
 
-    private check(key: string, now: number): void {
+    /** Asks the members with the given ids, or all, unless a round is under way or was a moment ago. */
+    private check(key: string, instances: readonly string[] | undefined, now: number): void {
         const servable = this.parts.view().groups.get(key);
         if (servable === undefined || now < (this.nextRoundAt.get(key) ?? 0)) {
             return;
         }
-        const pause = this.suspects.has(key) ? suspectRoundPauseMilliseconds : roundPauseMilliseconds;
+        const pause = this.suspects.has(key) ? suspectRoundPauseMilliseconds : this.nextPause(key);
         this.nextRoundAt.set(key, now + pause);
-        void this.askAll(servable.group, now);
+        const { members } = servable.group;
+        const named = members.filter(member => instances?.includes(member.id) ?? true);
+        void this.askMembers(
+            servable.group,
+            named.length > 0 ? named : members,
+            instances !== undefined,
+            now,
+        );
     }
 
-    private async askAll(group: ObservedGroup, askedAt: number): Promise<void> {
-        const answers = await Promise.all(group.members.map(member => this.ask(group, member)));
+    /** Pause until the next round: the longer, the more rounds have found a group silent but sound. */
+    private nextPause(key: string): number {
+        const progressAt = this.parts.flights.progressOf(key);
+        const before = this.cleanRounds.get(key);
+        const count = before?.progressAt === progressAt ? before.count + 1 : 0;
+        this.cleanRounds.set(key, { progressAt, count });
+        return roundPauseMilliseconds * 2 ** Math.min(count, mostDoublings);
+    }
+
+    private async askMembers(
+        group: ObservedGroup,
+        members: readonly FleetInstance[],
+        isNamed: boolean,
+        askedAt: number,
+    ): Promise<void> {
+        const answers = await Promise.all(members.map(member => this.ask(group, member)));
         if (this.parts.clock.monotonicMilliseconds() - askedAt > answerMilliseconds + lateMilliseconds) {
             // This process was late itself: answers may lie unread.
             return;
         }
-        const silent = group.members.filter((_, index) => answers[index] === undefined);
+        const silent = members.filter((_, index) => answers[index] === undefined);
         this.noteSlowness(group.key, answers);
         if (silent.length === 0) {
             if (this.suspects.delete(group.key)) {
@@ -135,9 +177,11 @@
             }
             return;
         }
-        const hasAnswer = silent.length < group.members.length;
+        const hasAnswer = silent.length < members.length;
         const provedAt = this.parts.flights.progressElsewhereAt(group.key);
-        if ((hasAnswer || provedAt > askedAt - linkProofMilliseconds) && !this.suspects.has(group.key)) {
+        // Who named the member has shown that its links work.
+        const isProved = isNamed || hasAnswer || provedAt > askedAt - linkProofMilliseconds;
+        if (isProved && !this.suspects.has(group.key)) {
             const instances = silent.map(member => member.id);
             this.suspects.set(group.key, instances);
             this.parts.onSuspect({ group: group.key, instances });
@@ -150,11 +194,21 @@
         const deadline = clock.monotonicMilliseconds() + answerMilliseconds;
         const first = report(member, deadline);
         const second = new Promise<Result<EngineStatus>>(resolve => {
-            const timer = setTimeout(() => resolve(report(member, deadline)), secondAskMilliseconds);
+            let hasAskedAgain = false;
+            const askAgain = (): void => {
+                if (!hasAskedAgain) {
+                    hasAskedAgain = true;
+                    resolve(report(member, deadline));
+                }
+            };
+            const timer = setTimeout(askAgain, secondAskMilliseconds);
             void first.then(answer => {
                 clearTimeout(timer);
-                if (answer.success || clock.monotonicMilliseconds() < deadline - secondAskMilliseconds) {
+                if (answer.success) {
                     resolve(answer);
+                } else if (clock.monotonicMilliseconds() < deadline) {
+                    // A kept connection that the member had dropped says nothing about the member.
+                    askAgain();
                 }
             });
         });
@@ -176,7 +230,7 @@
     }
 
     private forget(groups: ReadonlySet<string>): void {
-        for (const book of [this.suspects, this.nextRoundAt, this.slowness]) {
+        for (const book of [this.suspects, this.nextRoundAt, this.slowness, this.cleanRounds, this.places]) {
             [...book.keys()].filter(key => !groups.has(key)).forEach(key => book.delete(key));
         }
     }
--- /dev/null
+++ b/src/serving/tests/group-routes.test.ts
@@ -0,0 +1,64 @@
+import test from "ava";
+import type { GroupOption } from "../group-routes.js";
+import { chooseRoute } from "../group-routes.js";
+import { profile } from "./fake-engines.js";
+
+const model = profile.models[1]!;
+
+function option(name: string, changes: Partial<GroupOption> = {}, failureDomain = "a"): GroupOption {
+    const leader = {
+        id: name,
+        service: "llm",
+        address: "10.0.0.1:80",
+        failureDomain,
+        fabricDomain: "f",
+        slots: profile.slots,
+        isLeaving: false,
+        heartbeat: 1,
+        status: {
+            membership: { group: name, epoch: 1, rank: 0, state: "open" as const },
+            model: model.name,
+            staged: [],
+            incarnation: 1,
+        },
+    };
+    return {
+        group: {
+            key: `${name}@1`,
+            name,
+            epoch: 1,
+            service: "llm",
+            model: model.name,
+            fabricDomain: "f",
+            leader,
+            members: [leader],
+        },
+        model,
+        load: { requests: 4, unreadTokens: 0 },
+        slowness: 1,
+        isConnected: true,
+        ...changes,
+    };
+}
+
+function choose(options: readonly GroupOption[], random = 0.5): string | undefined {
+    const question = { profile, promptTokens: 500, failureDomain: "a", options, random: () => random };
+    return chooseRoute(question)?.option.group.name;
+}
+
+test("the group with the least unread work ahead is chosen", t => {
+    const busy = option("busy", { load: { requests: 4, unreadTokens: 8_000 } });
+    t.is(choose([busy, option("free")]), "free");
+    t.is(choose([option("slow", { slowness: 4 }), option("sound")]), "sound");
+    t.is(choose([]), undefined);
+});
+
+test("among groups that are alike, one that is near and connected is chosen", t => {
+    t.is(choose([option("new", { isConnected: false }), option("kept")]), "kept");
+    t.is(choose([option("far", {}, "b"), option("near")]), "near");
+});
+
+test("neither distance nor a kept connection outweighs a queue", t => {
+    const queue = { load: { requests: 3 * profile.slots, unreadTokens: 0 } };
+    t.is(choose([option("near", queue), option("far", { isConnected: false }, "b")]), "far");
+});
