Choose among two groups where others' loads are known late, tell near entry instances more often, and learn engines' fixed delay

All 58 entry instances had started together and sent their loads in the same 40 ms every 0.7 s; until the next time all of them chose the groups that had looked free. First events came 190 ms after the send on free groups where the model expected 50: engines add a fixed 120 ms that nobody states, so that requests counted as in time that could not be.

Now datagrams are spread in time, go to the own failure domain every 0.26 s at 58 instances and elsewhere every 0.8 s, and where there are more than ten entry instances a request chooses among two groups drawn at random. The offset of first events is learnt by model (serving/first-event-offsets.ts). Ruled out: lost datagrams (57 of 57 heard, ages under 0.7 s).

--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -54,6 +54,8 @@
 /** Place of this process in the order of takers of another failure domain's duty. */
 const foreignRank = 2;
 
+/** Part of the time between two datagrams by which it varies. */
+const peerJitter = 0.5;
 /** Time between two reads of the entry instances' addresses until those that started together are known, in milliseconds. */
 const firstPeerReadMilliseconds = 700;
 
@@ -115,6 +117,9 @@
     private stoppingSince: number | undefined;
     private readonly pauses: PauseDetector;
     private nextPeerAt = 0;
+    private sentDatagrams = 0;
+    /** True if a suspicion has not been told yet. */
+    private hasNews = false;
     private registeredPeers: readonly Peer[] = [];
     /** When entry instances of each failure domain were last registered. */
     private readonly mannedAt = new Map<string, number>();
@@ -148,6 +153,7 @@
             suspicions: this.suspicions,
             records: this.records,
             isConnected: instance => this.upstreams.hasIdle(instance),
+            mostOptions: () => this.pace.mostOptions,
             admit: decideAdmission,
         });
         this.context = {
@@ -301,7 +307,12 @@
     }
 
     private handlePeers(peers: readonly Peer[]): void {
-        this.peers.setPeers(peers.map(peer => peer.address));
+        const isNear = (peer: Peer): boolean => peer.failureDomain === this.options.settings.failureDomain;
+        const addressesOf = (some: readonly Peer[]): readonly string[] => some.map(peer => peer.address);
+        this.peers.setPeers(
+            addressesOf(peers.filter(isNear)),
+            addressesOf(peers.filter(peer => !isNear(peer))),
+        );
         this.registeredPeers = peers;
         const now = this.now();
         this.shares.noteRegistered(
@@ -340,6 +351,7 @@
         this.ownSuspicions.set(suspicion.group, suspicion);
         this.placers.forEach(placer => placer.suspect(suspicion.instances));
         this.nextPeerAt = 0;
+        this.hasNews = true;
         for (const exchange of this.exchanges) {
             if (exchange.group === suspicion.group) {
                 exchange.leaveGroup();
@@ -374,15 +386,22 @@
         }
         this.suspicions.tick();
         if (now >= this.nextPeerAt) {
-            this.nextPeerAt = now + this.pace.peerMilliseconds;
-            this.dropOldSuspicions();
-            this.peers.send({
-                loads: this.flights.ownLoads(),
-                suspicions: [...this.ownSuspicions.values()],
-            });
+            this.tellPeers(now);
         }
     }
 
+    private tellPeers(now: number): void {
+        const { peerMilliseconds, farEvery } = this.pace;
+        // Processes that started together must not all look at the same moment's loads.
+        this.nextPeerAt = now + peerMilliseconds * (1 + peerJitter * (this.options.random() - 0.5));
+        this.dropOldSuspicions();
+        const alsoFar = this.hasNews || this.sentDatagrams % farEvery === 0;
+        this.sentDatagrams += 1;
+        this.hasNews = false;
+        const suspicions = [...this.ownSuspicions.values()];
+        this.peers.send({ loads: this.flights.ownLoads(), suspicions }, alsoFar);
+    }
+
     private tickPlacers(now: number): void {
         const { failureDomains, failureDomain } = this.options.settings;
         this.placers.forEach((placer, index) => {
--- a/src/serving/dispatchers.ts
+++ b/src/serving/dispatchers.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../contracts/clocks.js";
 import type { FleetInstance } from "./fleets.js";
 import type { EngineLoad } from "./engine-models.js";
+import { FirstEventOffsets } from "./first-event-offsets.js";
 import type { FleetView, ServableGroup } from "./fleet-views.js";
 import type { Admission, AdmissionFacts } from "./group-admissions.js";
 import type { GroupBacklog, GroupFlights } from "./group-flights.js";
@@ -16,6 +17,8 @@
     readonly instance: FleetInstance;
     /** Key of the replica group; undefined at plain services. */
     readonly group: string | undefined;
+    /** Model that the group serves; undefined at plain services. */
+    readonly model: string | undefined;
     /** Expected time to the first byte of the answer, in milliseconds. */
     readonly expectedMilliseconds: number;
     /** Store revision of the registrations that the choice rests on. */
@@ -56,6 +59,8 @@
     readonly flights: GroupFlights;
     readonly suspicions: GroupSuspicions;
     readonly records: ReplicaRecords;
+    /** Most groups among which one request chooses; few where what others send is known late. */
+    readonly mostOptions: () => number;
     /** True if a kept connection to an instance waits for a request. */
     readonly isConnected: (instance: string) => boolean;
     /** Decides on requests to replica groups. */
@@ -66,6 +71,8 @@
 const crossDomainCost = 0.15;
 
 export class Dispatcher {
+    private readonly offsets = FirstEventOffsets.create();
+
     private constructor(private readonly parts: DispatcherParts) {}
 
     public static create(parts: DispatcherParts): Dispatcher {
@@ -78,9 +85,16 @@
         return work === undefined ? this.chooseInstance(question) : this.chooseGroup(question, work);
     }
 
+    /** Notes that the first event of a stream came `tookMilliseconds` after its send. */
+    public recordFirstEvent(target: DispatchTarget, tookMilliseconds: number): void {
+        if (target.model !== undefined && !target.isDeferred) {
+            this.offsets.record(target.model, tookMilliseconds - target.expectedMilliseconds);
+        }
+    }
+
     private chooseGroup(question: DispatchQuestion, work: EngineWork): DispatchChoice {
         const now = this.parts.clock.monotonicMilliseconds();
-        const candidates = this.candidateGroups(question, work, now);
+        const candidates = this.sample(this.candidateGroups(question, work, now));
         const route = (loadOf: (backlog: GroupBacklog) => EngineLoad): GroupRoute | undefined =>
             this.routeTo(candidates, work, loadOf, now);
         const urgent = route(backlog => backlog.urgent);
@@ -143,13 +157,27 @@
             slowness: suspicions.slownessOf(group.key),
             isConnected: isConnected(group.leader!.id),
         }));
-        return chooseRoute({ profile: first.profile, promptTokens, failureDomain, options, random });
+        const route = chooseRoute({ profile: first.profile, promptTokens, failureDomain, options, random });
+        const offset = this.offsets.of(first.model.name);
+        return route && { ...route, expectedMilliseconds: route.expectedMilliseconds + offset };
+    }
+
+    /** Some of the groups at random: entry instances that all chose the best would all choose the same. */
+    private sample(groups: readonly ServableGroup[]): readonly ServableGroup[] {
+        const { random, mostOptions } = this.parts;
+        const most = mostOptions();
+        if (groups.length <= most) {
+            return groups;
+        }
+        const left = [...groups];
+        return Array.from({ length: most }, () => left.splice(Math.floor(random() * left.length), 1)[0]!);
     }
 
     private toTarget({ option, expectedMilliseconds }: GroupRoute, isDeferred: boolean): DispatchTarget {
         return {
             instance: option.group.leader!,
             group: option.group.key,
+            model: option.model.name,
             expectedMilliseconds,
             fleetRevision: this.parts.view().fleet.revision,
             isDeferred,
@@ -176,7 +204,14 @@
         const { instance } = best;
         return {
             kind: "target",
-            target: { instance, group: undefined, expectedMilliseconds: 0, fleetRevision, isDeferred: false },
+            target: {
+                instance,
+                group: undefined,
+                model: undefined,
+                expectedMilliseconds: 0,
+                fleetRevision,
+                isDeferred: false,
+            },
         };
     }
 }
--- a/src/serving/exchanges.ts
+++ b/src/serving/exchanges.ts
@@ -295,6 +295,9 @@
             attempt.hasEvents = true;
             clearTimeout(attempt.timer);
             this.context.records.recordSuccess(instance.id, now - attempt.sentAt);
+            if (!this.answer.hasBegun) {
+                this.context.dispatcher.recordFirstEvent(attempt.target, now - attempt.sentAt);
+            }
         }
         if (event.id !== undefined && this.lastEventId !== undefined && event.id <= this.lastEventId) {
             return;
--- a/src/serving/fleet-paces.ts
+++ b/src/serving/fleet-paces.ts
@@ -11,10 +11,10 @@
 const gatherPartOfLeaving = 0.5;
 /** Longest wait of a watch call as a part of the tolerance: a dead one is noticed, and the state read anew, within it. */
 const watchPartOfTolerance = 0.6;
-/** Time between two datagrams to the other entry instances, at few of them, in milliseconds. */
+/** Time between two datagrams to the entry instances of the own failure domain, at few of them, in milliseconds. */
 const shortestPeerMilliseconds = 100;
 /** What each entry instance adds to that time, in milliseconds. */
-const peerMillisecondsPerEntry = 12;
+const peerMillisecondsPerEntry = 4.5;
 /** Time between two reads of the entry instances' addresses, at few of them, in milliseconds. */
 const shortestPeerReadMilliseconds = 4_000;
 /** What each entry instance adds to that time, in milliseconds. */
@@ -25,6 +25,12 @@
 const unspreadEntries = 10;
 /** Longest such time, in milliseconds: a datagram that names the silent member is there before. */
 const longestSpreadMilliseconds = 200;
+/** Entry instances up to which each request may choose among all groups. */
+const freshEntries = 10;
+/** Groups among which a request chooses where there are more: two of many keep loads even though they are known late. */
+const staleOptions = 2;
+/** Datagrams to the own failure domain for one to the others, where there are more: most requests stay in their own. */
+const nearPerFar = 3;
 /** Datagrams after which a silent entry instance is no longer heard. */
 const heardIntervals = 3.5;
 
@@ -40,8 +46,13 @@
     readonly gatherMilliseconds: number;
     /** Longest wait of one watch call at the store. */
     readonly watchMilliseconds: number;
+    /** Time between two datagrams to the own failure domain. */
     readonly peerMilliseconds: number;
+    /** Every how manieth datagram goes to the other failure domains, too. */
+    readonly farEvery: number;
     readonly peerReadMilliseconds: number;
+    /** Most groups among which one request chooses. */
+    readonly mostOptions: number;
     /** Time over which entry instances spread their first questions to the members of a silent group. */
     readonly questionSpreadMilliseconds: number;
     /** Age up to which a peer's last word counts. */
@@ -52,15 +63,18 @@
 export function paceOf(entries: number, bounds: PaceBounds): FleetPace {
     const peerMilliseconds = Math.max(shortestPeerMilliseconds, entries * peerMillisecondsPerEntry);
     const gatherMilliseconds = Math.max(shortestGatherMilliseconds, entries * gatherMillisecondsPerEntry);
+    const farEvery = entries <= freshEntries ? 1 : nearPerFar;
     return {
         gatherMilliseconds: Math.min(gatherPartOfLeaving * bounds.leavingMilliseconds, gatherMilliseconds),
         watchMilliseconds: Math.round(watchPartOfTolerance * bounds.toleranceMilliseconds),
         peerMilliseconds,
+        farEvery,
         peerReadMilliseconds: Math.max(shortestPeerReadMilliseconds, entries * peerReadMillisecondsPerEntry),
+        mostOptions: entries <= freshEntries ? Number.POSITIVE_INFINITY : staleOptions,
         questionSpreadMilliseconds: Math.min(
             longestSpreadMilliseconds,
             Math.max(0, entries - unspreadEntries) * spreadMillisecondsPerEntry,
         ),
-        heardMilliseconds: heardIntervals * peerMilliseconds,
+        heardMilliseconds: heardIntervals * farEvery * peerMilliseconds,
     };
 }
--- a/src/serving/peer-links.ts
+++ b/src/serving/peer-links.ts
@@ -42,7 +42,8 @@
 
 export class PeerLink {
     private readonly socket: Socket;
-    private peers: readonly string[] = [];
+    private near: readonly string[] = [];
+    private far: readonly string[] = [];
     private sequence = 0;
     private readonly lastSequences = new Map<string, number>();
 
@@ -58,12 +59,13 @@
         return new PeerLink(options);
     }
 
-    /** Addresses (host and port) of the other entry instances. */
-    public setPeers(addresses: readonly string[]): void {
-        this.peers = addresses.filter(address => address !== this.options.address);
+    /** Addresses (host and port) of the other entry instances, in the own failure domain and elsewhere. */
+    public setPeers(near: readonly string[], far: readonly string[]): void {
+        this.near = near.filter(address => address !== this.options.address);
+        this.far = far;
     }
 
-    public send(state: Pick<PeerMessage, "loads" | "suspicions">): void {
+    public send(state: Pick<PeerMessage, "loads" | "suspicions">, alsoFar: boolean): void {
         this.sequence += 1;
         const text = JSON.stringify({
             from: this.options.name,
@@ -72,7 +74,7 @@
             loads: state.loads.map(({ group, urgent, all }) => [group, encodeLoad(urgent), encodeLoad(all)]),
             suspicions: state.suspicions.map(suspicion => [suspicion.group, suspicion.instances]),
         });
-        for (const peer of this.peers) {
+        for (const peer of alsoFar ? [...this.near, ...this.far] : this.near) {
             const [host, port] = peer.split(":");
             this.socket.send(text, Number(port), host, error => {
                 if (error) {
--- /dev/null
+++ b/src/serving/tests/first-event-offsets.test.ts
@@ -0,0 +1,26 @@
+import test from "ava";
+import { createRandomNumber } from "../../core/random-numbers.js";
+import { FirstEventOffsets } from "../first-event-offsets.js";
+
+test("a fixed delay is learnt although a part of the first events waits in queues", t => {
+    const random = createRandomNumber(5);
+    const offsets = FirstEventOffsets.create();
+    for (let count = 0; count < 150; count += 1) {
+        const queue = random() < 0.3 ? 400 * random() : 20 * random();
+        offsets.record("small", 120 + queue - offsets.of("small"));
+    }
+    t.true(offsets.of("small") > 100 && offsets.of("small") < 160, `${offsets.of("small")}`);
+    t.is(offsets.of("large"), 0);
+});
+
+test("an offset falls again, never below zero", t => {
+    const offsets = FirstEventOffsets.create();
+    for (let count = 0; count < 100; count += 1) {
+        offsets.record("small", 500);
+    }
+    t.true(offsets.of("small") > 200);
+    for (let count = 0; count < 200; count += 1) {
+        offsets.record("small", -50);
+    }
+    t.is(offsets.of("small"), 0);
+});
