--- /dev/null
+++ b/src/serving/tests/dispatchers.test.ts
@@ -0,0 +1,133 @@
+import test from "ava";
+import { createRandomNumber } from "../../core/random-numbers.js";
+import { RouteTable } from "../configurations.js";
+import { Dispatcher } from "../dispatchers.js";
+import { FleetView } from "../fleet-views.js";
+import type { FleetInstance } from "../fleets.js";
+import { admitAll } from "../group-admissions.js";
+import { GroupFlights } from "../group-flights.js";
+import { GroupSuspicions } from "../group-suspicions.js";
+import { ReplicaRecords } from "../replica-records.js";
+import { profile } from "./fake-engines.js";
+
+const groupCount = 13;
+const entryCount = 58;
+const streamMilliseconds = 1_000;
+const stepMilliseconds = 10;
+
+function member(group: number, rank: number): FleetInstance {
+    return {
+        id: `g${group}-${rank}`,
+        service: "llm",
+        address: "10.0.0.1:80",
+        failureDomain: "a",
+        fabricDomain: "f",
+        slots: profile.slots,
+        isLeaving: false,
+        heartbeat: 1,
+        status: {
+            membership: { group: `g${group}`, epoch: 1, rank, state: rank === 0 ? "open" : "ready" },
+            model: "small",
+            staged: ["small"],
+            incarnation: 1,
+        },
+    };
+}
+
+function createView(): FleetView {
+    const table = RouteTable.create({
+        version: 1,
+        routes: [],
+        services: [{ name: "llm", maximumConnections: 10, engine: profile }],
+        limits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
+        workspaces: undefined,
+    });
+    const members = Array.from({ length: groupCount }, (_, group) => [member(group, 0), member(group, 1)]);
+    const instances = new Map(members.flat().map(each => [each.id, each]));
+    return FleetView.create({ revision: 1, instances, lapsed: [] }, table);
+}
+
+/** Plays many entry instances that tell each other their loads every `tellMilliseconds`; returns the part of the requests that met a full group. */
+function playFullPart(mostOptions: number, tellMilliseconds: number): number {
+    const random = createRandomNumber(11);
+    const view = createView();
+    let now = 0;
+    const clock = { monotonicMilliseconds: () => now, wallMilliseconds: () => now };
+    const entries = Array.from({ length: entryCount }, (_, index) => {
+        const flights = GroupFlights.create();
+        const suspicions = GroupSuspicions.create({
+            clock,
+            view: () => view,
+            flights,
+            report: () => Promise.reject(new Error("nobody asks")),
+            spreadMilliseconds: () => 0,
+            random,
+            onSuspect: () => undefined,
+            onCleared: () => undefined,
+        });
+        const dispatcher = Dispatcher.create({
+            clock,
+            random,
+            failureDomain: "a",
+            view: () => view,
+            flights,
+            suspicions,
+            records: ReplicaRecords.create(),
+            mostOptions: () => mostOptions,
+            isConnected: () => true,
+            admit: admitAll,
+        });
+        return { index, flights, dispatcher, tellAt: Math.floor(random() * tellMilliseconds) };
+    });
+    const running = new Map<string, number>();
+    let ends: { readonly at: number; readonly end: () => void }[] = [];
+    let requests = 0;
+    let full = 0;
+    const perStep = (0.6 * groupCount * profile.slots * stepMilliseconds) / streamMilliseconds;
+    for (; now < 8_000; now += stepMilliseconds) {
+        ends.filter(each => each.at <= now).forEach(each => each.end());
+        ends = ends.filter(each => each.at > now);
+        for (const entry of entries.filter(each => now >= each.tellAt)) {
+            entry.tellAt += tellMilliseconds;
+            const loads = entry.flights.ownLoads();
+            const others = entries.filter(each => each !== entry);
+            others.forEach(each => each.flights.applyPeer(`${entry.index}`, loads, now + 10_000));
+        }
+        for (let count = perStep; count > 0 && random() < count; count -= 1) {
+            const entry = entries[Math.floor(random() * entryCount)]!;
+            const choice = entry.dispatcher.choose({
+                service: "llm",
+                work: { model: "small", promptTokens: 700 },
+                tried: new Set(),
+                objectiveAt: now + 300,
+                patienceAt: now + 2_000,
+                isResumed: false,
+            });
+            const group = choice.kind === "target" ? choice.target.group! : "";
+            const before = running.get(group) ?? 0;
+            requests += 1;
+            full += before >= profile.slots ? 1 : 0;
+            running.set(group, before + 1);
+            const flight = entry.flights.start(group, 700, now);
+            entry.flights.progress(group, flight, now);
+            const end = (): void => {
+                running.set(group, running.get(group)! - 1);
+                entry.flights.end(group, flight);
+            };
+            ends.push({ at: now + streamMilliseconds * (0.3 + 1.4 * random()), end });
+        }
+    }
+    return full / requests;
+}
+
+test("many entry instances that know each other's loads late do not send to the same groups", t => {
+    const allOptions = playFullPart(Number.POSITIVE_INFINITY, 700);
+    const twoOptions = playFullPart(2, 700);
+    t.true(twoOptions < allOptions / 4, `${twoOptions} of the requests, ${allOptions} with all options`);
+    t.true(twoOptions < 0.05, `${twoOptions}`);
+});
+
+test("with fresh loads the best of all groups is no worse than two at random", t => {
+    const allOptions = playFullPart(Number.POSITIVE_INFINITY, 50);
+    t.true(allOptions < 0.02, `${allOptions}`);
+});
--- /dev/null
+++ b/src/serving/tests/engine-worlds.ts
@@ -0,0 +1,258 @@
+/**
+ * Engines that form groups by orders, as their own state machines, for tests in virtual and in real time. They check two
+ * promises while they run: no instance joins another group while its leader may serve, and no leader opens before all
+ * members were ready.
+ */
+import type { EngineProfile } from "../engine-models.js";
+import type { EngineStatus, GroupMembership } from "../fleets.js";
+import { groupKey } from "../fleets.js";
+import type { GroupOrder, OrderReply } from "../group-orders.js";
+
+const openMilliseconds = 300;
+const sameModelMilliseconds = 200;
+const closeMilliseconds = 500;
+
+/** One engine. */
+export interface FakeEngine {
+    readonly id: string;
+    readonly address: string;
+    incarnation: number;
+    isUp: boolean;
+    /** True while the placer's questions do not reach it, though others' do. */
+    isHidden: boolean;
+    /** True while it serves but cannot register. */
+    isCutFromStore: boolean;
+    isLeaving: boolean;
+    heartbeat: number;
+    membership: GroupMembership | undefined;
+    members: readonly string[];
+    model: string | undefined;
+    staged: string[];
+    changesAt: number;
+    next: GroupMembership["state"] | undefined;
+    highestEpoch: number;
+    /** Groups, by key, that it has left by an order. */
+    readonly left: Set<string>;
+    /** Groups, by key, in which it has been ready. */
+    readonly readyIn: Set<string>;
+    stagingUntil: number;
+    stagingModel: string | undefined;
+}
+
+/** All engines of one fabric domain. */
+export class EngineWorld {
+    public readonly violations: string[] = [];
+    public readonly engines = new Map<string, FakeEngine>();
+
+    private constructor(
+        private readonly profile: EngineProfile,
+        private readonly now: () => number,
+    ) {}
+
+    /** `now` returns milliseconds. */
+    public static create(profile: EngineProfile, now: () => number): EngineWorld {
+        return new EngineWorld(profile, now);
+    }
+
+    public add(id: string, address: string): FakeEngine {
+        const engine: FakeEngine = {
+            id,
+            address,
+            incarnation: this.now(),
+            isUp: true,
+            isHidden: false,
+            isCutFromStore: false,
+            isLeaving: false,
+            heartbeat: 1,
+            membership: undefined,
+            members: [],
+            model: undefined,
+            staged: [],
+            changesAt: Infinity,
+            next: undefined,
+            highestEpoch: 0,
+            left: new Set(),
+            readyIn: new Set(),
+            stagingUntil: Infinity,
+            stagingModel: undefined,
+        };
+        this.engines.set(id, engine);
+        return engine;
+    }
+
+    public engineOf(id: string): FakeEngine {
+        return this.engines.get(id)!;
+    }
+
+    public crash(id: string): void {
+        this.engineOf(id).isUp = false;
+    }
+
+    /** Starts a crashed instance again under its id; its host keeps what was staged. */
+    public restart(id: string): void {
+        const engine = this.engineOf(id);
+        Object.assign(engine, {
+            isUp: true,
+            incarnation: this.now(),
+            heartbeat: 1,
+            membership: undefined,
+            model: undefined,
+            highestEpoch: 0,
+            next: undefined,
+            changesAt: Infinity,
+        });
+        engine.readyIn.clear();
+        engine.left.clear();
+    }
+
+    public statusOf(id: string): EngineStatus {
+        const { membership, model, staged, incarnation } = this.engineOf(id);
+        return { membership, model, staged, incarnation };
+    }
+
+    /** Members of the groups whose leader is open and whose members are all up and in it. */
+    public servingGroups(): readonly { readonly model: string; readonly members: readonly string[] }[] {
+        return [...this.engines.values()]
+            .filter(leader => this.leadsWholeGroup(leader.id))
+            .map(leader => ({ model: leader.model ?? "", members: leader.members }));
+    }
+
+    /** True if an engine leads an open group whose members are all up and in it. */
+    public leadsWholeGroup(id: string): boolean {
+        const leader = this.engineOf(id);
+        const { membership } = leader;
+        if (!leader.isUp || membership?.rank !== 0 || membership.state !== "open") {
+            return false;
+        }
+        return leader.members.every(each => {
+            const member = this.engineOf(each);
+            return (
+                member.isUp &&
+                member.membership !== undefined &&
+                groupKey(member.membership) === groupKey(membership)
+            );
+        });
+    }
+
+    /** Lets changes that are due take effect. */
+    public advance(id: string): void {
+        const engine = this.engineOf(id);
+        if (!engine.isUp) {
+            return;
+        }
+        if (this.now() >= engine.stagingUntil) {
+            engine.staged = [engine.stagingModel!];
+            engine.stagingUntil = Infinity;
+        }
+        if (engine.membership !== undefined && this.now() >= engine.changesAt) {
+            engine.changesAt = Infinity;
+            engine.membership = { ...engine.membership, state: engine.next! };
+            if (engine.next === "ready") {
+                engine.readyIn.add(groupKey(engine.membership));
+                engine.staged = [engine.model!];
+            }
+        }
+    }
+
+    /** Carries an order out, as the engine does when it gets it. */
+    public carryOut(id: string, order: GroupOrder): OrderReply {
+        const engine = this.engineOf(id);
+        switch (order.kind) {
+            case "stage":
+                return this.stage(engine, order.model);
+            case "join":
+                return this.join(engine, order);
+            default:
+                return this.change(engine, order);
+        }
+    }
+
+    private stage(engine: FakeEngine, model: string): OrderReply {
+        engine.stagingModel = model;
+        engine.stagingUntil =
+            this.now() + this.profile.models.find(each => each.name === model)!.loadMilliseconds;
+        return { kind: "begun" };
+    }
+
+    private join(engine: FakeEngine, order: Extract<GroupOrder, { readonly kind: "join" }>): OrderReply {
+        if (order.epoch < engine.highestEpoch) {
+            return { kind: "refused", message: "412" };
+        }
+        if (
+            engine.membership !== undefined &&
+            groupKey(engine.membership) === `${order.group}@${order.epoch}`
+        ) {
+            return { kind: "holds" };
+        }
+        this.checkFreeToJoin(engine, order);
+        engine.highestEpoch = order.epoch;
+        const model = this.profile.models.find(each => each.name === order.model)!;
+        const isStaged = engine.staged.includes(model.name);
+        const warm = isStaged ? model.warmMilliseconds : model.loadMilliseconds;
+        engine.changesAt = this.now() + (engine.model === model.name ? sameModelMilliseconds : warm);
+        engine.next = "ready";
+        engine.model = model.name;
+        engine.members = order.members;
+        const rank = order.members.indexOf(engine.id);
+        engine.membership = { group: order.group, epoch: order.epoch, rank, state: "joining" };
+        return { kind: "begun" };
+    }
+
+    private checkFreeToJoin(engine: FakeEngine, order: Extract<GroupOrder, { readonly kind: "join" }>): void {
+        for (const leader of this.engines.values()) {
+            const { membership } = leader;
+            const isServing = membership?.state === "open" || membership?.state === "closing";
+            const isOther = membership?.group !== order.group;
+            const isLeader = leader.isUp && membership?.rank === 0;
+            const hasLeft = membership !== undefined && engine.left.has(groupKey(membership));
+            const isCounted = leader.members.includes(engine.id) && !hasLeft;
+            if (isLeader && isServing && isOther && isCounted) {
+                const text = `${engine.id} joins ${order.group} while ${leader.id} serves ${membership!.group}`;
+                this.violations.push(`${this.now()}: ${text}`);
+            }
+        }
+    }
+
+    private change(
+        engine: FakeEngine,
+        order: Extract<GroupOrder, { readonly kind: "open" | "close" | "leave" }>,
+    ): OrderReply {
+        const { membership } = engine;
+        if (membership === undefined || groupKey(membership) !== `${order.group}@${order.epoch}`) {
+            return { kind: "holds" };
+        }
+        switch (order.kind) {
+            case "leave":
+                engine.left.add(groupKey(membership));
+                engine.membership = undefined;
+                return { kind: "holds" };
+            case "close":
+                engine.membership = { ...membership, state: "closing" };
+                engine.changesAt = this.now() + closeMilliseconds;
+                engine.next = "ready";
+                return { kind: "begun" };
+            case "open":
+                return this.open(engine, membership);
+        }
+    }
+
+    private open(engine: FakeEngine, membership: GroupMembership): OrderReply {
+        if (membership.state === "open") {
+            return { kind: "holds" };
+        }
+        if (membership.state !== "ready") {
+            return { kind: "refused", message: "409" };
+        }
+        if (engine.next === "open" && engine.changesAt !== Infinity) {
+            return { kind: "begun" };
+        }
+        const key = groupKey(membership);
+        const unready = engine.members.filter(id => !this.engineOf(id).readyIn.has(key));
+        if (unready.length > 0) {
+            this.violations.push(`${this.now()}: ${engine.id} opens ${key} without ${unready.join()}`);
+        }
+        engine.next = "open";
+        engine.changesAt = this.now() + openMilliseconds;
+        return { kind: "begun" };
+    }
+}
