A fault soak: real serving processes, disturbed from outside, with seeded schedules and checkers

tests/soak starts serving processes from the deployment's bundle against the stand-in of the store and engines that form groups by orders, behind proxies that delay, reset, silence or pass on one direction. Schedules of kills, stops, pauses, restarts, leaving replicas, faults of store, links and replicas and new configurations follow from the seed.

--- /dev/null
+++ b/tests/soak/checkers.test.ts
@@ -0,0 +1,108 @@
+import test from "ava";
+import type { SoakBounds } from "./checkers.js";
+import { allCheckers } from "./checkers.js";
+import type { CallerRecord, RunRecord, SoakHistory } from "./histories.js";
+import { emptyHistory } from "./histories.js";
+import { eventOf, expectedAnswer, expectedStream } from "./workloads.js";
+
+const bounds: SoakBounds = {
+    configurationMilliseconds: 2_000,
+    leavingMilliseconds: 2_000,
+    settleMilliseconds: 3_000,
+    repeats: { windowMilliseconds: 10_000, fraction: 0.2, allowance: 2 },
+};
+const checkers = allCheckers(bounds);
+
+const caller: CallerRecord = {
+    id: "once-1",
+    kind: "once",
+    entry: "entry-0",
+    credential: "atelier-1",
+    sentAt: 100,
+    endedAt: 200,
+    status: 200,
+    answeredId: "once-1",
+    body: expectedAnswer("once-1", "plain-1"),
+    isWhole: true,
+    isExcused: false,
+};
+const run: RunRecord = {
+    id: "once-1",
+    replica: "plain-1",
+    at: 150,
+    workspace: "atelier",
+    hasCredential: false,
+    target: "/once/once-1",
+};
+const sound: SoakHistory = {
+    ...emptyHistory,
+    callers: [
+        caller,
+        {
+            ...caller,
+            id: "stream-2",
+            kind: "stream",
+            answeredId: "stream-2",
+            body: expectedStream("stream-2"),
+        },
+        { ...caller, id: "once-3", status: 503, answeredId: "once-3", body: "" },
+    ],
+    runs: [run, { ...run, id: "stream-2", replica: "engine-1" }],
+    versions: [
+        { entry: "entry-0", start: 1, at: 5_000, version: 1 },
+        { entry: "entry-0", start: 1, at: 9_000, version: 2 },
+        { entry: "entry-0", start: 2, at: 9_500, version: 1 },
+    ],
+    published: [
+        { version: 1, at: 0 },
+        { version: 2, at: 8_000 },
+    ],
+    leaving: [{ replica: "plain-2", at: 100 }],
+};
+
+test("a sound history passes every checker", t => {
+    Object.entries(checkers).forEach(([name, check]) => t.deepEqual(check(sound), [], name));
+});
+
+const faults: Readonly<Record<keyof typeof checkers, Partial<SoakHistory>>> = {
+    atMostOnce: { runs: [...sound.runs, { ...run, replica: "plain-2", at: 170 }] },
+    notRunIsTrue: { runs: [...sound.runs, { ...run, id: "once-3" }] },
+    wholeAnswers: {
+        callers: sound.callers.map(each =>
+            each.kind === "stream" ? { ...each, body: each.body.replace(eventOf("stream-2", 3), "") } : each,
+        ),
+    },
+    noCrossedAnswers: { callers: [{ ...caller, answeredId: "once-9" }] },
+    onlyAsked: { runs: [...sound.runs, { ...run, id: "once-9" }] },
+    workspaces: { runs: [{ ...run, workspace: "bureau" }] },
+    versionsRise: {
+        versions: [...sound.versions, { entry: "entry-0", start: 1, at: 9_900, version: 1 }],
+        published: [{ version: 1, at: 0 }],
+    },
+    versionsInTime: { versions: [{ entry: "entry-0", start: 1, at: 11_000, version: 1 }] },
+    leaving: { runs: [{ ...run, replica: "plain-2", at: 2_500 }] },
+    nothingIsLost: { callers: [{ ...caller, status: 0, answeredId: undefined, body: "", isWhole: false }] },
+    repeats: {
+        callers: [caller],
+        runs: Array.from({ length: 6 }, (_, index) => ({ ...run, id: "read-1", at: 150 + index })),
+    },
+    groups: { groupViolations: ["an instance joined another group while its leader served"] },
+};
+
+for (const [name, changes] of Object.entries(faults)) {
+    test(`the checker ${name} finds a planted fault`, t => {
+        t.true(checkers[name]!({ ...sound, ...changes }).length > 0);
+    });
+}
+
+test("a credential that reaches a replica is found", t => {
+    const history = { ...sound, runs: [{ ...run, hasCredential: true }] };
+    t.is(checkers.workspaces!(history).length, 1);
+});
+
+test("bounds in time do not hold around a disturbance", t => {
+    const disturbed = [{ entry: "entry-0", from: 8_500, to: 10_000 }];
+    t.deepEqual(checkers.versionsInTime!({ ...sound, ...faults.versionsInTime, disturbed }), []);
+    const elsewhere = [{ entry: "entry-1", from: 8_500, to: 10_000 }];
+    t.is(checkers.versionsInTime!({ ...sound, ...faults.versionsInTime, disturbed: elsewhere }).length, 1);
+});
--- /dev/null
+++ b/tests/soak/checkers.ts
@@ -0,0 +1,171 @@
+/** Promises of the serving process, checked on the history of one run. Each checker returns what broke, in words. */
+import type { CallerRecord, RunRecord, SoakHistory } from "./histories.js";
+import { expectedAnswer, expectedStream, workspaceOf } from "./workloads.js";
+
+export type Checker = (history: SoakHistory) => readonly string[];
+
+/** Bounds of the deployment that the soak plays, in milliseconds. */
+export interface SoakBounds {
+    /** From the store's answer until a configuration is in force. */
+    readonly configurationMilliseconds: number;
+    /** From a replica's notice until it gets no more requests. */
+    readonly leavingMilliseconds: number;
+    /** After a disturbance, until bounds in time hold again. */
+    readonly settleMilliseconds: number;
+    readonly repeats: {
+        readonly windowMilliseconds: number;
+        readonly fraction: number;
+        readonly allowance: number;
+    };
+}
+
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+export function checkAtMostOnce({ callers, runs }: SoakHistory): readonly string[] {
+    const counts = countById(runs);
+    return callers
+        .filter(({ kind, id }) => kind === "once" && (counts.get(id) ?? 0) > 1)
+        .map(({ id }) => `${id} ran ${counts.get(id)} times`);
+}
+
+export function checkNotRunIsTrue({ callers, runs }: SoakHistory): readonly string[] {
+    const counts = countById(runs);
+    return callers
+        .filter(({ kind, status, id }) => kind === "once" && notRunStatuses.has(status) && counts.has(id))
+        .map(({ id, status }) => `${id} was answered ${status} and ran`);
+}
+
+export function checkWholeAnswers({ callers, runs }: SoakHistory): readonly string[] {
+    return callers
+        .filter(({ status, isWhole }) => status === 200 && isWhole)
+        .filter(record => !possibleBodies(record, runs).includes(record.body))
+        .map(({ id, body }) => `${id} got as whole: ${JSON.stringify(body.slice(0, 80))}`);
+}
+
+export function checkNoCrossedAnswers({ callers }: SoakHistory): readonly string[] {
+    return callers
+        .filter(({ id, status, answeredId }) => status === 200 && answeredId !== id)
+        .map(({ id, answeredId }) => `${id} got the answer to ${answeredId ?? "nobody"}`);
+}
+
+export function checkOnlyAsked({ callers, runs }: SoakHistory): readonly string[] {
+    const asked = new Set(callers.map(({ id }) => id));
+    return runs
+        .filter(({ id }) => !asked.has(id))
+        .map(({ id, replica }) => `${replica} ran ${id}, which nobody sent`);
+}
+
+export function checkWorkspaces({ callers, runs }: SoakHistory): readonly string[] {
+    const credentials = new Map(callers.map(({ id, credential }) => [id, credential]));
+    return runs.flatMap(({ id, replica, workspace, hasCredential }) => {
+        const expected = workspaceOf(credentials.get(id) ?? "");
+        const isOther = workspace !== expected;
+        return [
+            ...(hasCredential ? [`${replica} got the credential of ${id}`] : []),
+            ...(isOther ? [`${id} ran for ${workspace ?? "nobody"} instead of ${expected ?? "nobody"}`] : []),
+        ];
+    });
+}
+
+export function checkVersionsRise({ versions }: SoakHistory): readonly string[] {
+    const highest = new Map<string, number>();
+    return versions.flatMap(({ entry, start, version }) => {
+        const key = `${entry} start ${start}`;
+        const before = highest.get(key) ?? 0;
+        highest.set(key, Math.max(before, version));
+        return version < before ? [`${key} went from version ${before} back to ${version}`] : [];
+    });
+}
+
+export function checkVersionsInTime(bounds: SoakBounds): Checker {
+    return history =>
+        history.versions.flatMap(({ entry, at, version }) => {
+            const dueAt = at - bounds.configurationMilliseconds;
+            const due = Math.max(
+                0,
+                ...history.published.filter(each => each.at <= dueAt).map(each => each.version),
+            );
+            const isCalm = !isDisturbed(history, entry, dueAt - bounds.settleMilliseconds, at);
+            return isCalm && version < due ? [`${entry} acts on version ${version} when ${due} is due`] : [];
+        });
+}
+
+export function checkLeaving(bounds: SoakBounds): Checker {
+    return history =>
+        history.leaving.flatMap(({ replica, at }) => {
+            const from = at + bounds.leavingMilliseconds;
+            const late = history.runs.filter(run => run.replica === replica && run.at > from);
+            return late
+                .filter(run => !isDisturbed(history, undefined, run.at - bounds.settleMilliseconds, run.at))
+                .map(
+                    run =>
+                        `${replica} got ${run.id} ${Math.round(run.at - at)} ms after it said that it leaves`,
+                );
+        });
+}
+
+/** A process that ends as planned answers what it has read, if nothing else disturbs it. */
+export function checkNothingIsLost({ callers }: SoakHistory): readonly string[] {
+    return callers
+        .filter(({ status, isExcused }) => status === 0 && !isExcused)
+        .map(({ id, entry }) => `${entry} closed the connection of ${id} without an answer`);
+}
+
+export function checkRepeats({ repeats }: SoakBounds): Checker {
+    return ({ runs, callers }) => {
+        const firstRuns = new Set<string>();
+        const again = runs.filter(({ id }) => firstRuns.has(id) || !firstRuns.add(id));
+        return again.flatMap(({ at }) => {
+            const isWithin = (each: number, length: number): boolean => each >= at - length && each <= at;
+            const count = again.filter(each => isWithin(each.at, repeats.windowMilliseconds)).length;
+            const requests = callers.filter(each =>
+                isWithin(each.sentAt, 2 * repeats.windowMilliseconds),
+            ).length;
+            const allowed = repeats.allowance + repeats.fraction * requests;
+            return count > allowed ? [`${count} repeats in a window that allows ${Math.floor(allowed)}`] : [];
+        });
+    };
+}
+
+export function checkGroups({ groupViolations }: SoakHistory): readonly string[] {
+    return groupViolations;
+}
+
+/** All checkers by name. */
+export function allCheckers(bounds: SoakBounds): Readonly<Record<string, Checker>> {
+    return {
+        atMostOnce: checkAtMostOnce,
+        notRunIsTrue: checkNotRunIsTrue,
+        wholeAnswers: checkWholeAnswers,
+        noCrossedAnswers: checkNoCrossedAnswers,
+        onlyAsked: checkOnlyAsked,
+        workspaces: checkWorkspaces,
+        versionsRise: checkVersionsRise,
+        versionsInTime: checkVersionsInTime(bounds),
+        leaving: checkLeaving(bounds),
+        nothingIsLost: checkNothingIsLost,
+        repeats: checkRepeats(bounds),
+        groups: checkGroups,
+    };
+}
+
+function countById(runs: readonly RunRecord[]): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    runs.forEach(({ id }) => counts.set(id, (counts.get(id) ?? 0) + 1));
+    return counts;
+}
+
+function possibleBodies({ id, kind }: CallerRecord, runs: readonly RunRecord[]): readonly string[] {
+    return kind === "stream"
+        ? [expectedStream(id)]
+        : runs.filter(run => run.id === id).map(({ replica }) => expectedAnswer(id, replica));
+}
+
+function isDisturbed(history: SoakHistory, entry: string | undefined, from: number, to: number): boolean {
+    return history.disturbed.some(
+        span =>
+            (span.entry === undefined || entry === undefined || span.entry === entry) &&
+            span.from <= to &&
+            span.to >= from,
+    );
+}
--- /dev/null
+++ b/tests/soak/main.ts
@@ -0,0 +1,53 @@
+#!/usr/bin/env node
+/** Plays seeds of the soak by hand: `npm run soak -- --seeds 50 --from 1 --seconds 15`. */
+import { mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { cac } from "cac";
+import { buildProgram, playSoak } from "./soaks.js";
+
+interface SoakCommandOptions {
+    readonly from: number;
+    readonly seeds: number;
+    readonly seconds: number;
+    readonly entries: number;
+    readonly engines: number;
+    readonly together: number;
+}
+
+async function run(options: SoakCommandOptions): Promise<void> {
+    const program = buildProgram(mkdtempSync(join(tmpdir(), "chervil-soak-program-")));
+    const seeds = Array.from({ length: options.seeds }, (_, index) => options.from + index);
+    let failed = 0;
+    const playNext = async (): Promise<void> => {
+        for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+            const { entries, engines } = options;
+            const report = await playSoak({
+                seed,
+                milliseconds: options.seconds * 1_000,
+                entries,
+                engines,
+                program,
+            });
+            failed += report.violations.length > 0 ? 1 : 0;
+            const line = { seed, violations: report.violations.slice(0, 10), counts: report.counts };
+            process.stdout.write(`${JSON.stringify({ ...line, directory: report.directory })}\n`);
+        }
+    };
+    await Promise.all(Array.from({ length: options.together }, playNext));
+    process.stdout.write(`${options.seeds - failed} seeds without a violation, ${failed} with\n`);
+    process.exitCode = failed > 0 ? 1 : 0;
+}
+
+const commands = cac("soak");
+commands
+    .command("", "Play seeds of the fault soak")
+    .option("--from <seed>", "First seed", { default: 1 })
+    .option("--seeds <count>", "Number of seeds", { default: 1 })
+    .option("--seconds <seconds>", "Length of each in seconds of traffic", { default: 15 })
+    .option("--entries <count>", "Serving processes", { default: 3 })
+    .option("--engines <count>", "Engines", { default: 6 })
+    .option("--together <count>", "Seeds played at the same time", { default: 1 })
+    .action((options: SoakCommandOptions) => run(options));
+commands.help();
+commands.parse();
--- /dev/null
+++ b/tests/soak/proxies.ts
@@ -0,0 +1,78 @@
+/** A loopback proxy that disturbs connections: it delays, resets, silences them, or passes on one direction only. */
+import { createServer, connect } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+
+/** How connections are disturbed until the next change. */
+export type LinkFault = "none" | "delay" | "silent" | "requestsOnly" | "answersOnly";
+
+const delayMilliseconds = 120;
+
+interface Pair {
+    readonly near: Socket;
+    readonly far: Socket;
+}
+
+export class FaultyLink {
+    public fault: LinkFault = "none";
+    private readonly pairs = new Set<Pair>();
+
+    private constructor(
+        private readonly server: Server,
+        private readonly target: string,
+    ) {}
+
+    /** Listens on a free port of the loopback address and passes on to `target` (host and port). */
+    public static async create(target: string): Promise<FaultyLink> {
+        const server = createServer();
+        const link = new FaultyLink(server, target);
+        server.on("connection", socket => link.accept(socket));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        return link;
+    }
+
+    public get address(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    /** Resets all open connections. */
+    public reset(): void {
+        for (const { near, far } of this.pairs) {
+            near.resetAndDestroy();
+            far.resetAndDestroy();
+        }
+    }
+
+    public close(): void {
+        this.server.close();
+        this.reset();
+    }
+
+    private accept(near: Socket): void {
+        const [host, port] = this.target.split(":");
+        const far = connect({ host, port: Number(port) });
+        const pair = { near, far };
+        this.pairs.add(pair);
+        this.pass(near, far, "requestsOnly");
+        this.pass(far, near, "answersOnly");
+        near.once("close", () => this.pairs.delete(pair));
+    }
+
+    /** Passes on bytes and the end; `allowedFault` is the one-way fault under which this direction still works. */
+    private pass(from: Socket, to: Socket, allowedFault: LinkFault): void {
+        let chain = Promise.resolve();
+        const isBlocked = (): boolean => !["none", "delay", allowedFault].includes(this.fault);
+        const later = (run: () => void): void => {
+            if (this.fault !== "delay") {
+                chain = chain.then(run);
+                return;
+            }
+            chain = chain
+                .then(() => new Promise(resolve => setTimeout(resolve, delayMilliseconds)))
+                .then(run);
+        };
+        from.on("data", piece => later(() => !isBlocked() && !to.destroyed && to.write(piece)));
+        from.on("end", () => later(() => !isBlocked() && to.end()));
+        from.on("error", () => later(() => !isBlocked() && to.resetAndDestroy()));
+        from.on("close", () => later(() => !isBlocked() && to.destroy()));
+    }
+}
--- /dev/null
+++ b/tests/soak/replicas.ts
@@ -0,0 +1,244 @@
+/** Replicas of the soak: plain ones and engines that form groups, registered in the stand-in of the store. */
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AddressInfo, Server, Socket } from "node:net";
+import * as z from "zod";
+import { parseJson } from "../../src/links/json.js";
+import type { GroupOrder } from "../../src/serving/group-orders.js";
+import type { EngineWorld } from "../../src/serving/tests/engine-worlds.js";
+import type { RunRecord } from "./histories.js";
+import { eventOf, expectedAnswer, streamEvents } from "./workloads.js";
+
+/** How the next requests go wrong. */
+export type ReplicaFault = "none" | "full" | "loseAnswer" | "breakStream" | "fail" | "answerTwice";
+
+const eventMilliseconds = 40;
+const answerMilliseconds = 15;
+
+export interface SoakReplicaOptions {
+    readonly id: string;
+    /** State of the engine; undefined for a plain replica. */
+    readonly world: EngineWorld | undefined;
+    readonly now: () => number;
+    readonly onRun: (run: RunRecord) => void;
+    readonly onViolation: (text: string) => void;
+}
+
+export class SoakReplica {
+    public fault: ReplicaFault = "none";
+    public isLeaving = false;
+    private isUp = true;
+    private heartbeat = 0;
+    private readonly sockets = new Set<Socket>();
+
+    private constructor(
+        private readonly options: SoakReplicaOptions,
+        private readonly server: Server,
+        private readonly bornAt: number,
+    ) {}
+
+    public static async create(options: SoakReplicaOptions): Promise<SoakReplica> {
+        const server = createServer({ keepAliveTimeout: 20_000 });
+        const replica = new SoakReplica(options, server, Date.now());
+        server.on("request", (request, response) => replica.receive(request, response));
+        server.on("connection", (socket: Socket) => {
+            replica.sockets.add(socket);
+            socket.on("error", () => undefined);
+            socket.once("close", () => replica.sockets.delete(socket));
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        return replica;
+    }
+
+    public get id(): string {
+        return this.options.id;
+    }
+
+    public get address(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    public get isDown(): boolean {
+        return !this.isUp;
+    }
+
+    /** Ends or brings back the replica under its id; an engine knows nothing of before. */
+    public setUp(isUp: boolean): void {
+        if (isUp === this.isUp) {
+            return;
+        }
+        this.isUp = isUp;
+        const { world, id } = this.options;
+        if (isUp) {
+            world?.restart(id);
+        } else {
+            world?.crash(id);
+            this.sockets.forEach(socket => socket.resetAndDestroy());
+        }
+    }
+
+    public close(): void {
+        this.server.close();
+        this.sockets.forEach(socket => socket.destroy());
+    }
+
+    /** What it writes into the store; `address` is where others reach it. */
+    public registration(address: string): unknown {
+        this.heartbeat += 1;
+        return {
+            Service: this.options.world === undefined ? "plain" : "engines",
+            Address: address,
+            Zone: "zone-a",
+            Slots: 16,
+            State: this.isLeaving ? "draining" : "ready",
+            Sequence: this.heartbeat,
+            ...this.report(),
+        };
+    }
+
+    private report(): Readonly<Record<string, unknown>> {
+        const { world, id } = this.options;
+        if (world === undefined) {
+            return { born: this.bornAt };
+        }
+        world.advance(id);
+        const { membership, model, staged, incarnation } = world.statusOf(id);
+        return {
+            Models: model === undefined ? [] : [{ Name: model, Version: 1, Adapters: [] }],
+            Staged: staged,
+            Domain: "fabric",
+            group: membership && {
+                Name: membership.group,
+                epoch: membership.epoch,
+                rank: membership.rank,
+                State: membership.state,
+            },
+            born: this.bornAt + Math.round(incarnation ?? 0),
+        };
+    }
+
+    private receive(request: IncomingMessage, response: ServerResponse): void {
+        const pieces: Buffer[] = [];
+        request.on("data", (piece: Buffer) => pieces.push(piece));
+        request.on("error", () => undefined);
+        request.on("end", () => {
+            if (!this.isUp) {
+                request.socket.resetAndDestroy();
+                return;
+            }
+            this.handle(request, response, Buffer.concat(pieces).toString("utf8"));
+        });
+    }
+
+    private handle(request: IncomingMessage, response: ServerResponse, body: string): void {
+        const { world, id } = this.options;
+        const expected = request.headers["chervilrouter-expect-instance"];
+        if (expected !== undefined && expected !== id) {
+            response.writeHead(421, { "Chervilrouter-Not-Executed": "1" }).end();
+            return;
+        }
+        if (request.url === "/api/report") {
+            response.end(JSON.stringify(this.report()));
+            return;
+        }
+        if (request.url === "/api/order" && world !== undefined) {
+            world.advance(id);
+            const reply = world.carryOut(id, parseOrder(body));
+            response.writeHead({ begun: 202, holds: 200 }[reply.kind as string] ?? 412).end("{}");
+            return;
+        }
+        const isRefused = this.fault === "full" || (world !== undefined && !this.leads(world));
+        if (isRefused) {
+            response.writeHead(world === undefined ? 503 : 421, { "Chervilrouter-Not-Executed": "1" }).end();
+            return;
+        }
+        this.run(request, response);
+    }
+
+    private leads(world: EngineWorld): boolean {
+        world.advance(this.id);
+        const { membership } = world.statusOf(this.id);
+        return membership?.rank === 0 && membership.state === "open";
+    }
+
+    private run(request: IncomingMessage, response: ServerResponse): void {
+        const { world, now, onRun, onViolation } = this.options;
+        const id = String(request.headers["chervilrouter-request-id"]);
+        const workspace = request.headers["chervilrouter-tenant-id"];
+        if (world !== undefined && !world.leadsWholeGroup(this.id)) {
+            // A member is lost: the leader accepts on, and nothing moves.
+            return;
+        }
+        const members = world === undefined ? [] : world.engineOf(this.id).members;
+        if (members.length !== 0 && members.length !== 2) {
+            onViolation(`${id} ran in a group of ${members.length}`);
+        }
+        onRun({
+            id,
+            replica: this.id,
+            at: now(),
+            workspace: workspace === undefined ? undefined : String(workspace),
+            hasCredential: request.headers.authorization !== undefined,
+            target: request.url ?? "",
+        });
+        const headers = { "Chervilrouter-Request-Id": id, "Chervilrouter-Response-Seal": `seal-${this.id}` };
+        if (this.fault === "loseAnswer") {
+            setTimeout(() => response.socket?.resetAndDestroy(), answerMilliseconds);
+            return;
+        }
+        if (this.fault === "fail") {
+            response.writeHead(500, headers).end("it failed");
+            return;
+        }
+        if (world === undefined) {
+            setTimeout(() => this.answer(response, headers, expectedAnswer(id, this.id)), answerMilliseconds);
+            return;
+        }
+        response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
+        this.stream(response, id, Number(request.headers["last-event-id"] ?? 0) + 1);
+    }
+
+    private answer(response: ServerResponse, headers: Readonly<Record<string, string>>, text: string): void {
+        response.writeHead(200, { ...headers, "Content-Length": String(text.length) }).end(text);
+        if (this.fault === "answerTwice") {
+            response.socket?.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+        }
+    }
+
+    private stream(response: ServerResponse, id: string, event: number): void {
+        if (response.destroyed || !this.isUp || !this.options.world!.leadsWholeGroup(this.id)) {
+            return;
+        }
+        if (this.fault === "breakStream" && event % 5 === 0) {
+            response.write(eventOf(id, event).slice(0, 9));
+            setTimeout(() => response.socket?.resetAndDestroy(), answerMilliseconds);
+            return;
+        }
+        response.write(eventOf(id, event));
+        if (event >= streamEvents) {
+            response.end();
+            return;
+        }
+        setTimeout(() => this.stream(response, id, event + 1), eventMilliseconds);
+    }
+}
+
+const orderSchema = z.object({
+    Operation: z.enum(["join", "open", "close", "leave", "Stage"]),
+    group: z.string().default(""),
+    epoch: z.number().default(0),
+    Model: z.string().default(""),
+    Members: z.array(z.string()).default([]),
+});
+
+function parseOrder(body: string): GroupOrder {
+    const { Operation, group, epoch, Model, Members } = orderSchema.parse(parseJson(body));
+    switch (Operation) {
+        case "join":
+            return { kind: "join", group, epoch, model: Model, members: Members };
+        case "Stage":
+            return { kind: "stage", model: Model };
+        default:
+            return { kind: Operation, group, epoch };
+    }
+}
--- /dev/null
+++ b/tests/soak/soaks.ts
@@ -0,0 +1,468 @@
+/**
+ * One run of the soak: real serving processes on the loopback address, stand-ins of the platform's store and replicas,
+ * callers, and a seeded schedule of disturbances from outside the processes.
+ */
+import { mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { buildSync } from "esbuild";
+import { StandInStore } from "../../platform/stand-ins/stores.js";
+import { findPorts } from "../../scripts/demo-ports.js";
+import { createRandomNumber } from "../../src/core/random-numbers.js";
+import { EngineWorld } from "../../src/serving/tests/engine-worlds.js";
+import { profile } from "../../src/serving/tests/fake-engines.js";
+import { SoakCallers, request } from "./callers.js";
+import type { SoakBounds } from "./checkers.js";
+import { allCheckers } from "./checkers.js";
+import { SoakEntry, entryBounds, entryRepeats, portsPerEntry } from "./entries.js";
+import type {
+    CallerRecord,
+    DisturbedSpan,
+    LeavingRecord,
+    PublishedRecord,
+    RunRecord,
+    SoakHistory,
+    VersionRecord,
+} from "./histories.js";
+import { FaultyLink } from "./proxies.js";
+import { SoakReplica } from "./replicas.js";
+import type { Disturbance } from "./schedules.js";
+import { createSchedule } from "./schedules.js";
+import { configurationAt, credentialsAt, host, markerPath, modelName } from "./workloads.js";
+
+const heartbeatMilliseconds = 400;
+const requestMilliseconds = 25;
+const lookMilliseconds = 150;
+const restartMilliseconds = 300;
+/** Time that a leaving replica goes on serving, in milliseconds. */
+const leavingMilliseconds = 4_000;
+const startMilliseconds = 30_000;
+
+/** What the soak holds the processes to; real time on a shared machine gets a second beyond the deployment's bounds. */
+export const soakBounds: SoakBounds = {
+    configurationMilliseconds: 3_000,
+    leavingMilliseconds: entryBounds.drainMilliseconds + 1_000,
+    settleMilliseconds: entryBounds.toleranceMilliseconds + 1_000,
+    repeats: entryRepeats,
+};
+
+export interface SoakOptions {
+    readonly seed: number;
+    readonly milliseconds: number;
+    readonly entries: number;
+    readonly engines: number;
+    /** Program file of the serving process. */
+    readonly program: string;
+}
+
+export interface SoakReport {
+    readonly violations: readonly string[];
+    /** Answers by kind and status, and disturbances by kind. */
+    readonly counts: Readonly<Record<string, number>>;
+    /** Where the processes' settings and logs are. */
+    readonly directory: string;
+}
+
+/** Builds the serving process as the deployment does; returns its program file. */
+export function buildProgram(directory: string): string {
+    const outfile = join(directory, "chervil-serving.cjs");
+    buildSync({
+        entryPoints: ["platform/main.ts"],
+        bundle: true,
+        platform: "node",
+        target: "node20",
+        format: "cjs",
+        external: ["dtrace-provider"],
+        logLevel: "error",
+        outfile,
+    });
+    return outfile;
+}
+
+interface LinkedReplica {
+    readonly replica: SoakReplica;
+    readonly link: FaultyLink;
+}
+
+class Soak {
+    private readonly callers: CallerRecord[] = [];
+    private readonly runs: RunRecord[] = [];
+    private readonly versions: VersionRecord[] = [];
+    private readonly published: PublishedRecord[] = [];
+    private readonly disturbed: DisturbedSpan[] = [];
+    private readonly leaving: LeavingRecord[] = [];
+    private readonly problems: string[] = [];
+    private readonly counts: Record<string, number> = {};
+    private readonly replicas: LinkedReplica[] = [];
+    private readonly entries: { readonly entry: SoakEntry; readonly storeLink: FaultyLink }[] = [];
+    private readonly timers = new Set<NodeJS.Timeout>();
+    private readonly startedAt = performance.now();
+    private readonly world: EngineWorld;
+    private lastReplica = 0;
+    private isEnding = false;
+
+    private constructor(
+        private readonly options: SoakOptions,
+        private readonly store: StandInStore,
+        private readonly directory: string,
+    ) {
+        const models = [
+            {
+                ...profile.models[0]!,
+                name: modelName,
+                size: 2,
+                loadMilliseconds: 1_200,
+                warmMilliseconds: 400,
+            },
+        ];
+        this.world = EngineWorld.create({ ...profile, models }, () => this.now());
+    }
+
+    public static async create(options: SoakOptions): Promise<Soak> {
+        const directory = mkdtempSync(join(tmpdir(), `chervil-soak-${options.seed}-`));
+        return new Soak(options, await StandInStore.create(), directory);
+    }
+
+    public async play(): Promise<SoakReport> {
+        try {
+            await this.start();
+            await this.playTraffic();
+            await this.end();
+        } finally {
+            this.close();
+        }
+        const history: SoakHistory = {
+            callers: this.callers,
+            runs: this.runs,
+            versions: this.versions,
+            published: this.published,
+            disturbed: this.disturbed,
+            leaving: this.leaving,
+            groupViolations: this.world.violations,
+            endedAt: this.now(),
+        };
+        const found = Object.entries(allCheckers(soakBounds)).flatMap(([name, check]) =>
+            check(history).map(text => `${name}: ${text}`),
+        );
+        return { violations: [...this.problems, ...found], counts: this.counts, directory: this.directory };
+    }
+
+    private now(): number {
+        return performance.now() - this.startedAt;
+    }
+
+    private count(name: string): void {
+        this.counts[name] = (this.counts[name] ?? 0) + 1;
+    }
+
+    private after(milliseconds: number, run: () => void): void {
+        const timer = setTimeout(() => {
+            this.timers.delete(timer);
+            run();
+        }, milliseconds);
+        this.timers.add(timer);
+    }
+
+    private every(milliseconds: number, run: () => void): void {
+        this.timers.add(setInterval(run, milliseconds));
+    }
+
+    private async start(): Promise<void> {
+        this.publish();
+        await Promise.all(["plain", "plain", "plain"].map(() => this.addReplica(false)));
+        await Promise.all(Array.from({ length: this.options.engines }, () => this.addReplica(true)));
+        this.every(heartbeatMilliseconds, () => this.beat());
+        const ports = await findPorts(this.options.entries * portsPerEntry, undefined);
+        for (let index = 0; index < this.options.entries; index += 1) {
+            const storeLink = await FaultyLink.create(this.store.address);
+            const entry = SoakEntry.create({
+                name: `entry-${index}`,
+                firstPort: ports + index * portsPerEntry,
+                storeAddress: storeLink.address,
+                heartbeatMilliseconds,
+                program: this.options.program,
+                directory: this.directory,
+                onOwnEnd: (name, code, wasTold) => this.handleOwnEnd(name, code, wasTold),
+            });
+            entry.start();
+            this.entries.push({ entry, storeLink });
+        }
+        const limit = this.now() + startMilliseconds;
+        while (!(await this.areReady()) || this.world.servingGroups().length === 0) {
+            if (this.now() > limit) {
+                throw new Error(
+                    `the processes did not serve within ${startMilliseconds} ms: ${this.directory}`,
+                );
+            }
+            await new Promise(resolve => setTimeout(resolve, 50));
+        }
+    }
+
+    private async areReady(): Promise<boolean> {
+        const answers = await Promise.all(
+            this.entries.map(({ entry }) =>
+                request(entry.readinessPort, undefined, {
+                    path: "/api/readiness",
+                    method: "GET",
+                    headers: {},
+                    body: undefined,
+                }),
+            ),
+        );
+        return answers.every(({ status }) => status === 200);
+    }
+
+    private async playTraffic(): Promise<void> {
+        const random = createRandomNumber(this.options.seed + 1);
+        const callers = SoakCallers.create({
+            entries: this.entries.map(({ entry }) => entry),
+            now: () => this.now(),
+            random,
+            credential: () => credentialsAt(this.published.at(-1)!.version)[1]!,
+            onEnd: record => {
+                this.callers.push(record);
+                this.count(`${record.kind} ${record.status}${record.isWhole ? "" : " cut"}`);
+            },
+        });
+        const sending = setInterval(() => callers.send(), requestMilliseconds);
+        const looking = setInterval(
+            () => this.entries.forEach(({ entry }) => void this.look(entry)),
+            lookMilliseconds,
+        );
+        for (const disturbance of createSchedule(this.options.seed, this.options.milliseconds)) {
+            this.after(disturbance.at, () => this.disturb(disturbance));
+        }
+        await new Promise(resolve => setTimeout(resolve, this.options.milliseconds));
+        clearInterval(sending);
+        await callers.settle();
+        clearInterval(looking);
+    }
+
+    /** Asks on which configuration an entry instance acts: only that one has both the route and the credential. */
+    private async look(entry: SoakEntry): Promise<void> {
+        const { starts } = entry;
+        const newest = this.published.at(-1)!.version;
+        for (let version = newest; version >= Math.max(1, newest - 2) && entry.isRunning; version -= 1) {
+            const at = this.now();
+            const answer = await request(entry.callerPort, undefined, {
+                path: markerPath(version),
+                method: "GET",
+                headers: {
+                    host,
+                    authorization: `Bearer ${credentialsAt(version)[0]}`,
+                    "chervilrouter-request-id": `marker-${entry.name}-${at}`,
+                    "chervilrouter-deadline-ms": "1000",
+                },
+                body: undefined,
+            });
+            if (answer.status === 0 || answer.status === 503 || entry.starts !== starts) {
+                return;
+            }
+            if (![401, 404].includes(answer.status)) {
+                this.versions.push({ entry: entry.name, start: starts, at, version });
+                return;
+            }
+        }
+    }
+
+    private publish(): void {
+        const version = (this.published.at(-1)?.version ?? 0) + 1;
+        this.store.put("op/config", configurationAt(version));
+        this.published.push({ version, at: this.now() });
+    }
+
+    private async addReplica(isEngine: boolean): Promise<void> {
+        this.lastReplica += 1;
+        const id = `${isEngine ? "engine" : "plain"}-${this.lastReplica}`;
+        if (isEngine) {
+            this.world.add(id, "");
+        }
+        const replica = await SoakReplica.create({
+            id,
+            world: isEngine ? this.world : undefined,
+            now: () => this.now(),
+            onRun: run => !run.id.startsWith("marker") && this.runs.push(run),
+            onViolation: text => this.problems.push(text),
+        });
+        const linked = { replica, link: await FaultyLink.create(replica.address) };
+        this.replicas.push(linked);
+        this.register(linked);
+    }
+
+    private register({ replica, link }: LinkedReplica): void {
+        this.store.put(`servers/${replica.id}`, replica.registration(link.address));
+    }
+
+    private beat(): void {
+        for (const linked of this.replicas.filter(({ replica }) => !replica.isDown)) {
+            this.register(linked);
+        }
+    }
+
+    private handleOwnEnd(name: string, code: number | undefined, wasTold: boolean): void {
+        if (!wasTold || code !== 0) {
+            this.problems.push(`${name} ended by itself with ${code ?? "a signal"}`);
+        }
+    }
+
+    /** Starts an ended process again, as the platform does. */
+    private restart(entry: SoakEntry): void {
+        if (this.isEnding) {
+            return;
+        }
+        if (entry.isRunning) {
+            this.after(restartMilliseconds, () => this.restart(entry));
+            return;
+        }
+        entry.start();
+        this.noteDisturbed(entry.name, this.now(), this.now());
+    }
+
+    private noteDisturbed(entry: string | undefined, from: number, to: number): void {
+        this.disturbed.push({ entry, from, to });
+    }
+
+    private disturb(disturbance: Disturbance): void {
+        const { index } = disturbance;
+        const from = this.now();
+        const lasting = disturbance.until - disturbance.at;
+        const { entry, storeLink } = this.entries[index % this.entries.length]!;
+        const linked = this.replicas[index % this.replicas.length]!;
+        this.count(`disturbed by ${disturbance.kind}`);
+        switch (disturbance.kind) {
+            case "terminate":
+            case "kill":
+                if (entry.isSound) {
+                    if (disturbance.kind === "kill") {
+                        entry.kill();
+                    } else {
+                        entry.terminate();
+                    }
+                    this.noteDisturbed(entry.name, from, from + entryBounds.graceMilliseconds);
+                    this.after(restartMilliseconds, () => this.restart(entry));
+                }
+                return;
+            case "pause":
+                if (entry.isSound) {
+                    entry.pause();
+                    this.noteDisturbed(entry.name, from, from + lasting);
+                    this.after(lasting, () => entry.resume());
+                }
+                return;
+            case "publish":
+                this.publish();
+                return;
+            case "forget":
+                this.store.compact();
+                this.noteDisturbed(undefined, from, from);
+                return;
+            case "store":
+                this.disturbStore(disturbance.fault, lasting);
+                return;
+            case "storeLink":
+                storeLink.fault = disturbance.fault;
+                this.noteDisturbed(entry.name, from, from + lasting);
+                this.after(lasting, () => {
+                    storeLink.fault = "none";
+                    storeLink.reset();
+                });
+                return;
+            case "replicaLink":
+                linked.link.fault = disturbance.fault;
+                this.after(lasting, () => {
+                    linked.link.fault = "none";
+                    linked.link.reset();
+                });
+                return;
+            case "resetStoreLink":
+                storeLink.reset();
+                this.noteDisturbed(entry.name, from, from);
+                return;
+            case "resetReplicaLink":
+                linked.link.reset();
+                return;
+            case "replica":
+                linked.replica.fault = disturbance.fault;
+                this.after(lasting, () => (linked.replica.fault = "none"));
+                return;
+            case "replicaDown":
+                this.takeDown(linked, lasting);
+                return;
+            case "leave":
+                this.retire(linked);
+        }
+    }
+
+    private disturbStore(fault: "busy" | "silent" | "losesWrites", lasting: number): void {
+        const sound = { isBusy: false, isSilent: false, losesWrites: false };
+        const key = { busy: "isBusy", silent: "isSilent", losesWrites: "losesWrites" }[fault];
+        this.store.faults = { ...sound, [key]: true };
+        this.noteDisturbed(undefined, this.now(), this.now() + lasting);
+        this.after(lasting, () => (this.store.faults = sound));
+    }
+
+    private takeDown({ replica, link }: LinkedReplica, lasting: number): void {
+        replica.setUp(false);
+        this.after(
+            3 * heartbeatMilliseconds,
+            () => replica.isDown && this.store.remove(`servers/${replica.id}`),
+        );
+        this.after(lasting, () => {
+            if (this.replicas.some(each => each.replica === replica)) {
+                replica.setUp(true);
+                this.register({ replica, link });
+            }
+        });
+    }
+
+    /** A replica announces that it leaves and goes; a new one takes its place. */
+    private retire(linked: LinkedReplica): void {
+        const { replica, link } = linked;
+        if (replica.isLeaving || replica.isDown) {
+            return;
+        }
+        replica.isLeaving = true;
+        this.register(linked);
+        this.leaving.push({ replica: replica.id, at: this.now() });
+        void this.addReplica(replica.id.startsWith("engine"));
+        this.after(leavingMilliseconds, () => {
+            this.replicas.splice(this.replicas.indexOf(linked), 1);
+            this.store.remove(`servers/${replica.id}`);
+            replica.setUp(false);
+            replica.close();
+            link.close();
+        });
+    }
+
+    /** All disturbances end; then every process ends as it is told to. */
+    private async end(): Promise<void> {
+        this.isEnding = true;
+        this.entries.filter(({ entry }) => entry.isPaused).forEach(({ entry }) => entry.resume());
+        this.entries.forEach(({ entry }) => entry.terminate());
+        const limit = this.now() + entryBounds.graceMilliseconds + 2_000;
+        while (this.entries.some(({ entry }) => entry.isRunning) && this.now() < limit) {
+            await new Promise(resolve => setTimeout(resolve, 50));
+        }
+        for (const { entry } of this.entries.filter(each => each.entry.isRunning)) {
+            this.problems.push(`${entry.name} did not end when it was told to`);
+        }
+    }
+
+    private close(): void {
+        this.isEnding = true;
+        this.timers.forEach(timer => clearInterval(timer));
+        this.entries.forEach(({ entry }) => entry.kill());
+        this.entries.forEach(({ storeLink }) => storeLink.close());
+        this.replicas.forEach(({ replica, link }) => {
+            replica.close();
+            link.close();
+        });
+        this.store.close();
+    }
+}
+
+/** Plays one seed. */
+export async function playSoak(options: SoakOptions): Promise<SoakReport> {
+    const soak = await Soak.create(options);
+    return soak.play();
+}
--- /dev/null
+++ b/tests/soak/workloads.ts
@@ -0,0 +1,94 @@
+/** What the soak's callers ask for, what its replicas answer, and the configurations that the operator writes. */
+
+/** Events of every stream. */
+export const streamEvents = 12;
+
+export const host = "soak.example";
+export const modelName = "model";
+
+const studios = ["atelier", "bureau"] as const;
+
+/** Credentials that hold from version `version` on, until the next but one. */
+export function credentialsAt(version: number): readonly string[] {
+    return studios.flatMap(studio => [version, version - 1].map(each => `${studio}-${Math.max(1, each)}`));
+}
+
+export function workspaceOf(credential: string): string | undefined {
+    return studios.find(studio => credential.startsWith(`${studio}-`));
+}
+
+export function expectedAnswer(id: string, replica: string): string {
+    return `answer to ${id} by ${replica}`;
+}
+
+/** One event of a stream; the text names the request, so that streams cannot be mixed up. */
+export function eventOf(id: string, event: number): string {
+    return `id: ${event}\ndata: ${event} of ${id}\n\n`;
+}
+
+export function expectedStream(id: string): string {
+    return Array.from({ length: streamEvents }, (_, index) => eventOf(id, index + 1)).join("");
+}
+
+/** Path that only `version` and the one before serve; it shows on which configuration a process acts. */
+export function markerPath(version: number): string {
+    return `/marker-${version}/`;
+}
+
+export function configurationAt(version: number): unknown {
+    const route = {
+        Hostname: host,
+        TimeoutMs: 4_000,
+        TargetLatencyMs: 300,
+        Priority: 1,
+        AllowAnonymous: false,
+    };
+    const plain = { ...route, Service: "plain" };
+    const stream = {
+        Name: "stream",
+        Prefix: "/stream/",
+        Kind: "streaming",
+        StreamResume: true,
+        GapAimMs: 200,
+    };
+    return {
+        Version: version,
+        Routes: [
+            { ...plain, Name: "once", Prefix: "/once/", Kind: "non_idempotent", MaxAttempts: 2 },
+            { ...plain, Name: "read", Prefix: "/read/", Kind: "idempotent", MaxAttempts: 2 },
+            { ...plain, Name: "marker", Prefix: markerPath(version), Kind: "idempotent", MaxAttempts: 2 },
+            { ...route, ...stream, Service: "engines", MaxAttempts: 2 },
+        ],
+        Services: [
+            { Name: "plain", HealthPath: "/health", MaxConnections: 60 },
+            { Name: "engines", HealthPath: "/health", MaxConnections: 60, Engine: engine },
+        ],
+        Limits: {
+            MaxHeaderBytes: 8_192,
+            MaxBodyBytes: 65_536,
+            HeaderTimeoutMs: 3_000,
+            IdleTimeoutMs: 15_000,
+        },
+        Tenants: studios.map(studio => ({
+            Name: studio,
+            ApiKeys: credentialsAt(version).filter(credential => workspaceOf(credential) === studio),
+            Priority: 1,
+        })),
+    };
+}
+
+const engine = {
+    Slots: 16,
+    KvTokens: 100_000,
+    Stride: 5,
+    Models: [{ Name: modelName, size: 2, Share: 1, pace: 1, LoadS: 1.2, WarmS: 0.4 }],
+    step_ms: 2,
+    per_seq_ms: 0.1,
+    context_per_k: 0.001,
+    read_per_s: 46_000,
+    pairs_per_m: 0.7,
+    chunk: 2_048,
+    LoadsPerS: 10,
+    loads_at_once: 6,
+    usual: { prompt: 100, answer: 60 },
+};
