Let ample models give way to short ones, and keep each entry instance to few groups where there are many

Now a model with half as many groups again as its work takes is not formed or staged where another model is short, and spares are converted to the short one. An entry instance prefers four groups, near ones first, and looks at two further draws before it defers or refuses. While the store refuses, reads come back after up to one second instead of half.

Tests: ample against short models; the herding test holds with the preferred groups.

--- a/src/daemons/serving/followers.ts
+++ b/src/daemons/serving/followers.ts
@@ -15,8 +15,8 @@
 const followingTimes: FollowingTimes = {
     listMilliseconds: 600,
     watchSilenceMilliseconds: 6_000,
-    shortestBackoffMilliseconds: 100,
-    longestBackoffMilliseconds: 500,
+    shortestBackoffMilliseconds: 150,
+    longestBackoffMilliseconds: 1_000,
 };
 
 /** Another entry instance, as it registers itself. */
--- a/src/serving/dispatchers.ts
+++ b/src/serving/dispatchers.ts
@@ -67,11 +67,22 @@
     readonly admit: (facts: AdmissionFacts) => Admission;
 }
 
+/** Groups of a model that an entry instance prefers where there are many. */
+const preferredGroups = 4;
+/** Draws among all other groups before a request is deferred or refused. */
+const furtherDraws = 2;
+/** Places that are kept before those of ended groups are dropped. */
+const mostPlaces = 500;
+/** What distance adds to a group's place, from 0 to 1, in the order of preference. */
+const farPlace = 0.5;
+
 /** Extra cost of a plain replica in another failure domain, as a part of its slots. */
 const crossDomainCost = 0.15;
 
 export class Dispatcher {
     private readonly offsets = FirstEventOffsets.create();
+    /** This process's order of preference, by group key. */
+    private readonly places = new Map<string, number>();
 
     private constructor(private readonly parts: DispatcherParts) {}
 
@@ -94,17 +105,31 @@
 
     private chooseGroup(question: DispatchQuestion, work: EngineWork): DispatchChoice {
         const now = this.parts.clock.monotonicMilliseconds();
-        const candidates = this.sample(this.candidateGroups(question, work, now));
-        const route = (loadOf: (backlog: GroupBacklog) => EngineLoad): GroupRoute | undefined =>
-            this.routeTo(candidates, work, loadOf, now);
-        const urgent = route(backlog => backlog.urgent);
+        let best: DispatchChoice = { kind: "none" };
+        for (const candidates of this.draws(this.candidateGroups(question, work, now))) {
+            const choice = this.chooseAmong(candidates, question, work, now);
+            if (choice.kind === "target" && !choice.target.isDeferred) {
+                return choice;
+            }
+            best = isSooner(choice, best) ? choice : best;
+        }
+        return best;
+    }
+
+    private chooseAmong(
+        candidates: readonly ServableGroup[],
+        question: DispatchQuestion,
+        work: EngineWork,
+        now: number,
+    ): DispatchChoice {
+        const urgent = this.routeTo(candidates, work, backlog => backlog.urgent, now);
         if (urgent === undefined) {
             return { kind: "none" };
         }
         if (question.isResumed) {
             return { kind: "target", target: this.toTarget(urgent, false) };
         }
-        const deferred = route(backlog => backlog.all)!;
+        const deferred = this.routeTo(candidates, work, backlog => backlog.all, now)!;
         const admission = this.parts.admit({
             urgentMilliseconds: urgent.expectedMilliseconds,
             deferredMilliseconds: deferred.expectedMilliseconds,
@@ -162,15 +187,33 @@
         return route && { ...route, expectedMilliseconds: route.expectedMilliseconds + offset };
     }
 
-    /** Some of the groups at random: entry instances that all chose the best would all choose the same. */
-    private sample(groups: readonly ServableGroup[]): readonly ServableGroup[] {
-        const { random, mostOptions } = this.parts;
+    /**
+     * Sets of groups to choose among, one after the other until one can take the request in time. Entry instances that
+     * all chose the best of all would all choose the same; each keeps to a few groups, so that it keeps few connections.
+     */
+    private draws(groups: readonly ServableGroup[]): readonly (readonly ServableGroup[])[] {
+        const { random, mostOptions, failureDomain } = this.parts;
         const most = mostOptions();
         if (groups.length <= most) {
-            return groups;
+            return [groups];
+        }
+        this.forgetPlaces();
+        const placeOf = ({ group }: ServableGroup): number => {
+            const place = this.places.get(group.key) ?? random();
+            this.places.set(group.key, place);
+            return place + (group.leader!.failureDomain === failureDomain ? 0 : farPlace);
+        };
+        const placed = groups.map(group => ({ group, place: placeOf(group) }));
+        const preferred = placed.sort((left, right) => left.place - right.place).map(each => each.group);
+        const first = draw(preferred.splice(0, preferredGroups), most, random);
+        return [first, ...Array.from({ length: furtherDraws }, () => draw(preferred, most, random))];
+    }
+
+    private forgetPlaces(): void {
+        if (this.places.size > mostPlaces) {
+            const { groups } = this.parts.view();
+            [...this.places.keys()].filter(key => !groups.has(key)).forEach(key => this.places.delete(key));
         }
-        const left = [...groups];
-        return Array.from({ length: most }, () => left.splice(Math.floor(random() * left.length), 1)[0]!);
     }
 
     private toTarget({ option, expectedMilliseconds }: GroupRoute, isDeferred: boolean): DispatchTarget {
@@ -215,3 +258,25 @@
         };
     }
 }
+
+/** Returns `count` of the items at random, or all if there are fewer. */
+function draw<T>(items: readonly T[], count: number, random: () => number): readonly T[] {
+    const left = [...items];
+    const taken = Math.min(count, left.length);
+    return Array.from({ length: taken }, () => left.splice(Math.floor(random() * left.length), 1)[0]!);
+}
+
+/** True if `choice` serves a request sooner than `other`. */
+function isSooner(choice: DispatchChoice, other: DispatchChoice): boolean {
+    if (choice.kind === "none" || other.kind === "none") {
+        return choice.kind !== "none";
+    }
+    if (choice.kind !== other.kind) {
+        return choice.kind === "target";
+    }
+    return expectedOf(choice) < expectedOf(other);
+}
+
+function expectedOf(choice: Exclude<DispatchChoice, { readonly kind: "none" }>): number {
+    return choice.kind === "target" ? choice.target.expectedMilliseconds : choice.expectedMilliseconds;
+}
--- a/src/serving/group-choices.ts
+++ b/src/serving/group-choices.ts
@@ -12,6 +12,8 @@
 const pressedReservedPart = 0.05;
 /** Part of a model's groups in use from which on it is short of groups: work is uneven over groups and time. */
 const pressedPart = 0.6;
+/** Groups per group in use, and one more, from which on a model gives way to one that is short: a failure domain may be lost. */
+const amplePart = 1.5;
 /** Weight of the stated share of the work beside the work that is seen; it decides before traffic starts. */
 const statedWeight = 0.01;
 
@@ -86,7 +88,7 @@
 
 /** Returns the next group that the fabric domain should form, or undefined if it has what it can have now. */
 export function chooseGroup(situation: DomainSituation): GroupChoice | undefined {
-    const missing = situation.models.filter(model => (situation.groups.get(model.name) ?? 0) === 0);
+    const missing = scarceModels(situation).filter(model => (situation.groups.get(model.name) ?? 0) === 0);
     for (const model of bySizeDescending(missing)) {
         const choice = chooseMembers(model, situation.free);
         if (choice !== undefined && !shouldWait(choice, situation)) {
@@ -107,9 +109,9 @@
     situation: DomainSituation,
     missing: readonly EngineModel[],
 ): GroupChoice | undefined {
-    const { models, free, supplies } = situation;
+    const { free, supplies } = situation;
     const kept = reserveOf(situation) + missing.reduce((sum, model) => sum + model.size, 0);
-    const choices = byScarcity(models, supplies)
+    const choices = byScarcity(scarceModels(situation), supplies)
         .filter(model => free.length - model.size >= kept)
         .flatMap(model => chooseMembers(model, free) ?? []);
     return choices.find(choice => !shouldWait(choice, situation));
@@ -135,9 +137,10 @@
     const unmetRest = wanted.further.filter(isUnmet);
     const empty = spares.find(spare => heldModel(spare) === undefined);
     const surplus = spares.find(spare => (left.get(heldModel(spare) ?? "") ?? 0) > 0);
-    // Weights that a host holds give way only to those that a repair needs.
-    const spare = empty ?? (unmetNeeds.length > 0 ? surplus : undefined);
     const model = unmetNeeds[0] ?? unmetRest[0];
+    // Weights that a host holds give way only to those that a repair needs, or a model that is short of groups.
+    const isUrgent = unmetNeeds.length > 0 || (model !== undefined && isPressed(model, situation.supplies));
+    const spare = empty ?? (isUrgent ? surplus : undefined);
     return spare === undefined || model === undefined ? undefined : { id: spare.id, model };
 }
 
@@ -156,6 +159,7 @@
 function wantedUnits(situation: StagingSituation): WantedUnits {
     const { models, instances } = situation;
     const bySize = bySizeDescending(models);
+    const scarce = scarceModels(situation);
     const supplies = new Map(situation.supplies);
     const units: EngineModel[] = [];
     let spares = 0;
@@ -169,11 +173,11 @@
             spares += 1;
         }
     };
-    bySize.forEach(model => model.size <= free() && addGroup(model));
+    bySizeDescending(scarce).forEach(model => model.size <= free() && addGroup(model));
     addSpares(Math.min(reserveOf(situation), free()));
     const needed = units.length;
     for (;;) {
-        const model = byScarcity(models, supplies).find(each => each.size <= free());
+        const model = byScarcity(scarce, supplies).find(each => each.size <= free());
         if (model === undefined) {
             break;
         }
@@ -191,11 +195,26 @@
 }
 
 function reserveOf({ models, instances, supplies }: Omit<StagingSituation, "members" | "spares">): number {
-    const isPressed = models.some(model => {
+    const isAnyPressed = models.some(model => isPressed(model, supplies));
+    return Math.ceil(instances * (isAnyPressed ? pressedReservedPart : reservedPart));
+}
+
+/** True if a model's groups are too few for its present work. */
+function isPressed(model: EngineModel, supplies: ReadonlyMap<string, ModelSupply>): boolean {
+    const { groups, groupsInUse } = supplies.get(model.name) ?? noSupply;
+    return groupsInUse > pressedPart * groups;
+}
+
+/** Models of which a domain may need groups: all, but for those that are ample elsewhere while another is short. */
+function scarceModels({
+    models,
+    supplies,
+}: Pick<StagingSituation, "models" | "supplies">): readonly EngineModel[] {
+    return models.filter(model => {
         const { groups, groupsInUse } = supplies.get(model.name) ?? noSupply;
-        return groupsInUse > pressedPart * groups;
+        const isAnotherPressed = models.some(other => other !== model && isPressed(other, supplies));
+        return !isAnotherPressed || groups < amplePart * groupsInUse + 1;
     });
-    return Math.ceil(instances * (isPressed ? pressedReservedPart : reservedPart));
 }
 
 const noSupply: ModelSupply = { groups: 0, groupsInUse: 0 };
--- a/src/serving/tests/group-choices.test.ts
+++ b/src/serving/tests/group-choices.test.ts
@@ -142,3 +142,18 @@
     t.is(chooseGroup({ ...domain, free: few, supplies: supply([9, 3], [18, 9]) }), undefined);
     t.is(chooseGroup({ ...domain, free: few, supplies: supply([9, 3], [18, 12]) })?.model.name, "small");
 });
+
+test("a model that is ample gives way to one that is short of groups", t => {
+    const supplies = supply([9, 3], [12, 11]);
+    const free = candidates(...Array.from({ length: 8 }, () => ["large"]));
+    const groups = new Map([["small", 1]]);
+    const domain = { ...situation, mayLoad: false, groups, instances: 14, free };
+    t.is(chooseGroup({ ...domain, supplies }), undefined);
+    t.is(chooseGroup({ ...domain, supplies: supply([5, 3], [12, 11]) })?.model.name, "large");
+    t.is(chooseGroup({ ...domain, supplies: supply([9, 3], [12, 4]) })?.model.name, "large");
+    const members = new Map([["small", 2]]);
+    t.is(stage(free, { members, instances: 10, supplies })?.model.name, "small");
+    const withSmall = candidates(...Array.from({ length: 7 }, () => ["large"]), ["small"]);
+    t.is(stage(withSmall, { members, instances: 10, supplies })?.model.name, "small");
+    t.is(stage(withSmall, { members, instances: 10, supplies: supply([9, 3], [12, 4]) }), undefined);
+});
