Split peers, retry budgets, slow attempts and reports out of the serving process and the exchange

A settings file that was read again gave each service a fresh retry window, so that what was spent in the last seconds could be spent again; budgets now keep it (test fails before). The suspicions told to peers are those of GroupSuspicions, not a second copy; giving a request up and a caller that leaves share one function. docs/OPERATING.md is part of docs/OPERATIONS.md; its test reads that page.

--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -13,9 +13,7 @@
 import type { AdmittedRequest, ExchangeContext } from "../../serving/exchange-contexts.js";
 import { Exchange } from "../../serving/exchanges.js";
 import type { ParseRegistration } from "../../serving/fleet-followers.js";
-import { EntryShares } from "../../serving/entry-shares.js";
 import type { FleetPace } from "../../serving/fleet-paces.js";
-import { paceOf } from "../../serving/fleet-paces.js";
 import { FleetView } from "../../serving/fleet-views.js";
 import { emptyFleet } from "../../serving/fleets.js";
 import { decideAdmission } from "../../serving/group-admissions.js";
@@ -23,15 +21,13 @@
 import type { GroupEngines } from "../../serving/group-orders.js";
 import type { Suspicion } from "../../serving/group-suspicions.js";
 import { GroupSuspicions } from "../../serving/group-suspicions.js";
-import type { PeerMessage } from "../../serving/peer-links.js";
-import { PeerLink } from "../../serving/peer-links.js";
 import { ReplicaRecords } from "../../serving/replica-records.js";
-import type { RetryWindowOptions } from "../../serving/retry-windows.js";
-import { RetryWindow } from "../../serving/retry-windows.js";
+import { RetryBudgets } from "../../serving/retry-budgets.js";
 import type { ServingMetrics } from "../../serving/serving-metrics.js";
 import { createServingMetrics } from "../../serving/serving-metrics.js";
 import type { ServingSettings } from "../../serving/settings.js";
 import type { WireFormat } from "../../serving/wire.js";
+import { EntryPeers } from "./entry-peers.js";
 import type { Peer } from "./followers.js";
 import { Followers, formatPeer } from "./followers.js";
 import { GroupPlacer } from "./group-placers.js";
@@ -43,22 +39,13 @@
 const tickMilliseconds = 25;
 /** Life of the lease under which a process registers itself, in milliseconds; its address outlives a restart. */
 const registrationMilliseconds = 6_000;
-/** Entry instances of a failure domain that look for its lease as often as its life allows. */
-const eagerPlacers = 2;
 /** Time after SIGTERM in which the balancer still sends callers, in milliseconds: two of its looks and one more. */
 const balancerMilliseconds = 3_000;
 /** Time before SIGKILL at which a stopping process ends by itself, in milliseconds. */
 const stopMarginMilliseconds = 400;
-/** Time without own entry instances after which others place a failure domain, in milliseconds; longer than a cut. */
-const foreignTakeoverMilliseconds = 12_000;
 /** Place of this process in the order of takers of another failure domain's duty. */
 const foreignRank = 2;
 
-/** Part of the time between two datagrams by which it varies. */
-const peerJitter = 0.5;
-/** Time between two reads of the entry instances' addresses until those that started together are known, in milliseconds. */
-const firstPeerReadMilliseconds = 700;
-
 /** Connections to one replica that a process may always have. */
 const leastConnections = 4;
 /** Part of a replica's connections that is shared out; the rest is for entry instances that nobody knows yet. */
@@ -96,13 +83,12 @@
     private readonly upstreams: Upstreams;
     private readonly metrics: ServingMetrics = createServingMetrics();
     private readonly flights = GroupFlights.create();
-    private readonly shares: EntryShares;
     private readonly records = ReplicaRecords.create();
-    private readonly retries = new Map<string, RetryWindow>();
+    private readonly retries: RetryBudgets;
     private readonly exchanges = new Set<Exchange>();
     private readonly suspicions: GroupSuspicions;
     private readonly followers: Followers;
-    private readonly peers: PeerLink;
+    private readonly peers: EntryPeers;
     private readonly registration: HeldKey;
     private readonly placers: GroupPlacer[] = [];
     private readonly callers: CallerPort;
@@ -110,36 +96,38 @@
     private readonly context: ExchangeContext;
     private readonly ticks: Subscription;
     private readonly log: PartLog;
-    private readonly startedAt: number;
-    private readonly ownSuspicions = new Map<string, Suspicion>();
-    private retrySettings: RetryWindowOptions;
     private view = FleetView.create(emptyFleet, undefined);
     private stoppingSince: number | undefined;
     private readonly pauses: PauseDetector;
-    private nextPeerAt = 0;
-    private sentDatagrams = 0;
-    /** True if a suspicion has not been told yet. */
-    private hasNews = false;
-    private registeredPeers: readonly Peer[] = [];
-    /** When entry instances of each failure domain were last registered. */
-    private readonly mannedAt = new Map<string, number>();
 
     private constructor(private readonly options: ServingProcessOptions) {
         const { settings, platform, clock, random, logs, incarnation } = options;
         this.log = logs("entry");
-        this.retrySettings = settings.retries;
-        this.startedAt = clock.monotonicMilliseconds();
-        this.shares = EntryShares.create(settings.name);
-        this.pauses = PauseDetector.create(this.startedAt, clock.wallMilliseconds());
+        this.pauses = PauseDetector.create(clock.monotonicMilliseconds(), clock.wallMilliseconds());
         this.upstreams = Upstreams.create(clock, replica => this.connectionsTo(replica));
+        this.peers = EntryPeers.create({
+            settings,
+            clock,
+            random,
+            incarnation,
+            flights: this.flights,
+            suspicions: () => this.suspicions.current,
+            onSuspicions: suspicions => this.handlePeerSuspicions(suspicions),
+            log: logs("peer"),
+        });
+        this.retries = RetryBudgets.create(
+            settings.retries,
+            this.peers.shares,
+            clock.monotonicMilliseconds(),
+        );
         const engines = platform.engines(clock, this.upstreams);
-        const store = platform.store(clock, () => this.pace);
+        const store = platform.store(clock, () => this.peers.pace);
         this.suspicions = GroupSuspicions.create({
             clock,
             view: () => this.view,
             flights: this.flights,
             report: (instance, deadline) => engines.report(instance, deadline),
-            spreadMilliseconds: () => this.pace.questionSpreadMilliseconds,
+            spreadMilliseconds: () => this.peers.pace.questionSpreadMilliseconds,
             random,
             onSuspect: suspicion => this.handleSuspicion(suspicion),
             onCleared: group => this.clearSuspicion(group),
@@ -153,7 +141,7 @@
             suspicions: this.suspicions,
             records: this.records,
             isConnected: instance => this.upstreams.hasIdle(instance),
-            mostOptions: () => this.pace.mostOptions,
+            mostOptions: () => this.peers.pace.mostOptions,
             admit: decideAdmission,
         });
         this.context = {
@@ -164,19 +152,12 @@
             dispatcher,
             flights: this.flights,
             records: this.records,
-            retriesOf: service => this.retriesOf(service),
+            retriesOf: service => this.retries.of(service),
             log: logs("caller"),
             metrics: this.metrics,
             isStopping: () => this.stoppingSince !== undefined,
         };
         this.followers = this.createFollowers(store);
-        this.peers = PeerLink.create({
-            address: settings.peerAddress,
-            name: settings.name,
-            incarnation,
-            onMessage: message => this.handlePeer(message),
-            log: logs("peer"),
-        });
         this.registration = HeldKey.create({
             key: `${peerPrefix}${settings.name}`,
             value: formatPeer(
@@ -193,7 +174,7 @@
             const key = HeldKey.create({
                 key: `${placementPrefix}${failureDomain}`,
                 value: `${settings.name} ${incarnation}`,
-                rank: () => (isOwn ? this.placerRank() : foreignRank),
+                rank: () => (isOwn ? this.peers.placerRank : foreignRank),
                 leaseMilliseconds: settings.leaseMilliseconds,
                 store,
                 clock,
@@ -249,8 +230,7 @@
 
     /** Puts changed settings in force; addresses and names hold until the next start. */
     public applySettings(settings: ServingSettings): void {
-        this.retrySettings = settings.retries;
-        this.retries.clear();
+        this.retries.applySettings(settings.retries);
     }
 
     private now(): number {
@@ -266,7 +246,7 @@
     private connectionsTo(replica: string): number {
         const service = this.view.fleet.instances.get(replica)?.service;
         const profile = service === undefined ? undefined : this.followers.table?.findService(service);
-        const part = (profile?.maximumConnections ?? 0) / this.shares.count;
+        const part = (profile?.maximumConnections ?? 0) / this.peers.shares.count;
         return Math.max(leastConnections, Math.floor(part * connectionPart));
     }
 
@@ -281,8 +261,7 @@
             instancePrefix: platform.instancePrefix,
             parseRegistration: platform.parseRegistration,
             peerPrefix,
-            peerReadMilliseconds: () =>
-                this.shares.isSettled ? this.pace.peerReadMilliseconds : firstPeerReadMilliseconds,
+            peerReadMilliseconds: () => this.peers.readMilliseconds,
             onConfiguration: table => this.handleConfiguration(table),
             onFleet: () => this.rebuildView(),
             onPeers: peers => this.handlePeers(peers),
@@ -307,36 +286,8 @@
     }
 
     private handlePeers(peers: readonly Peer[]): void {
-        const isNear = (peer: Peer): boolean => peer.failureDomain === this.options.settings.failureDomain;
-        const addressesOf = (some: readonly Peer[]): readonly string[] => some.map(peer => peer.address);
-        this.peers.setPeers(
-            addressesOf(peers.filter(isNear)),
-            addressesOf(peers.filter(peer => !isNear(peer))),
-        );
-        this.registeredPeers = peers;
-        const now = this.now();
-        this.shares.noteRegistered(
-            peers.map(peer => peer.name),
-            now,
-        );
-        peers.forEach(peer => this.mannedAt.set(peer.failureDomain, now));
-        const allowance = this.retryAllowance();
-        this.retries.forEach(window => window.setAllowance(allowance));
-    }
-
-    /** This process's part of the fixed allowance of repeats; none until it knows with whom it shares. */
-    private retryAllowance(): number {
-        return this.shares.isSettled ? this.retrySettings.allowance / this.shares.count : 0;
-    }
-
-    private retriesOf(service: string): RetryWindow {
-        let window = this.retries.get(service);
-        if (window === undefined) {
-            const options = { ...this.retrySettings, allowance: this.retryAllowance() };
-            window = RetryWindow.create(options, this.startedAt);
-            this.retries.set(service, window);
-        }
-        return window;
+        this.peers.setRegistered(peers);
+        this.retries.refresh();
     }
 
     private serve(admitted: AdmittedRequest, response: ServerResponse): void {
@@ -348,10 +299,8 @@
     private handleSuspicion(suspicion: Suspicion): void {
         this.metrics.suspectedGroups.inc();
         this.log.info("group stands still", { ...suspicion, fleetRevision: this.view.fleet.revision });
-        this.ownSuspicions.set(suspicion.group, suspicion);
         this.placers.forEach(placer => placer.suspect(suspicion.instances));
-        this.nextPeerAt = 0;
-        this.hasNews = true;
+        this.peers.hasten();
         for (const exchange of this.exchanges) {
             if (exchange.group === suspicion.group) {
                 exchange.leaveGroup();
@@ -360,15 +309,11 @@
     }
 
     private clearSuspicion(group: string): void {
-        this.ownSuspicions.delete(group);
         this.log.info("group answers again", { group });
     }
 
-    private handlePeer(message: PeerMessage): void {
-        const now = this.now();
-        this.flights.applyPeer(message.from, message.loads, now + 2 * this.pace.heardMilliseconds);
-        const news = message.suspicions.filter(({ group }) => !this.suspicions.isSuspect(group));
-        for (const suspicion of news) {
+    private handlePeerSuspicions(suspicions: readonly Suspicion[]): void {
+        for (const suspicion of suspicions.filter(({ group }) => !this.suspicions.isSuspect(group))) {
             this.suspicions.checkNow(suspicion);
             this.placers.forEach(placer => placer.suspect(suspicion.instances));
         }
@@ -380,57 +325,24 @@
         this.followers.tick();
         if (this.stoppingSince === undefined) {
             this.registration.tick();
-            this.tickPlacers(now);
+            this.tickPlacers();
         } else {
             this.tickStopping(now, this.stoppingSince);
         }
         this.suspicions.tick();
-        if (now >= this.nextPeerAt) {
-            this.tellPeers(now);
-        }
-    }
-
-    private tellPeers(now: number): void {
-        const { peerMilliseconds, farEvery } = this.pace;
-        // Processes that started together must not all look at the same moment's loads.
-        this.nextPeerAt = now + peerMilliseconds * (1 + peerJitter * (this.options.random() - 0.5));
-        this.dropOldSuspicions();
-        const alsoFar = this.hasNews || this.sentDatagrams % farEvery === 0;
-        this.sentDatagrams += 1;
-        this.hasNews = false;
-        const suspicions = [...this.ownSuspicions.values()];
-        this.peers.send({ loads: this.flights.ownLoads(), suspicions }, alsoFar);
+        this.peers.tick();
     }
 
-    private tickPlacers(now: number): void {
+    private tickPlacers(): void {
         const { failureDomains, failureDomain } = this.options.settings;
         this.placers.forEach((placer, index) => {
             const domain = failureDomains[index]!;
-            const mannedAt = this.mannedAt.get(domain) ?? this.startedAt;
-            const isUnmanned = now - mannedAt >= foreignTakeoverMilliseconds;
-            if (domain === failureDomain || placer.isHolder || isUnmanned) {
+            if (domain === failureDomain || placer.isHolder || this.peers.isUnmanned(domain)) {
                 placer.tick();
             }
         });
     }
 
-    private get pace(): FleetPace {
-        return paceOf(this.registeredPeers.length, this.options.settings.bounds);
-    }
-
-    /** Place of this process among those that look for the lease of its failure domain. */
-    private placerRank(): number {
-        const { name, failureDomain } = this.options.settings;
-        const neighbours = this.registeredPeers.filter(peer => peer.failureDomain === failureDomain);
-        const place = neighbours.filter(peer => peer.name < name).length;
-        return Math.max(0, place - eagerPlacers + 1);
-    }
-
-    private dropOldSuspicions(): void {
-        const gone = [...this.ownSuspicions.keys()].filter(group => !this.view.groups.has(group));
-        gone.forEach(group => this.ownSuspicions.delete(group));
-    }
-
     /** A process that was paused may have lost its leases: it gives up its duties and takes them again. */
     private checkPause(now: number): void {
         const pause = this.pauses.check(now, this.options.clock.wallMilliseconds());
--- /dev/null
+++ b/src/serving/exchange-reports.ts
@@ -0,0 +1,88 @@
+/** What is logged and counted of a request: one line for each attempt without a whole answer, and one at its end. */
+import type { AttemptOutcome } from "./attempt-decisions.js";
+import type { DispatchTarget } from "./dispatchers.js";
+import type { Attempt } from "./exchange-attempts.js";
+import type { AdmittedRequest, ExchangeContext } from "./exchange-contexts.js";
+
+/** How a request ended. */
+export interface ExchangeEnd {
+    readonly outcome: string;
+    /** Fields that explain the outcome. */
+    readonly fields: Readonly<Record<string, unknown>>;
+    readonly lastTarget: DispatchTarget | undefined;
+    readonly sends: number;
+    readonly runs: number;
+    /** Local monotonic milliseconds, as are all times here. */
+    readonly firstByteAt: number | undefined;
+    readonly endedAt: number;
+}
+
+/** How one attempt ended. */
+export interface AttemptEnd {
+    readonly outcome: AttemptOutcome;
+    readonly reason: string;
+    readonly lastEventId: number | undefined;
+    readonly runs: number;
+    readonly endedAt: number;
+}
+
+/** Fields that name a request and what it was admitted by. */
+export function describeRequest(admitted: AdmittedRequest): Readonly<Record<string, unknown>> {
+    const { request, route, service, table } = admitted;
+    return {
+        request: request.id,
+        route: route.name,
+        service,
+        model: request.work?.model,
+        configuration: table.configuration.version,
+    };
+}
+
+export function reportAttempt(
+    context: ExchangeContext,
+    admitted: AdmittedRequest,
+    attempt: Attempt,
+    end: AttemptEnd,
+): void {
+    const { target } = attempt;
+    context.metrics.attempts.inc({ service: admitted.service, outcome: end.outcome });
+    context.log.info("attempt ended", {
+        ...describeRequest(admitted),
+        instance: target.instance.id,
+        group: target.group,
+        attempt: attempt.number,
+        outcome: end.outcome,
+        reason: end.reason,
+        tookMilliseconds: Math.round(end.endedAt - attempt.sentAt),
+        expectedMilliseconds: Math.round(target.expectedMilliseconds),
+        isDeferred: target.isDeferred,
+        fleetRevision: target.fleetRevision,
+        lastEvent: end.lastEventId,
+        runs: end.runs,
+        repeatsLeft: context.retriesOf(admitted.service).available(end.endedAt),
+    });
+}
+
+export function reportEnd(context: ExchangeContext, admitted: AdmittedRequest, end: ExchangeEnd): void {
+    const { metrics, log } = context;
+    const { route, arrivedAt } = admitted;
+    const { lastTarget, firstByteAt, endedAt, outcome } = end;
+    const labels = { route: route.repeatability };
+    metrics.requests.inc({ ...labels, outcome });
+    metrics.answerSeconds.observe(labels, (endedAt - arrivedAt) / 1000);
+    if (firstByteAt !== undefined) {
+        metrics.firstByteSeconds.observe(labels, (firstByteAt - arrivedAt) / 1000);
+    }
+    log.info("request ended", {
+        ...describeRequest(admitted),
+        outcome,
+        ...end.fields,
+        instance: lastTarget?.instance.id,
+        group: lastTarget?.group,
+        fleetRevision: lastTarget?.fleetRevision,
+        sends: end.sends,
+        runs: end.runs,
+        firstByteMilliseconds: firstByteAt && Math.round(firstByteAt - arrivedAt),
+        tookMilliseconds: Math.round(endedAt - arrivedAt),
+    });
+}
--- a/src/serving/exchanges.ts
+++ b/src/serving/exchanges.ts
@@ -11,6 +11,8 @@
 import type { Attempt } from "./exchange-attempts.js";
 import { createAttempt, isGood } from "./exchange-attempts.js";
 import type { AdmittedRequest, ExchangeContext } from "./exchange-contexts.js";
+import { describeRequest, reportAttempt, reportEnd } from "./exchange-reports.js";
+import { attemptPatience, furtherPatience, progressMilliseconds } from "./slow-attempts.js";
 import type { AnswerHead } from "./wire.js";
 
 /** Longest answer that is held back until it is whole, in bytes; longer ones are passed on as they come. */
@@ -19,14 +21,6 @@
 const resumeWaitMilliseconds = 1_800;
 /** Pause between two looks for such a replica, in milliseconds. */
 const resumePauseMilliseconds = 40;
-/** Part of the objective after which an idempotent request is tried elsewhere. */
-const hedgePart = 0.6;
-/** Factor on the expected time of a first event after which a stream is tried elsewhere. */
-const firstEventFactor = 4;
-/** The same, in objectives, while the group works on other streams: the request is probably only queued there. */
-const queuedObjectives = 3;
-/** Age up to which an event of another stream shows that a group works, in milliseconds: several events' time. */
-const progressMilliseconds = 300;
 /** Time after which a caller that a replica refused may come back, in milliseconds, before jitter. */
 const comeBackMilliseconds = 400;
 /** The same while no replica group serves the model: about the time of forming one from hosts with the weights. */
@@ -185,7 +179,7 @@
             bodyBytes: body?.length,
         });
         context.log.debug("sent", {
-            ...this.describe(),
+            ...describeRequest(admitted),
             instance: instance.id,
             group,
             attempt: attempt.number,
@@ -223,15 +217,8 @@
     private armAttemptTimer(attempt: Attempt): void {
         const { route } = this.admitted;
         const hasSpare = this.runs + 1 < route.maximumAttempts;
-        if (!hasSpare || this.answer.hasBegun) {
-            return;
-        }
-        const { objectiveMilliseconds: objective } = route;
-        const isStream = route.repeatability === "stream" && route.isResumable;
-        const patience = isStream
-            ? Math.max(firstEventFactor * attempt.target.expectedMilliseconds, 1.5 * objective)
-            : hedgePart * objective;
-        if (isStream || route.repeatability === "idempotent") {
+        const patience = attemptPatience(route, attempt.target.expectedMilliseconds);
+        if (hasSpare && !this.answer.hasBegun && patience !== undefined) {
             attempt.timer = setTimeout(() => this.handleSlowAttempt(attempt), patience);
         }
     }
@@ -239,11 +226,11 @@
     private handleSlowAttempt(attempt: Attempt): void {
         const now = this.now();
         const { group } = attempt.target;
-        const longestAt = attempt.sentAt + queuedObjectives * this.admitted.route.objectiveMilliseconds;
-        const isQueued =
+        const hasProgress =
             group !== undefined && this.context.flights.hasProgressedSince(group, now - progressMilliseconds);
-        if (isQueued && now < longestAt) {
-            attempt.timer = setTimeout(() => this.handleSlowAttempt(attempt), longestAt - now);
+        const further = furtherPatience(this.admitted.route, now - attempt.sentAt, hasProgress);
+        if (further > 0) {
+            attempt.timer = setTimeout(() => this.handleSlowAttempt(attempt), further);
             return;
         }
         const hasBudget = this.context.retriesOf(this.admitted.service).available(now) > 0;
@@ -372,8 +359,7 @@
         this.release(attempt);
         const { admitted, context } = this;
         const now = this.now();
-        const { instance, group } = attempt.target;
-        context.metrics.attempts.inc({ service: admitted.service, outcome });
+        const { instance } = attempt.target;
         if (outcome !== "refused" && outcome !== "failed") {
             context.records.recordFailure(instance.id, now);
         }
@@ -381,21 +367,8 @@
             this.mayHaveRun = true;
             this.runs += hasRun ? 1 : 0;
         }
-        context.log.info("attempt ended", {
-            ...this.describe(),
-            instance: instance.id,
-            group,
-            attempt: attempt.number,
-            outcome,
-            reason,
-            tookMilliseconds: Math.round(now - attempt.sentAt),
-            expectedMilliseconds: Math.round(attempt.target.expectedMilliseconds),
-            isDeferred: attempt.target.isDeferred,
-            fleetRevision: attempt.target.fleetRevision,
-            lastEvent: this.lastEventId,
-            runs: this.runs,
-            repeatsLeft: context.retriesOf(admitted.service).available(now),
-        });
+        const { lastEventId, runs } = this;
+        reportAttempt(context, admitted, attempt, { outcome, reason, lastEventId, runs, endedAt: now });
         this.finishWithout(outcome, reason);
     }
 
@@ -458,12 +431,7 @@
         if (this.isSettled) {
             return;
         }
-        const { attempt } = this;
-        const wasSent = attempt !== undefined;
-        if (attempt !== undefined) {
-            attempt.call?.cancel();
-            this.release(attempt);
-        }
+        const wasSent = this.dropAttempt();
         if (this.answer.hasBegun) {
             this.cut("the deadline has passed");
             return;
@@ -471,6 +439,17 @@
         this.answerOwn(wasSent || this.mayHaveRun ? 504 : 503, "expired", "the deadline has passed");
     }
 
+    /** Ends the present attempt at its replica; false if there was none. */
+    private dropAttempt(): boolean {
+        const { attempt } = this;
+        if (attempt === undefined) {
+            return false;
+        }
+        attempt.call?.cancel();
+        this.release(attempt);
+        return true;
+    }
+
     private answerOwn(
         status: number,
         outcome: string,
@@ -489,53 +468,19 @@
     }
 
     private handleCallerGone(): void {
-        if (this.isSettled) {
-            return;
-        }
-        const { attempt } = this;
-        if (attempt !== undefined) {
-            attempt.call?.cancel();
-            this.release(attempt);
+        if (!this.isSettled) {
+            this.dropAttempt();
+            this.settle("callerLeft", {});
         }
-        this.settle("callerLeft", {});
     }
 
     private settle(outcome: string, fields: Readonly<Record<string, unknown>>): void {
         this.isSettled = true;
         clearTimeout(this.deadlineTimer);
         clearTimeout(this.waitTimer);
-        const now = this.now();
-        const { metrics, log } = this.context;
-        const { route, arrivedAt } = this.admitted;
-        metrics.requests.inc({ route: route.repeatability, outcome });
-        metrics.answerSeconds.observe({ route: route.repeatability }, (now - arrivedAt) / 1000);
-        if (this.answer.firstByteAt !== undefined) {
-            const seconds = (this.answer.firstByteAt - arrivedAt) / 1000;
-            metrics.firstByteSeconds.observe({ route: route.repeatability }, seconds);
-        }
-        const line = {
-            ...this.describe(),
-            outcome,
-            ...fields,
-            instance: this.lastTarget?.instance.id,
-            group: this.lastTarget?.group,
-            fleetRevision: this.lastTarget?.fleetRevision,
-            sends: this.sends,
-            runs: this.runs,
-            firstByteMilliseconds: this.answer.firstByteAt && Math.round(this.answer.firstByteAt - arrivedAt),
-            tookMilliseconds: Math.round(now - arrivedAt),
-        };
-        log.info("request ended", line);
-    }
-
-    private describe(): Readonly<Record<string, unknown>> {
-        const { request, route, service, table } = this.admitted;
-        return {
-            request: request.id,
-            route: route.name,
-            service,
-            model: request.work?.model,
-            configuration: table.configuration.version,
-        };
+        const { lastTarget, sends, runs } = this;
+        const { firstByteAt } = this.answer;
+        const end = { outcome, fields, lastTarget, sends, runs, firstByteAt, endedAt: this.now() };
+        reportEnd(this.context, this.admitted, end);
     }
 }
--- a/src/serving/group-suspicions.ts
+++ b/src/serving/group-suspicions.ts
@@ -79,6 +79,11 @@
         return new GroupSuspicions(parts);
     }
 
+    /** Groups that stand still, with the members that were found silent. */
+    public get current(): readonly Suspicion[] {
+        return [...this.suspects].map(([group, instances]) => ({ group, instances }));
+    }
+
     public isSuspect(group: string): boolean {
         return this.suspects.has(group);
     }
--- a/src/serving/retry-windows.ts
+++ b/src/serving/retry-windows.ts
@@ -28,9 +28,9 @@
         return new RetryWindow(options, now);
     }
 
-    /** Changes the allowance, for example when the number of entry instances changes. */
-    public setAllowance(allowance: number): void {
-        this.options = { ...this.options, allowance };
+    /** Changes the bounds; what was spent counts on. */
+    public setOptions(options: RetryWindowOptions): void {
+        this.options = options;
     }
 
     public recordRequest(now: number): void {
--- a/src/serving/tests/entry-shares.test.ts
+++ b/src/serving/tests/entry-shares.test.ts
@@ -18,7 +18,8 @@
             if (now % 700 === 0) {
                 share.noteRegistered(registered, now);
             }
-            windows[index]!.setAllowance(share.isSettled ? allowance / share.count : 0);
+            const part = share.isSettled ? allowance / share.count : 0;
+            windows[index]!.setOptions({ windowMilliseconds: 10_000, fraction: 0, allowance: part });
             while (windows[index]!.tryTake(now)) {
                 taken += 1;
             }
--- /dev/null
+++ b/src/serving/tests/retry-budgets.test.ts
@@ -0,0 +1,35 @@
+import test from "ava";
+import { EntryShares } from "../entry-shares.js";
+import { RetryBudgets } from "../retry-budgets.js";
+
+const settings = { windowMilliseconds: 10_000, fraction: 0, allowance: 40 };
+
+function takeAll(budgets: RetryBudgets, service: string, now: number): number {
+    let taken = 0;
+    while (budgets.of(service).tryTake(now)) {
+        taken += 1;
+    }
+    return taken;
+}
+
+test("each service has its own budget, and each entry instance its part of it", t => {
+    const shares = EntryShares.create("a");
+    const budgets = RetryBudgets.create(settings, shares, -10_000);
+    t.is(takeAll(budgets, "llm", 0), 0);
+    shares.noteRegistered(["a", "b"], 0);
+    shares.noteRegistered(["a", "b"], 700);
+    budgets.refresh();
+    const taken = takeAll(budgets, "llm", 800);
+    t.true(taken > 10 && taken <= 20, `${taken}`);
+    t.is(takeAll(budgets, "plain", 800), taken);
+});
+
+test("settings that are read again do not give back what was spent", t => {
+    const shares = EntryShares.create("a");
+    shares.noteRegistered(["a"], 0);
+    shares.noteRegistered(["a"], 700);
+    const budgets = RetryBudgets.create(settings, shares, -10_000);
+    t.true(takeAll(budgets, "llm", 1_000) > 0);
+    budgets.applySettings(settings);
+    t.is(takeAll(budgets, "llm", 1_100), 0);
+});
--- a/src/serving/tests/retry-windows.test.ts
+++ b/src/serving/tests/retry-windows.test.ts
@@ -33,6 +33,6 @@
 
 test("a changed allowance holds at once", t => {
     const window = RetryWindow.create(options, -10_000);
-    window.setAllowance(2);
+    window.setOptions({ ...options, allowance: 2 });
     t.true(takeAll(window, 0) <= 2);
 });
--- /dev/null
+++ b/src/serving/tests/slow-attempts.test.ts
@@ -0,0 +1,34 @@
+import test from "ava";
+import type { Route } from "../configurations.js";
+import { attemptPatience, furtherPatience } from "../slow-attempts.js";
+
+const route: Route = {
+    name: "r",
+    host: "h",
+    prefix: "/",
+    repeatability: "stream",
+    timeoutMilliseconds: 6_000,
+    objectiveMilliseconds: 300,
+    rank: 1,
+    targets: [],
+    maximumAttempts: 2,
+    allowsAnonymous: true,
+    isResumable: true,
+};
+
+test("only what may run again is given up for being slow", t => {
+    t.is(attemptPatience({ ...route, repeatability: "once" }, 50), undefined);
+    t.is(attemptPatience({ ...route, isResumable: false }, 50), undefined);
+    t.true(attemptPatience({ ...route, repeatability: "idempotent" }, 0)! < 300);
+});
+
+test("a stream waits for longer where more is expected", t => {
+    t.is(attemptPatience(route, 10), 450);
+    t.is(attemptPatience(route, 200), 800);
+});
+
+test("a request that waits its turn at a working group keeps its place for a while", t => {
+    t.is(furtherPatience(route, 450, true), 450);
+    t.is(furtherPatience(route, 900, true), 0);
+    t.is(furtherPatience(route, 450, false), 0);
+});
--- a/tests/operating-page.test.ts
+++ b/tests/operations-page.test.ts
@@ -8,8 +8,8 @@
     .map(file => readFileSync(join("src", file), "utf8"))
     .join("\n");
 
-test("docs/OPERATING.md lists every metric with its unit, and every metric is sent", t => {
-    const page = readFileSync("docs/OPERATING.md", "utf8");
+test("docs/OPERATIONS.md lists every metric with its unit, and every metric is sent", t => {
+    const page = readFileSync("docs/OPERATIONS.md", "utf8");
     for (const [name, unit] of Object.entries(metricNames)) {
         t.true(page.includes(`| \`${name}\` | ${unit} |`), `${name} is not on the page`);
         t.true(sources.includes(`"${name}"`), `${name} is never sent`);
