Admit long prompts like usual ones, and let connection limits follow the number of entry instances

A long prompt is later than a short one by its own reading; at a backlog near the objective only short ones were admitted, all the time. The most connections to a replica were set when the first was opened, often before the other entry instances were known, and held until the replica was gone.

--- a/src/links/upstreams.ts
+++ b/src/links/upstreams.ts
@@ -146,9 +146,9 @@
     }
 
     private upstreamAgentOf(replica: string): UpstreamAgent {
+        const maximum = this.maximumConnections(replica);
         let agent = this.agents.get(replica);
         if (agent === undefined) {
-            const maximum = this.maximumConnections(replica);
             agent = new UpstreamAgent(
                 { keepAlive: true, scheduling: "lifo", maxSockets: maximum, maxFreeSockets: maximum },
                 this.clock,
@@ -156,6 +156,9 @@
             );
             this.agents.set(replica, agent);
         }
+        // The part of each entry instance changes with their number.
+        agent.maxSockets = maximum;
+        agent.maxFreeSockets = maximum;
         return agent;
     }
 
--- a/src/serving/dispatchers.ts
+++ b/src/serving/dispatchers.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../contracts/clocks.js";
 import type { FleetInstance } from "./fleets.js";
 import type { EngineLoad } from "./engine-models.js";
+import { estimateFirstEvent } from "./engine-models.js";
 import { FirstEventOffsets } from "./first-event-offsets.js";
 import type { FleetView, ServableGroup } from "./fleet-views.js";
 import type { Admission, AdmissionFacts } from "./group-admissions.js";
@@ -67,6 +68,8 @@
     readonly admit: (facts: AdmissionFacts) => Admission;
 }
 
+const noLoad: EngineLoad = { requests: 0, unreadTokens: 0 };
+
 /** Groups of a model that an entry instance prefers where there are many. */
 const preferredGroups = 4;
 /** Draws among all other groups before a request is deferred or refused. */
@@ -130,9 +133,14 @@
             return { kind: "target", target: this.toTarget(urgent, false) };
         }
         const deferred = this.routeTo(candidates, work, backlog => backlog.all, now)!;
+        // Long prompts take as long as they take: they are admitted like usual ones, or they would never be.
+        const { profile, model } = candidates[0]!;
+        const ownExcess =
+            estimateFirstEvent(profile, model, noLoad, work.promptTokens) -
+            estimateFirstEvent(profile, model, noLoad, profile.usualPromptTokens);
         const admission = this.parts.admit({
-            urgentMilliseconds: urgent.expectedMilliseconds,
-            deferredMilliseconds: deferred.expectedMilliseconds,
+            urgentMilliseconds: urgent.expectedMilliseconds - ownExcess,
+            deferredMilliseconds: deferred.expectedMilliseconds - ownExcess,
             objectiveMilliseconds: question.objectiveAt - now,
             patienceMilliseconds: question.patienceAt - now,
         });
--- a/src/serving/tests/dispatchers.test.ts
+++ b/src/serving/tests/dispatchers.test.ts
@@ -4,7 +4,7 @@
 import { Dispatcher } from "../dispatchers.js";
 import { FleetView } from "../fleet-views.js";
 import type { FleetInstance } from "../fleets.js";
-import { admitAll } from "../group-admissions.js";
+import { admitAll, decideAdmission } from "../group-admissions.js";
 import { GroupFlights } from "../group-flights.js";
 import { GroupSuspicions } from "../group-suspicions.js";
 import { ReplicaRecords } from "../replica-records.js";
@@ -131,3 +131,53 @@
     const allOptions = playFullPart(Number.POSITIVE_INFINITY, 50);
     t.true(allOptions < 0.02, `${allOptions}`);
 });
+
+test("under overload long prompts are admitted as often as short ones", t => {
+    const now = 0;
+    const view = createView();
+    const clock = { monotonicMilliseconds: () => now, wallMilliseconds: () => now };
+    const random = createRandomNumber(3);
+    const flights = GroupFlights.create();
+    const suspicions = GroupSuspicions.create({
+        clock,
+        view: () => view,
+        flights,
+        report: () => Promise.reject(new Error("nobody asks")),
+        spreadMilliseconds: () => 0,
+        random,
+        onSuspect: () => undefined,
+        onCleared: () => undefined,
+    });
+    const dispatcher = Dispatcher.create({
+        clock,
+        random,
+        failureDomain: "a",
+        view: () => view,
+        flights,
+        suspicions,
+        records: ReplicaRecords.create(),
+        mostOptions: () => Number.POSITIVE_INFINITY,
+        isConnected: () => true,
+        admit: decideAdmission,
+    });
+    const isInTime = (promptTokens: number): boolean => {
+        const choice = dispatcher.choose({
+            service: "llm",
+            work: { model: "small", promptTokens },
+            tried: new Set(),
+            objectiveAt: now + 300,
+            patienceAt: now + 2_000,
+            isResumed: false,
+        });
+        return choice.kind === "target" && !choice.target.isDeferred;
+    };
+    let differences = 0;
+    for (let requests = 0; requests < 2 * profile.slots; requests += 1) {
+        for (let group = 0; group < groupCount; group += 1) {
+            flights.start(`g${group}@1`, 200, now);
+        }
+        differences += isInTime(500) === isInTime(5_000) ? 0 : 1;
+    }
+    t.false(isInTime(500));
+    t.true(differences <= 1, `${differences} backlogs at which only the short prompt is admitted`);
+});
