Order lost stagings again, and learn idle limits only from servers that drop idle connections

Now a stage order without a good answer frees its place and is given again. A reset teaches an idle limit only if a second one follows within ten seconds and no connection that had hardly been idle was reset. A kept connection outweighs its round trips only.

--- a/src/links/idle-limits.ts
+++ b/src/links/idle-limits.ts
@@ -11,12 +11,18 @@
 const safePart = 0.6;
 /** Shortest limit, in milliseconds; below it connections would hardly be kept at all. */
 const shortestMilliseconds = 300;
-/** Time for which a dropped connection is remembered, in milliseconds. */
+/** Time for which dropped connections are remembered, in milliseconds. */
 const rememberedMilliseconds = 60_000;
+/** Time in which a second connection must be dropped before the first is believed, in milliseconds. */
+const confirmMilliseconds = 10_000;
+/** Time for which nothing is learnt after a connection that had hardly been idle was reset, in milliseconds. */
+const doubtMilliseconds = 10_000;
 
 export class IdleLimits {
     private limit = Number.POSITIVE_INFINITY;
     private limitUntil = 0;
+    private droppedAt = Number.NEGATIVE_INFINITY;
+    private doubtUntil = 0;
 
     private constructor() {}
 
@@ -24,8 +30,21 @@
         return new IdleLimits();
     }
 
-    /** Notes a connection that turned out to be dropped after it had been idle for `idleMilliseconds`. */
+    /**
+     * Notes a connection that was reset as soon as it was used again, after it had been idle for `idleMilliseconds`. A
+     * server that also resets connections which had hardly been idle does not drop them for being idle.
+     */
     public noteDropped(idleMilliseconds: number, now: number): void {
+        if (idleMilliseconds < shortestMilliseconds) {
+            this.doubtUntil = now + doubtMilliseconds;
+            this.limitUntil = 0;
+            return;
+        }
+        const isConfirmed = now - this.droppedAt <= confirmMilliseconds;
+        this.droppedAt = now;
+        if (now < this.doubtUntil || !isConfirmed) {
+            return;
+        }
         const before = now < this.limitUntil ? this.limit : Number.POSITIVE_INFINITY;
         this.limit = Math.max(shortestMilliseconds, Math.min(before, safePart * idleMilliseconds));
         this.limitUntil = now + rememberedMilliseconds;
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -122,7 +122,11 @@
     }
 
     public handleReply(id: string, order: GroupOrder, reply: OrderReply, now: number): void {
-        if (order.kind !== "stage") {
+        if (order.kind === "stage") {
+            if (reply.kind !== "begun" && reply.kind !== "holds") {
+                this.stagings.fail(id);
+            }
+        } else {
             this.formations.get(`${order.group}@${order.epoch}`)?.handleReply(id, order, reply, now);
         }
         if (reply.kind === "absent") {
--- a/src/serving/group-routes.ts
+++ b/src/serving/group-routes.ts
@@ -14,8 +14,8 @@
  */
 const crossDomainMilliseconds = 30;
 
-/** Cost of opening a connection, in milliseconds: its round trips, and the slot that it may take for a moment. */
-const connectMilliseconds = 10;
+/** Cost of opening a connection, in milliseconds: its round trips. */
+const connectMilliseconds = 3;
 
 /** A group that may take requests. */
 export interface GroupOption {
--- a/src/serving/spare-stagings.ts
+++ b/src/serving/spare-stagings.ts
@@ -2,8 +2,8 @@
 import type { EngineModel } from "./engine-models.js";
 import type { Candidate } from "./group-choices.js";
 
-/** Factor on a load's usual time after which a staging counts as failed: loads share the weight store. */
-const stagingPatience = 2.5;
+/** Factor on a load's usual time after which a staging counts as failed: loads may share the weight store. */
+const stagingPatience = 2;
 
 interface Staging {
     readonly model: string;
@@ -24,6 +24,11 @@
         this.byId.set(id, { model: model.name, until: now + stagingPatience * model.loadMilliseconds });
     }
 
+    /** The order was refused, or its answer lost: it has to be given again. */
+    public fail(id: string): void {
+        this.byId.delete(id);
+    }
+
     /** Number of loads under way; `isIdle` tells whether an instance is still a spare. */
     public countUnderWay(isIdle: (id: string) => boolean, now: number): number {
         for (const [id, staging] of this.byId) {
--- a/src/serving/tests/fake-engines.ts
+++ b/src/serving/tests/fake-engines.ts
@@ -46,6 +46,8 @@
     private term = 1;
     /** Part of the orders that stay unanswered and are carried out late. */
     public lateOrders = 0;
+    /** True while orders to stage weights reach nobody. */
+    public loseStagings = false;
 
     private constructor(
         count: number,
@@ -230,7 +232,8 @@
     private takeOrder(id: string, order: GroupOrder, planner: GroupPlanner): void {
         const engine = this.engineOf(id);
         const isLate = this.random() < this.lateOrders;
-        if (!engine.isUp || engine.isHidden || isLate) {
+        const isLost = this.loseStagings && order.kind === "stage";
+        if (!engine.isUp || engine.isHidden || isLate || isLost) {
             if (isLate) {
                 this.after(
                     2_000 + 10_000 * this.random(),
--- a/src/serving/tests/group-planners.test.ts
+++ b/src/serving/tests/group-planners.test.ts
@@ -144,6 +144,20 @@
     t.deepEqual(fleet.violations, []);
 });
 
+test("a staging whose order is lost is ordered again", t => {
+    const fleet = startFleet();
+    const spares = fleet.ids().filter(id => !fleet.servingGroups().some(group => group.members.includes(id)));
+    spares.forEach(id => fleet.crash(id));
+    fleet.play(6_000);
+    fleet.loseStagings = true;
+    fleet.addEngine("i-new-1");
+    fleet.addEngine("i-new-2");
+    fleet.play(3_000);
+    fleet.loseStagings = false;
+    fleet.play(16_000 + 4_000);
+    t.deepEqual(["i-new-1", "i-new-2"].flatMap(id => fleet.stagedOf(id)).sort(), ["large", "small"]);
+});
+
 for (let seed = 1; seed <= 40; seed += 1) {
     test(`random losses, restarts, late orders and new terms keep groups apart, seed ${seed}`, t => {
         const random = createRandomNumber(seed);
