--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -39,6 +39,9 @@
 /** Time after a first start in which spares are not staged yet, so that groups get the weight store first. */
 const stagingDelayMilliseconds = 4_500;
 
+/** Loads that a failure domain may have under way, as a multiple of its part of what the weight store serves at full speed. */
+const loadOverbooking = 2;
+
 /** What the planner wants done. */
 export type PlannerCommand =
     | { readonly kind: "report"; readonly instance: FleetInstance }
@@ -438,9 +441,10 @@
         return this.stagings.countUnderWay(isSpare, now);
     }
 
-    /** This failure domain's part of the loads that the weight store serves at full speed. */
+    /** Loads that this failure domain may have under way: failure domains seldom load as much at the same time. */
     private mostLoads({ profile }: FabricDomain): number {
-        return Math.max(1, Math.floor(profile.concurrentLoads / this.options.failureDomains));
+        const part = profile.concurrentLoads / this.options.failureDomains;
+        return Math.max(1, Math.floor(loadOverbooking * part));
     }
 
     private allowanceOf(domain: FabricDomain, now: number): LoadAllowance {
