--- a/src/serving/group-choices.ts
+++ b/src/serving/group-choices.ts
@@ -14,6 +14,8 @@
 const pressedPart = 0.6;
 /** Groups per group in use, and one more, from which on a model gives way to one that is short: a failure domain may be lost. */
 const amplePart = 1.5;
+/** Members of a new group that may load weights while they join; more are staged first, so that others stay free. */
+const mostFormingLoads = 1;
 /** Weight of the stated share of the work beside the work that is seen; it decides before traffic starts. */
 const statedWeight = 0.01;
 
@@ -45,7 +47,7 @@
     readonly freeSoon: ReadonlyMap<string, number>;
     /** True while instances are appearing, so that a better choice may be possible in a moment. */
     readonly isSettling: boolean;
-    /** True if members may load weights while they join; otherwise weights are staged first. */
+    /** True if any number of members may load weights while they join; otherwise one may. */
     readonly mayLoad: boolean;
     /** Supply by model over all fabric domains, this one included. */
     readonly supplies: ReadonlyMap<string, ModelSupply>;
@@ -101,7 +103,8 @@
 /** A load takes longer than it takes until instances that hold the weights are there and free. */
 function shouldWait(choice: GroupChoice, situation: DomainSituation): boolean {
     const isBetterSoon = situation.isSettling || (situation.freeSoon.get(choice.model.name) ?? 0) > 0;
-    return choice.loads > 0 && (isBetterSoon || !situation.mayLoad);
+    const isSlow = choice.loads > mostFormingLoads && !situation.mayLoad;
+    return choice.loads > 0 && (isBetterSoon || isSlow);
 }
 
 /** A further group of the scarcest model, of instances that neither repairs nor the missing models need. */
@@ -138,9 +141,8 @@
     const empty = spares.find(spare => heldModel(spare) === undefined);
     const surplus = spares.find(spare => (left.get(heldModel(spare) ?? "") ?? 0) > 0);
     const model = unmetNeeds[0] ?? unmetRest[0];
-    // Weights that a host holds give way only to those that a repair needs, or a model that is short of groups.
-    const isUrgent = unmetNeeds.length > 0 || (model !== undefined && isPressed(model, situation.supplies));
-    const spare = empty ?? (isUrgent ? surplus : undefined);
+    // Weights that a host holds give way only to those that a repair needs.
+    const spare = empty ?? (unmetNeeds.length > 0 ? surplus : undefined);
     return spare === undefined || model === undefined ? undefined : { id: spare.id, model };
 }
 
