--- a/stand-ins/tests/engines.test.ts
+++ b/stand-ins/tests/engines.test.ts
@@ -21,6 +21,13 @@
     readonly dispatch: (from: number, delivered: string, attempt?: number) => EngineDispatch;
 }
 
+/** Waits for as long as the machine takes; the time-out of the test run bounds it. */
+async function waitUntil(isTrue: () => Promise<boolean>): Promise<void> {
+    while (!(await isTrue())) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+}
+
 async function withGroup(run: (fixture: Fixture) => Promise<void>): Promise<void> {
     const settings = standInSettingsSchema.parse({
         admin: { listen: "127.0.0.1:0" },
@@ -130,6 +137,7 @@
         const reading = engines.start(fixture.dispatch(0, "")).subscribe(event => events.push(event));
         const probe = await engines.probe(member!, now() + 200);
         t.false(probe.success);
+        await waitUntil(() => Promise.resolve(events.length > 0));
         await new Promise(resolve => setTimeout(resolve, 30));
         t.deepEqual(
             events.map(event => event.kind),
@@ -140,7 +148,7 @@
         t.is(leader.acceptedWhileIncomplete, 1);
         t.true(leader.lastAcceptedAfterLossMilliseconds > 0);
         faults.switchOff(member!.id, "killed");
-        await new Promise(resolve => setTimeout(resolve, 30));
+        await waitUntil(async () => (await engines.probe(member!, now() + 2000)).success);
         const back = unwrap(await engines.probe(member!, now() + 2000));
         t.deepEqual([back.incarnation, back.state, back.warm.length], [2, "idle", 0]);
     });
