Share grouping and counting by key, the test of repeatable routes, and the fleets of tests

Read over the whole change; behaviour stays as it is. - Five loops collected items under keys and four counted them; serving/collections.ts has one of each, and one that drops keys. The planner's own copied a list for each instance at each tick. - Whether a request may run again was written in three places; configurations.ts has it once. - A choice of a group added up the loads of all entry instances twice for each candidate; now once. - The planner decided twice per step which instances are free; staging takes what forming found. - Five tests built the same registered engines and view; tests/fake-fleets.ts has them, assertions are unchanged.

--- a/src/serving/attempt-decisions.ts
+++ b/src/serving/attempt-decisions.ts
@@ -3,6 +3,7 @@
  * Answers the load of replicas that die, refuse or lose answers while callers wait.
  */
 import type { Repeatability } from "./configurations.js";
+import { isRepeatable } from "./configurations.js";
 
 /** How an attempt ended. */
 export type AttemptOutcome =
@@ -64,10 +65,8 @@
     if (!facts.hasBudget) {
         return false;
     }
-    const isRepeatable =
-        facts.repeatability === "idempotent" || (facts.repeatability === "stream" && facts.isResumable);
     if (outcome === "refused") {
-        return (isRepeatable || !facts.mayHaveRun) && facts.sends < facts.maximumAttempts;
+        return (isRepeatable(facts) || !facts.mayHaveRun) && facts.sends < facts.maximumAttempts;
     }
-    return isRepeatable && facts.runs < facts.maximumAttempts;
+    return isRepeatable(facts) && facts.runs < facts.maximumAttempts;
 }
--- a/src/serving/configurations.ts
+++ b/src/serving/configurations.ts
@@ -1,4 +1,5 @@
 /** What the operators have put in force: routes, services, limits and workspaces, as one immutable value. */
+import { groupBy } from "./collections.js";
 import type { EngineProfile } from "./engine-models.js";
 
 /** What may be repeated: "once" requests run at most once, "stream" answers are event streams. */
@@ -71,7 +72,7 @@
     private readonly workspacesByCredential: ReadonlyMap<string, WorkspaceProfile>;
 
     private constructor(public readonly configuration: ServingConfiguration) {
-        this.routesByHost = groupByHost(configuration.routes);
+        this.routesByHost = groupBy(byLongestPrefix(configuration.routes), route => route.host);
         this.servicesByName = new Map(configuration.services.map(service => [service.name, service]));
         this.workspacesByCredential = new Map(
             (configuration.workspaces ?? []).flatMap(workspace =>
@@ -102,6 +103,12 @@
     }
 }
 
+/** True if a request on the route may run more than once. */
+export function isRepeatable(route: Pick<Route, "repeatability" | "isResumable">): boolean {
+    const { repeatability, isResumable } = route;
+    return repeatability === "idempotent" || (repeatability === "stream" && isResumable);
+}
+
 /** Picks a target of a route by weight; `random` returns a number in [0, 1). */
 export function pickTarget(route: Route, random: () => number): string | undefined {
     const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
@@ -115,15 +122,6 @@
     return route.targets.at(-1)?.service;
 }
 
-function groupByHost(routes: readonly Route[]): ReadonlyMap<string, readonly Route[]> {
-    const byHost = new Map<string, Route[]>();
-    for (const route of routes) {
-        const sameHost = byHost.get(route.host) ?? [];
-        sameHost.push(route);
-        byHost.set(route.host, sameHost);
-    }
-    for (const sameHost of byHost.values()) {
-        sameHost.sort((left, right) => right.prefix.length - left.prefix.length);
-    }
-    return byHost;
+function byLongestPrefix(routes: readonly Route[]): readonly Route[] {
+    return [...routes].sort((left, right) => right.prefix.length - left.prefix.length);
 }
--- a/src/serving/dispatchers.ts
+++ b/src/serving/dispatchers.ts
@@ -1,5 +1,6 @@
 /** Chooses the replica for the next attempt of a request. */
 import type { Clock } from "../contracts/clocks.js";
+import { keepOnlyKeys } from "./collections.js";
 import type { FleetInstance } from "./fleets.js";
 import type { EngineLoad } from "./engine-models.js";
 import { estimateFirstEvent } from "./engine-models.js";
@@ -7,7 +8,7 @@
 import type { FleetView, ServableGroup } from "./fleet-views.js";
 import type { Admission, AdmissionFacts } from "./group-admissions.js";
 import type { GroupBacklog, GroupFlights } from "./group-flights.js";
-import type { GroupRoute } from "./group-routes.js";
+import type { GroupOption, GroupRoute } from "./group-routes.js";
 import { chooseRoute } from "./group-routes.js";
 import type { GroupSuspicions } from "./group-suspicions.js";
 import type { ReplicaRecords } from "./replica-records.js";
@@ -68,6 +69,11 @@
     readonly admit: (facts: AdmissionFacts) => Admission;
 }
 
+/** A group that may take a request, with all that is known to be there. */
+interface LoadedGroup extends ServableGroup, Pick<GroupOption, "slowness" | "isConnected"> {
+    readonly backlog: GroupBacklog;
+}
+
 const noLoad: EngineLoad = { requests: 0, unreadTokens: 0 };
 
 /** Groups of a model that an entry instance prefers where there are many. */
@@ -125,14 +131,15 @@
         work: EngineWork,
         now: number,
     ): DispatchChoice {
-        const urgent = this.routeTo(candidates, work, backlog => backlog.urgent, now);
+        const options = this.optionsOf(candidates, now);
+        const urgent = this.routeTo(options, work, ({ backlog }) => backlog.urgent);
         if (urgent === undefined) {
             return { kind: "none" };
         }
         if (question.isResumed) {
             return { kind: "target", target: this.toTarget(urgent, false) };
         }
-        const deferred = this.routeTo(candidates, work, backlog => backlog.all, now)!;
+        const deferred = this.routeTo(options, work, ({ backlog }) => backlog.all)!;
         // Long prompts take as long as they take: they are admitted like usual ones, or they would never be.
         const { profile, model } = candidates[0]!;
         const ownExcess =
@@ -172,24 +179,29 @@
         return [answering, untried, sound].find(each => each.length > 0) ?? [];
     }
 
+    private optionsOf(candidates: readonly ServableGroup[], now: number): readonly LoadedGroup[] {
+        const { flights, suspicions, isConnected } = this.parts;
+        return candidates.map(({ group, model, profile }) => ({
+            group,
+            model,
+            profile,
+            backlog: flights.backlogOf(group.key, now),
+            slowness: suspicions.slownessOf(group.key),
+            isConnected: isConnected(group.leader!.id),
+        }));
+    }
+
     private routeTo(
-        candidates: readonly ServableGroup[],
+        groups: readonly LoadedGroup[],
         { promptTokens }: EngineWork,
-        loadOf: (backlog: GroupBacklog) => EngineLoad,
-        now: number,
+        loadOf: (group: LoadedGroup) => EngineLoad,
     ): GroupRoute | undefined {
-        const { flights, suspicions, random, failureDomain, isConnected } = this.parts;
-        const [first] = candidates;
+        const { random, failureDomain } = this.parts;
+        const [first] = groups;
         if (first === undefined) {
             return undefined;
         }
-        const options = candidates.map(({ group, model }) => ({
-            group,
-            model,
-            load: loadOf(flights.backlogOf(group.key, now)),
-            slowness: suspicions.slownessOf(group.key),
-            isConnected: isConnected(group.leader!.id),
-        }));
+        const options = groups.map(group => ({ ...group, load: loadOf(group) }));
         const route = chooseRoute({ profile: first.profile, promptTokens, failureDomain, options, random });
         const offset = this.offsets.of(first.model.name);
         return route && { ...route, expectedMilliseconds: route.expectedMilliseconds + offset };
@@ -219,8 +231,7 @@
 
     private forgetPlaces(): void {
         if (this.places.size > mostPlaces) {
-            const { groups } = this.parts.view();
-            [...this.places.keys()].filter(key => !groups.has(key)).forEach(key => this.places.delete(key));
+            keepOnlyKeys(this.places, this.parts.view().groups);
         }
     }
 
--- a/src/serving/exchanges.ts
+++ b/src/serving/exchanges.ts
@@ -6,6 +6,7 @@
 import type { AttemptOutcome } from "./attempt-decisions.js";
 import { decideNextStep } from "./attempt-decisions.js";
 import { CallerAnswer } from "./caller-answers.js";
+import { isRepeatable } from "./configurations.js";
 import type { DispatchTarget } from "./dispatchers.js";
 import type { StreamEvent } from "./event-splitters.js";
 import type { Attempt } from "./exchange-attempts.js";
@@ -91,19 +92,13 @@
             return;
         }
         const { route } = this.admitted;
-        if (route.repeatability === "stream" && route.isResumable) {
+        if (route.repeatability === "stream" && isRepeatable(route)) {
             attempt.call?.cancel();
             // A stream that had not begun never will: its leader drops it with the connection.
             this.endAttempt(attempt, "lost", "its group stands still", attempt.hasEvents);
         }
     }
 
-    /** True if the request may run more than once. */
-    private get isRepeatable(): boolean {
-        const { repeatability, isResumable } = this.admitted.route;
-        return repeatability === "idempotent" || (repeatability === "stream" && isResumable);
-    }
-
     private now(): number {
         return this.context.clock.monotonicMilliseconds();
     }
@@ -192,7 +187,7 @@
                 target: request.target,
                 headers,
                 body,
-                isRepeatable: this.isRepeatable,
+                isRepeatable: isRepeatable(admitted.route),
             },
             {
                 onHead: message => this.handleHead(attempt, message),
@@ -291,7 +286,7 @@
         }
         this.lastEventId = event.id ?? this.lastEventId;
         this.resumeUntil = undefined;
-        this.answer.begin(attempt.head!, undefined, this.now());
+        this.answer.begin(attempt.head!, undefined, now);
         if (!this.answer.write(event.bytes)) {
             attempt.call?.pause();
         }
--- a/src/serving/fleet-views.ts
+++ b/src/serving/fleet-views.ts
@@ -1,4 +1,5 @@
 /** The fleet arranged for dispatch: instances by service, and whole groups by service and model. */
+import { countBy, groupBy } from "./collections.js";
 import type { RouteTable } from "./configurations.js";
 import type { EngineModel, EngineProfile } from "./engine-models.js";
 import type { Fleet, FleetInstance, ObservedGroup } from "./fleets.js";
@@ -32,8 +33,8 @@
         return new FleetView(
             fleet,
             new Map(groups.map(servable => [servable.group.key, servable])),
-            collect(groups, ({ group, model }) => modelKey(group.service, model.name)),
-            collect(
+            groupBy(groups, ({ group, model }) => modelKey(group.service, model.name)),
+            groupBy(
                 instances.filter(instance => !instance.isLeaving),
                 instance => instance.service,
             ),
@@ -46,11 +47,7 @@
 
     /** Groups that take requests, by model. */
     public countByModel(): ReadonlyMap<string, number> {
-        const counts = new Map<string, number>();
-        for (const { model } of this.groups.values()) {
-            counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
-        }
-        return counts;
+        return countBy(this.groups.values(), ({ model }) => model.name);
     }
 
     /** Instances of a plain service that are not leaving. */
@@ -62,14 +59,3 @@
 function modelKey(service: string, model: string): string {
     return `${service} ${model}`;
 }
-
-function collect<T>(items: readonly T[], keyOf: (item: T) => string): ReadonlyMap<string, readonly T[]> {
-    const byKey = new Map<string, T[]>();
-    for (const item of items) {
-        const key = keyOf(item);
-        const sameKey = byKey.get(key) ?? [];
-        sameKey.push(item);
-        byKey.set(key, sameKey);
-    }
-    return byKey;
-}
--- a/src/serving/fleets.ts
+++ b/src/serving/fleets.ts
@@ -1,4 +1,5 @@
 /** The instances that offer services, as they register themselves, and the replica groups that they say they are in. */
+import { groupBy } from "./collections.js";
 
 /** Life of a member's part in a group. */
 export type MembershipState = "joining" | "ready" | "open" | "closing" | "broken";
@@ -71,17 +72,9 @@
 
 /** Collects the groups that registered instances say they are in. */
 export function observeGroups(instances: Iterable<FleetInstance>): readonly ObservedGroup[] {
-    const membersByKey = new Map<string, FleetInstance[]>();
-    for (const instance of instances) {
-        const { membership } = instance.status;
-        if (membership !== undefined) {
-            const key = groupKey(membership);
-            const members = membersByKey.get(key) ?? [];
-            members.push(instance);
-            membersByKey.set(key, members);
-        }
-    }
-    return [...membersByKey].map(([key, members]) => describeGroup(key, members));
+    const members = [...instances].filter(instance => instance.status.membership !== undefined);
+    const membersByKey = groupBy(members, ({ status }) => groupKey(status.membership!));
+    return [...membersByKey].map(([key, sameGroup]) => describeGroup(key, sameGroup));
 }
 
 function describeGroup(key: string, unsorted: readonly FleetInstance[]): ObservedGroup {
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -3,6 +3,7 @@
  * Events and the present time go in, commands come out; times are local monotonic milliseconds. Nothing is stored: what
  * the engines say of themselves is the placement, and every new term reads it back.
  */
+import { countBy, groupBy } from "./collections.js";
 import type { GroupChoice } from "./group-choices.js";
 import { chooseGroup, chooseStaging } from "./group-choices.js";
 import type { EngineProfile } from "./engine-models.js";
@@ -16,13 +17,7 @@
 import { LoadAllowance } from "./load-allowances.js";
 import type { ModelSupply } from "./model-demands.js";
 import type { PlannedGroup } from "./planned-groups.js";
-import {
-    collectPlannedGroups,
-    countByModelHeld,
-    countFreeSoon,
-    rankOf,
-    toCandidate,
-} from "./planned-groups.js";
+import { collectPlannedGroups, countFreeSoon, rankOf, toCandidate } from "./planned-groups.js";
 import { ReportSchedule } from "./report-schedules.js";
 import { SpareStagings } from "./spare-stagings.js";
 
@@ -194,11 +189,10 @@
     }
 
     private fabricDomains(surroundings: PlannerSurroundings): readonly FabricDomain[] {
-        const byDomain = new Map<string, KnownInstance[]>();
-        for (const known of this.book.all) {
-            const key = `${known.instance.service} ${known.instance.fabricDomain}`;
-            byDomain.set(key, [...(byDomain.get(key) ?? []), known]);
-        }
+        const byDomain = groupBy(
+            this.book.all,
+            ({ instance }) => `${instance.service} ${instance.fabricDomain}`,
+        );
         return [...byDomain.values()].flatMap(known => {
             const profile = surroundings.profileOf(known[0]!.instance.service);
             return profile === undefined ? [] : [{ profile, known }];
@@ -238,7 +232,8 @@
             this.form(choice, domain, now);
             return;
         }
-        this.stageSpares(domain, usable, surroundings, now);
+        const idle = free.filter(isIdle);
+        this.stageSpares(domain, usable, idle, surroundings, now);
     }
 
     private isSettling(domain: FabricDomain, now: number): boolean {
@@ -314,10 +309,7 @@
     private hasReplacements(group: PlannedGroup, domain: FabricDomain, now: number): boolean {
         const leaving = group.members.filter(member => !this.isUsable(member, now)).length;
         const idle = domain.known.filter(
-            known =>
-                this.isUsable(known, now) &&
-                known.status !== undefined &&
-                known.status.membership === undefined,
+            known => this.isUsable(known, now) && known.status !== undefined && isIdle(known),
         );
         return idle.length >= leaving;
     }
@@ -375,11 +367,7 @@
                 keys.set(formation.key, formation.options.model.name);
             }
         }
-        const counts = new Map<string, number>();
-        for (const model of keys.values()) {
-            counts.set(model ?? "", (counts.get(model ?? "") ?? 0) + 1);
-        }
-        return counts;
+        return countBy(keys.values(), model => model ?? "");
     }
 
     private form(choice: GroupChoice, domain: FabricDomain, now: number): void {
@@ -408,6 +396,7 @@
     private stageSpares(
         domain: FabricDomain,
         usable: readonly KnownInstance[],
+        idle: readonly KnownInstance[],
         { supplies }: PlannerSurroundings,
         now: number,
     ): void {
@@ -417,11 +406,13 @@
         if (isFirstForming || (!allowance.isFree(now) && this.loadsUnderWay(now) >= this.mostLoads(domain))) {
             return;
         }
-        const idle = usable.filter(known => this.isFree(known, now) && isIdle(known));
         const choice = chooseStaging({
             models: domain.profile.models,
             instances: usable.length,
-            members: countByModelHeld(usable.filter(known => !idle.includes(known))),
+            members: countBy(
+                usable.filter(known => !idle.includes(known)),
+                ({ status }) => status?.model ?? "",
+            ),
             spares: idle.map(known => this.stagings.complete(toCandidate(known), now)),
             supplies,
         });
--- a/src/serving/group-suspicions.ts
+++ b/src/serving/group-suspicions.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from "../contracts/clocks.js";
 import type { Result } from "../core/errors.js";
+import { keepOnlyKeys } from "./collections.js";
 import type { EngineStatus, FleetInstance, ObservedGroup } from "./fleets.js";
 import { groupKey } from "./fleets.js";
 import type { FleetView } from "./fleet-views.js";
@@ -236,7 +237,7 @@
 
     private forget(groups: ReadonlySet<string>): void {
         for (const book of [this.suspects, this.nextRoundAt, this.slowness, this.cleanRounds, this.places]) {
-            [...book.keys()].filter(key => !groups.has(key)).forEach(key => book.delete(key));
+            keepOnlyKeys(book, groups);
         }
     }
 }
--- a/src/serving/planned-groups.ts
+++ b/src/serving/planned-groups.ts
@@ -1,4 +1,5 @@
 /** Replica groups as their members, asked one by one, describe them. */
+import { groupBy } from "./collections.js";
 import type { EngineModel } from "./engine-models.js";
 import { groupKey } from "./fleets.js";
 import type { Candidate } from "./group-choices.js";
@@ -19,14 +20,8 @@
     instances: readonly KnownInstance[],
     models: readonly EngineModel[],
 ): readonly PlannedGroup[] {
-    const byKey = new Map<string, KnownInstance[]>();
-    for (const known of instances) {
-        const membership = known.status?.membership;
-        if (membership !== undefined && !known.isEnded) {
-            const key = groupKey(membership);
-            byKey.set(key, [...(byKey.get(key) ?? []), known]);
-        }
-    }
+    const inGroups = instances.filter(({ status, isEnded }) => status?.membership !== undefined && !isEnded);
+    const byKey = groupBy(inGroups, ({ status }) => groupKey(status!.membership!));
     return [...byKey].map(([key, members]) => {
         const { status } = members[0]!;
         return {
@@ -64,13 +59,3 @@
     }
     return counts;
 }
-
-/** Counts instances by the model that they run or are about to run. */
-export function countByModelHeld(instances: readonly KnownInstance[]): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>();
-    for (const { status } of instances) {
-        const name = status?.model ?? "";
-        counts.set(name, (counts.get(name) ?? 0) + 1);
-    }
-    return counts;
-}
--- a/src/serving/replica-records.ts
+++ b/src/serving/replica-records.ts
@@ -2,6 +2,7 @@
  * Record of how replicas answered lately. Answers the load of replicas that fail part of their requests, or answer none,
  * while their registration and health check look good.
  */
+import { keepOnlyKeys } from "./collections.js";
 
 /** Weight of the newest answer in the moving shares. */
 const newestWeight = 0.25;
@@ -91,7 +92,7 @@
 
     public keepOnly(replicas: ReadonlySet<string>): void {
         for (const book of [this.records, this.misdirectedAt]) {
-            [...book.keys()].filter(replica => !replicas.has(replica)).forEach(gone => book.delete(gone));
+            keepOnlyKeys(book, replicas);
         }
     }
 }
--- a/src/serving/slow-attempts.ts
+++ b/src/serving/slow-attempts.ts
@@ -4,6 +4,7 @@
  * turn at a busy group must not lose its place.
  */
 import type { Route } from "./configurations.js";
+import { isRepeatable } from "./configurations.js";
 
 /** Part of the objective after which an idempotent request is tried elsewhere. */
 const hedgePart = 0.6;
@@ -18,17 +19,13 @@
 
 /** Time after which an attempt is looked at, in milliseconds; undefined if it is never given up for being slow. */
 export function attemptPatience(route: Route, expectedMilliseconds: number): number | undefined {
-    const { repeatability, isResumable, objectiveMilliseconds: objective } = route;
-    switch (repeatability) {
-        case "idempotent":
-            return hedgePart * objective;
-        case "stream":
-            return isResumable
-                ? Math.max(firstEventFactor * expectedMilliseconds, firstEventObjectives * objective)
-                : undefined;
-        default:
-            return undefined;
+    const { repeatability, objectiveMilliseconds: objective } = route;
+    if (!isRepeatable(route)) {
+        return undefined;
     }
+    return repeatability === "idempotent"
+        ? hedgePart * objective
+        : Math.max(firstEventFactor * expectedMilliseconds, firstEventObjectives * objective);
 }
 
 /** Time for which a slow attempt may go on, in milliseconds; 0 if the request should be tried elsewhere now. */
--- a/src/serving/tests/dispatchers.test.ts
+++ b/src/serving/tests/dispatchers.test.ts
@@ -1,50 +1,43 @@
 import test from "ava";
 import { createRandomNumber } from "../../core/random-numbers.js";
-import { RouteTable } from "../configurations.js";
+import type { DispatcherParts } from "../dispatchers.js";
 import { Dispatcher } from "../dispatchers.js";
-import { FleetView } from "../fleet-views.js";
-import type { FleetInstance } from "../fleets.js";
+import type { FleetView } from "../fleet-views.js";
 import { admitAll, decideAdmission } from "../group-admissions.js";
 import { GroupFlights } from "../group-flights.js";
 import { GroupSuspicions } from "../group-suspicions.js";
 import { ReplicaRecords } from "../replica-records.js";
 import { profile } from "./fake-engines.js";
+import { groupMember, viewOf } from "./fake-fleets.js";
 
 const groupCount = 13;
 const entryCount = 58;
 const streamMilliseconds = 1_000;
 const stepMilliseconds = 10;
 
-function member(group: number, rank: number): FleetInstance {
-    return {
-        id: `g${group}-${rank}`,
-        service: "llm",
-        address: "10.0.0.1:80",
-        failureDomain: "a",
-        fabricDomain: "f",
-        slots: profile.slots,
-        isLeaving: false,
-        heartbeat: 1,
-        status: {
-            membership: { group: `g${group}`, epoch: 1, rank, state: rank === 0 ? "open" : "ready" },
-            model: "small",
-            staged: ["small"],
-            incarnation: 1,
-        },
-    };
+function createView(): FleetView {
+    const groups = Array.from({ length: groupCount }, (_, group) => `g${group}`);
+    return viewOf(groups.flatMap(group => [groupMember(group, 0), groupMember(group, 1)]));
 }
 
-function createView(): FleetView {
-    const table = RouteTable.create({
-        version: 1,
-        routes: [],
-        services: [{ name: "llm", maximumConnections: 10, engine: profile }],
-        limits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
-        workspaces: undefined,
+/** An entry instance's choice among the groups of `view`; `options` are what the tests vary. */
+function createDispatcher(
+    options: Pick<DispatcherParts, "clock" | "random" | "view" | "flights" | "mostOptions" | "admit">,
+): Dispatcher {
+    const suspicions = GroupSuspicions.create({
+        ...options,
+        report: () => Promise.reject(new Error("nobody asks")),
+        spreadMilliseconds: () => 0,
+        onSuspect: () => undefined,
+        onCleared: () => undefined,
+    });
+    return Dispatcher.create({
+        ...options,
+        failureDomain: "a",
+        suspicions,
+        records: ReplicaRecords.create(),
+        isConnected: () => true,
     });
-    const members = Array.from({ length: groupCount }, (_, group) => [member(group, 0), member(group, 1)]);
-    const instances = new Map(members.flat().map(each => [each.id, each]));
-    return FleetView.create({ revision: 1, instances, lapsed: [] }, table);
 }
 
 /** Plays many entry instances that tell each other their loads every `tellMilliseconds`; returns the part of the requests that met a full group. */
@@ -55,26 +48,12 @@
     const clock = { monotonicMilliseconds: () => now, wallMilliseconds: () => now };
     const entries = Array.from({ length: entryCount }, (_, index) => {
         const flights = GroupFlights.create();
-        const suspicions = GroupSuspicions.create({
+        const dispatcher = createDispatcher({
             clock,
-            view: () => view,
-            flights,
-            report: () => Promise.reject(new Error("nobody asks")),
-            spreadMilliseconds: () => 0,
             random,
-            onSuspect: () => undefined,
-            onCleared: () => undefined,
-        });
-        const dispatcher = Dispatcher.create({
-            clock,
-            random,
-            failureDomain: "a",
             view: () => view,
             flights,
-            suspicions,
-            records: ReplicaRecords.create(),
             mostOptions: () => mostOptions,
-            isConnected: () => true,
             admit: admitAll,
         });
         return { index, flights, dispatcher, tellAt: Math.floor(random() * tellMilliseconds) };
@@ -138,26 +117,12 @@
     const clock = { monotonicMilliseconds: () => now, wallMilliseconds: () => now };
     const random = createRandomNumber(3);
     const flights = GroupFlights.create();
-    const suspicions = GroupSuspicions.create({
-        clock,
-        view: () => view,
-        flights,
-        report: () => Promise.reject(new Error("nobody asks")),
-        spreadMilliseconds: () => 0,
-        random,
-        onSuspect: () => undefined,
-        onCleared: () => undefined,
-    });
-    const dispatcher = Dispatcher.create({
+    const dispatcher = createDispatcher({
         clock,
         random,
-        failureDomain: "a",
         view: () => view,
         flights,
-        suspicions,
-        records: ReplicaRecords.create(),
         mostOptions: () => Number.POSITIVE_INFINITY,
-        isConnected: () => true,
         admit: decideAdmission,
     });
     const isInTime = (promptTokens: number): boolean => {
--- /dev/null
+++ b/src/serving/tests/fake-fleets.ts
@@ -0,0 +1,38 @@
+/** Registered engines and the view of them, for tests of what chooses among groups. */
+import { RouteTable } from "../configurations.js";
+import { FleetView } from "../fleet-views.js";
+import type { FleetInstance } from "../fleets.js";
+import { profile } from "./fake-engines.js";
+
+/** Member `rank` of the group `group` at epoch 1; the group serves the model "small". */
+export function groupMember(group: string, rank: number): FleetInstance {
+    return {
+        id: `${group}-${rank}`,
+        service: "llm",
+        address: `10.0.0.${rank}:80`,
+        failureDomain: "a",
+        fabricDomain: "f",
+        slots: profile.slots,
+        isLeaving: false,
+        heartbeat: 1,
+        status: {
+            membership: { group, epoch: 1, rank, state: rank === 0 ? "open" : "ready" },
+            model: "small",
+            staged: ["small"],
+            incarnation: 1,
+        },
+    };
+}
+
+/** The view of a fleet whose service "llm" has the engines of `fake-engines.ts`. */
+export function viewOf(members: readonly FleetInstance[]): FleetView {
+    const table = RouteTable.create({
+        version: 1,
+        routes: [],
+        services: [{ name: "llm", maximumConnections: 10, engine: profile }],
+        limits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
+        workspaces: undefined,
+    });
+    const instances = new Map(members.map(member => [member.id, member]));
+    return FleetView.create({ revision: 1, instances, lapsed: [] }, table);
+}
--- a/src/serving/tests/group-routes.test.ts
+++ b/src/serving/tests/group-routes.test.ts
@@ -2,26 +2,12 @@
 import type { GroupOption } from "../group-routes.js";
 import { chooseRoute } from "../group-routes.js";
 import { profile } from "./fake-engines.js";
+import { groupMember } from "./fake-fleets.js";
 
 const model = profile.models[1]!;
 
 function option(name: string, changes: Partial<GroupOption> = {}, failureDomain = "a"): GroupOption {
-    const leader = {
-        id: name,
-        service: "llm",
-        address: "10.0.0.1:80",
-        failureDomain,
-        fabricDomain: "f",
-        slots: profile.slots,
-        isLeaving: false,
-        heartbeat: 1,
-        status: {
-            membership: { group: name, epoch: 1, rank: 0, state: "open" as const },
-            model: model.name,
-            staged: [],
-            incarnation: 1,
-        },
-    };
+    const leader = { ...groupMember(name, 0), id: name, failureDomain };
     return {
         group: {
             key: `${name}@1`,
--- a/src/serving/tests/group-suspicions.test.ts
+++ b/src/serving/tests/group-suspicions.test.ts
@@ -1,36 +1,14 @@
 import test from "ava";
 import type { Result } from "../../core/errors.js";
 import { fail, succeed } from "../../core/errors.js";
-import { RouteTable } from "../configurations.js";
-import { FleetView } from "../fleet-views.js";
 import type { EngineStatus, FleetInstance } from "../fleets.js";
 import { GroupFlights } from "../group-flights.js";
 import { GroupSuspicions } from "../group-suspicions.js";
-import { profile } from "./fake-engines.js";
+import { groupMember, viewOf } from "./fake-fleets.js";
 
 const group = "g1@1";
 const silentFault = { code: "endpointFailed", message: "silent", step: "probe", notRun: true } as const;
 
-function member(rank: number): FleetInstance {
-    const state = rank === 0 ? "open" : "ready";
-    return {
-        id: `i-${rank}`,
-        service: "llm",
-        address: `10.0.0.${rank}:80`,
-        failureDomain: "a",
-        fabricDomain: "f",
-        slots: 18,
-        isLeaving: false,
-        heartbeat: 1,
-        status: {
-            membership: { group: "g1", epoch: 1, rank, state },
-            model: "small",
-            staged: ["small"],
-            incarnation: 1,
-        },
-    };
-}
-
 interface World {
     readonly suspicions: GroupSuspicions;
     readonly flights: GroupFlights;
@@ -47,16 +25,7 @@
     let now = 1_000;
     const suspected: string[] = [];
     const flights = GroupFlights.create();
-    const members = [member(0), member(1)];
-    const table = RouteTable.create({
-        version: 1,
-        routes: [],
-        services: [{ name: "llm", maximumConnections: 10, engine: profile }],
-        limits: { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 },
-        workspaces: undefined,
-    });
-    const instances = new Map(members.map(each => [each.id, each]));
-    const view = FleetView.create({ revision: 1, instances, lapsed: [] }, table);
+    const view = viewOf([0, 1].map(rank => ({ ...groupMember("g1", rank), id: `i-${rank}` })));
     const report = (instance: FleetInstance): Promise<Result<EngineStatus>> => {
         now += lateness;
         asked.push(instance.id);
--- a/tests/soak/checkers.ts
+++ b/tests/soak/checkers.ts
@@ -1,4 +1,5 @@
 /** Promises of the serving process, checked on the history of one run. Each checker returns what broke, in words. */
+import { countBy } from "../../src/serving/collections.js";
 import type { CallerRecord, RunRecord, SoakHistory } from "./histories.js";
 import { expectedAnswer, expectedStream, workspaceOf } from "./workloads.js";
 
@@ -150,9 +151,7 @@
 }
 
 function countById(runs: readonly RunRecord[]): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>();
-    runs.forEach(({ id }) => counts.set(id, (counts.get(id) ?? 0) + 1));
-    return counts;
+    return countBy(runs, ({ id }) => id);
 }
 
 function possibleBodies({ id, kind }: CallerRecord, runs: readonly RunRecord[]): readonly string[] {
