--- a/scripts/demo-deployments.ts
+++ b/scripts/demo-deployments.ts
@@ -9,7 +9,7 @@
 import { applyDemoConfiguration } from "./demo-configurations.js";
 import type { DaemonLayout, DemoLayout } from "./demo-layouts.js";
 import { countPorts, createLayout, demoCredentials, demoModel } from "./demo-layouts.js";
-import { findPorts } from "./demo-ports.js";
+import { findPorts } from "./free-ports.js";
 import type { ProcessEnd } from "./demo-processes.js";
 import { DemoProcess } from "./demo-processes.js";
 
--- a/scripts/demo-ports.ts
+++ b/scripts/free-ports.ts
@@ -1,4 +1,4 @@
-/** Loopback ports for the demo: one block of consecutive ones, outside the range of outgoing connections. */
+/** Free loopback ports: one block of consecutive ones, outside the range of outgoing connections. */
 import { createServer } from "node:net";
 
 const firstPort = 12_000;
--- a/src/serving/group-memories.ts
+++ b/src/serving/group-memories.ts
@@ -10,6 +10,7 @@
 
 export class GroupMemory {
     private readonly leaderByKey = new Map<string, string>();
+    private readonly membersByKey = new Map<string, Set<string>>();
     /** The group that each instance was in last and has not left. */
     private readonly lastGroupById = new Map<string, LastGroup>();
 
@@ -24,6 +25,11 @@
         return this.leaderByKey.get(key);
     }
 
+    /** Number of different instances that were ever seen in the group with this key. */
+    public countMembers(key: string): number {
+        return this.membersByKey.get(key)?.size ?? 0;
+    }
+
     /** Key of the group that an instance was in and has not left. */
     public groupBefore(id: string): string | undefined {
         return this.lastGroupById.get(id)?.key;
@@ -44,7 +50,9 @@
         }
         const last = this.lastGroupById.get(id);
         if (membership !== undefined) {
-            this.lastGroupById.set(id, { key: groupKey(membership), incarnation });
+            const key = groupKey(membership);
+            this.membersByKey.set(key, (this.membersByKey.get(key) ?? new Set()).add(id));
+            this.lastGroupById.set(id, { key, incarnation });
         } else if (last !== undefined && last.incarnation === incarnation) {
             // It has left the group itself; only a restart leaves the group's leader serving without it.
             this.lastGroupById.delete(id);
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -213,7 +213,8 @@
             this.repair(group, domain, now);
         }
         const usable = domain.known.filter(known => this.isUsable(known, now) && known.status !== undefined);
-        const free = usable.filter(known => this.isFree(known, now));
+        const unclear = this.groupsWithUnknownMembers(domain);
+        const free = usable.filter(known => this.isFree(known, unclear, now));
         const whole = groups.filter(group => this.isWhole(group, now) || this.formations.has(group.key));
         const choice = chooseGroup({
             models: domain.profile.models,
@@ -328,8 +329,25 @@
         this.note("took over a group that is being formed", { group: group.key });
     }
 
-    /** True if an instance may join another group. */
-    private isFree(known: KnownInstance, now: number): boolean {
+    /**
+     * Keys of the groups of which this term has not seen every member. A member that restarted before this term says
+     * nothing of its group, whose leader may still count on it.
+     */
+    private groupsWithUnknownMembers({ known, profile }: FabricDomain): readonly string[] {
+        const sizes = new Map<string, number>();
+        for (const { instance, status } of known) {
+            const key = this.memory.groupBefore(instance.id);
+            const name = status?.model ?? instance.status.model;
+            const size = profile.models.find(model => model.name === name)?.size;
+            if (key !== undefined && size !== undefined) {
+                sizes.set(key, Math.max(size, sizes.get(key) ?? 0));
+            }
+        }
+        return [...sizes].filter(([key, size]) => this.memory.countMembers(key) < size).map(([key]) => key);
+    }
+
+    /** True if an instance may join another group; `unclear` are the groups in which it may have been. */
+    private isFree(known: KnownInstance, unclear: readonly string[], now: number): boolean {
         const { id } = known.instance;
         if ([...this.formations.values()].some(formation => formation.options.members.includes(id))) {
             return false;
@@ -339,7 +357,8 @@
             return membership.state === "broken";
         }
         const key = this.memory.groupBefore(id);
-        return key === undefined || this.hasLeaderLeft(key, id, now);
+        const keys = key === undefined ? unclear : [key];
+        return keys.every(each => this.hasLeaderLeft(each, id, now));
     }
 
     /** True if the leader of the group that an instance was in before its restart serves no more. */
--- a/src/serving/tests/group-planners.test.ts
+++ b/src/serving/tests/group-planners.test.ts
@@ -70,6 +70,23 @@
     t.deepEqual(modelsOf(fleet), ["large", "small"]);
 });
 
+test("a member that restarted before a term began is not taken while its old leader is open", t => {
+    for (const model of ["large", "small"]) {
+        const fleet = startFleet();
+        const { members } = fleet.servingGroups().find(group => group.model === model)!;
+        fleet.hide(members[0]!, true);
+        fleet.crash(members.at(-1)!);
+        fleet.restart(members.at(-1)!);
+        fleet.play(600);
+        fleet.replacePlanner();
+        fleet.play(3_000);
+        fleet.hide(members[0]!, false);
+        fleet.play(25_000);
+        t.deepEqual(fleet.violations, [], model);
+        t.deepEqual(modelsOf(fleet), ["large", "small"], model);
+    }
+});
+
 test("a leader that comes back in sight after its members keeps them until it has left", t => {
     const fleet = startFleet();
     const large = fleet.servingGroups().find(group => group.model === "large")!;
--- a/tests/soak/soaks.ts
+++ b/tests/soak/soaks.ts
@@ -7,7 +7,7 @@
 import { join } from "node:path";
 import { buildSync } from "esbuild";
 import { StandInStore } from "../../platform/stand-ins/stores.js";
-import { findPorts } from "../../scripts/demo-ports.js";
+import { findPorts } from "../../scripts/free-ports.js";
 import { createRandomNumber } from "../../src/core/random-numbers.js";
 import { EngineWorld } from "../../src/serving/tests/engine-worlds.js";
 import { profile } from "../../src/serving/tests/fake-engines.js";
