--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -365,6 +365,7 @@
         if (this.callers.openCount > 0 && !isLast) {
             return;
         }
+        this.exchanges.forEach(exchange => exchange.giveUp("this process is about to end"));
         this.ticks.unsubscribe();
         this.followers.close();
         this.peers.close();
--- a/src/serving/exchanges.ts
+++ b/src/serving/exchanges.ts
@@ -58,7 +58,7 @@
     ) {
         this.lastEventId = admitted.request.lastEventId;
         const remaining = Math.max(0, admitted.deadline - this.now());
-        this.deadlineTimer = setTimeout(() => this.giveUp(), remaining);
+        this.deadlineTimer = setTimeout(() => this.giveUp("the deadline has passed"), remaining);
         response.once("close", () => this.handleCallerGone());
         response.on("drain", () => this.attempt?.call?.resume());
     }
@@ -99,6 +99,19 @@
         }
     }
 
+    /** Ends the request with an answer that says what is known of it. */
+    public giveUp(reason: string): void {
+        if (this.isSettled) {
+            return;
+        }
+        const wasSent = this.dropAttempt();
+        if (this.answer.hasBegun) {
+            this.cut(reason);
+            return;
+        }
+        this.answerOwn(wasSent || this.mayHaveRun ? 504 : 503, "expired", reason);
+    }
+
     private now(): number {
         return this.context.clock.monotonicMilliseconds();
     }
@@ -421,19 +434,6 @@
         this.answerOwn(503, "refused", reason, ["Retry-After", seconds.toFixed(2)]);
     }
 
-    /** Ends a request whose deadline has passed. */
-    private giveUp(): void {
-        if (this.isSettled) {
-            return;
-        }
-        const wasSent = this.dropAttempt();
-        if (this.answer.hasBegun) {
-            this.cut("the deadline has passed");
-            return;
-        }
-        this.answerOwn(wasSent || this.mayHaveRun ? 504 : 503, "expired", "the deadline has passed");
-    }
-
     /** Ends the present attempt at its replica; false if there was none. */
     private dropAttempt(): boolean {
         const { attempt } = this;
