--- a/src/serving/group-choices.ts
+++ b/src/serving/group-choices.ts
@@ -25,6 +25,8 @@
     /** Model of the group that it was in last. */
     readonly lastModel: string | undefined;
     readonly staged: readonly string[];
+    /** True while its host loads weights, so that it cannot load others. */
+    readonly isBusy: boolean;
 }
 
 /** One group to form. */
@@ -138,8 +140,9 @@
     const wanted = wantedUnits(situation);
     const unmetNeeds = wanted.needed.filter(isUnmet);
     const unmetRest = wanted.further.filter(isUnmet);
-    const empty = spares.find(spare => heldModel(spare) === undefined);
-    const surplus = spares.find(spare => (left.get(heldModel(spare) ?? "") ?? 0) > 0);
+    const ready = spares.filter(spare => !spare.isBusy);
+    const empty = ready.find(spare => heldModel(spare) === undefined);
+    const surplus = ready.find(spare => (left.get(heldModel(spare) ?? "") ?? 0) > 0);
     const model = unmetNeeds[0] ?? unmetRest[0];
     // Weights that a host holds give way only to those that a repair needs.
     const spare = empty ?? (unmetNeeds.length > 0 ? surplus : undefined);
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -121,9 +121,7 @@
 
     public handleReply(id: string, order: GroupOrder, reply: OrderReply, now: number): void {
         if (order.kind === "stage") {
-            if (reply.kind !== "begun" && reply.kind !== "holds") {
-                this.stagings.fail(id);
-            }
+            this.noteStaging(id, reply, now);
         } else {
             this.formations.get(`${order.group}@${order.epoch}`)?.handleReply(id, order, reply, now);
         }
@@ -134,6 +132,15 @@
         this.note("order answered", { instance: id, order: order.kind, reply });
     }
 
+    private noteStaging(id: string, reply: OrderReply, now: number): void {
+        if (reply.kind === "refused") {
+            this.stagings.refuse(id, now);
+            this.allowances.get(this.book.get(id)?.instance.service ?? "")?.giveBack();
+        } else if (reply.kind !== "begun" && reply.kind !== "holds") {
+            this.stagings.fail(id);
+        }
+    }
+
     /** Plans what is due. */
     public step(surroundings: PlannerSurroundings, now: number): readonly PlannerCommand[] {
         const forming = [...this.formations.values()].flatMap(each => each.awaitedMembers());
--- a/src/serving/load-allowances.ts
+++ b/src/serving/load-allowances.ts
@@ -26,6 +26,11 @@
         return now < this.options.freeUntil;
     }
 
+    /** Gives back a load that did not begin. */
+    public giveBack(): void {
+        this.tokens = Math.min(this.options.burst, this.tokens + 1);
+    }
+
     /** Takes `loads` loads, or none of them and returns false. */
     public tryTake(loads: number, now: number): boolean {
         if (this.isFree(now)) {
--- a/src/serving/planned-groups.ts
+++ b/src/serving/planned-groups.ts
@@ -44,6 +44,7 @@
         id: known.instance.id,
         lastModel: known.status?.model,
         staged: known.status?.staged ?? [],
+        isBusy: false,
     };
 }
 
--- a/src/serving/tests/engine-worlds.ts
+++ b/src/serving/tests/engine-worlds.ts
@@ -42,6 +42,8 @@
 /** All engines of one fabric domain. */
 export class EngineWorld {
     public readonly violations: string[] = [];
+    /** Orders to load weights onto hosts that were loading others. */
+    public refusedStagings = 0;
     public readonly engines = new Map<string, FakeEngine>();
 
     private constructor(
@@ -167,13 +169,22 @@
         }
     }
 
+    /** A host loads the weights of one model at a time. */
     private stage(engine: FakeEngine, model: string): OrderReply {
+        if (engine.stagingUntil !== Infinity) {
+            return engine.stagingModel === model ? { kind: "holds" } : this.refuseStaging();
+        }
         engine.stagingModel = model;
         engine.stagingUntil =
             this.now() + this.profile.models.find(each => each.name === model)!.loadMilliseconds;
         return { kind: "begun" };
     }
 
+    private refuseStaging(): OrderReply {
+        this.refusedStagings += 1;
+        return { kind: "refused", message: "409" };
+    }
+
     private join(engine: FakeEngine, order: Extract<GroupOrder, { readonly kind: "join" }>): OrderReply {
         if (order.epoch < engine.highestEpoch) {
             return { kind: "refused", message: "412" };
--- a/src/serving/tests/fake-engines.ts
+++ b/src/serving/tests/fake-engines.ts
@@ -67,6 +67,10 @@
         return this.world.violations;
     }
 
+    public get refusedStagings(): number {
+        return this.world.refusedStagings;
+    }
+
     public addEngine(id: string): void {
         this.world.add(id, `10.0.0.${this.world.engines.size}:80`);
     }
@@ -90,6 +94,11 @@
         this.world.restart(id);
     }
 
+    /** Has an instance load weights, as an order of another placer does. */
+    public stage(id: string, model: string): void {
+        this.world.carryOut(id, { kind: "stage", model });
+    }
+
     public hide(id: string, isHidden: boolean): void {
         this.engineOf(id).isHidden = isHidden;
     }
--- a/src/serving/tests/group-choices.test.ts
+++ b/src/serving/tests/group-choices.test.ts
@@ -6,7 +6,12 @@
 const { models } = profile;
 
 function candidates(...staged: readonly (readonly string[])[]): readonly Candidate[] {
-    return staged.map((each, index) => ({ id: `i-${index}`, lastModel: undefined, staged: each }));
+    return staged.map((each, index) => ({
+        id: `i-${index}`,
+        lastModel: undefined,
+        staged: each,
+        isBusy: false,
+    }));
 }
 
 const situation: DomainSituation = {
@@ -91,6 +96,12 @@
     t.deepEqual(stage(candidates(["small"])), { id: "i-0", model: models[0]! });
 });
 
+test("a host that is loading weights is not asked to load others", t => {
+    const [first, second] = candidates(["large"], ["large"]);
+    t.is(stage([{ ...first!, isBusy: true }, second!])?.id, "i-1");
+    t.is(stage(candidates([]).map(spare => ({ ...spare, isBusy: true }))), undefined);
+});
+
 test("an empty instance loads what a broken group lacks before any spare is staged", t => {
     const members = new Map([["small", 2]]);
     const survivors = candidates(["large"], ["large"], ["large"], []);
--- a/src/serving/tests/group-planners.test.ts
+++ b/src/serving/tests/group-planners.test.ts
@@ -161,6 +161,22 @@
     t.deepEqual(fleet.violations, []);
 });
 
+test("a host that loads weights is left alone, and others are staged meanwhile", t => {
+    const fleet = startFleet();
+    const spares = fleet.ids().filter(id => !fleet.servingGroups().some(group => group.members.includes(id)));
+    spares.forEach(id => fleet.crash(id));
+    fleet.play(6_000);
+    // The placer before this one had the first one load the weights that the second one should have.
+    fleet.addEngine("i-new-1");
+    fleet.stage("i-new-1", "small");
+    fleet.addEngine("i-new-2");
+    fleet.replacePlanner();
+    fleet.play(12_000);
+    t.true(fleet.refusedStagings <= 6, `${fleet.refusedStagings} orders were refused`);
+    fleet.play(10_000);
+    t.deepEqual(["i-new-1", "i-new-2"].flatMap(id => fleet.stagedOf(id)).sort(), ["large", "small"]);
+});
+
 test("a staging whose order is lost is ordered again", t => {
     const fleet = startFleet();
     const spares = fleet.ids().filter(id => !fleet.servingGroups().some(group => group.members.includes(id)));
