Hold the placement lease through short outages of the store, and take it back after a restart

Ruled out: placing without a lease, which the store could not fence. The lease lives 8 s and is renewed every 1.5 s; its deadline still counts from before the call. A process that starts again takes over what its earlier start held, since that one has ended. A holder that is lost for good now costs up to 8 s.

--- a/src/core/placement-leases.ts
+++ b/src/core/placement-leases.ts
@@ -9,7 +9,14 @@
 export type LeaseCommand =
     | { readonly kind: "readLease"; readonly call: number }
     | { readonly kind: "grantLease"; readonly call: number; readonly seconds: number }
-    | { readonly kind: "claimLease"; readonly call: number; readonly lease: string; readonly value: string }
+    | {
+          readonly kind: "claimLease";
+          readonly call: number;
+          readonly lease: string;
+          readonly value: string;
+          /** Revision of the key that is taken over; 0 if it must not be there. */
+          readonly expectedRevision: number;
+      }
     | { readonly kind: "renewLease"; readonly call: number; readonly lease: string }
     | { readonly kind: "revokeLease"; readonly lease: string };
 
@@ -27,6 +34,10 @@
     readonly holder: string;
     /** Place of this placer in the order in which placers should take this lease; 0 is the first. */
     readonly rank: () => number;
+    /** Seconds after which the first in rank looks again whether the key is free; by default the lease's life. */
+    readonly lookSeconds?: () => number;
+    /** Tells of a key's value whether the process that wrote it is known to have ended; by default of none. */
+    readonly hasEnded?: (holder: string) => boolean;
 }
 
 const retryMilliseconds = 500;
@@ -40,6 +51,8 @@
     private renewAt = 0;
     private isRenewing = false;
     private call = 0;
+    /** Revision of the key that is to be taken over, 0 if there was none. */
+    private foundRevision = 0;
 
     private constructor(private readonly options: PlacerLeaseOptions) {}
 
@@ -102,14 +115,15 @@
         if (!result.success) {
             return this.leave(now + this.lookMilliseconds());
         }
-        const holder = result.data.entries[0]?.value;
-        if (holder === undefined) {
-            return this.lease === undefined ? this.grant() : this.claim(this.lease);
-        }
-        if (holder === this.options.holder && this.lease !== undefined) {
+        const found = result.data.entries[0];
+        if (found?.value === this.options.holder && this.lease !== undefined) {
             return this.hold(now);
         }
-        return this.yieldTo(now);
+        if (found !== undefined && this.options.hasEnded?.(found.value) !== true) {
+            return this.yieldTo(now);
+        }
+        this.foundRevision = found?.modRevision ?? 0;
+        return this.lease === undefined ? this.grant() : this.claim(this.lease);
     }
 
     private grant(): readonly LeaseCommand[] {
@@ -129,7 +143,9 @@
     private claim(lease: Lease): readonly LeaseCommand[] {
         this.phase = "claiming";
         this.call += 1;
-        return [{ kind: "claimLease", call: this.call, lease: lease.id, value: this.options.holder }];
+        const { foundRevision: expectedRevision } = this;
+        const value = this.options.holder;
+        return [{ kind: "claimLease", call: this.call, lease: lease.id, value, expectedRevision }];
     }
 
     private handleClaimed(outcome: SwapOutcome, now: number): readonly LeaseCommand[] {
@@ -151,7 +167,7 @@
         this.isRenewing = false;
         if (result.success) {
             this.lease = result.data;
-            this.renewAt = now + this.leaseMilliseconds() / 3;
+            this.renewAt = now + this.renewMilliseconds();
         } else if (result.fault.code === "notFound") {
             this.leave(now);
         } else {
@@ -163,7 +179,7 @@
     private hold(now: number): readonly LeaseCommand[] {
         this.phase = "held";
         this.isRenewing = false;
-        this.renewAt = now + this.leaseMilliseconds() / 3;
+        this.renewAt = now + this.renewMilliseconds();
         return [];
     }
 
@@ -191,7 +207,17 @@
 
     /** The first in rank looks often; the others more rarely, so that the store's calls stay few. */
     private lookMilliseconds(): number {
-        return Math.min(longestLookLeases, this.options.rank() + 1) * this.leaseMilliseconds();
+        return Math.min(longestLookLeases, this.options.rank() + 1) * this.baseLookMilliseconds();
+    }
+
+    private baseLookMilliseconds(): number {
+        const { lookSeconds, leaseSeconds } = this.options;
+        return (lookSeconds ?? leaseSeconds)() * 1_000;
+    }
+
+    /** A lease that others look for more often than it lapses is renewed as often, so that most of its life is left. */
+    private renewMilliseconds(): number {
+        return Math.min(this.leaseMilliseconds() / 3, this.baseLookMilliseconds());
     }
 
     private leaseMilliseconds(): number {
--- /dev/null
+++ b/src/core/tests/placement-leases.test.ts
@@ -0,0 +1,136 @@
+import test from "ava";
+import type { LeaseCommand, LeaseEvent } from "../placement-leases.js";
+import { PlacerLease } from "../placement-leases.js";
+
+const leaseMilliseconds = 8_000;
+const lookMilliseconds = 1_500;
+
+/** A store with one key, whose calls take no time. */
+class LeaseStore {
+    public now = 0;
+    public isDown = false;
+    public calls = 0;
+    private revision = 1;
+    private lastLease = 0;
+    private readonly endsAt = new Map<string, number>();
+    private entry: { readonly value: string; readonly lease: string; readonly revision: number } | undefined;
+
+    public play(leases: readonly PlacerLease[], milliseconds: number): void {
+        const end = this.now + milliseconds;
+        while (this.now < end) {
+            this.now += 25;
+            if (this.entry !== undefined && this.now >= this.endsAt.get(this.entry.lease)!) {
+                this.entry = undefined;
+            }
+            leases.forEach(lease => this.run(lease, lease.tick(this.now)));
+        }
+    }
+
+    private run(lease: PlacerLease, commands: readonly LeaseCommand[]): void {
+        for (const command of commands) {
+            this.calls += 1;
+            const event = this.answer(command);
+            if (event !== undefined) {
+                this.run(lease, lease.handle(event, this.now));
+            }
+        }
+    }
+
+    private answer(command: LeaseCommand): LeaseEvent | undefined {
+        if (command.kind === "revokeLease") {
+            this.endsAt.set(command.lease, this.now);
+            return undefined;
+        }
+        const { call } = command;
+        const fault = { code: "storeUnavailable", message: "down", step: "store", notRun: true } as const;
+        switch (command.kind) {
+            case "readLease": {
+                const { entry } = this;
+                const entries =
+                    entry === undefined
+                        ? []
+                        : [{ key: "lease", value: entry.value, modRevision: entry.revision }];
+                const data = { entries, revision: this.revision };
+                const result = this.isDown
+                    ? ({ success: false, fault } as const)
+                    : ({ success: true, data } as const);
+                return { kind: "leaseRead", call, result };
+            }
+            case "grantLease": {
+                this.lastLease += 1;
+                const id = String(this.lastLease);
+                const deadline = this.now + leaseMilliseconds;
+                this.endsAt.set(id, deadline);
+                return { kind: "leaseGranted", call, result: { success: true, data: { id, deadline } } };
+            }
+            case "claimLease": {
+                if ((this.entry?.revision ?? 0) !== command.expectedRevision) {
+                    const outcome = { kind: "conflict", revision: 0, current: undefined } as const;
+                    return { kind: "leaseClaimed", call, outcome };
+                }
+                this.revision += 1;
+                this.entry = { value: command.value, lease: command.lease, revision: this.revision };
+                return { kind: "leaseClaimed", call, outcome: { kind: "swapped", revision: this.revision } };
+            }
+            case "renewLease": {
+                const deadline = this.now + leaseMilliseconds;
+                if (this.isDown) {
+                    return { kind: "leaseRenewed", call, result: { success: false, fault } };
+                }
+                this.endsAt.set(command.lease, deadline);
+                const result = { success: true, data: { id: command.lease, deadline } } as const;
+                return { kind: "leaseRenewed", call, result };
+            }
+        }
+    }
+}
+
+function createLease(holder: string, rank = 0): PlacerLease {
+    const [place] = holder.split(" ");
+    return PlacerLease.create({
+        holder,
+        leaseSeconds: () => leaseMilliseconds / 1_000,
+        lookSeconds: () => lookMilliseconds / 1_000,
+        rank: () => rank,
+        hasEnded: value => value.startsWith(`${place} `),
+    });
+}
+
+function isHeld(lease: PlacerLease, store: LeaseStore): boolean {
+    return lease.heldUntil(store.now) !== undefined;
+}
+
+test("a holder goes on through an outage of the store that is shorter than its lease", t => {
+    const store = new LeaseStore();
+    const first = createLease("10.0.0.1:1 first");
+    const second = createLease("10.0.0.2:1 second", 1);
+    store.play([first, second], 5_000);
+    t.true(isHeld(first, store));
+    store.isDown = true;
+    store.play([first, second], leaseMilliseconds - lookMilliseconds - 500);
+    t.true(isHeld(first, store));
+    store.play([first, second], 2 * lookMilliseconds);
+    t.false(isHeld(first, store));
+});
+
+test("a process that starts again takes back at once what its earlier start held", t => {
+    const store = new LeaseStore();
+    store.play([createLease("10.0.0.1:1 first")], 3_000);
+    const again = createLease("10.0.0.1:1 again");
+    const other = createLease("10.0.0.2:1 other", 1);
+    store.play([other, again], 200);
+    t.true(isHeld(again, store));
+    t.false(isHeld(other, store));
+});
+
+test("what another process holds is taken only when its lease has lapsed", t => {
+    const store = new LeaseStore();
+    const gone = createLease("10.0.0.1:1 gone");
+    store.play([gone], 3_000);
+    const other = createLease("10.0.0.2:1 other");
+    store.play([other], leaseMilliseconds - 2_000);
+    t.false(isHeld(other, store));
+    store.play([other], 2_000 + lookMilliseconds);
+    t.true(isHeld(other, store));
+    t.false(isHeld(gone, store));
+});
--- a/src/daemons/placer/commands.ts
+++ b/src/daemons/placer/commands.ts
@@ -63,8 +63,8 @@
             return { kind: "leaseGranted", call: command.call, result };
         }
         case "claimLease": {
-            const { value, lease } = command;
-            const outcome = await store.compareAndSwap({ key, expectedRevision: 0, value, lease }, options);
+            const { value, lease, expectedRevision } = command;
+            const outcome = await store.compareAndSwap({ key, expectedRevision, value, lease }, options);
             return { kind: "leaseClaimed", call: command.call, outcome };
         }
         case "renewLease": {
--- a/src/daemons/serving/held-keys.ts
+++ b/src/daemons/serving/held-keys.ts
@@ -10,6 +10,10 @@
     /** Names this process and its start; no other process writes the same value. */
     readonly value: string;
     readonly leaseMilliseconds: number;
+    /** Time after which the first in rank looks again whether the key is free, in milliseconds. */
+    readonly lookMilliseconds: number;
+    /** Tells of the key's value whether the process that wrote it is known to have ended. */
+    readonly hasEnded: (value: string) => boolean;
     /** Place in the order in which processes should take the key; 0 is the first. */
     readonly rank: () => number;
     readonly store: KeyValueStore;
@@ -25,6 +29,8 @@
             leaseSeconds: () => options.leaseMilliseconds / 1000,
             holder: options.value,
             rank: options.rank,
+            lookSeconds: () => options.lookMilliseconds / 1000,
+            hasEnded: options.hasEnded,
         });
     }
 
--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -39,6 +39,13 @@
 const tickMilliseconds = 25;
 /** Life of the lease under which a process registers itself, in milliseconds; its address outlives a restart. */
 const registrationMilliseconds = 6_000;
+/**
+ * Life of the placement lease, in milliseconds: its holder goes on through outages of the store of some seconds. Where a
+ * holder is lost for good, placement rests for as long; one that starts again takes its lease back at once.
+ */
+const placementLeaseMilliseconds = 8_000;
+/** Time between two looks at a lease that another process holds, in milliseconds; a holder that stops gives it up. */
+const leaseLookMilliseconds = 1_500;
 /** Time after SIGTERM in which the balancer still sends callers, in milliseconds: two of its looks and one more. */
 const balancerMilliseconds = 3_000;
 /** Time before SIGKILL at which a stopping process ends by itself, in milliseconds. */
@@ -166,6 +173,8 @@
             ),
             rank: () => 0,
             leaseMilliseconds: registrationMilliseconds,
+            lookMilliseconds: registrationMilliseconds / 3,
+            hasEnded: value => isOfSamePlace(value, settings.peerAddress),
             store,
             clock,
         });
@@ -173,9 +182,11 @@
             const isOwn = failureDomain === settings.failureDomain;
             const key = HeldKey.create({
                 key: `${placementPrefix}${failureDomain}`,
-                value: `${settings.name} ${incarnation}`,
+                value: `${settings.peerAddress} ${settings.name} ${incarnation}`,
                 rank: () => (isOwn ? this.peers.placerRank : foreignRank),
-                leaseMilliseconds: settings.leaseMilliseconds,
+                leaseMilliseconds: Math.max(settings.shortestLeaseMilliseconds, placementLeaseMilliseconds),
+                lookMilliseconds: leaseLookMilliseconds,
+                hasEnded: value => isOfSamePlace(value, settings.peerAddress),
                 store,
                 clock,
             });
@@ -374,3 +385,8 @@
         this.options.onStopped();
     }
 }
+
+/** True if a key was written from this process's address: by an earlier start, which has ended, since it held the ports. */
+function isOfSamePlace(value: string, address: string): boolean {
+    return value.startsWith(`${address} `);
+}
--- a/src/serving/settings.ts
+++ b/src/serving/settings.ts
@@ -15,8 +15,8 @@
     readonly peerAddress: string;
     readonly metricsAddress: string;
     readonly storeAddress: string;
-    /** Life of this process's leases; a taken-over duty rests for this long at most. */
-    readonly leaseMilliseconds: number;
+    /** Shortest life of a lease that the store grants. */
+    readonly shortestLeaseMilliseconds: number;
     /** Time between two heartbeats of a registered instance. */
     readonly heartbeatMilliseconds: number;
     /** Time from SIGTERM to SIGKILL. */
