Tell each other of groups that were opened, before their members' registrations show it

Cause: entry instances learnt of new groups only from registrations, which they read every 0.8 s (1.45 s at 58 entry instances) and not at all while the store is away; the lease that lasts through an outage repaired groups that nobody used. The placing process now tells of the groups that it opened, in the datagrams that are sent anyway, until they are whole no more or 12 s old; what members registered later goes before it. The leader itself accepts or refuses, so a stale word costs one refused send.

--- a/src/daemons/serving/entry-peers.ts
+++ b/src/daemons/serving/entry-peers.ts
@@ -4,6 +4,7 @@
 import { EntryShares } from "../../serving/entry-shares.js";
 import type { FleetPace } from "../../serving/fleet-paces.js";
 import { paceOf } from "../../serving/fleet-paces.js";
+import type { GroupAnnouncement } from "../../serving/group-announcements.js";
 import type { GroupFlights } from "../../serving/group-flights.js";
 import type { Suspicion } from "../../serving/group-suspicions.js";
 import type { PeerMessage } from "../../serving/peer-links.js";
@@ -29,6 +30,9 @@
     /** This process's present suspicions. */
     readonly suspicions: () => readonly Suspicion[];
     readonly onSuspicions: (suspicions: readonly Suspicion[]) => void;
+    /** Groups that this process opened lately. */
+    readonly openedGroups: () => readonly GroupAnnouncement[];
+    readonly onOpenedGroups: (from: string, groups: readonly GroupAnnouncement[]) => void;
     readonly log: PartLog;
 }
 
@@ -42,7 +46,7 @@
     private registered: readonly Peer[] = [];
     private nextTellAt = 0;
     private sentDatagrams = 0;
-    /** True if a suspicion has not been told yet. */
+    /** True if a suspicion or an opened group has not been told yet. */
     private hasNews = false;
 
     private constructor(private readonly options: EntryPeersOptions) {
@@ -102,7 +106,7 @@
         peers.forEach(peer => this.mannedAt.set(peer.failureDomain, now));
     }
 
-    /** Has the others told at the next tick, wherever they are. */
+    /** Has the others told of news at the next tick, wherever they are. */
     public hasten(): void {
         this.nextTellAt = 0;
         this.hasNews = true;
@@ -119,17 +123,19 @@
         const alsoFar = this.hasNews || this.sentDatagrams % farEvery === 0;
         this.sentDatagrams += 1;
         this.hasNews = false;
-        const { flights, suspicions } = this.options;
-        this.link.send({ loads: flights.ownLoads(), suspicions: suspicions() }, alsoFar);
+        const { flights, suspicions, openedGroups } = this.options;
+        const groups = openedGroups();
+        this.link.send({ loads: flights.ownLoads(), suspicions: suspicions(), groups }, alsoFar);
     }
 
     public close(): void {
         this.link.close();
     }
 
-    private handle({ from, loads, suspicions }: PeerMessage): void {
+    private handle({ from, loads, suspicions, groups }: PeerMessage): void {
         this.options.flights.applyPeer(from, loads, this.now() + 2 * this.pace.heardMilliseconds);
         this.options.onSuspicions(suspicions);
+        this.options.onOpenedGroups(from, groups);
     }
 
     private isNear(peer: Peer): boolean {
--- a/src/daemons/serving/group-placers.ts
+++ b/src/daemons/serving/group-placers.ts
@@ -3,6 +3,8 @@
 import type { PartLog } from "../../links/logs.js";
 import type { FleetInstance } from "../../serving/fleets.js";
 import type { FleetView } from "../../serving/fleet-views.js";
+import type { GroupAnnouncement } from "../../serving/group-announcements.js";
+import { OpenedGroups } from "../../serving/group-announcements.js";
 import type { GroupFlights } from "../../serving/group-flights.js";
 import type { GroupEngines } from "../../serving/group-orders.js";
 import type { PlannerCommand } from "../../serving/group-planners.js";
@@ -37,6 +39,7 @@
     private plannedTerm: number | undefined;
 
     private readonly demands: ModelDemands;
+    private readonly opened = OpenedGroups.create();
 
     private constructor(private readonly options: GroupPlacerOptions) {
         this.demands = ModelDemands.create(options.flights);
@@ -50,6 +53,11 @@
         return this.plannedTerm !== undefined;
     }
 
+    /** Groups that this process opened lately and that are whole as far as it knows, also after its term. */
+    public get openedGroups(): readonly GroupAnnouncement[] {
+        return this.opened.current(this.options.clock.monotonicMilliseconds());
+    }
+
     /** Someone has cause to think that these instances are dead. */
     public suspect(instances: readonly string[]): void {
         instances.forEach(instance => this.planner?.suspect(instance));
@@ -122,6 +130,12 @@
             case "note":
                 log.info(command.sentence, { term: this.plannedTerm, ...command.fields });
                 return;
+            case "opened":
+                this.opened.add(command.group, this.options.clock.monotonicMilliseconds());
+                return;
+            case "ended":
+                this.opened.remove(command.key);
+                return;
             case "report":
                 void this.report(planner, command.instance);
                 return;
--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -17,6 +17,8 @@
 import { FleetView } from "../../serving/fleet-views.js";
 import { emptyFleet } from "../../serving/fleets.js";
 import { decideAdmission } from "../../serving/group-admissions.js";
+import type { GroupAnnouncement } from "../../serving/group-announcements.js";
+import { GroupAnnouncements } from "../../serving/group-announcements.js";
 import { GroupFlights } from "../../serving/group-flights.js";
 import type { GroupEngines } from "../../serving/group-orders.js";
 import type { Suspicion } from "../../serving/group-suspicions.js";
@@ -90,6 +92,7 @@
     private readonly upstreams: Upstreams;
     private readonly metrics: ServingMetrics = createServingMetrics();
     private readonly flights = GroupFlights.create();
+    private readonly announcements = GroupAnnouncements.create();
     private readonly records = ReplicaRecords.create();
     private readonly retries: RetryBudgets;
     private readonly exchanges = new Set<Exchange>();
@@ -120,6 +123,8 @@
             flights: this.flights,
             suspicions: () => this.suspicions.current,
             onSuspicions: suspicions => this.handlePeerSuspicions(suspicions),
+            openedGroups: () => this.openedGroups(),
+            onOpenedGroups: (from, groups) => this.handleOpenedGroups(from, groups),
             log: logs("peer"),
         });
         this.retries = RetryBudgets.create(
@@ -288,7 +293,7 @@
 
     private rebuildView(): void {
         const { current } = this.followers.fleetFollower;
-        this.view = FleetView.create(current, this.followers.table);
+        this.view = FleetView.create(current, this.followers.table, this.announcements.all);
         const ids = new Set(current.instances.keys());
         this.upstreams.keepOnly(ids);
         this.records.keepOnly(ids);
@@ -330,6 +335,29 @@
         }
     }
 
+    private openedGroups(): readonly GroupAnnouncement[] {
+        return this.placers.flatMap(placer => placer.openedGroups);
+    }
+
+    /** Takes what a process, this one or another, has opened lately; true if that is news. */
+    private handleOpenedGroups(from: string, groups: readonly GroupAnnouncement[]): boolean {
+        const isNews = this.announcements.hear(from, groups, this.now());
+        if (isNews) {
+            this.log.info("opened groups told", { from, groups, fleetRevision: this.view.fleet.revision });
+            this.rebuildView();
+        }
+        return isNews;
+    }
+
+    private tickAnnouncements(now: number): void {
+        if (this.handleOpenedGroups(this.options.settings.name, this.openedGroups())) {
+            this.peers.hasten();
+        }
+        if (this.announcements.expire(now)) {
+            this.rebuildView();
+        }
+    }
+
     private tick(): void {
         const now = this.now();
         this.checkPause(now);
@@ -341,6 +369,7 @@
             this.tickStopping(now, this.stoppingSince);
         }
         this.suspicions.tick();
+        this.tickAnnouncements(now);
         this.peers.tick();
     }
 
--- a/src/serving/fleet-views.ts
+++ b/src/serving/fleet-views.ts
@@ -1,5 +1,7 @@
 /** The fleet arranged for dispatch: instances by service, and whole groups by service and model. */
 import { countBy, groupBy } from "./collections.js";
+import type { GroupAnnouncement } from "./group-announcements.js";
+import { applyAnnouncements } from "./group-announcements.js";
 import type { RouteTable } from "./configurations.js";
 import type { EngineModel, EngineProfile } from "./engine-models.js";
 import type { Fleet, FleetInstance, ObservedGroup } from "./fleets.js";
@@ -21,11 +23,18 @@
         private readonly instancesByService: ReadonlyMap<string, readonly FleetInstance[]>,
     ) {}
 
-    public static create(fleet: Fleet, table: RouteTable | undefined): FleetView {
+    /** `announced` are groups that the registrations may not show yet. */
+    public static create(
+        fleet: Fleet,
+        table: RouteTable | undefined,
+        announced: readonly GroupAnnouncement[] = [],
+    ): FleetView {
         const instances = [...fleet.instances.values()];
         // A member that only cannot register does its work all the same; a leader must be registered to get requests.
-        const lapsedMembers = fleet.lapsed.filter(instance => instance.status.membership?.rank !== 0);
-        const groups = observeGroups([...instances, ...lapsedMembers]).flatMap(group => {
+        const members = applyAnnouncements(fleet, announced).filter(
+            ({ id, status }) => fleet.instances.has(id) || status.membership?.rank !== 0,
+        );
+        const groups = observeGroups(members).flatMap(group => {
             const profile = table?.findService(group.service)?.engine;
             const model = profile && servableModel(group, profile);
             return profile && model ? [{ group, model, profile }] : [];
--- /dev/null
+++ b/src/serving/group-announcements.ts
@@ -0,0 +1,129 @@
+/**
+ * Groups that placers opened lately, as entry instances tell each other before the members' registrations show them.
+ * Answers the load of groups that are formed anew while registrations are read in intervals, or while the store is away.
+ */
+import type { Fleet, FleetInstance } from "./fleets.js";
+import { groupKey } from "./fleets.js";
+
+/** Time after the last word of an entry instance for which its announcements count, in milliseconds: a short cut. */
+const heardMilliseconds = 5_000;
+
+/** Time after its opening for which a group is announced, in milliseconds: longer than a short outage of the store. */
+const openedMilliseconds = 12_000;
+
+/** A group whose members have all been ready, and whose leader is open. */
+export interface GroupAnnouncement {
+    readonly group: string;
+    readonly epoch: number;
+    readonly model: string;
+    /** Ids of the members by rank; the first one leads. */
+    readonly members: readonly string[];
+}
+
+interface Heard {
+    readonly groups: readonly GroupAnnouncement[];
+    /** Local monotonic milliseconds. */
+    readonly until: number;
+}
+
+/** What is announced at present, by the entry instance that announces it. */
+export class GroupAnnouncements {
+    private readonly byAnnouncer = new Map<string, Heard>();
+
+    private constructor() {}
+
+    public static create(): GroupAnnouncements {
+        return new GroupAnnouncements();
+    }
+
+    public get all(): readonly GroupAnnouncement[] {
+        return [...this.byAnnouncer.values()].flatMap(heard => heard.groups);
+    }
+
+    /** Takes all that an entry instance announces now; true if that is other than before. */
+    public hear(announcer: string, groups: readonly GroupAnnouncement[], now: number): boolean {
+        const before = this.byAnnouncer.get(announcer)?.groups ?? [];
+        if (groups.length === 0) {
+            this.byAnnouncer.delete(announcer);
+        } else {
+            this.byAnnouncer.set(announcer, { groups, until: now + heardMilliseconds });
+        }
+        return keysOf(before) !== keysOf(groups);
+    }
+
+    /** Drops what silent entry instances announced; true if there was something. */
+    public expire(now: number): boolean {
+        const expired = [...this.byAnnouncer].filter(([, { until }]) => now >= until);
+        expired.forEach(([announcer]) => this.byAnnouncer.delete(announcer));
+        return expired.length > 0;
+    }
+}
+
+/** Groups that a placer has opened lately. */
+export class OpenedGroups {
+    private readonly byKey = new Map<string, { readonly group: GroupAnnouncement; readonly until: number }>();
+
+    private constructor() {}
+
+    public static create(): OpenedGroups {
+        return new OpenedGroups();
+    }
+
+    public add(group: GroupAnnouncement, now: number): void {
+        this.byKey.set(`${group.group}@${group.epoch}`, { group, until: now + openedMilliseconds });
+    }
+
+    /** The group is whole no more. */
+    public remove(key: string): void {
+        this.byKey.delete(key);
+    }
+
+    public current(now: number): readonly GroupAnnouncement[] {
+        for (const [key, { until }] of this.byKey) {
+            if (now >= until) {
+                this.byKey.delete(key);
+            }
+        }
+        return [...this.byKey.values()].map(({ group }) => group);
+    }
+}
+
+function keysOf(groups: readonly GroupAnnouncement[]): string {
+    return groups.map(({ group, epoch }) => `${group}@${epoch}`).join();
+}
+
+/** Returns the instances as their registrations and the announcements together describe them. */
+export function applyAnnouncements(
+    { instances, lapsed }: Fleet,
+    announcements: readonly GroupAnnouncement[],
+): readonly FleetInstance[] {
+    const byId = new Map([...lapsed, ...instances.values()].map(instance => [instance.id, instance]));
+    for (const announcement of announcements) {
+        const members = announcement.members.map(id => byId.get(id));
+        if (members.every(member => member !== undefined && isNewer(announcement, member))) {
+            members.forEach((member, rank) => byId.set(member!.id, asMember(member!, announcement, rank)));
+        }
+    }
+    return [...byId.values()];
+}
+
+/** False if the instance's registration tells of a later group. */
+function isNewer({ epoch }: GroupAnnouncement, { status }: FleetInstance): boolean {
+    return status.membership === undefined || status.membership.epoch <= epoch;
+}
+
+function asMember(
+    instance: FleetInstance,
+    { group, epoch, model }: GroupAnnouncement,
+    rank: number,
+): FleetInstance {
+    const { membership } = instance.status;
+    const isRegistered = membership !== undefined && groupKey(membership) === `${group}@${epoch}`;
+    // What a member has registered since it was ready, for example that it is closing, is newer than the announcement.
+    if (isRegistered && membership.state !== "joining" && (rank > 0 || membership.state !== "ready")) {
+        return instance;
+    }
+    const state = rank === 0 ? "open" : "ready";
+    const announced = { group, epoch, rank, state } as const;
+    return { ...instance, status: { ...instance.status, membership: announced, model } };
+}
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -4,6 +4,7 @@
  * the engines say of themselves is the placement, and every new term reads it back.
  */
 import { countBy, groupBy } from "./collections.js";
+import type { GroupAnnouncement } from "./group-announcements.js";
 import type { GroupChoice } from "./group-choices.js";
 import { chooseGroup, chooseStaging } from "./group-choices.js";
 import type { EngineProfile } from "./engine-models.js";
@@ -41,6 +42,9 @@
 export type PlannerCommand =
     | { readonly kind: "report"; readonly instance: FleetInstance }
     | { readonly kind: "order"; readonly instance: FleetInstance; readonly order: GroupOrder }
+    | { readonly kind: "opened"; readonly group: GroupAnnouncement }
+    /** The group with this key is whole no more, or takes no new work. */
+    | { readonly kind: "ended"; readonly key: string }
     | {
           readonly kind: "note";
           readonly sentence: string;
@@ -175,12 +179,20 @@
                     tookMilliseconds: now - formation.options.startedAt,
                 });
                 this.formations.delete(key);
+                if (formation.isOpen && !isIncomplete) {
+                    this.announce(formation);
+                }
                 continue;
             }
             formation.dueOrders(now).forEach(({ instance, order }) => this.order(instance, order, now));
         }
     }
 
+    private announce({ options }: GroupFormation): void {
+        const { group, epoch, model, members } = options;
+        this.commands.push({ kind: "opened", group: { group, epoch, model: model.name, members } });
+    }
+
     private order(id: string, order: GroupOrder, now: number): void {
         const known = this.book.get(id);
         if (known === undefined || now < (this.nextOrderAt.get(id) ?? 0)) {
@@ -280,6 +292,7 @@
             }
             return;
         }
+        this.commands.push({ kind: "ended", key: group.key });
         const isOnlyLeaving =
             group.members.length === group.model?.size &&
             group.members.every(member => !this.book.isDead(member, now));
--- a/src/serving/peer-links.ts
+++ b/src/serving/peer-links.ts
@@ -1,5 +1,6 @@
 /**
- * Datagrams between entry instances: what each has in flight at the replica groups, and which groups it suspects. Lost
+ * Datagrams between entry instances: what each has in flight at the replica groups, which groups it suspects, and
+ * which it opened lately. Lost
  * or late ones do no harm, since every datagram holds the whole present state. Peers find each other in the store.
  */
 import { createSocket } from "node:dgram";
@@ -8,6 +9,7 @@
 import { parseJson } from "../links/json.js";
 import type { PartLog } from "../links/logs.js";
 import type { EngineLoad } from "./engine-models.js";
+import type { GroupAnnouncement } from "./group-announcements.js";
 import type { GroupLoad } from "./group-flights.js";
 import type { Suspicion } from "./group-suspicions.js";
 
@@ -22,6 +24,8 @@
     /** Group, load without what is deferred, whole load. */
     loads: z.array(z.tuple([z.string(), loadSchema, loadSchema])),
     suspicions: z.array(z.tuple([z.string(), z.array(z.string())])),
+    /** Name, epoch, model and members of groups opened lately. */
+    groups: z.array(z.tuple([z.string(), z.number(), z.string(), z.array(z.string())])).default([]),
 });
 
 /** What one entry instance tells the others. */
@@ -30,6 +34,7 @@
     readonly incarnation: string;
     readonly loads: readonly GroupLoad[];
     readonly suspicions: readonly Suspicion[];
+    readonly groups: readonly GroupAnnouncement[];
 }
 
 export interface PeerLinkOptions {
@@ -65,7 +70,7 @@
         this.far = far;
     }
 
-    public send(state: Pick<PeerMessage, "loads" | "suspicions">, alsoFar: boolean): void {
+    public send(state: Omit<PeerMessage, "from" | "incarnation">, alsoFar: boolean): void {
         this.sequence += 1;
         const text = JSON.stringify({
             from: this.options.name,
@@ -73,6 +78,7 @@
             sequence: this.sequence,
             loads: state.loads.map(({ group, urgent, all }) => [group, encodeLoad(urgent), encodeLoad(all)]),
             suspicions: state.suspicions.map(suspicion => [suspicion.group, suspicion.instances]),
+            groups: state.groups.map(({ group, epoch, model, members }) => [group, epoch, model, members]),
         });
         for (const peer of alsoFar ? [...this.near, ...this.far] : this.near) {
             const [host, port] = peer.split(":");
@@ -94,7 +100,7 @@
             this.options.log.warn("unreadable datagram", { reason: parsed.error.issues[0]?.message });
             return;
         }
-        const { from, incarnation, sequence, loads, suspicions } = parsed.data;
+        const { from, incarnation, sequence, loads, suspicions, groups } = parsed.data;
         const sender = `${from} ${incarnation}`;
         if (sequence <= (this.lastSequences.get(sender) ?? 0)) {
             return;
@@ -109,6 +115,7 @@
                 all: decodeLoad(all),
             })),
             suspicions: suspicions.map(([group, instances]) => ({ group, instances })),
+            groups: groups.map(([group, epoch, model, members]) => ({ group, epoch, model, members })),
         });
     }
 }
--- a/src/serving/tests/fake-engines.ts
+++ b/src/serving/tests/fake-engines.ts
@@ -1,6 +1,7 @@
 /** A fabric domain of engines and the planner that places it, in virtual time. */
 import type { EngineProfile } from "../engine-models.js";
 import type { FleetInstance } from "../fleets.js";
+import type { GroupAnnouncement } from "../group-announcements.js";
 import type { GroupOrder } from "../group-orders.js";
 import type { ModelSupply } from "../model-demands.js";
 import { GroupPlanner } from "../group-planners.js";
@@ -44,6 +45,9 @@
     private registered: readonly FleetInstance[] = [];
     private planner: GroupPlanner;
     private term = 1;
+    /** Groups that the planner has opened, and keys of those that it has found to be whole no more. */
+    public readonly opened: GroupAnnouncement[] = [];
+    public readonly ended: string[] = [];
     /** Part of the orders that stay unanswered and are carried out late. */
     public lateOrders = 0;
     /** True while orders to stage weights reach nobody. */
@@ -169,6 +173,10 @@
                     this.answerReport(command.instance.id, this.planner);
                 } else if (command.kind === "order") {
                     this.takeOrder(command.instance.id, command.order, this.planner);
+                } else if (command.kind === "opened") {
+                    this.opened.push(command.group);
+                } else if (command.kind === "ended") {
+                    this.ended.push(command.key);
                 }
             }
         }
--- a/src/serving/tests/fake-fleets.ts
+++ b/src/serving/tests/fake-fleets.ts
@@ -2,6 +2,7 @@
 import { RouteTable } from "../configurations.js";
 import { FleetView } from "../fleet-views.js";
 import type { FleetInstance } from "../fleets.js";
+import type { GroupAnnouncement } from "../group-announcements.js";
 import { profile } from "./fake-engines.js";
 
 /** Member `rank` of the group `group` at epoch 1; the group serves the model "small". */
@@ -25,7 +26,10 @@
 }
 
 /** The view of a fleet whose service "llm" has the engines of `fake-engines.ts`. */
-export function viewOf(members: readonly FleetInstance[]): FleetView {
+export function viewOf(
+    members: readonly FleetInstance[],
+    announced: readonly GroupAnnouncement[] = [],
+): FleetView {
     const table = RouteTable.create({
         version: 1,
         routes: [],
@@ -34,5 +38,5 @@
         workspaces: undefined,
     });
     const instances = new Map(members.map(member => [member.id, member]));
-    return FleetView.create({ revision: 1, instances, lapsed: [] }, table);
+    return FleetView.create({ revision: 1, instances, lapsed: [] }, table, announced);
 }
