Follow the store by one watch of all keys

One watch of all keys brings the three; its pause for gathering changes stays within four tenths of the configuration's bound and half of the leaving bound. Ruled out: gathering longer, which the bounds on leaving and configuration do not allow.

--- a/src/daemons/serving/followers.ts
+++ b/src/daemons/serving/followers.ts
@@ -1,12 +1,15 @@
-/** Follows configuration, registrations and the other entry instances in the platform's store. */
+/**
+ * Follows configuration, registrations and the other entry instances in the platform's store, by one watch of all keys:
+ * each call of a watch counts against what the store allows, whatever it brings.
+ */
 import type { Clock } from "../../contracts/clocks.js";
-import type { KeyValueStore } from "../../contracts/key-value-stores.js";
+import type { KeyValueEntry, KeyValueStore, WatchEvent } from "../../contracts/key-value-stores.js";
 import type { FollowingTimes } from "../../core/configuration-followings.js";
 import type { Fault, Result } from "../../core/errors.js";
 import type { PartLog } from "../../links/logs.js";
 import type { ServingConfiguration } from "../../serving/configurations.js";
 import { RouteTable } from "../../serving/configurations.js";
-import type { ParseRegistration } from "../../serving/fleet-followers.js";
+import type { FleetChange, ParseRegistration } from "../../serving/fleet-followers.js";
 import { FleetFollower } from "../../serving/fleet-followers.js";
 import type { ServingMetrics } from "../../serving/serving-metrics.js";
 import { PrefixFollowing } from "../mesh-store-followings.js";
@@ -19,6 +22,9 @@
     longestBackoffMilliseconds: 1_000,
 };
 
+/** Prefix of all keys. */
+const allKeys = "";
+
 /** Another entry instance, as it registers itself. */
 export interface Peer {
     readonly name: string;
@@ -46,8 +52,10 @@
     readonly instancePrefix: string;
     readonly parseRegistration: ParseRegistration;
     readonly peerPrefix: string;
-    /** Time between two reads of the entry instances' addresses. */
+    /** Time between two looks at the registered entry instances. */
     readonly peerReadMilliseconds: () => number;
+    /** False while each such look needs a read of its own, since the watch may be behind. */
+    readonly arePeersSettled: () => boolean;
     readonly onConfiguration: (table: RouteTable) => void;
     readonly onFleet: () => void;
     readonly onPeers: (peers: readonly Peer[]) => void;
@@ -58,14 +66,15 @@
 export class Followers {
     private routes: RouteTable | undefined;
     private readonly fleet: FleetFollower;
-    private readonly followings: readonly PrefixFollowing[];
+    private readonly following: PrefixFollowing;
+    private readonly peers = new Map<string, Peer>();
     private readonly faultsByPrefix = new Map<string, boolean>();
     private readonly unreadable = new Set<string>();
     private peersReadAt = -Infinity;
 
     private constructor(private readonly options: FollowerOptions) {
         this.fleet = FleetFollower.create(options.parseRegistration);
-        this.followings = [this.followConfiguration(), this.followFleet()];
+        this.following = this.follow();
     }
 
     public static create(options: FollowerOptions): Followers {
@@ -81,71 +90,72 @@
     }
 
     public tick(): void {
-        this.followings.forEach(following => following.tick(true, undefined));
-        const now = this.options.clock.monotonicMilliseconds();
-        if (now >= this.peersReadAt + this.options.peerReadMilliseconds()) {
-            this.peersReadAt = now;
+        this.following.tick(true, undefined);
+        const now = this.now();
+        if (now < this.peersReadAt + this.options.peerReadMilliseconds()) {
+            return;
+        }
+        this.peersReadAt = now;
+        if (this.options.arePeersSettled()) {
+            this.options.onPeers([...this.peers.values()]);
+        } else {
             void this.readPeers();
         }
     }
 
     public close(): void {
-        this.followings.forEach(following => following.close());
-    }
-
-    private followConfiguration(): PrefixFollowing {
-        const prefix = this.options.configurationKey;
-        return this.follow(prefix, {
-            onRead: answer => {
-                this.applyConfiguration(answer.entries.find(entry => entry.key === prefix)?.value);
-            },
-            onWatch: event => {
-                if (event.kind === "changes") {
-                    this.applyConfiguration(event.puts.findLast(entry => entry.key === prefix)?.value);
-                }
-            },
-        });
+        this.following.close();
     }
 
-    private followFleet(): PrefixFollowing {
-        const apply = (unreadable: readonly string[]): void => {
-            this.noteUnreadable(unreadable);
-            this.options.onFleet();
-        };
-        return this.follow(this.options.instancePrefix, {
-            onRead: answer => apply(this.fleet.applyRead(answer, this.now()).unreadable),
-            onWatch: event => apply(this.fleet.applyWatch(event, this.now()).unreadable),
-            onFault: () => this.fleet.recordFault(this.now()),
-        });
-    }
-
-    private follow(
-        prefix: string,
-        handlers: Pick<Parameters<typeof PrefixFollowing.create>[0], "onRead" | "onWatch"> & {
-            readonly onFault?: () => void;
-        },
-    ): PrefixFollowing {
-        const { store, clock, random } = this.options;
+    private follow(): PrefixFollowing {
+        const { store, clock, random, configurationKey, instancePrefix, peerPrefix } = this.options;
         return PrefixFollowing.create({
-            prefix,
+            prefix: allKeys,
             priority: "configuration",
             store,
             clock,
             random,
             watching: true,
             times: followingTimes,
-            onRead: (answer, startedAt) => {
-                this.noteStore(prefix, undefined);
-                handlers.onRead(answer, startedAt);
+            onRead: answer => {
+                this.noteStore(allKeys, undefined);
+                this.applyConfiguration(findValue(answer.entries, configurationKey));
+                const instances = selectEntries(answer.entries, instancePrefix);
+                this.applyFleet(this.fleet.applyRead({ ...answer, entries: instances }, this.now()));
+                this.peers.clear();
+                this.putPeers(selectEntries(answer.entries, peerPrefix));
             },
-            onWatch: event => handlers.onWatch(event),
+            onWatch: event => this.applyWatch(event),
             onFault: fault => {
-                this.noteStore(prefix, fault);
-                handlers.onFault?.();
+                this.noteStore(allKeys, fault);
+                this.fleet.recordFault(this.now());
             },
         });
     }
 
+    private applyWatch(event: WatchEvent): void {
+        const { configurationKey, instancePrefix, peerPrefix } = this.options;
+        if (event.kind === "changes") {
+            this.applyConfiguration(findValue(event.puts, configurationKey));
+            event.deletes.forEach(key => this.peers.delete(key));
+            this.putPeers(selectEntries(event.puts, peerPrefix));
+        }
+        this.applyFleet(this.fleet.applyWatch(selectChanges(event, instancePrefix), this.now()));
+    }
+
+    private applyFleet({ unreadable }: FleetChange): void {
+        this.noteUnreadable(unreadable);
+        this.options.onFleet();
+    }
+
+    /** Takes registered entry instances by their keys. */
+    private putPeers(entries: readonly KeyValueEntry[]): void {
+        const { peerPrefix } = this.options;
+        for (const { key, value } of entries) {
+            this.peers.set(key, parsePeer(key.slice(peerPrefix.length), value));
+        }
+    }
+
     /** Versions only rise; an unreadable one leaves the one before in force. */
     private applyConfiguration(text: string | undefined): void {
         if (text === undefined) {
@@ -204,3 +214,20 @@
         return this.options.clock.monotonicMilliseconds();
     }
 }
+
+/** Value of the newest entry with a key. */
+function findValue(entries: readonly KeyValueEntry[], key: string): string | undefined {
+    return entries.findLast(entry => entry.key === key)?.value;
+}
+
+function selectEntries(entries: readonly KeyValueEntry[], prefix: string): readonly KeyValueEntry[] {
+    return entries.filter(entry => entry.key.startsWith(prefix));
+}
+
+function selectChanges(event: WatchEvent, prefix: string): WatchEvent {
+    if (event.kind !== "changes") {
+        return event;
+    }
+    const puts = selectEntries(event.puts, prefix);
+    return { ...event, puts, deletes: event.deletes.filter(key => key.startsWith(prefix)) };
+}
--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -278,6 +278,7 @@
             parseRegistration: platform.parseRegistration,
             peerPrefix,
             peerReadMilliseconds: () => this.peers.readMilliseconds,
+            arePeersSettled: () => this.peers.shares.isSettled,
             onConfiguration: table => this.handleConfiguration(table),
             onFleet: () => this.rebuildView(),
             onPeers: peers => this.handlePeers(peers),
--- a/src/serving/fleet-paces.ts
+++ b/src/serving/fleet-paces.ts
@@ -3,12 +3,14 @@
  * deployment: the whole of the calls and datagrams grows more slowly than the number of pairs of instances.
  */
 
-/** Pause in which registrations gather between two watch calls, at few entry instances, in milliseconds. */
+/** Pause in which changes gather between two watch calls, at few entry instances, in milliseconds. */
 const shortestGatherMilliseconds = 800;
 /** What each entry instance adds to that pause, in milliseconds: 40 calls a second over all of them. */
 const gatherMillisecondsPerEntry = 25;
 /** Longest such pause as a part of the time in which a leaving instance must get no more requests. */
 const gatherPartOfLeaving = 0.5;
+/** The same of the time in which a configuration must be in force: a large one takes time to be read as well. */
+const gatherPartOfConfiguration = 0.4;
 /** Longest wait of a watch call as a part of the tolerance: a dead one is noticed, and the state read anew, within it. */
 const watchPartOfTolerance = 0.6;
 /** Time between two datagrams to the entry instances of the own failure domain, at few of them, in milliseconds. */
@@ -36,6 +38,8 @@
 
 /** Bounds of the deployment that the pace must keep, in milliseconds. */
 export interface PaceBounds {
+    /** Time from the store's answer to the operators until a configuration must be in force. */
+    readonly configurationMilliseconds: number;
     /** Time from an instance's notice that it leaves until it must get no more requests. */
     readonly leavingMilliseconds: number;
     /** Time after a disruption of its connections in which an entry instance may still act on old state. */
@@ -62,10 +66,14 @@
 /** Returns the pace of each of `entries` entry instances. */
 export function paceOf(entries: number, bounds: PaceBounds): FleetPace {
     const peerMilliseconds = Math.max(shortestPeerMilliseconds, entries * peerMillisecondsPerEntry);
-    const gatherMilliseconds = Math.max(shortestGatherMilliseconds, entries * gatherMillisecondsPerEntry);
+    const gatherMilliseconds = Math.min(
+        Math.max(shortestGatherMilliseconds, entries * gatherMillisecondsPerEntry),
+        gatherPartOfLeaving * bounds.leavingMilliseconds,
+        gatherPartOfConfiguration * bounds.configurationMilliseconds,
+    );
     const farEvery = entries <= freshEntries ? 1 : nearPerFar;
     return {
-        gatherMilliseconds: Math.min(gatherPartOfLeaving * bounds.leavingMilliseconds, gatherMilliseconds),
+        gatherMilliseconds,
         watchMilliseconds: Math.round(watchPartOfTolerance * bounds.toleranceMilliseconds),
         peerMilliseconds,
         farEvery,
--- a/tests/soak/entries.ts
+++ b/tests/soak/entries.ts
@@ -9,6 +9,7 @@
 /** Bounds in the settings of the processes, in milliseconds. */
 export const entryBounds = {
     graceMilliseconds: 4_000,
+    configurationMilliseconds: 2_000,
     drainMilliseconds: 2_000,
     toleranceMilliseconds: 3_000,
 };
@@ -140,7 +141,8 @@
 }
 
 function settingsOf({ name, firstPort, storeAddress, heartbeatMilliseconds }: EntryOptions): string {
-    const { graceMilliseconds, drainMilliseconds, toleranceMilliseconds } = entryBounds;
+    const { graceMilliseconds, configurationMilliseconds, drainMilliseconds, toleranceMilliseconds } =
+        entryBounds;
     return [
         `NodeName = "${name}"`,
         'Ip = "127.0.0.1"',
@@ -154,6 +156,7 @@
         `Ready = "127.0.0.1:${firstPort + 1}"`,
         "[Bounds]",
         `GraceS = ${graceMilliseconds / 1_000}`,
+        `ConfigApplyMs = ${configurationMilliseconds}`,
         `DrainMs = ${drainMilliseconds}`,
         `StabilityWindowMs = ${toleranceMilliseconds}`,
         `RetryBudgetRatio = ${entryRepeats.fraction}`,
--- a/tests/soak/soaks.ts
+++ b/tests/soak/soaks.ts
@@ -40,7 +40,7 @@
 
 /** What the soak holds the processes to; real time on a shared machine gets a second beyond the deployment's bounds. */
 export const soakBounds: SoakBounds = {
-    configurationMilliseconds: 3_000,
+    configurationMilliseconds: entryBounds.configurationMilliseconds + 1_000,
     leavingMilliseconds: entryBounds.drainMilliseconds + 1_000,
     settleMilliseconds: entryBounds.toleranceMilliseconds + 1_000,
     repeats: entryRepeats,
