Form lost groups again from the spares that are kept for that

Where a domain has several groups of a model, one that is lost counted as a further group, for which the whole reserve has to stay free; its survivors waited beside spares that held the weights. Ruled out: loads (no formation was under way) and the lease (held by two of three zones). A lost group is now formed from at least half of its members and the reserve; the plan rests on the most instances of the last 30 s, so that a loss does not shrink it.

--- a/src/serving/group-choices.ts
+++ b/src/serving/group-choices.ts
@@ -42,6 +42,8 @@
     readonly models: readonly EngineModel[];
     /** Instances in all states that can serve. */
     readonly instances: number;
+    /** The most that there were lately; the groups that they had are formed again from what is left. */
+    readonly recentInstances: number;
     /** Groups that serve or are being formed, by model. */
     readonly groups: ReadonlyMap<string, number>;
     readonly free: readonly Candidate[];
@@ -58,7 +60,7 @@
 /** What a fabric domain holds of one model, as the plan of its stagings sees it. */
 export interface StagingSituation {
     readonly models: readonly EngineModel[];
-    /** Instances in all states that can serve. */
+    /** The most instances that could serve lately. */
     readonly instances: number;
     /** Instances by the model of the group that they are in. */
     readonly members: ReadonlyMap<string, number>;
@@ -109,19 +111,37 @@
     return choice.loads > 0 && (isBetterSoon || isSlow);
 }
 
-/** A further group of the scarcest model, of instances that neither repairs nor the missing models need. */
+/**
+ * A further group of the scarcest model, of instances that neither repairs nor the missing models need. Survivors of a
+ * lost group take what they lack from the spares that are kept for them.
+ */
 function chooseExtraGroup(
     situation: DomainSituation,
     missing: readonly EngineModel[],
 ): GroupChoice | undefined {
     const { free, supplies } = situation;
-    const kept = reserveOf(situation) + missing.reduce((sum, model) => sum + model.size, 0);
+    const reserve = reserveOf(situation);
+    const missingSize = missing.reduce((sum, model) => sum + model.size, 0);
     const choices = byScarcity(scarceModels(situation), supplies)
-        .filter(model => free.length - model.size >= kept)
-        .flatMap(model => chooseMembers(model, free) ?? []);
+        .flatMap(model => chooseMembers(model, free) ?? [])
+        .filter(choice => {
+            const kept = missingSize + (isRepair(choice, situation) ? 0 : reserve);
+            return free.length - choice.members.length >= kept;
+        });
     return choices.find(choice => !shouldWait(choice, situation));
 }
 
+/** True if a group that was lost is formed again: at least half of its members served the model before. */
+function isRepair({ model, members }: GroupChoice, situation: DomainSituation): boolean {
+    const { models, recentInstances, supplies, groups, free } = situation;
+    const planned = wantedUnits({ models, instances: recentInstances, supplies }).groups;
+    if ((groups.get(model.name) ?? 0) >= (planned.get(model.name) ?? 0)) {
+        return false;
+    }
+    const survivors = free.filter(({ id, lastModel }) => lastModel === model.name && members.includes(id));
+    return 2 * survivors.length >= model.size;
+}
+
 /** Returns which free instance should load which model next; undefined if the domain holds what it should. */
 export function chooseStaging(
     situation: StagingSituation,
@@ -155,22 +175,26 @@
     readonly needed: readonly EngineModel[];
     /** Further groups, and the spares that are left. */
     readonly further: readonly EngineModel[];
+    /** Number of groups by model. */
+    readonly groups: ReadonlyMap<string, number>;
 }
 
 /**
  * Groups and spares in turn. The larger a group, the more likely it is hit next: a single spare holds the largest model,
  * a second one the next.
  */
-function wantedUnits(situation: StagingSituation): WantedUnits {
+function wantedUnits(situation: Pick<StagingSituation, "models" | "instances" | "supplies">): WantedUnits {
     const { models, instances } = situation;
     const bySize = bySizeDescending(models);
     const scarce = scarceModels(situation);
     const supplies = new Map(situation.supplies);
     const units: EngineModel[] = [];
+    const groups = new Map<string, number>();
     let spares = 0;
     const free = (): number => instances - units.length;
     const addGroup = (model: EngineModel): void => {
         units.push(...Array.from({ length: model.size }, () => model));
+        groups.set(model.name, (groups.get(model.name) ?? 0) + 1);
     };
     const addSpares = (count: number): void => {
         for (let index = 0; index < count && bySize.length > 0; index += 1) {
@@ -191,7 +215,7 @@
         addGroup(model);
     }
     addSpares(free());
-    return { needed: units.slice(0, needed), further: units.slice(needed) };
+    return { needed: units.slice(0, needed), further: units.slice(needed), groups };
 }
 
 /** The model whose weights an instance has, on its host or in its memory. */
@@ -199,7 +223,11 @@
     return staged[0] ?? lastModel;
 }
 
-function reserveOf({ models, instances, supplies }: Omit<StagingSituation, "members" | "spares">): number {
+function reserveOf({
+    models,
+    instances,
+    supplies,
+}: Pick<StagingSituation, "models" | "instances" | "supplies">): number {
     const isAnyPressed = models.some(model => isPressed(model, supplies));
     return Math.ceil(instances * (isAnyPressed ? pressedReservedPart : reservedPart));
 }
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -19,6 +19,7 @@
 import type { ModelSupply } from "./model-demands.js";
 import type { PlannedGroup } from "./planned-groups.js";
 import { collectPlannedGroups, countFreeSoon, rankOf, toCandidate } from "./planned-groups.js";
+import { RecentPeak } from "./recent-peaks.js";
 import { ReportSchedule } from "./report-schedules.js";
 import { SpareStagings } from "./spare-stagings.js";
 
@@ -83,6 +84,8 @@
     private readonly nextOrderAt = new Map<string, number>();
     private readonly stagings = SpareStagings.create();
     private readonly allowances = new Map<string, LoadAllowance>();
+    /** Usable instances by fabric domain. */
+    private readonly peaks = new Map<string, RecentPeak>();
     private epochs = 0;
     private commands: PlannerCommand[] = [];
 
@@ -238,6 +241,7 @@
         const choice = chooseGroup({
             models: domain.profile.models,
             instances: usable.length,
+            recentInstances: this.peakOf(domain).note(usable.length, now),
             groups: this.countByModel(whole, domain),
             free: free.map(toCandidate),
             freeSoon: countFreeSoon(
@@ -256,6 +260,14 @@
         this.stageSpares(domain, usable, idle, surroundings, now);
     }
 
+    private peakOf({ known }: FabricDomain): RecentPeak {
+        const { service, fabricDomain } = known[0]!.instance;
+        const key = `${service} ${fabricDomain}`;
+        const peak = this.peaks.get(key) ?? RecentPeak.create();
+        this.peaks.set(key, peak);
+        return peak;
+    }
+
     private isSettling(domain: FabricDomain, now: number): boolean {
         const isNew = (known: KnownInstance): boolean => now - known.appearedAt < appearingMilliseconds;
         return !this.options.isFirstStart && domain.known.some(isNew);
@@ -447,7 +459,7 @@
         }
         const choice = chooseStaging({
             models: domain.profile.models,
-            instances: usable.length,
+            instances: this.peakOf(domain).note(usable.length, now),
             members: countBy(
                 usable.filter(known => !idle.includes(known)),
                 ({ status }) => status?.model ?? "",
--- a/src/serving/tests/group-choices.test.ts
+++ b/src/serving/tests/group-choices.test.ts
@@ -17,6 +17,7 @@
 const situation: DomainSituation = {
     models,
     instances: 8,
+    recentInstances: 8,
     groups: new Map(),
     free: [],
     freeSoon: new Map(),
@@ -80,6 +81,23 @@
     supplies: new Map(),
 };
 
+test("survivors of a group take spares, though others of its model serve and spares become few", t => {
+    const groups = new Map([
+        ["large", 1],
+        ["small", 1],
+    ]);
+    const [survivor, ...spares] = candidates(["small"], ["small"], ["large"]);
+    const free = [{ ...survivor!, lastModel: "small" }, ...spares];
+    const afterLoss = { ...situation, instances: 9, recentInstances: 10, groups, mayLoad: false };
+    t.deepEqual(chooseGroup({ ...afterLoss, free })?.members, ["i-0", "i-1"]);
+    t.is(
+        chooseGroup({ ...afterLoss, free: candidates(["small"], ["small"], []) }),
+        undefined,
+        "no survivors",
+    );
+    t.is(chooseGroup({ ...afterLoss, recentInstances: 9, free }), undefined, "no group was lost");
+});
+
 /** What is staged next in a whole domain whose members are not among `spares`. */
 function stage(
     spares: readonly Candidate[],
--- /dev/null
+++ b/src/serving/tests/recent-peaks.test.ts
@@ -0,0 +1,10 @@
+import test from "ava";
+import { RecentPeak } from "../recent-peaks.js";
+
+test("a peak is remembered for a while", t => {
+    const peak = RecentPeak.create();
+    t.is(peak.note(8, 0), 8);
+    t.is(peak.note(6, 20_000), 8);
+    t.is(peak.note(7, 31_000), 7);
+    t.is(peak.note(9, 32_000), 9);
+});
