--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -18,7 +18,6 @@
 import { emptyFleet } from "../../serving/fleets.js";
 import { decideAdmission } from "../../serving/group-admissions.js";
 import type { GroupAnnouncement } from "../../serving/group-announcements.js";
-import { GroupAnnouncements } from "../../serving/group-announcements.js";
 import { GroupFlights } from "../../serving/group-flights.js";
 import type { GroupEngines } from "../../serving/group-orders.js";
 import type { Suspicion } from "../../serving/group-suspicions.js";
@@ -28,10 +27,12 @@
 import type { ServingMetrics } from "../../serving/serving-metrics.js";
 import { createServingMetrics } from "../../serving/serving-metrics.js";
 import type { ServingSettings } from "../../serving/settings.js";
+import { decideShutdownStep } from "../../serving/shutdowns.js";
 import type { WireFormat } from "../../serving/wire.js";
 import { EntryPeers } from "./entry-peers.js";
 import type { Peer } from "./followers.js";
 import { Followers, formatPeer } from "./followers.js";
+import { GroupNews } from "./group-news.js";
 import { GroupPlacer } from "./group-placers.js";
 import { HeldKey } from "./held-keys.js";
 import { PauseDetector } from "./pause-detectors.js";
@@ -48,10 +49,6 @@
 const placementLeaseMilliseconds = 8_000;
 /** Time between two looks at a lease that another process holds, in milliseconds; a holder that stops gives it up. */
 const leaseLookMilliseconds = 1_500;
-/** Time after SIGTERM in which the balancer still sends callers, in milliseconds: two of its looks and one more. */
-const balancerMilliseconds = 3_000;
-/** Time before SIGKILL at which a stopping process ends by itself, in milliseconds. */
-const stopMarginMilliseconds = 400;
 /** Place of this process in the order of takers of another failure domain's duty. */
 const foreignRank = 2;
 
@@ -92,7 +89,7 @@
     private readonly upstreams: Upstreams;
     private readonly metrics: ServingMetrics = createServingMetrics();
     private readonly flights = GroupFlights.create();
-    private readonly announcements = GroupAnnouncements.create();
+    private readonly news: GroupNews;
     private readonly records = ReplicaRecords.create();
     private readonly retries: RetryBudgets;
     private readonly exchanges = new Set<Exchange>();
@@ -123,10 +120,18 @@
             flights: this.flights,
             suspicions: () => this.suspicions.current,
             onSuspicions: suspicions => this.handlePeerSuspicions(suspicions),
-            openedGroups: () => this.openedGroups(),
-            onOpenedGroups: (from, groups) => this.handleOpenedGroups(from, groups),
+            openedGroups: () => this.openedGroups,
+            onOpenedGroups: (from, groups) => this.news.hear(from, groups),
             log: logs("peer"),
         });
+        this.news = GroupNews.create({
+            name: settings.name,
+            clock,
+            opened: () => this.openedGroups,
+            onChange: () => this.rebuildView(),
+            onOwnNews: () => this.peers.hasten(),
+            log: this.log,
+        });
         this.retries = RetryBudgets.create(
             settings.retries,
             this.peers.shares,
@@ -258,6 +263,10 @@
         return isKnown && this.stoppingSince === undefined;
     }
 
+    private get openedGroups(): readonly GroupAnnouncement[] {
+        return this.placers.flatMap(placer => placer.openedGroups);
+    }
+
     /** This process's part of the connections that a replica accepts from all entry instances. */
     private connectionsTo(replica: string): number {
         const service = this.view.fleet.instances.get(replica)?.service;
@@ -294,7 +303,7 @@
 
     private rebuildView(): void {
         const { current } = this.followers.fleetFollower;
-        this.view = FleetView.create(current, this.followers.table, this.announcements.all);
+        this.view = FleetView.create(current, this.followers.table, this.news.all);
         const ids = new Set(current.instances.keys());
         this.upstreams.keepOnly(ids);
         this.records.keepOnly(ids);
@@ -336,29 +345,6 @@
         }
     }
 
-    private openedGroups(): readonly GroupAnnouncement[] {
-        return this.placers.flatMap(placer => placer.openedGroups);
-    }
-
-    /** Takes what a process, this one or another, has opened lately; true if that is news. */
-    private handleOpenedGroups(from: string, groups: readonly GroupAnnouncement[]): boolean {
-        const isNews = this.announcements.hear(from, groups, this.now());
-        if (isNews) {
-            this.log.info("opened groups told", { from, groups, fleetRevision: this.view.fleet.revision });
-            this.rebuildView();
-        }
-        return isNews;
-    }
-
-    private tickAnnouncements(now: number): void {
-        if (this.handleOpenedGroups(this.options.settings.name, this.openedGroups())) {
-            this.peers.hasten();
-        }
-        if (this.announcements.expire(now)) {
-            this.rebuildView();
-        }
-    }
-
     private tick(): void {
         const now = this.now();
         this.checkPause(now);
@@ -370,7 +356,7 @@
             this.tickStopping(now, this.stoppingSince);
         }
         this.suspicions.tick();
-        this.tickAnnouncements(now);
+        this.news.tick();
         this.peers.tick();
     }
 
@@ -395,15 +381,18 @@
     }
 
     private tickStopping(now: number, stoppingSince: number): void {
-        const isLast =
-            now >= stoppingSince + this.options.settings.shutdownMilliseconds - stopMarginMilliseconds;
-        if (now < stoppingSince + balancerMilliseconds && !isLast) {
+        const step = decideShutdownStep({
+            stoppingMilliseconds: now - stoppingSince,
+            allowedMilliseconds: this.options.settings.shutdownMilliseconds,
+            openRequests: this.callers.openCount,
+        });
+        if (step === "serve") {
             return;
         }
         // The balancer may go on sending callers where few processes are left; what comes now could not be finished.
         this.callers.close();
         this.callers.closeIdle();
-        if (this.callers.openCount > 0 && !isLast) {
+        if (step === "finish") {
             return;
         }
         this.exchanges.forEach(exchange => exchange.giveUp("this process is about to end"));
--- /dev/null
+++ b/src/serving/tests/shutdowns.test.ts
@@ -0,0 +1,25 @@
+import test from "ava";
+import type { ShutdownFacts } from "../shutdowns.js";
+import { decideShutdownStep } from "../shutdowns.js";
+
+function decide(stoppingMilliseconds: number, facts: Partial<ShutdownFacts> = {}): string {
+    return decideShutdownStep({
+        allowedMilliseconds: 8_000,
+        openRequests: 3,
+        ...facts,
+        stoppingMilliseconds,
+    });
+}
+
+test("callers are served until the balancer knows, also where none is open", t => {
+    t.is(decide(0), "serve");
+    t.is(decide(2_900, { openRequests: 0 }), "serve");
+    t.is(decide(3_000), "finish");
+});
+
+test("a process ends when nothing is open, or when it would be killed", t => {
+    t.is(decide(3_000, { openRequests: 0 }), "end");
+    t.is(decide(7_500), "finish");
+    t.is(decide(7_600), "end");
+    t.is(decide(1_700, { allowedMilliseconds: 2_000 }), "end");
+});
