Split the loads of weights out of the planner; stage only hosts that take an order now

An order to a host that had got another one within 150 ms was dropped, while its load counted as under way for twice its time; seen in reading, not in a run. Such a host is chosen a moment later.

--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -5,7 +5,7 @@
  */
 import { countBy, groupBy } from "./collections.js";
 import type { GroupAnnouncement } from "./group-announcements.js";
-import type { GroupChoice } from "./group-choices.js";
+import type { Candidate, GroupChoice } from "./group-choices.js";
 import { chooseGroup, chooseStaging } from "./group-choices.js";
 import type { EngineProfile } from "./engine-models.js";
 import type { FleetInstance } from "./fleets.js";
@@ -15,13 +15,12 @@
 import { GroupMemory } from "./group-memories.js";
 import type { KnownInstance, ReportOutcome } from "./known-instances.js";
 import { KnownInstances } from "./known-instances.js";
-import { LoadAllowance } from "./load-allowances.js";
 import type { ModelSupply } from "./model-demands.js";
 import type { PlannedGroup } from "./planned-groups.js";
 import { collectPlannedGroups, countFreeSoon, rankOf, toCandidate } from "./planned-groups.js";
 import { RecentPeak } from "./recent-peaks.js";
 import { ReportSchedule } from "./report-schedules.js";
-import { SpareStagings } from "./spare-stagings.js";
+import { WeightLoads } from "./weight-loads.js";
 
 /** Time for which a term gives no orders: the holder before it may still be told that it has lost the lease. */
 const settleMilliseconds = 300;
@@ -33,12 +32,6 @@
 const epochsPerTerm = 1_000;
 /** Time in which instances that were lost together come back one after the other, in milliseconds. */
 const appearingMilliseconds = 1_500;
-/** Time after a first start in which spares are not staged yet, so that groups get the weight store first. */
-const stagingDelayMilliseconds = 4_500;
-
-/** Loads that a failure domain may have under way, as a multiple of its part of what the weight store serves at full speed. */
-const loadOverbooking = 2;
-
 /** What the planner wants done. */
 export type PlannerCommand =
     | { readonly kind: "report"; readonly instance: FleetInstance }
@@ -72,6 +65,7 @@
 
 /** Instances of one service in one fabric domain. */
 interface FabricDomain {
+    readonly service: string;
     readonly profile: EngineProfile;
     readonly known: readonly KnownInstance[];
 }
@@ -82,8 +76,7 @@
     private readonly reports: ReportSchedule;
     private readonly memory = GroupMemory.create();
     private readonly nextOrderAt = new Map<string, number>();
-    private readonly stagings = SpareStagings.create();
-    private readonly allowances = new Map<string, LoadAllowance>();
+    private readonly loads: WeightLoads;
     /** Usable instances by fabric domain. */
     private readonly peaks = new Map<string, RecentPeak>();
     private epochs = 0;
@@ -92,6 +85,7 @@
     private constructor(private readonly options: GroupPlannerOptions) {
         this.book = KnownInstances.create(options.heartbeatMilliseconds);
         this.reports = ReportSchedule.create(this.book);
+        this.loads = WeightLoads.create(options);
     }
 
     public static create(options: GroupPlannerOptions): GroupPlanner {
@@ -128,7 +122,7 @@
 
     public handleReply(id: string, order: GroupOrder, reply: OrderReply, now: number): void {
         if (order.kind === "stage") {
-            this.noteStaging(id, reply, now);
+            this.loads.noteReply(this.book.get(id)?.instance.service ?? "", id, reply, now);
         } else {
             this.formations.get(`${order.group}@${order.epoch}`)?.handleReply(id, order, reply, now);
         }
@@ -139,15 +133,6 @@
         this.note("order answered", { instance: id, order: order.kind, reply });
     }
 
-    private noteStaging(id: string, reply: OrderReply, now: number): void {
-        if (reply.kind === "refused") {
-            this.stagings.refuse(id, now);
-            this.allowances.get(this.book.get(id)?.instance.service ?? "")?.giveBack();
-        } else if (reply.kind !== "begun" && reply.kind !== "holds") {
-            this.stagings.fail(id);
-        }
-    }
-
     /** Plans what is due. */
     public step(surroundings: PlannerSurroundings, now: number): readonly PlannerCommand[] {
         const forming = [...this.formations.values()].flatMap(each => each.awaitedMembers());
@@ -198,7 +183,7 @@
 
     private order(id: string, order: GroupOrder, now: number): void {
         const known = this.book.get(id);
-        if (known === undefined || now < (this.nextOrderAt.get(id) ?? 0)) {
+        if (known === undefined || !this.mayOrder(id, now)) {
             return;
         }
         this.nextOrderAt.set(id, now + orderPauseMilliseconds);
@@ -216,8 +201,9 @@
             ({ instance }) => `${instance.service} ${instance.fabricDomain}`,
         );
         return [...byDomain.values()].flatMap(known => {
-            const profile = surroundings.profileOf(known[0]!.instance.service);
-            return profile === undefined ? [] : [{ profile, known }];
+            const { service } = known[0]!.instance;
+            const profile = surroundings.profileOf(service);
+            return profile === undefined ? [] : [{ service, profile, known }];
         });
     }
 
@@ -249,7 +235,7 @@
                 member => this.isUsable(member, now) && !free.includes(member),
             ),
             isSettling: this.isSettling(domain, now),
-            mayLoad: this.allowanceOf(domain, now).isFree(now),
+            mayLoad: this.loads.isFree(domain, now),
             supplies: surroundings.supplies,
         });
         if (choice !== undefined) {
@@ -422,7 +408,7 @@
     }
 
     private form(choice: GroupChoice, domain: FabricDomain, now: number): void {
-        if (!this.allowanceOf(domain, now).tryTake(choice.loads, now)) {
+        if (!this.loads.tryTake(domain, choice.loads, now)) {
             return;
         }
         this.epochs += 1;
@@ -451,10 +437,11 @@
         { supplies }: PlannerSurroundings,
         now: number,
     ): void {
-        const allowance = this.allowanceOf(domain, now);
-        const isFirstForming =
-            this.options.isFirstStart && now < this.options.startedAt + stagingDelayMilliseconds;
-        if (isFirstForming || (!allowance.isFree(now) && this.loadsUnderWay(now) >= this.mostLoads(domain))) {
+        const isSpare = (id: string): boolean => {
+            const known = this.book.get(id);
+            return known !== undefined && this.isUsable(known, now) && isIdle(known);
+        };
+        if (!this.loads.mayStage(domain, isSpare, now)) {
             return;
         }
         const choice = chooseStaging({
@@ -464,47 +451,25 @@
                 usable.filter(known => !idle.includes(known)),
                 ({ status }) => status?.model ?? "",
             ),
-            spares: idle.map(known => this.stagings.complete(toCandidate(known), now)),
+            spares: idle.map(known => this.toSpare(known, now)),
             supplies,
         });
-        if (choice === undefined || !allowance.tryTake(1, now)) {
+        if (choice === undefined || !this.loads.tryTake(domain, 1, now)) {
             return;
         }
-        this.stagings.start(choice.id, choice.model, now);
+        this.loads.startStaging(choice.id, choice.model, now);
         this.note("staging a spare", { instance: choice.id, model: choice.model.name });
         this.order(choice.id, { kind: "stage", model: choice.model.name }, now);
     }
 
-    private loadsUnderWay(now: number): number {
-        const isSpare = (id: string): boolean => {
-            const known = this.book.get(id);
-            return known !== undefined && this.isUsable(known, now) && isIdle(known);
-        };
-        return this.stagings.countUnderWay(isSpare, now);
-    }
-
-    /** Loads that this failure domain may have under way: failure domains seldom load as much at the same time. */
-    private mostLoads({ profile }: FabricDomain): number {
-        const part = profile.concurrentLoads / this.options.failureDomains;
-        return Math.max(1, Math.floor(loadOverbooking * part));
-    }
-
-    private allowanceOf(domain: FabricDomain, now: number): LoadAllowance {
-        const { service } = domain.known[0]!.instance;
-        let allowance = this.allowances.get(service);
-        if (allowance === undefined) {
-            const { isFirstStart, startedAt, failureDomains } = this.options;
-            allowance = LoadAllowance.create(
-                {
-                    loadsPerSecond: domain.profile.loadsPerSecond / failureDomains,
-                    burst: 1,
-                    freeUntil: isFirstStart ? startedAt + 2 * stagingDelayMilliseconds : startedAt,
-                },
-                now,
-            );
-            this.allowances.set(service, allowance);
-        }
-        return allowance;
+    /** An instance that got an order a moment ago takes the next one later. */
+    private toSpare(known: KnownInstance, now: number): Candidate {
+        const spare = this.loads.complete(toCandidate(known), now);
+        return this.mayOrder(spare.id, now) ? spare : { ...spare, isBusy: true };
+    }
+
+    private mayOrder(id: string, now: number): boolean {
+        return now >= (this.nextOrderAt.get(id) ?? 0);
     }
 }
 
--- /dev/null
+++ b/src/serving/weight-loads.ts
@@ -0,0 +1,101 @@
+/**
+ * Loads of weights that one placer begins: within its part of the weight store's rate and of the loads that the store
+ * serves at full speed at a time, and not on hosts that are loading already.
+ */
+import type { EngineModel, EngineProfile } from "./engine-models.js";
+import type { Candidate } from "./group-choices.js";
+import type { OrderReply } from "./group-orders.js";
+import { LoadAllowance } from "./load-allowances.js";
+import { SpareStagings } from "./spare-stagings.js";
+
+/** Time after a first start in which spares are not staged yet, so that groups get the weight store first. */
+const stagingDelayMilliseconds = 4_500;
+/** Loads that a failure domain may have under way, as a multiple of its part of what the weight store serves at full speed. */
+const loadOverbooking = 2;
+
+export interface WeightLoadOptions {
+    /** True if no weights were ever loaded, so that loads are free until traffic starts. */
+    readonly isFirstStart: boolean;
+    /** Local monotonic milliseconds. */
+    readonly startedAt: number;
+    /** Failure domains that share the weight store's rate. */
+    readonly failureDomains: number;
+}
+
+/** A service whose instances load weights. */
+export interface LoadingService {
+    readonly service: string;
+    readonly profile: EngineProfile;
+}
+
+export class WeightLoads {
+    private readonly stagings = SpareStagings.create();
+    private readonly allowances = new Map<string, LoadAllowance>();
+
+    private constructor(private readonly options: WeightLoadOptions) {}
+
+    public static create(options: WeightLoadOptions): WeightLoads {
+        return new WeightLoads(options);
+    }
+
+    /** True while loads cost nothing. */
+    public isFree(of: LoadingService, now: number): boolean {
+        return this.allowanceOf(of, now).isFree(now);
+    }
+
+    /** Takes `loads` loads from the rate, or none of them and returns false. */
+    public tryTake(of: LoadingService, loads: number, now: number): boolean {
+        return this.allowanceOf(of, now).tryTake(loads, now);
+    }
+
+    /** True if one more host may load weights now; `isSpare` tells whether an instance is in no group. */
+    public mayStage(of: LoadingService, isSpare: (id: string) => boolean, now: number): boolean {
+        const { isFirstStart, startedAt } = this.options;
+        if (isFirstStart && now < startedAt + stagingDelayMilliseconds) {
+            return false;
+        }
+        return this.isFree(of, now) || this.stagings.countUnderWay(isSpare, now) < this.mostLoads(of.profile);
+    }
+
+    public startStaging(id: string, model: EngineModel, now: number): void {
+        this.stagings.start(id, model, now);
+    }
+
+    /** Takes the answer to an order to load weights onto a host. */
+    public noteReply(service: string, id: string, reply: OrderReply, now: number): void {
+        if (reply.kind === "refused") {
+            this.stagings.refuse(id, now);
+            this.allowances.get(service)?.giveBack();
+        } else if (reply.kind !== "begun" && reply.kind !== "holds") {
+            this.stagings.fail(id);
+        }
+    }
+
+    /** A spare that is loading weights counts as holding them. */
+    public complete(candidate: Candidate, now: number): Candidate {
+        return this.stagings.complete(candidate, now);
+    }
+
+    /** Failure domains seldom load as much at the same time. */
+    private mostLoads(profile: EngineProfile): number {
+        const part = profile.concurrentLoads / this.options.failureDomains;
+        return Math.max(1, Math.floor(loadOverbooking * part));
+    }
+
+    private allowanceOf({ service, profile }: LoadingService, now: number): LoadAllowance {
+        let allowance = this.allowances.get(service);
+        if (allowance === undefined) {
+            const { isFirstStart, startedAt, failureDomains } = this.options;
+            allowance = LoadAllowance.create(
+                {
+                    loadsPerSecond: profile.loadsPerSecond / failureDomains,
+                    burst: 1,
+                    freeUntil: isFirstStart ? startedAt + 2 * stagingDelayMilliseconds : startedAt,
+                },
+                now,
+            );
+            this.allowances.set(service, allowance);
+        }
+        return allowance;
+    }
+}
