--- a/src/daemons/serving/followers.ts
+++ b/src/daemons/serving/followers.ts
@@ -38,7 +38,8 @@
     return `${peer.address} ${peer.failureDomain} ${incarnation}`;
 }
 
-function parsePeer(name: string, value: string): Peer {
+function parsePeer(prefix: string, { key, value }: KeyValueEntry): Peer {
+    const name = key.slice(prefix.length);
     const [address = "", failureDomain = ""] = value.split(" ");
     return { name, address, failureDomain };
 }
@@ -151,9 +152,7 @@
     /** Takes registered entry instances by their keys. */
     private putPeers(entries: readonly KeyValueEntry[]): void {
         const { peerPrefix } = this.options;
-        for (const { key, value } of entries) {
-            this.peers.set(key, parsePeer(key.slice(peerPrefix.length), value));
-        }
+        entries.forEach(entry => this.peers.set(entry.key, parsePeer(peerPrefix, entry)));
     }
 
     /** Versions only rise; an unreadable one leaves the one before in force. */
@@ -187,7 +186,7 @@
             return;
         }
         this.noteStore(peerPrefix, undefined);
-        onPeers(answer.data.entries.map(entry => parsePeer(entry.key.slice(peerPrefix.length), entry.value)));
+        onPeers(answer.data.entries.map(entry => parsePeer(peerPrefix, entry)));
     }
 
     /** One line at each loss and return of the store. */
--- a/src/daemons/serving/serving-processes.ts
+++ b/src/daemons/serving/serving-processes.ts
@@ -175,6 +175,7 @@
             isStopping: () => this.stoppingSince !== undefined,
         };
         this.followers = this.createFollowers(store);
+        const hasEnded = (value: string): boolean => isOfSamePlace(value, settings.peerAddress);
         this.registration = HeldKey.create({
             key: `${peerPrefix}${settings.name}`,
             value: formatPeer(
@@ -184,7 +185,7 @@
             rank: () => 0,
             leaseMilliseconds: registrationMilliseconds,
             lookMilliseconds: registrationMilliseconds / 3,
-            hasEnded: value => isOfSamePlace(value, settings.peerAddress),
+            hasEnded,
             store,
             clock,
         });
@@ -196,7 +197,7 @@
                 rank: () => (isOwn ? this.peers.placerRank : foreignRank),
                 leaseMilliseconds: Math.max(settings.shortestLeaseMilliseconds, placementLeaseMilliseconds),
                 lookMilliseconds: leaseLookMilliseconds,
-                hasEnded: value => isOfSamePlace(value, settings.peerAddress),
+                hasEnded,
                 store,
                 clock,
             });
--- a/src/serving/fleets.ts
+++ b/src/serving/fleets.ts
@@ -66,8 +66,9 @@
     readonly members: readonly FleetInstance[];
 }
 
-export function groupKey(membership: GroupMembership): string {
-    return `${membership.group}@${membership.epoch}`;
+/** Key of one formation of a group. */
+export function groupKey({ group, epoch }: Pick<GroupMembership, "group" | "epoch">): string {
+    return `${group}@${epoch}`;
 }
 
 /** Collects the groups that registered instances say they are in. */
--- a/src/serving/group-announcements.ts
+++ b/src/serving/group-announcements.ts
@@ -70,7 +70,7 @@
     }
 
     public add(group: GroupAnnouncement, now: number): void {
-        this.byKey.set(`${group.group}@${group.epoch}`, { group, until: now + openedMilliseconds });
+        this.byKey.set(groupKey(group), { group, until: now + openedMilliseconds });
     }
 
     /** The group is whole no more. */
@@ -89,7 +89,7 @@
 }
 
 function keysOf(groups: readonly GroupAnnouncement[]): string {
-    return groups.map(({ group, epoch }) => `${group}@${epoch}`).join();
+    return groups.map(groupKey).join();
 }
 
 /** Returns the instances as their registrations and the announcements together describe them. */
@@ -112,13 +112,10 @@
     return status.membership === undefined || status.membership.epoch <= epoch;
 }
 
-function asMember(
-    instance: FleetInstance,
-    { group, epoch, model }: GroupAnnouncement,
-    rank: number,
-): FleetInstance {
+function asMember(instance: FleetInstance, announcement: GroupAnnouncement, rank: number): FleetInstance {
+    const { group, epoch, model } = announcement;
     const { membership } = instance.status;
-    const isRegistered = membership !== undefined && groupKey(membership) === `${group}@${epoch}`;
+    const isRegistered = membership !== undefined && groupKey(membership) === groupKey(announcement);
     // What a member has registered since it was ready, for example that it is closing, is newer than the announcement.
     if (isRegistered && membership.state !== "joining" && (rank > 0 || membership.state !== "ready")) {
         return instance;
--- a/src/serving/group-choices.ts
+++ b/src/serving/group-choices.ts
@@ -106,7 +106,7 @@
             return choice;
         }
     }
-    return chooseExtraGroup(situation, scarce.filter(isMissing));
+    return chooseExtraGroup(situation, scarce, scarce.filter(isMissing));
 }
 
 /** A load takes longer than it takes until instances that hold the weights are there and free. */
@@ -122,16 +122,17 @@
  */
 function chooseExtraGroup(
     situation: DomainSituation,
+    scarce: readonly EngineModel[],
     missing: readonly EngineModel[],
 ): GroupChoice | undefined {
     const { free, supplies } = situation;
     const reserve = reserveOf(situation);
     const missingSize = missing.reduce((sum, model) => sum + model.size, 0);
-    const choices = byScarcity(scarceModels(situation), supplies)
+    const choices = byScarcity(scarce, supplies)
         .flatMap(model => chooseMembers(model, free) ?? [])
         .filter(choice => {
-            const kept = missingSize + (isRepair(choice, situation) ? 0 : reserve);
-            return free.length - choice.members.length >= kept;
+            const left = free.length - choice.members.length - missingSize;
+            return left >= reserve || (left >= 0 && isRepair(choice, situation));
         });
     return choices.find(choice => !shouldWait(choice, situation));
 }
--- a/src/serving/group-formations.ts
+++ b/src/serving/group-formations.ts
@@ -46,7 +46,7 @@
     }
 
     public get key(): string {
-        return groupKey({ ...this.options, rank: 0, state: "joining" });
+        return groupKey(this.options);
     }
 
     public get isOpen(): boolean {
--- a/src/serving/group-planners.ts
+++ b/src/serving/group-planners.ts
@@ -65,6 +65,7 @@
 
 /** Instances of one service in one fabric domain. */
 interface FabricDomain {
+    readonly key: string;
     readonly service: string;
     readonly profile: EngineProfile;
     readonly known: readonly KnownInstance[];
@@ -77,7 +78,7 @@
     private readonly memory = GroupMemory.create();
     private readonly nextOrderAt = new Map<string, number>();
     private readonly loads: WeightLoads;
-    /** Usable instances by fabric domain. */
+    /** Most usable instances lately, by the key of the fabric domain. */
     private readonly peaks = new Map<string, RecentPeak>();
     private epochs = 0;
     private commands: PlannerCommand[] = [];
@@ -124,7 +125,7 @@
         if (order.kind === "stage") {
             this.loads.noteReply(this.book.get(id)?.instance.service ?? "", id, reply, now);
         } else {
-            this.formations.get(`${order.group}@${order.epoch}`)?.handleReply(id, order, reply, now);
+            this.formations.get(groupKey(order))?.handleReply(id, order, reply, now);
         }
         if (reply.kind === "absent") {
             this.book.applyReport(id, { kind: "refused" }, now);
@@ -200,10 +201,10 @@
             this.book.all,
             ({ instance }) => `${instance.service} ${instance.fabricDomain}`,
         );
-        return [...byDomain.values()].flatMap(known => {
+        return [...byDomain].flatMap(([key, known]) => {
             const { service } = known[0]!.instance;
             const profile = surroundings.profileOf(service);
-            return profile === undefined ? [] : [{ service, profile, known }];
+            return profile === undefined ? [] : [{ key, service, profile, known }];
         });
     }
 
@@ -246,9 +247,7 @@
         this.stageSpares(domain, usable, idle, surroundings, now);
     }
 
-    private peakOf({ known }: FabricDomain): RecentPeak {
-        const { service, fabricDomain } = known[0]!.instance;
-        const key = `${service} ${fabricDomain}`;
+    private peakOf({ key }: FabricDomain): RecentPeak {
         const peak = this.peaks.get(key) ?? RecentPeak.create();
         this.peaks.set(key, peak);
         return peak;
--- a/src/serving/tests/engine-worlds.ts
+++ b/src/serving/tests/engine-worlds.ts
@@ -189,10 +189,7 @@
         if (order.epoch < engine.highestEpoch) {
             return { kind: "refused", message: "412" };
         }
-        if (
-            engine.membership !== undefined &&
-            groupKey(engine.membership) === `${order.group}@${order.epoch}`
-        ) {
+        if (engine.membership !== undefined && groupKey(engine.membership) === groupKey(order)) {
             return { kind: "holds" };
         }
         this.checkFreeToJoin(engine, order);
@@ -229,7 +226,7 @@
         order: Extract<GroupOrder, { readonly kind: "open" | "close" | "leave" }>,
     ): OrderReply {
         const { membership } = engine;
-        if (membership === undefined || groupKey(membership) !== `${order.group}@${order.epoch}`) {
+        if (membership === undefined || groupKey(membership) !== groupKey(order)) {
             return { kind: "holds" };
         }
         switch (order.kind) {
--- a/tests/soak/entries.ts
+++ b/tests/soak/entries.ts
@@ -112,30 +112,25 @@
 
     /** Asks the process to end. */
     public terminate(): void {
-        if (this.life !== undefined) {
-            this.life.wasTold = true;
-            this.life.child.kill("SIGTERM");
-        }
+        this.signal("SIGTERM", { wasTold: true });
     }
 
     public kill(): void {
-        if (this.life !== undefined) {
-            this.life.wasKilled = true;
-            this.life.child.kill("SIGKILL");
-        }
+        this.signal("SIGKILL", { wasKilled: true });
     }
 
     public pause(): void {
-        if (this.life !== undefined) {
-            this.life.isPaused = true;
-            this.life.child.kill("SIGSTOP");
-        }
+        this.signal("SIGSTOP", { isPaused: true });
     }
 
     public resume(): void {
+        this.signal("SIGCONT", { isPaused: false });
+    }
+
+    private signal(signal: NodeJS.Signals, change: Partial<EntryLife>): void {
         if (this.life !== undefined) {
-            this.life.isPaused = false;
-            this.life.child.kill("SIGCONT");
+            Object.assign(this.life, change);
+            this.life.child.kill(signal);
         }
     }
 }
