Build the bundle by one command for the deployment and the soak

The soak said that it builds the serving process as the deployment does, with flags of its own that had fallen behind. Both now run 'npm run bundle'.

--- a/tests/soak/soaks.ts
+++ b/tests/soak/soaks.ts
@@ -2,10 +2,10 @@
  * One run of the soak: real serving processes on the loopback address, stand-ins of the platform's store and replicas,
  * callers, and a seeded schedule of disturbances from outside the processes.
  */
+import { execFileSync } from "node:child_process";
 import { mkdtempSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { buildSync } from "esbuild";
 import { StandInStore } from "../../platform/stand-ins/stores.js";
 import { findPorts } from "../../scripts/free-ports.js";
 import { createRandomNumber } from "../../src/core/random-numbers.js";
@@ -66,16 +66,7 @@
 /** Builds the serving process as the deployment does; returns its program file. */
 export function buildProgram(directory: string): string {
     const outfile = join(directory, "chervil-serving.cjs");
-    buildSync({
-        entryPoints: ["platform/main.ts"],
-        bundle: true,
-        platform: "node",
-        target: "node20",
-        format: "cjs",
-        external: ["dtrace-provider"],
-        logLevel: "error",
-        outfile,
-    });
+    execFileSync("npm", ["run", "--silent", "bundle", "--", `--outfile=${outfile}`]);
     return outfile;
 }
 
