Make further draws of groups only when the first does not serve a request in time

Found in reading: each request made two more draws, copies of the list of groups, also where the first was taken. Which groups are drawn, and how often each, is as before; dispatchers' and admissions' tests pass unchanged.

--- a/src/serving/dispatchers.ts
+++ b/src/serving/dispatchers.ts
@@ -211,11 +211,12 @@
      * Sets of groups to choose among, one after the other until one can take the request in time. Entry instances that
      * all chose the best of all would all choose the same; each keeps to a few groups, so that it keeps few connections.
      */
-    private draws(groups: readonly ServableGroup[]): readonly (readonly ServableGroup[])[] {
+    private *draws(groups: readonly ServableGroup[]): Generator<readonly ServableGroup[]> {
         const { random, mostOptions, failureDomain } = this.parts;
         const most = mostOptions();
         if (groups.length <= most) {
-            return [groups];
+            yield groups;
+            return;
         }
         this.forgetPlaces();
         const placeOf = ({ group }: ServableGroup): number => {
@@ -225,8 +226,10 @@
         };
         const placed = groups.map(group => ({ group, place: placeOf(group) }));
         const preferred = placed.sort((left, right) => left.place - right.place).map(each => each.group);
-        const first = draw(preferred.splice(0, preferredGroups), most, random);
-        return [first, ...Array.from({ length: furtherDraws }, () => draw(preferred, most, random))];
+        yield draw(preferred.splice(0, preferredGroups), most, random);
+        for (let further = 0; further < furtherDraws; further += 1) {
+            yield draw(preferred, most, random);
+        }
     }
 
     private forgetPlaces(): void {
