Keep the attempt at a silent replica while its stream is tried elsewhere

What callers saw: a stream that had begun was cut after a second of silence of its replica, although the replica went on.

Cause: a suspicion cancelled every stream of the group at once. Whether another replica could take it was asked afterwards; if none could, or the route's attempts were used, the caller's connection was cut. The class of fault: a response is ended on a guess (silence), before anything better is at hand.

Now the attempt continues, counted as a possible run, while another replica is tried if there is one; the first of both that makes progress serves the caller, and the other is cancelled. If the second attempt fails, the first is waited for.

--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -413,7 +413,7 @@
         this.informPeers();
         for (const exchange of this.exchanges) {
             if (exchange.group === suspicion.group) {
-                exchange.abandonStalledGroup();
+                exchange.handleSilentGroup();
             }
         }
     }
--- a/src/serving/attempt-decision.ts
+++ b/src/serving/attempt-decision.ts
@@ -29,6 +29,8 @@
     readonly mayHaveRun: boolean;
     /** True if the caller has received bytes of the response. */
     readonly hasBegunResponse: boolean;
+    /** True if an earlier attempt, at a silent replica, still continues; it counts as a possible run. */
+    readonly hasSilentAttempt: boolean;
     readonly remainingMilliseconds: number;
     /** True if the retry budget allows one more attempt. */
     readonly hasRetryBudget: boolean;
@@ -36,9 +38,10 @@
 
 /**
  * "retry": try another replica. "pass": relay the replica's error response to the caller. "refuse": state that no replica
- * ran the request. "unknown": state that a replica may have run it. "cut": abort the connection within the response.
+ * ran the request. "unknown": state that a replica may have run it. "cut": abort the connection within the response. "wait": continue with the
+ * earlier attempt, whose replica may only be silent.
  */
-export type NextStep = "retry" | "pass" | "refuse" | "unknown" | "cut";
+export type NextStep = "retry" | "wait" | "pass" | "refuse" | "unknown" | "cut";
 
 /** Minimum remaining time in which another attempt can succeed, in milliseconds. */
 const minimumAttemptMilliseconds = 20;
@@ -49,6 +52,9 @@
     if (canRetry(outcome, facts)) {
         return "retry";
     }
+    if (facts.hasSilentAttempt) {
+        return "wait";
+    }
     if (facts.hasBegunResponse) {
         return "cut";
     }
@@ -58,6 +64,14 @@
     return facts.mayHaveRun ? "unknown" : "refuse";
 }
 
+/**
+ * True if a request whose replica is silent may be tried at another one meanwhile. Covers replicas that have died and those
+ * that only fall silent for a while: ending an attempt for its silence would lose a response that is still coming.
+ */
+export function mayTryElsewhere(facts: AttemptFacts): boolean {
+    return !facts.hasSilentAttempt && canRetry("lost", { ...facts, possibleRuns: facts.possibleRuns + 1 });
+}
+
 function canRetry(outcome: AttemptOutcome, facts: AttemptFacts): boolean {
     if (
         facts.remainingMilliseconds < minimumAttemptMilliseconds ||
--- a/src/serving/exchange-attempt.ts
+++ b/src/serving/exchange-attempt.ts
@@ -19,6 +19,8 @@
     bufferedChunks: Buffer[];
     bufferedBytes: number;
     hasReceivedEvents: boolean;
+    /** True if the replica's group was found silent and no event has arrived since. */
+    isSilent: boolean;
     slowAttemptTimer: NodeJS.Timeout | undefined;
 }
 
@@ -40,6 +42,7 @@
         bufferedChunks: [],
         bufferedBytes: 0,
         hasReceivedEvents: false,
+        isSilent: false,
         slowAttemptTimer: undefined,
     };
 }
--- a/src/serving/exchange-reporting.ts
+++ b/src/serving/exchange-reporting.ts
@@ -19,7 +19,8 @@
 
 /** How one attempt ended. */
 export interface AttemptEnd {
-    readonly outcome: AttemptOutcome;
+    /** "superseded": another attempt served the request first. */
+    readonly outcome: AttemptOutcome | "superseded";
     readonly reason: string;
     readonly lastEventId: number | undefined;
     readonly possibleRuns: number;
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -3,11 +3,11 @@
  * and relays the replica's response unchanged. An event stream may be resumed at another replica within one response.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { AttemptOutcome } from "./attempt-decision.js";
-import { decideNextStep } from "./attempt-decision.js";
+import type { AttemptFacts, AttemptOutcome } from "./attempt-decision.js";
+import { decideNextStep, mayTryElsewhere } from "./attempt-decision.js";
 import { CallerResponse } from "./caller-response.js";
 import { isRetryable } from "./serving-configuration.js";
-import type { DispatchTarget } from "./dispatcher.js";
+import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
 import { createAttempt, isTrustedSuccess } from "./exchange-attempt.js";
@@ -29,7 +29,7 @@
 const maximumEventBytes = 256 * 1024;
 /** Maximum time for which an interrupted stream waits for a replica to resume at, in milliseconds. */
 const resumeTimeoutMilliseconds = 1_800;
-/** Interval between two checks for a replica at which an interrupted stream can resume, in milliseconds. */
+/** Interval between two searches for a replica that takes over an interrupted or silent stream, in milliseconds. */
 const resumePollIntervalMilliseconds = 40;
 /** Default Retry-After of a refused request, in milliseconds, before jitter. */
 const defaultRetryAfter: RetryAfter = { milliseconds: 400 };
@@ -60,6 +60,8 @@
 
 export class Exchange {
     private attempt: Attempt | undefined;
+    /** Attempt at a silent replica that continues while `attempt` is made elsewhere. */
+    private silentAttempt: Attempt | undefined;
     private readonly triedInstances = new Set<string>();
     private attemptCount = 0;
     private possibleRuns = 0;
@@ -82,7 +84,7 @@
         const remaining = Math.max(0, admitted.deadline - this.now());
         this.deadlineTimer = setTimeout(() => this.terminate("the deadline has passed"), remaining);
         response.once("close", () => this.handleCallerDisconnect());
-        response.on("drain", () => this.attempt?.call?.resume());
+        response.on("drain", () => this.liveAttempts.forEach(({ call }) => call?.resume()));
     }
 
     /** Starts to serve a request and writes the outcome to `response`. */
@@ -107,18 +109,15 @@
         return this.attempt?.target.group;
     }
 
-    /** Cancels the attempt at a stalled group and retries at another one; does so only for a resumable stream. */
-    public abandonStalledGroup(): void {
+    /**
+     * Tries a stream at another replica because its group is silent. The attempt at the group continues, since a silent
+     * replica may be sound: the first of both that makes progress serves the caller.
+     */
+    public handleSilentGroup(): void {
         const { attempt } = this;
-        if (attempt === undefined || this.isSettled) {
-            return;
-        }
-        const { route } = this.admitted;
-        if (route.repeatability === "stream" && isRetryable(route)) {
-            attempt.call?.cancel();
-            // When the connection closes, the group's leader drops a stream that has not begun, so only a stream that
-            // has begun counts as run.
-            this.endAttempt(attempt, "lost", "the replica group is stalled", attempt.hasReceivedEvents);
+        if (attempt !== undefined && this.admitted.route.repeatability === "stream") {
+            attempt.isSilent = true;
+            this.tryElsewhere(attempt);
         }
     }
 
@@ -127,7 +126,7 @@
         if (this.isSettled) {
             return;
         }
-        const wasSent = this.cancelAttempt();
+        const wasSent = this.cancelAttempts();
         if (this.callerResponse.hasBegun) {
             this.abortResponse(reason);
             return;
@@ -139,18 +138,21 @@
         return this.context.clock.monotonicMilliseconds();
     }
 
-    private startNextAttempt(): void {
-        if (this.isSettled) {
-            return;
-        }
-        const { service, request } = this.admitted;
+    private get liveAttempts(): readonly Attempt[] {
+        return [this.attempt, this.silentAttempt].filter(attempt => attempt !== undefined);
+    }
+
+    private isLive(attempt: Attempt): boolean {
+        return !this.isSettled && (this.attempt === attempt || this.silentAttempt === attempt);
+    }
+
+    private chooseReplica(): DispatchChoice {
+        const { service, request, arrivedAt, route } = this.admitted;
         const isEngine = this.admitted.table.findService(service)?.engine !== undefined;
-        const work = isEngine ? request.work : undefined;
-        const { arrivedAt, route } = this.admitted;
         const objective = route.objectiveMilliseconds;
-        const choice = this.context.dispatcher.choose({
+        return this.context.dispatcher.choose({
             service,
-            work,
+            work: isEngine ? request.work : undefined,
             triedInstances: this.triedInstances,
             objectiveDeadline: arrivedAt + objective,
             firstEventDeadline:
@@ -158,6 +160,71 @@
                 Math.max(minimumFirstEventTimeoutMilliseconds, firstEventTimeoutObjectives * objective),
             isResumed: this.callerResponse.hasBegun,
         });
+    }
+
+    private tryElsewhere(attempt: Attempt): void {
+        const isCurrent = this.attempt === attempt && this.silentAttempt === undefined;
+        if (!isCurrent || !attempt.isSilent || this.isSettled || !mayTryElsewhere(this.attemptFacts())) {
+            return;
+        }
+        const choice = this.chooseReplica();
+        const { instance, group } = attempt.target;
+        if (choice.kind !== "target" || choice.target.instance.id === instance.id) {
+            this.scheduleTryElsewhere(attempt);
+            return;
+        }
+        this.context.log.info("replica is silent; trying another one meanwhile", {
+            ...describeRequest(this.admitted),
+            instance: instance.id,
+            group,
+            attempt: attempt.number,
+            lastEvent: this.lastEventId,
+        });
+        clearTimeout(attempt.slowAttemptTimer);
+        this.silentAttempt = attempt;
+        this.startAttempt(choice.target);
+    }
+
+    private scheduleTryElsewhere(attempt: Attempt): void {
+        clearTimeout(this.waitTimer);
+        this.waitTimer = setTimeout(() => this.tryElsewhere(attempt), resumePollIntervalMilliseconds);
+    }
+
+    /** Waits for the silent replica again, because no other one served the request. */
+    private returnToSilentAttempt(attempt: Attempt): void {
+        this.attempt = attempt;
+        this.silentAttempt = undefined;
+        this.lastTarget = attempt.target;
+        this.scheduleTryElsewhere(attempt);
+    }
+
+    /** Continues with one of two attempts and cancels the other, if there is one. */
+    private keepOnly(attempt: Attempt): void {
+        const other = this.liveAttempts.find(each => each !== attempt);
+        this.attempt = attempt;
+        this.silentAttempt = undefined;
+        if (other === undefined) {
+            return;
+        }
+        this.lastTarget = attempt.target;
+        other.call?.cancel();
+        this.releaseAttempt(other);
+        this.mayHaveRun = true;
+        // When the connection closes, the group's leader drops a stream that has not begun, so only a stream that has
+        // begun counts as run.
+        this.possibleRuns += other.hasReceivedEvents ? 1 : 0;
+        this.recordAttemptEnd(other, "superseded", "another replica made progress first");
+    }
+
+    private startNextAttempt(): void {
+        if (this.isSettled) {
+            return;
+        }
+        const choice = this.chooseReplica();
+        if (choice.kind !== "target" && this.silentAttempt !== undefined) {
+            this.returnToSilentAttempt(this.silentAttempt);
+            return;
+        }
         if (choice.kind === "paused" && this.callerResponse.hasBegun) {
             this.handleNoTarget();
             return;
@@ -269,7 +336,7 @@
     /** Limits the wait for a response, or the first event of a stream, while another attempt is allowed. */
     private armAttemptTimer(attempt: Attempt): void {
         const { route } = this.admitted;
-        const hasFurtherAttempt = this.possibleRuns + 1 < route.maximumAttempts;
+        const hasFurtherAttempt = this.countedRuns + 1 < route.maximumAttempts;
         const timeout = attemptTimeoutMilliseconds(route, attempt.target.expectedMilliseconds);
         if (hasFurtherAttempt && !this.callerResponse.hasBegun && timeout !== undefined) {
             attempt.slowAttemptTimer = setTimeout(() => this.handleSlowAttempt(attempt), timeout);
@@ -323,7 +390,7 @@
     }
 
     private handleData(attempt: Attempt, chunk: Buffer): void {
-        if (this.isSettled || this.attempt !== attempt) {
+        if (!this.isLive(attempt)) {
             return;
         }
         if (this.isRelayableStream(attempt)) {
@@ -362,6 +429,7 @@
     private relayEvent(attempt: Attempt, event: StreamEvent): void {
         const now = this.now();
         const { group, instance } = attempt.target;
+        attempt.isSilent = false;
         if (group !== undefined && attempt.inFlightId !== undefined) {
             this.context.inFlightRequests.recordProgress(group, attempt.inFlightId, now);
         }
@@ -376,6 +444,7 @@
         if (event.id !== undefined && this.lastEventId !== undefined && event.id <= this.lastEventId) {
             return;
         }
+        this.keepOnly(attempt);
         this.lastEventId = event.id ?? this.lastEventId;
         this.resumeDeadline = undefined;
         this.callerResponse.begin(attempt.head!, undefined, now);
@@ -395,7 +464,7 @@
     }
 
     private handleEnd(attempt: Attempt): void {
-        if (this.isSettled || this.attempt !== attempt) {
+        if (!this.isLive(attempt)) {
             return;
         }
         const { head } = attempt;
@@ -431,6 +500,7 @@
             this.endAttempt(attempt, "lost", "the stream ended inside an event", true);
             return;
         }
+        this.keepOnly(attempt);
         this.releaseAttempt(attempt);
         this.context.replicaRecords.recordSuccess(attempt.target.instance.id, this.now() - attempt.sentAt);
         this.context.metrics.attempts.inc({ service: this.admitted.service, outcome: "served" });
@@ -453,50 +523,69 @@
      * request.
      */
     private endAttempt(attempt: Attempt, outcome: AttemptOutcome, reason: string, hasRun: boolean): void {
-        if (this.isSettled || this.attempt !== attempt) {
+        if (!this.isLive(attempt)) {
             return;
         }
         this.releaseAttempt(attempt);
-        const { admitted, context } = this;
-        const now = this.now();
         const { instance } = attempt.target;
         if (outcome !== "refused" && outcome !== "failed") {
-            context.replicaRecords.recordFailure(instance.id, now);
+            this.context.replicaRecords.recordFailure(instance.id, this.now());
         }
         if (outcome === "lost" || outcome === "failed") {
             this.mayHaveRun = true;
             this.possibleRuns += hasRun ? 1 : 0;
         }
+        this.recordAttemptEnd(attempt, outcome, reason);
+        if (this.attempt !== undefined) {
+            this.tryElsewhere(this.attempt);
+            return;
+        }
+        this.continueAfterAttempt(outcome, reason);
+    }
+
+    private recordAttemptEnd(attempt: Attempt, outcome: AttemptOutcome | "superseded", reason: string): void {
         const { lastEventId, possibleRuns } = this;
-        recordAttemptEnd(context, admitted, attempt, {
+        recordAttemptEnd(this.context, this.admitted, attempt, {
             outcome,
             reason,
             lastEventId,
             possibleRuns,
-            endedAt: now,
+            endedAt: this.now(),
         });
-        this.continueAfterAttempt(outcome, reason);
     }
 
-    /** Takes the next step after an attempt without a complete response. */
-    private continueAfterAttempt(outcome: AttemptOutcome, reason: string): void {
+    /** Number of replicas that may have run the request, including one that is silent. */
+    private get countedRuns(): number {
+        return this.possibleRuns + (this.silentAttempt === undefined ? 0 : 1);
+    }
+
+    private attemptFacts(): AttemptFacts {
         const { admitted, context } = this;
         const now = this.now();
-        const step = decideNextStep(outcome, {
+        return {
             repeatability: admitted.route.repeatability,
             isResumable: admitted.route.isResumable,
-            possibleRuns: this.possibleRuns,
+            possibleRuns: this.countedRuns,
             attemptCount: this.attemptCount,
             maximumAttempts: admitted.route.maximumAttempts,
             mayHaveRun: this.mayHaveRun,
             hasBegunResponse: this.callerResponse.hasBegun,
+            hasSilentAttempt: this.silentAttempt !== undefined,
             remainingMilliseconds: admitted.deadline - now,
             hasRetryBudget: context.retryWindowOf(admitted.service).availableRetries(now) > 0,
-        });
+        };
+    }
+
+    /** Takes the next step after an attempt without a complete response. */
+    private continueAfterAttempt(outcome: AttemptOutcome, reason: string): void {
+        const step = decideNextStep(outcome, this.attemptFacts());
         switch (step) {
             case "retry":
                 this.startNextAttempt();
                 return;
+            case "wait":
+                this.returnToSilentAttempt(this.silentAttempt!);
+                return;
             case "pass":
                 this.sendCompleteResponse(this.lastFailure!.head, this.lastFailure!.body, "failed");
                 return;
@@ -518,7 +607,11 @@
         if (group !== undefined && attempt.inFlightId !== undefined) {
             this.context.inFlightRequests.end(group, attempt.inFlightId);
         }
-        this.attempt = undefined;
+        if (this.attempt === attempt) {
+            this.attempt = undefined;
+        } else if (this.silentAttempt === attempt) {
+            this.silentAttempt = undefined;
+        }
     }
 
     private refuse(reason: string, retryAfter: RetryAfter = defaultRetryAfter): void {
@@ -537,15 +630,14 @@
         this.sendErrorResponse(503, "refused", reason, ["Retry-After", seconds.toFixed(2)]);
     }
 
-    /** Cancels the current attempt at its replica; returns false if there is none. */
-    private cancelAttempt(): boolean {
-        const { attempt } = this;
-        if (attempt === undefined) {
-            return false;
-        }
-        attempt.call?.cancel();
-        this.releaseAttempt(attempt);
-        return true;
+    /** Cancels all attempts at their replicas; returns false if there is none. */
+    private cancelAttempts(): boolean {
+        const attempts = this.liveAttempts;
+        attempts.forEach(attempt => {
+            attempt.call?.cancel();
+            this.releaseAttempt(attempt);
+        });
+        return attempts.length > 0;
     }
 
     private sendErrorResponse(
@@ -567,7 +659,7 @@
 
     private handleCallerDisconnect(): void {
         if (!this.isSettled) {
-            this.cancelAttempt();
+            this.cancelAttempts();
             this.settle("callerLeft", {});
         }
     }
--- a/src/serving/tests/attempt-decision.test.ts
+++ b/src/serving/tests/attempt-decision.test.ts
@@ -10,6 +10,7 @@
     maximumAttempts: 2,
     mayHaveRun: false,
     hasBegunResponse: false,
+    hasSilentAttempt: false,
     remainingMilliseconds: 1_000,
     hasRetryBudget: true,
 };
