Resume a stream at another replica after a refusal instead of cutting it

A refused attempt counted like a run, so one broken and one refused attempt used up the route's two attempts. Only replicas that may have run a request count now once its response has begun; further attempts are spaced out while replicas refuse, and still bounded by the retry budget, six attempts and the deadline.

--- a/src/serving/attempt-decision.ts
+++ b/src/serving/attempt-decision.ts
@@ -47,6 +47,9 @@
 const minimumAttemptMilliseconds = 20;
 /** Maximum number of attempts of one request on any route, including attempts that sent no byte. */
 const maximumAttemptCount = 6;
+/** Delay before a stream is resumed after the second refusal in a row, in milliseconds; doubles with each further one. */
+const resumeDelayStepMilliseconds = 40;
+const maximumResumeDelayMilliseconds = 320;
 
 export function decideNextStep(outcome: AttemptOutcome, facts: AttemptFacts): NextStep {
     if (canRetry(outcome, facts)) {
@@ -72,6 +75,15 @@
     return !facts.hasSilentAttempt && canRetry("lost", { ...facts, possibleRuns: facts.possibleRuns + 1 });
 }
 
+/**
+ * Delay before the next attempt of a stream that has begun, in milliseconds, after `refusals` replicas in a row refused to
+ * resume it. Covers replicas that are full for a moment: the first refusal leads to another replica at once.
+ */
+export function resumeDelayMilliseconds(refusals: number): number {
+    const doublings = Math.max(0, refusals - 1);
+    return Math.min(maximumResumeDelayMilliseconds, resumeDelayStepMilliseconds * (2 ** doublings - 1));
+}
+
 function canRetry(outcome: AttemptOutcome, facts: AttemptFacts): boolean {
     if (
         facts.remainingMilliseconds < minimumAttemptMilliseconds ||
@@ -85,8 +97,9 @@
     if (!facts.hasRetryBudget) {
         return false;
     }
-    if (outcome === "refused") {
+    if (outcome === "refused" && !facts.hasBegunResponse) {
         return (isRetryable(facts) || !facts.mayHaveRun) && facts.attemptCount < facts.maximumAttempts;
     }
+    // A replica that refused to resume a stream has not run it.
     return isRetryable(facts) && facts.possibleRuns < facts.maximumAttempts;
 }
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AttemptFacts, AttemptOutcome } from "./attempt-decision.js";
-import { decideNextStep, mayTryElsewhere } from "./attempt-decision.js";
+import { decideNextStep, mayTryElsewhere, resumeDelayMilliseconds } from "./attempt-decision.js";
 import { CallerResponse } from "./caller-response.js";
 import { isRetryable } from "./serving-configuration.js";
 import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
@@ -65,6 +65,8 @@
     private readonly triedInstances = new Set<string>();
     private attemptCount = 0;
     private possibleRuns = 0;
+    /** Attempts in a row that a replica refused. */
+    private refusals = 0;
     private mayHaveRun = false;
     private lastEventId: number | undefined;
     private lastTarget: DispatchTarget | undefined;
@@ -201,6 +203,7 @@
     /** Continues with one of two attempts and cancels the other, if there is one. */
     private keepOnly(attempt: Attempt): void {
         const other = this.liveAttempts.find(each => each !== attempt);
+        clearTimeout(this.waitTimer);
         this.attempt = attempt;
         this.silentAttempt = undefined;
         if (other === undefined) {
@@ -578,10 +581,11 @@
 
     /** Takes the next step after an attempt without a complete response. */
     private continueAfterAttempt(outcome: AttemptOutcome, reason: string): void {
+        this.refusals = outcome === "refused" ? this.refusals + 1 : 0;
         const step = decideNextStep(outcome, this.attemptFacts());
         switch (step) {
             case "retry":
-                this.startNextAttempt();
+                this.retry();
                 return;
             case "wait":
                 this.returnToSilentAttempt(this.silentAttempt!);
@@ -600,6 +604,15 @@
         }
     }
 
+    private retry(): void {
+        const delay = this.callerResponse.hasBegun ? resumeDelayMilliseconds(this.refusals) : 0;
+        if (delay === 0) {
+            this.startNextAttempt();
+        } else {
+            this.waitTimer = setTimeout(() => this.startNextAttempt(), delay);
+        }
+    }
+
     private releaseAttempt(attempt: Attempt): void {
         clearTimeout(attempt.slowAttemptTimer);
         const { instance, group } = attempt.target;
