Let an interrupted stream wait for a replica or the retry budget as long as its caller waits

What callers saw: streams whose replica had broken off were cut at once when the retry budget was exhausted, after six attempts within milliseconds while replicas restarted, or after 1.8 s without a replica, with seconds left to their deadline.

Before its response has begun, a request is still decided at once.

The search for a replica ends with the deadline or when the caller leaves. Each attempt still takes from the retry budget, and attempts that no replica takes are spaced out.

--- a/src/serving/attempt-decision.ts
+++ b/src/serving/attempt-decision.ts
@@ -37,15 +37,17 @@
 }
 
 /**
- * "retry": try another replica. "pass": relay the replica's error response to the caller. "refuse": state that no replica
- * ran the request. "unknown": state that a replica may have run it. "cut": abort the connection within the response. "wait": continue with the
- * earlier attempt, whose replica may only be silent.
+ * "retry": try another replica. "wait": continue with the earlier attempt, whose replica may only be silent. "postpone": try
+ * again when the retry budget allows it. "pass": relay the replica's error response to the caller. "refuse": state that no
+ * replica ran the request. "unknown": state that a replica may have run it. "cut": abort the connection within the response.
  */
-export type NextStep = "retry" | "wait" | "pass" | "refuse" | "unknown" | "cut";
+export type NextStep = "retry" | "wait" | "postpone" | "pass" | "refuse" | "unknown" | "cut";
 
 /** Minimum remaining time in which another attempt can succeed, in milliseconds. */
 const minimumAttemptMilliseconds = 20;
-/** Maximum number of attempts of one request on any route, including attempts that sent no byte. */
+/**
+ * Maximum number of attempts of one request on any route before its response begins, including attempts that sent no byte.
+ */
 const maximumAttemptCount = 6;
 /** Delay before a stream is resumed after the second refusal in a row, in milliseconds; doubles with each further one. */
 const resumeDelayStepMilliseconds = 40;
@@ -58,6 +60,9 @@
     if (facts.hasSilentAttempt) {
         return "wait";
     }
+    if (facts.hasBegunResponse && canRetry(outcome, { ...facts, hasRetryBudget: true })) {
+        return "postpone";
+    }
     if (facts.hasBegunResponse) {
         return "cut";
     }
@@ -76,8 +81,8 @@
 }
 
 /**
- * Delay before the next attempt of a stream that has begun, in milliseconds, after `refusals` replicas in a row refused to
- * resume it. Covers replicas that are full for a moment: the first refusal leads to another replica at once.
+ * Delay before the next attempt of a stream that has begun, in milliseconds, after `refusals` replicas in a row did not
+ * take it. Covers replicas that are full or being replaced for a moment: the first refusal leads to another replica at once.
  */
 export function resumeDelayMilliseconds(refusals: number): number {
     const doublings = Math.max(0, refusals - 1);
@@ -85,13 +90,11 @@
 }
 
 function canRetry(outcome: AttemptOutcome, facts: AttemptFacts): boolean {
-    if (
-        facts.remainingMilliseconds < minimumAttemptMilliseconds ||
-        facts.attemptCount >= maximumAttemptCount
-    ) {
+    const hasAttempts = facts.hasBegunResponse || facts.attemptCount < maximumAttemptCount;
+    if (facts.remainingMilliseconds < minimumAttemptMilliseconds || !hasAttempts) {
         return false;
     }
-    if (outcome === "notSent") {
+    if (outcome === "notSent" && !facts.hasBegunResponse) {
         return true;
     }
     if (!facts.hasRetryBudget) {
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -27,8 +27,6 @@
 const maximumBufferedResponseBytes = 256 * 1024;
 /** Maximum size of one event of a stream, in bytes. */
 const maximumEventBytes = 256 * 1024;
-/** Maximum time for which an interrupted stream waits for a replica to resume at, in milliseconds. */
-const resumeTimeoutMilliseconds = 1_800;
 /** Interval between two searches for a replica that takes over an interrupted or silent stream, in milliseconds. */
 const resumePollIntervalMilliseconds = 40;
 /** Default Retry-After of a refused request, in milliseconds, before jitter. */
@@ -65,14 +63,13 @@
     private readonly triedInstances = new Set<string>();
     private attemptCount = 0;
     private possibleRuns = 0;
-    /** Attempts in a row that a replica refused. */
+    /** Attempts in a row that no replica took. */
     private refusals = 0;
     private mayHaveRun = false;
     private lastEventId: number | undefined;
     private lastTarget: DispatchTarget | undefined;
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
     private isSettled = false;
-    private resumeDeadline: number | undefined;
     private readonly deadlineTimer: NodeJS.Timeout;
     private waitTimer: NodeJS.Timeout | undefined;
 
@@ -259,12 +256,8 @@
             this.refuse("no replica can take the request", { milliseconds: noReplicaRetryAfterMilliseconds });
             return;
         }
-        this.resumeDeadline ??= this.now() + resumeTimeoutMilliseconds;
-        if (this.now() >= this.resumeDeadline) {
-            this.abortResponse("no replica is available to resume the stream");
-            return;
-        }
-        this.waitTimer = setTimeout(() => this.startNextAttempt(), resumePollIntervalMilliseconds);
+        // The caller may still be waiting; its deadline or its disconnection ends the search.
+        this.startNextAttemptAfter(resumePollIntervalMilliseconds);
     }
 
     private startAttempt(target: DispatchTarget): void {
@@ -449,7 +442,6 @@
         }
         this.keepOnly(attempt);
         this.lastEventId = event.id ?? this.lastEventId;
-        this.resumeDeadline = undefined;
         this.callerResponse.begin(attempt.head!, undefined, now);
         if (!this.callerResponse.write(event.bytes)) {
             attempt.call?.pause();
@@ -581,12 +573,15 @@
 
     /** Takes the next step after an attempt without a complete response. */
     private continueAfterAttempt(outcome: AttemptOutcome, reason: string): void {
-        this.refusals = outcome === "refused" ? this.refusals + 1 : 0;
+        this.refusals = outcome === "refused" || outcome === "notSent" ? this.refusals + 1 : 0;
         const step = decideNextStep(outcome, this.attemptFacts());
         switch (step) {
             case "retry":
                 this.retry();
                 return;
+            case "postpone":
+                this.startNextAttemptAfter(resumePollIntervalMilliseconds);
+                return;
             case "wait":
                 this.returnToSilentAttempt(this.silentAttempt!);
                 return;
@@ -609,10 +604,15 @@
         if (delay === 0) {
             this.startNextAttempt();
         } else {
-            this.waitTimer = setTimeout(() => this.startNextAttempt(), delay);
+            this.startNextAttemptAfter(delay);
         }
     }
 
+    private startNextAttemptAfter(milliseconds: number): void {
+        clearTimeout(this.waitTimer);
+        this.waitTimer = setTimeout(() => this.startNextAttempt(), milliseconds);
+    }
+
     private releaseAttempt(attempt: Attempt): void {
         clearTimeout(attempt.slowAttemptTimer);
         const { instance, group } = attempt.target;
