Keep an attempt that has no response yet while no other replica can replace it

What callers saw: 502 after the attempt time-out at a replica that was silent for a second, although it served the request afterwards and no other replica could.

Cause: the attempt time-out ended the attempt before it asked whether there was another replica: again a response ended on a guess. It now ends the attempt only if another one may be made and a replica takes it.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -145,6 +145,11 @@
         return !this.isSettled && (this.attempt === attempt || this.silentAttempt === attempt);
     }
 
+    private hasOtherReplica({ target }: Attempt): boolean {
+        const choice = this.chooseReplica();
+        return choice.kind === "target" && choice.target.instance.id !== target.instance.id;
+    }
+
     private chooseReplica(): DispatchChoice {
         const { service, request, arrivedAt, route } = this.admitted;
         const isEngine = this.admitted.table.findService(service)?.engine !== undefined;
@@ -354,11 +359,19 @@
             attempt.slowAttemptTimer = setTimeout(() => this.handleSlowAttempt(attempt), extension);
             return;
         }
-        const hasBudget = this.context.retryWindowOf(this.admitted.service).availableRetries(now) > 0;
-        if (this.attempt === attempt && !this.isSettled && !attempt.hasReceivedEvents && hasBudget) {
-            attempt.call?.cancel();
-            this.endAttempt(attempt, "lost", "no response before the attempt time-out", true);
+        if (this.attempt !== attempt || this.isSettled || attempt.hasReceivedEvents) {
+            return;
         }
+        if (!mayTryElsewhere(this.attemptFacts()) || !this.hasOtherReplica(attempt)) {
+            // Ending the attempt would lose a response that may still come.
+            attempt.slowAttemptTimer = setTimeout(
+                () => this.handleSlowAttempt(attempt),
+                resumePollIntervalMilliseconds,
+            );
+            return;
+        }
+        attempt.call?.cancel();
+        this.endAttempt(attempt, "lost", "no response before the attempt time-out", true);
     }
 
     private handleHead(attempt: Attempt, message: IncomingMessage): void {
