Start one attempt when a silent replica breaks off while its stream waits for another one

Cause: the delayed search of an interrupted stream was not cancelled when the silent attempt ended and the next attempt began, so a second one began beside it, was never cancelled, and stayed in the counts of requests in flight.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -145,11 +145,6 @@
         return !this.isSettled && (this.attempt === attempt || this.silentAttempt === attempt);
     }
 
-    private hasOtherReplica({ target }: Attempt): boolean {
-        const choice = this.chooseReplica();
-        return choice.kind === "target" && choice.target.instance.id !== target.instance.id;
-    }
-
     private chooseReplica(): DispatchChoice {
         const { service, request, arrivedAt, route } = this.admitted;
         const isEngine = this.admitted.table.findService(service)?.engine !== undefined;
@@ -173,7 +168,7 @@
         }
         const choice = this.chooseReplica();
         const { instance, group } = attempt.target;
-        if (choice.kind !== "target" || choice.target.instance.id === instance.id) {
+        if (!isOtherReplica(choice, attempt)) {
             this.scheduleTryElsewhere(attempt);
             return;
         }
@@ -222,12 +217,14 @@
     }
 
     private startNextAttempt(): void {
-        if (this.isSettled) {
+        clearTimeout(this.waitTimer);
+        if (this.isSettled || this.attempt !== undefined) {
             return;
         }
         const choice = this.chooseReplica();
-        if (choice.kind !== "target" && this.silentAttempt !== undefined) {
-            this.returnToSilentAttempt(this.silentAttempt);
+        const { silentAttempt } = this;
+        if (silentAttempt !== undefined && !isOtherReplica(choice, silentAttempt)) {
+            this.returnToSilentAttempt(silentAttempt);
             return;
         }
         if (choice.kind === "paused" && this.callerResponse.hasBegun) {
@@ -362,7 +359,7 @@
         if (this.attempt !== attempt || this.isSettled || attempt.hasReceivedEvents) {
             return;
         }
-        if (!mayTryElsewhere(this.attemptFacts()) || !this.hasOtherReplica(attempt)) {
+        if (!mayTryElsewhere(this.attemptFacts()) || !isOtherReplica(this.chooseReplica(), attempt)) {
             // Ending the attempt would lose a response that may still come.
             attempt.slowAttemptTimer = setTimeout(
                 () => this.handleSlowAttempt(attempt),
@@ -708,3 +705,11 @@
         recordExchangeEnd(this.context, this.admitted, end);
     }
 }
+
+/** True if a choice is a replica other than that of an attempt. */
+function isOtherReplica(
+    choice: DispatchChoice,
+    { target }: Attempt,
+): choice is Extract<DispatchChoice, { readonly kind: "target" }> {
+    return choice.kind === "target" && choice.target.instance.id !== target.instance.id;
+}
