Follow the silence of a stream's own attempt as long as its group is suspect

What callers saw: found in review, shown by a test: a stream whose replica sent one event after a silence and then nothing was cut at its deadline although another replica was free, because only the first suspicion of a group was acted on. The attempt is now checked until its group is in use again, also when the retry budget was empty at first. A superseded attempt counts as a run unless it is the silent one and had not begun.

--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -202,6 +202,7 @@
             inFlightRequests: this.flights,
             replicaRecords: this.records,
             backPressure: this.backPressure,
+            isDoubtful: group => this.suspicions.isSuspect(group) || !this.view.groups.has(group),
             isLeaving: instance => this.leaving.isLeaving(instance),
             onLeaving: instance => this.leaving.record(instance),
             retryWindowOf: service => this.retryBudgets.windowOf(service),
--- a/src/serving/exchange-attempt.ts
+++ b/src/serving/exchange-attempt.ts
@@ -19,8 +19,8 @@
     bufferedChunks: Buffer[];
     bufferedBytes: number;
     hasReceivedEvents: boolean;
-    /** True if the replica's group was found silent and no event has arrived since. */
-    isSilent: boolean;
+    /** Local monotonic milliseconds of the last event, or of the sending. */
+    lastProgressAt: number;
     slowAttemptTimer: NodeJS.Timeout | undefined;
 }
 
@@ -42,7 +42,7 @@
         bufferedChunks: [],
         bufferedBytes: 0,
         hasReceivedEvents: false,
-        isSilent: false,
+        lastProgressAt: sentAt,
         slowAttemptTimer: undefined,
     };
 }
--- a/src/serving/exchange-context.ts
+++ b/src/serving/exchange-context.ts
@@ -22,6 +22,8 @@
     readonly inFlightRequests: InFlightRequests;
     readonly replicaRecords: ReplicaRecords;
     readonly backPressure: BackPressure;
+    /** True if a replica group is suspected to be stalled or is no longer in use. */
+    readonly isDoubtful: (group: string) => boolean;
     /** True if an instance has stated that it leaves. */
     readonly isLeaving: (instance: FleetInstance) => boolean;
     /** Called when an instance states that it leaves. */
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -44,6 +44,8 @@
  */
 const minimumFirstEventTimeoutMilliseconds = 2_000;
 const firstEventTimeoutObjectives = 4;
+/** Minimum time without an event after which an attempt at a suspected group counts as silent, in milliseconds. */
+const minimumSilenceMilliseconds = 130;
 /** HTTP status of a replica that is not the intended recipient of the request (421 Misdirected Request). */
 const misdirectedStatus = 421;
 /** Rank of the requests that a replica handles last. */
@@ -115,7 +117,6 @@
     public handleSilentGroup(): void {
         const { attempt } = this;
         if (attempt !== undefined && this.admitted.route.repeatability === "stream") {
-            attempt.isSilent = true;
             this.tryElsewhere(attempt);
         }
     }
@@ -161,13 +162,18 @@
         });
     }
 
+    /** Checks until the group of the attempt is in use again, since a group may fall silent, go on and fall silent again. */
     private tryElsewhere(attempt: Attempt): void {
-        const isCurrent = this.attempt === attempt && this.silentAttempt === undefined;
-        if (!isCurrent || !attempt.isSilent || this.isSettled || !mayTryElsewhere(this.attemptFacts())) {
+        const { instance, group } = attempt.target;
+        const isDoubtful = group !== undefined && this.context.isDoubtful(group);
+        if (this.isSettled || this.attempt !== attempt || !isDoubtful) {
             return;
         }
-        const choice = this.chooseReplica();
-        const { instance, group } = attempt.target;
+        const isSilent = this.now() - attempt.lastProgressAt >= minimumSilenceMilliseconds;
+        const choice =
+            isSilent && mayTryElsewhere(this.attemptFacts())
+                ? this.chooseReplica()
+                : ({ kind: "none" } as const);
         if (!isOtherReplica(choice, attempt)) {
             this.scheduleTryElsewhere(attempt);
             return;
@@ -186,7 +192,8 @@
 
     private scheduleTryElsewhere(attempt: Attempt): void {
         clearTimeout(this.waitTimer);
-        this.waitTimer = setTimeout(() => this.tryElsewhere(attempt), resumePollIntervalMilliseconds);
+        const delay = resumePollIntervalMilliseconds + resumeDelayMilliseconds(this.refusals);
+        this.waitTimer = setTimeout(() => this.tryElsewhere(attempt), delay);
     }
 
     /** Waits for the silent replica again, because no other one served the request. */
@@ -199,20 +206,23 @@
 
     /** Continues with one of two attempts and cancels the other, if there is one. */
     private keepOnly(attempt: Attempt): void {
+        if (this.attempt === attempt && this.silentAttempt === undefined) {
+            return;
+        }
         const other = this.liveAttempts.find(each => each !== attempt);
-        clearTimeout(this.waitTimer);
+        const wasSilent = other === this.silentAttempt;
         this.attempt = attempt;
         this.silentAttempt = undefined;
+        this.lastTarget = attempt.target;
+        this.scheduleTryElsewhere(attempt);
         if (other === undefined) {
             return;
         }
-        this.lastTarget = attempt.target;
         other.call?.cancel();
         this.releaseAttempt(other);
         this.mayHaveRun = true;
-        // When the connection closes, the group's leader drops a stream that has not begun, so only a stream that has
-        // begun counts as run.
-        this.possibleRuns += other.hasReceivedEvents ? 1 : 0;
+        // When the connection closes, a silent leader drops a stream that has not begun.
+        this.possibleRuns += other.hasReceivedEvents || !wasSilent ? 1 : 0;
         this.recordAttemptEnd(other, "superseded", "another replica made progress first");
     }
 
@@ -435,7 +445,7 @@
     private relayEvent(attempt: Attempt, event: StreamEvent): void {
         const now = this.now();
         const { group, instance } = attempt.target;
-        attempt.isSilent = false;
+        attempt.lastProgressAt = now;
         if (group !== undefined && attempt.inFlightId !== undefined) {
             this.context.inFlightRequests.recordProgress(group, attempt.inFlightId, now);
         }
