Cut a long response that breaks off instead of joining a second one to it

What callers saw: found in review: a response of an idempotent request that was too long to be held back, whose replica reset the connection, was sent again by a second replica into the same response, and looked complete (joined bodies). Cause: only streams were excluded by their state, not by the caller having begun to receive. A slow attempt whose response has begun is no longer ended by the attempt time-out either.

--- a/src/serving/attempt-decision.ts
+++ b/src/serving/attempt-decision.ts
@@ -90,6 +90,10 @@
 }
 
 function canRetry(outcome: AttemptOutcome, facts: AttemptFacts): boolean {
+    // Only a stream can go on within the response that its caller has begun to receive.
+    if (facts.hasBegunResponse && facts.repeatability !== "stream") {
+        return false;
+    }
     const hasAttempts = facts.hasBegunResponse || facts.attemptCount < maximumAttemptCount;
     if (facts.remainingMilliseconds < minimumAttemptMilliseconds || !hasAttempts) {
         return false;
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -366,7 +366,8 @@
             attempt.slowAttemptTimer = setTimeout(() => this.handleSlowAttempt(attempt), extension);
             return;
         }
-        if (this.attempt !== attempt || this.isSettled || attempt.hasReceivedEvents) {
+        const hasBegun = attempt.hasReceivedEvents || this.callerResponse.hasBegun;
+        if (this.attempt !== attempt || this.isSettled || hasBegun) {
             return;
         }
         if (!mayTryElsewhere(this.attemptFacts()) || !isOtherReplica(this.chooseReplica(), attempt)) {
--- a/src/serving/tests/attempt-decision.test.ts
+++ b/src/serving/tests/attempt-decision.test.ts
@@ -73,6 +73,13 @@
     }
 });
 
+test("a response that is no stream and has begun is cut, so that no second response is joined to it", t => {
+    const begun = { ...base, hasBegunResponse: true, mayHaveRun: true, possibleRuns: 1 };
+    for (const outcome of ["notSent", "refused", "failed", "lost"] as const) {
+        t.is(decideNextStep(outcome, begun), "cut");
+    }
+});
+
 test("attempts that no replica takes are spaced out, the second one follows at once", t => {
     t.deepEqual([0, 1, 2, 3, 4, 5, 9].map(resumeDelayMilliseconds), [0, 0, 40, 120, 280, 320, 320]);
 });
