Log the prompt segments of attempts and what had arrived of their responses

The line for an attempt without a complete response now names the shared prompt segments, which the platform's adapter reads from the request, and states whether the head and events of the response had arrived. The header still goes on unchanged.

--- a/src/serving/exchange-reporting.ts
+++ b/src/serving/exchange-reporting.ts
@@ -58,6 +58,9 @@
         isDeferred: target.isDeferred,
         fleetRevision: target.fleetRevision,
         lastEvent: end.lastEventId,
+        promptSegments: admitted.request.work?.promptSegments,
+        hasHead: attempt.head !== undefined,
+        hasReceivedEvents: attempt.hasReceivedEvents,
         runs: end.possibleRuns,
         repeatsLeft: context.retryWindowOf(admitted.service).availableRetries(end.endedAt),
     });
--- a/src/serving/wire-format.ts
+++ b/src/serving/wire-format.ts
@@ -5,6 +5,8 @@
 export interface EngineWork {
     readonly model: string;
     readonly promptTokens: number;
+    /** Ids of the leading segments of the prompt, which requests share; without the request's own last segment. */
+    readonly promptSegments: readonly string[];
 }
 
 /** A request of a caller, without its body. */
