Refuse requests with a prompt segment that crashes replicas

Callers on one route got 502, refusals and cut streams while replicas crashed one after the other: each request with one segment in its prompt crashed the replica that began to respond to it, and its retry crashed the next one.

Cause: a lost connection was held against the replica only; nothing judged the requests that were on it, so each retry and each new request of that kind was sent to a sound replica.

Each process now reports the requests that were lost in a crash before their responses had progressed, with the prompt segments of which no response has completed within a minute. A segment with three requests, three starts of replicas, three moments and a third of the crashes meanwhile is quarantined: its requests are refused as not run, those that wait at replicas are cancelled, and none is retried. Before that, a lost request is not retried if another one with the segment was lost. Reports, clearances and quarantines travel in the datagrams of the peers; the store keeps quarantines for processes that start later. Any completion ends a quarantine everywhere.

--- a/src/daemons/serving/entry-peers.ts
+++ b/src/daemons/serving/entry-peers.ts
@@ -1,6 +1,7 @@
 /** Exchanges loads, suspicions and opened groups with the other registered entry instances by datagrams. */
 import type { Clock } from "../../contracts/clocks.js";
 import type { PartLogger } from "../../links/logs.js";
+import type { CrashEvidence } from "../../serving/crash-attribution.js";
 import { EntryShares } from "../../serving/entry-shares.js";
 import type { FleetTiming } from "../../serving/fleet-timing.js";
 import { fleetTimingOf } from "../../serving/fleet-timing.js";
@@ -43,6 +44,9 @@
     /** Instances that are known to leave. */
     readonly leaving: () => readonly LeavingInstance[];
     readonly onLeaving: (from: string, leaving: readonly LeavingInstance[]) => void;
+    /** What this process knows of crashes of replicas. */
+    readonly crashEvidence: () => CrashEvidence;
+    readonly onCrashEvidence: (from: string, evidence: CrashEvidence) => void;
     /** Version of the configuration in force; 0 if none. */
     readonly configurationVersion: () => number;
     readonly onConfigurationVersion: (version: number) => void;
@@ -154,6 +158,7 @@
             suspicions,
             openedGroups,
             leaving,
+            crashEvidence,
             configurationVersion,
         } = this.options;
         this.link.send(
@@ -162,6 +167,7 @@
                 suspicions: suspicions(),
                 groups: openedGroups(),
                 leaving: leaving(),
+                crashEvidence: crashEvidence(),
                 configurationVersion: configurationVersion(),
             },
             includesFar,
@@ -172,7 +178,8 @@
         this.link.close();
     }
 
-    private handle({ from, loads, suspicions, groups, leaving, configurationVersion }: PeerMessage): void {
+    private handle(message: PeerMessage): void {
+        const { from, loads, suspicions, groups, leaving, crashEvidence, configurationVersion } = message;
         this.options.inFlightRequests.applyPeerLoads(
             from,
             loads,
@@ -181,6 +188,7 @@
         this.options.onSuspicions(suspicions);
         this.options.onOpenedGroups(from, groups);
         this.options.onLeaving(from, leaving);
+        this.options.onCrashEvidence(from, crashEvidence);
         this.options.onConfigurationVersion(configurationVersion);
     }
 
--- a/src/daemons/serving/serving-follower.ts
+++ b/src/daemons/serving/serving-follower.ts
@@ -72,6 +72,7 @@
     readonly peerPrefix: string;
     /** Prefix of the keys that `followedKeys` covers. */
     readonly placementPrefix: string;
+    readonly quarantinePrefix: string;
     /** Interval between checks of the registered entry instances, in milliseconds. */
     readonly peerReadIntervalMilliseconds: () => number;
     /** False while each of these checks has to read the store itself because the watch may be behind. */
@@ -79,6 +80,8 @@
     readonly onConfiguration: (table: RouteTable) => void;
     readonly onFleet: () => void;
     readonly onPeers: (peers: readonly Peer[]) => void;
+    /** Called with all entries under `quarantinePrefix` when they may have changed. */
+    readonly onQuarantines: (entries: readonly KeyValueEntry[]) => void;
     readonly log: PartLogger;
     readonly metrics: ServingMetrics;
 }
@@ -91,6 +94,7 @@
     /** Keys of peers that a restored store lacks, with the time at which they count as gone. */
     private readonly missingPeers = new Map<string, number>();
     private readonly placementEntries = new Map<string, KeyValueEntry>();
+    private readonly quarantineEntries = new Map<string, KeyValueEntry>();
     private position: StorePosition | undefined;
     private nextConfigurationReadAt = 0;
     private readonly isFailingByPrefix = new Map<string, boolean>();
@@ -173,6 +177,8 @@
                 this.replacePeers(selectEntries(response.entries, peerPrefix), isRestored);
                 this.placementEntries.clear();
                 this.addPlacementEntries(response.entries);
+                this.quarantineEntries.clear();
+                this.changeQuarantines(response.entries, []);
                 this.position = { era: response.era, revision: response.revision };
             },
             onWatch: event => this.applyWatch(event),
@@ -191,6 +197,7 @@
             this.addPeers(selectEntries(event.puts, peerPrefix));
             event.deletes.forEach(key => this.placementEntries.delete(key));
             this.addPlacementEntries(event.puts);
+            this.changeQuarantines(event.puts, event.deletes);
         }
         if (event.kind !== "gap") {
             this.position = { era: this.position?.era, revision: event.revision };
@@ -240,6 +247,13 @@
         );
     }
 
+    private changeQuarantines(puts: readonly KeyValueEntry[], deletes: readonly string[]): void {
+        const { quarantinePrefix, onQuarantines } = this.options;
+        deletes.forEach(key => this.quarantineEntries.delete(key));
+        selectEntries(puts, quarantinePrefix).forEach(entry => this.quarantineEntries.set(entry.key, entry));
+        onQuarantines([...this.quarantineEntries.values()]);
+    }
+
     /**
      * Applies only a version above the current one; after an unreadable configuration the previous one stays in force.
      */
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -9,6 +9,8 @@
 import { BackPressure } from "../../serving/back-pressure.js";
 import { CallerPort } from "../../serving/caller-port.js";
 import type { RouteTable, ServingConfiguration } from "../../serving/serving-configuration.js";
+import type { QuarantineCause } from "../../serving/crash-attribution.js";
+import { CrashAttribution } from "../../serving/crash-attribution.js";
 import { Dispatcher } from "../../serving/dispatcher.js";
 import type { AdmittedRequest, ExchangeContext } from "../../serving/exchange-context.js";
 import { Exchange } from "../../serving/exchange.js";
@@ -37,6 +39,7 @@
 import { GroupPlacer } from "./group-placer.js";
 import { HeldKey } from "./held-key.js";
 import { LeavingReports } from "./leaving-reports.js";
+import { QuarantineKeys } from "./quarantine-keys.js";
 import { PauseDetector } from "./pause-detector.js";
 import { TickLoop } from "./tick-loop.js";
 import { serveMetrics, serveReadiness } from "./auxiliary-servers.js";
@@ -68,6 +71,7 @@
 /** Prefix of all keys of placement. */
 const allPlacementPrefix = "chervil/placement";
 const placementPrefix = `${allPlacementPrefix}/`;
+const quarantinePrefix = "chervil/quarantines/";
 const settledEraPrefix = `${allPlacementPrefix}-eras/`;
 
 /** Platform-specific parts that an adapter supplies. */
@@ -109,6 +113,10 @@
     private readonly backPressure: BackPressure;
     private readonly leaving: LeavingReports;
     private readonly retryBudgets: RetryBudgets;
+    private readonly crashAttribution: CrashAttribution;
+    private readonly quarantineKeys: QuarantineKeys;
+    /** True if a quarantine has started since the last tick. */
+    private hasNewQuarantine = false;
     private readonly exchanges = new Set<Exchange>();
     private readonly suspicions: StalledGroupDetector;
     private readonly era: StoreEra;
@@ -131,6 +139,13 @@
         this.log = logs("entry");
         this.pauseDetector = PauseDetector.create(clock.monotonicMilliseconds(), clock.wallMilliseconds());
         this.upstreams = UpstreamPools.create(clock, replica => this.maximumConnectionsTo(replica));
+        this.crashAttribution = CrashAttribution.create({
+            random,
+            clearanceSpreadMilliseconds: () => this.peers.timing.probeSpreadMilliseconds,
+            onQuarantine: (segments, cause) => this.handleQuarantine(segments, cause),
+            onQuarantineEnd: (segments, isSound) => this.handleQuarantineEnd(segments, isSound),
+            onChange: () => this.informPeers(),
+        });
         this.peers = EntryPeers.create({
             settings,
             clock,
@@ -144,6 +159,8 @@
             configurationVersion: () => this.follower.table?.configuration.version ?? 0,
             onConfigurationVersion: version => this.follower.learnVersion(version),
             onLeaving: (from, leaving) => this.leaving.recordFromPeer(from, leaving),
+            crashEvidence: () => this.crashAttribution.announcement(this.now()),
+            onCrashEvidence: (from, evidence) => this.crashAttribution.apply(from, evidence, this.now()),
             onOpenedGroups: (from, groups) => this.announcedGroups.apply(from, groups),
             log: logs("peer"),
         });
@@ -202,6 +219,7 @@
             inFlightRequests: this.flights,
             replicaRecords: this.records,
             backPressure: this.backPressure,
+            crashAttribution: this.crashAttribution,
             isLeaving: instance => this.leaving.isLeaving(instance),
             onLeaving: instance => this.leaving.record(instance),
             retryWindowOf: service => this.retryBudgets.windowOf(service),
@@ -209,6 +227,16 @@
             metrics: this.metrics,
             isStopping: () => this.stoppingSince !== undefined,
         };
+        this.quarantineKeys = QuarantineKeys.create({
+            prefix: quarantinePrefix,
+            store,
+            clock,
+            random,
+            rank: () => this.peers.placerRank,
+            onQuarantine: segments =>
+                this.crashAttribution.adopt(segments, undefined, "the store", this.now()),
+            log: logs("store"),
+        });
         this.follower = this.createFollower(store);
         const hasEnded = (value: string): boolean => isWrittenFromAddress(value, settings.peerAddress);
         this.registration = HeldKey.create({
@@ -366,11 +394,13 @@
             parseRegistration: platform.parseRegistration,
             peerPrefix,
             placementPrefix: allPlacementPrefix,
+            quarantinePrefix,
             peerReadIntervalMilliseconds: () => this.peers.readIntervalMilliseconds,
             arePeersSettled: () => this.peers.shares.isSettled,
             onConfiguration: table => this.handleConfiguration(table),
             onFleet: () => this.rebuildView(),
             onPeers: peers => this.handlePeers(peers),
+            onQuarantines: entries => this.quarantineKeys.setEntries(entries),
             log: logs("store"),
             metrics: this.metrics,
         });
@@ -429,6 +459,32 @@
         }
     }
 
+    private handleQuarantine(segments: readonly string[], cause: QuarantineCause): void {
+        this.metrics.quarantines.inc();
+        this.log.warn("requests with these prompt segments crash replicas; refusing them", {
+            segments,
+            cause,
+        });
+        this.hasNewQuarantine = true;
+        this.ticks.bringForward();
+    }
+
+    private handleQuarantineEnd(segments: readonly string[], isSound: boolean): void {
+        this.log.info("quarantine of prompt segments ended", { segments, isSound });
+        if (isSound) {
+            this.quarantineKeys.remove(segments);
+        }
+    }
+
+    private tickQuarantines(now: number): void {
+        this.crashAttribution.tick(now);
+        this.quarantineKeys.tick(this.crashAttribution.current(now));
+        if (this.hasNewQuarantine) {
+            this.hasNewQuarantine = false;
+            this.exchanges.forEach(exchange => exchange.cancelIfQuarantined());
+        }
+    }
+
     /** Sends a change to the peers at the next tick, which follows at once. */
     private informPeers(): void {
         this.peers.sendAtNextTick();
@@ -451,6 +507,7 @@
         }
         this.suspicions.tick();
         this.announcedGroups.tick();
+        this.tickQuarantines(now);
         this.peers.tick();
     }
 
--- a/src/daemons/serving/tests/serving-follower.test.ts
+++ b/src/daemons/serving/tests/serving-follower.test.ts
@@ -54,6 +54,8 @@
         parseRegistration: () => undefined,
         peerPrefix: "peers/",
         placementPrefix: "placement/",
+        quarantinePrefix: "chervil/quarantines/",
+        onQuarantines: () => undefined,
         peerReadIntervalMilliseconds: () => 60_000,
         arePeersSettled: () => true,
         onConfiguration: table => versions.push(table.configuration.version),
--- a/src/serving/exchange-attempt.ts
+++ b/src/serving/exchange-attempt.ts
@@ -4,6 +4,11 @@
 import { EventSplitter } from "./event-splitter.js";
 import type { ResponseHead } from "./wire-format.js";
 
+/** Time from the first event after which a request cannot be the cause of a crash, in milliseconds. */
+const progressMilliseconds = 400;
+/** Minimum time from sending a request to a crash that it causes before its response has a head, in milliseconds. */
+const minimumCrashMilliseconds = 30;
+
 /** State of one attempt at a replica. */
 export interface Attempt {
     /** Number of the attempt within its request, from 1. */
@@ -19,6 +24,8 @@
     bufferedChunks: Buffer[];
     bufferedBytes: number;
     hasReceivedEvents: boolean;
+    /** Local monotonic milliseconds of the first event; undefined before. */
+    firstEventAt: number | undefined;
     slowAttemptTimer: NodeJS.Timeout | undefined;
 }
 
@@ -40,10 +47,23 @@
         bufferedChunks: [],
         bufferedBytes: 0,
         hasReceivedEvents: false,
+        firstEventAt: undefined,
         slowAttemptTimer: undefined,
     };
 }
 
+/**
+ * True if the replica may have crashed because it began to respond to the attempt, whose connection has just broken. An
+ * idle connection that the replica had closed breaks at once, and a response that has progressed shows that its request
+ * is sound.
+ */
+export function mayHaveCrashedReplica(attempt: Attempt, now: number): boolean {
+    if (attempt.firstEventAt !== undefined) {
+        return now - attempt.firstEventAt < progressMilliseconds;
+    }
+    return attempt.head !== undefined || now - attempt.sentAt >= minimumCrashMilliseconds;
+}
+
 /** True for a successful response that the replica has signed and that the caller can read. */
 export function isTrustedSuccess(head: ResponseHead | undefined): boolean {
     return (
--- a/src/serving/exchange-context.ts
+++ b/src/serving/exchange-context.ts
@@ -3,6 +3,7 @@
 import type { PartLogger } from "../links/logs.js";
 import type { UpstreamPools } from "../links/upstream-pools.js";
 import type { Route, RouteTable } from "./serving-configuration.js";
+import type { CrashAttribution } from "./crash-attribution.js";
 import type { Dispatcher } from "./dispatcher.js";
 import type { InFlightRequests } from "./in-flight-requests.js";
 import type { BackPressure } from "./back-pressure.js";
@@ -22,6 +23,7 @@
     readonly inFlightRequests: InFlightRequests;
     readonly replicaRecords: ReplicaRecords;
     readonly backPressure: BackPressure;
+    readonly crashAttribution: CrashAttribution;
     /** True if an instance has stated that it leaves. */
     readonly isLeaving: (instance: FleetInstance) => boolean;
     /** Called when an instance states that it leaves. */
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -7,10 +7,12 @@
 import { decideNextStep } from "./attempt-decision.js";
 import { CallerResponse } from "./caller-response.js";
 import { isRetryable } from "./serving-configuration.js";
+import type { SegmentedRequest } from "./crash-attribution.js";
+import { quarantineMilliseconds } from "./crash-attribution.js";
 import type { DispatchTarget } from "./dispatcher.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
-import { createAttempt, isTrustedSuccess } from "./exchange-attempt.js";
+import { createAttempt, isTrustedSuccess, mayHaveCrashedReplica } from "./exchange-attempt.js";
 import type { AdmittedRequest, ExchangeContext } from "./exchange-context.js";
 import { describeRequest, recordAttemptEnd, recordExchangeEnd } from "./exchange-reporting.js";
 import {
@@ -68,6 +70,8 @@
     private lastTarget: DispatchTarget | undefined;
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
     private isSettled = false;
+    /** True if the last attempt may have crashed its replica. */
+    private mayHaveCrashedReplica = false;
     private resumeDeadline: number | undefined;
     private readonly deadlineTimer: NodeJS.Timeout;
     private waitTimer: NodeJS.Timeout | undefined;
@@ -135,6 +139,42 @@
         this.sendErrorResponse(wasSent || this.mayHaveRun ? 504 : 503, "expired", reason);
     }
 
+    /** Ends a request that waits at a replica if requests with its prompt segments crash replicas. */
+    public cancelIfQuarantined(): void {
+        const { attempt, context, promptSegments } = this;
+        const isWaiting = attempt !== undefined && !attempt.hasReceivedEvents && !this.isSettled;
+        if (isWaiting && context.crashAttribution.isQuarantined(promptSegments, this.now())) {
+            this.cancelAttempt();
+            this.mayHaveRun = true;
+            this.refuseQuarantined();
+        }
+    }
+
+    private get promptSegments(): readonly string[] {
+        return this.admitted.request.work?.promptSegments ?? [];
+    }
+
+    /** Identifies the request in all its attempts. */
+    private get crashSubject(): SegmentedRequest {
+        return {
+            request: this.admitted.request.id ?? String(this.admitted.arrivedAt),
+            segments: this.promptSegments,
+        };
+    }
+
+    private refuseQuarantined(): void {
+        const reason = "requests with this part of the prompt crash replicas; omit it or retry later";
+        this.context.metrics.quarantineRefusals.inc();
+        if (this.callerResponse.hasBegun) {
+            this.abortResponse(reason);
+        } else if (this.mayHaveRun) {
+            this.sendErrorResponse(502, "failed", reason);
+        } else {
+            const seconds = String(quarantineMilliseconds / 1000);
+            this.sendErrorResponse(503, "refused", reason, ["Retry-After", seconds]);
+        }
+    }
+
     private now(): number {
         return this.context.clock.monotonicMilliseconds();
     }
@@ -143,6 +183,10 @@
         if (this.isSettled) {
             return;
         }
+        if (this.context.crashAttribution.recordRequest(this.promptSegments, this.now())) {
+            this.refuseQuarantined();
+            return;
+        }
         const { service, request } = this.admitted;
         const isEngine = this.admitted.table.findService(service)?.engine !== undefined;
         const work = isEngine ? request.work : undefined;
@@ -248,13 +292,26 @@
                 onHead: message => this.handleHead(attempt, message),
                 onData: chunk => this.handleData(attempt, chunk),
                 onEnd: () => this.handleEnd(attempt),
-                onFailure: (message, mayHaveBeenSent) =>
-                    this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message, mayHaveBeenSent),
+                onFailure: (message, mayHaveBeenSent) => {
+                    this.reportBrokenConnection(attempt, mayHaveBeenSent);
+                    this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message, mayHaveBeenSent);
+                },
             },
         );
         this.armAttemptTimer(attempt);
     }
 
+    private reportBrokenConnection(attempt: Attempt, mayHaveBeenSent: boolean): void {
+        const now = this.now();
+        this.mayHaveCrashedReplica = mayHaveBeenSent && mayHaveCrashedReplica(attempt, now);
+        if (this.mayHaveCrashedReplica) {
+            const { id, status } = attempt.target.instance;
+            const start = `${id} ${status.incarnation ?? ""}`;
+            const hasHead = attempt.head !== undefined && !attempt.hasReceivedEvents;
+            this.context.crashAttribution.recordCrash(this.crashSubject, start, hasHead, now);
+        }
+    }
+
     /**
      * Ranks a stream that the caller is already reading first, and a request that is expected to miss its objective
      * last.
@@ -367,6 +424,7 @@
         }
         if (!attempt.hasReceivedEvents) {
             attempt.hasReceivedEvents = true;
+            attempt.firstEventAt = now;
             clearTimeout(attempt.slowAttemptTimer);
             this.context.replicaRecords.recordSuccess(instance.id, now - attempt.sentAt);
             if (!this.callerResponse.hasBegun) {
@@ -432,6 +490,7 @@
             return;
         }
         this.releaseAttempt(attempt);
+        this.context.crashAttribution.recordSound(this.promptSegments, this.now());
         this.context.replicaRecords.recordSuccess(attempt.target.instance.id, this.now() - attempt.sentAt);
         this.context.metrics.attempts.inc({ service: this.admitted.service, outcome: "served" });
         if (this.callerResponse.hasBegun) {
@@ -487,7 +546,7 @@
             isResumable: admitted.route.isResumable,
             possibleRuns: this.possibleRuns,
             attemptCount: this.attemptCount,
-            maximumAttempts: admitted.route.maximumAttempts,
+            maximumAttempts: this.mayCrashAnotherReplica(outcome) ? 0 : admitted.route.maximumAttempts,
             mayHaveRun: this.mayHaveRun,
             hasBegunResponse: this.callerResponse.hasBegun,
             remainingMilliseconds: admitted.deadline - now,
@@ -511,6 +570,15 @@
         }
     }
 
+    private mayCrashAnotherReplica(outcome: AttemptOutcome): boolean {
+        const { crashAttribution } = this.context;
+        return (
+            outcome === "lost" &&
+            this.mayHaveCrashedReplica &&
+            crashAttribution.isSuspect(this.crashSubject, this.now())
+        );
+    }
+
     private releaseAttempt(attempt: Attempt): void {
         clearTimeout(attempt.slowAttemptTimer);
         const { instance, group } = attempt.target;
--- a/src/serving/peer-link.ts
+++ b/src/serving/peer-link.ts
@@ -8,6 +8,7 @@
 import * as z from "zod";
 import { parseJson } from "../links/json.js";
 import type { PartLogger } from "../links/logs.js";
+import type { CrashEvidence } from "./crash-attribution.js";
 import type { EngineLoad } from "./engine-model.js";
 import type { GroupAnnouncement } from "./group-announcements.js";
 import type { GroupLoad } from "./in-flight-requests.js";
@@ -31,6 +32,14 @@
     configuration: z.number().default(0),
     /** Id and start of the instances that leave. */
     leaving: z.array(z.tuple([z.string(), z.number().nullable()])).default([]),
+    /** Request, start of the replica, prompt segments, whether the response had a head, and age in milliseconds. */
+    crashes: z
+        .array(z.tuple([z.string(), z.string(), z.array(z.string()), z.boolean(), z.number()]))
+        .default([]),
+    /** Prompt segments with a complete response, and its age in milliseconds. */
+    sound: z.array(z.tuple([z.string(), z.number()])).default([]),
+    /** Quarantined prompt segments, and milliseconds since the last request with them. */
+    quarantines: z.array(z.tuple([z.array(z.string()), z.number()])).default([]),
 });
 
 /** State that one entry instance sends to the others. */
@@ -41,6 +50,7 @@
     readonly suspicions: readonly Suspicion[];
     readonly groups: readonly GroupAnnouncement[];
     readonly leaving: readonly LeavingInstance[];
+    readonly crashEvidence: CrashEvidence;
     /** Version of the configuration in force; 0 if none. */
     readonly configurationVersion: number;
 }
@@ -91,6 +101,15 @@
             groups: state.groups.map(({ group, epoch, model, members }) => [group, epoch, model, members]),
             configuration: state.configurationVersion,
             leaving: state.leaving.map(({ id, incarnation }) => [id, incarnation ?? null]),
+            crashes: state.crashEvidence.reports.map(({ request, start, segments, hasHead, age }) => [
+                request,
+                start,
+                segments,
+                hasHead,
+                age,
+            ]),
+            sound: state.crashEvidence.sound,
+            quarantines: state.crashEvidence.quarantines,
         });
         for (const peer of alsoFar ? [...this.near, ...this.far] : this.near) {
             const [host, port] = peer.split(":");
@@ -119,6 +138,7 @@
         }
         const { from, incarnation, sequence, loads, suspicions, groups, leaving, configuration } =
             parsed.data;
+        const { crashes, sound, quarantines } = parsed.data;
         const sender = `${from} ${incarnation}`;
         if (sequence <= (this.lastSequences.get(sender) ?? 0)) {
             return;
@@ -136,6 +156,17 @@
             groups: groups.map(([group, epoch, model, members]) => ({ group, epoch, model, members })),
             configurationVersion: configuration,
             leaving: leaving.map(([id, start]) => ({ id, incarnation: start ?? undefined })),
+            crashEvidence: {
+                reports: crashes.map(([request, start, segments, hasHead, age]) => ({
+                    request,
+                    start,
+                    segments,
+                    hasHead,
+                    age,
+                })),
+                sound,
+                quarantines,
+            },
         });
     }
 }
--- a/src/serving/serving-metrics.ts
+++ b/src/serving/serving-metrics.ts
@@ -11,6 +11,8 @@
     readonly responseSeconds: Histogram<"route">;
     readonly storeFaults: Counter<"code">;
     readonly suspectedGroups: Counter;
+    readonly quarantines: Counter;
+    readonly quarantineRefusals: Counter;
     readonly orders: Counter<"order" | "reply">;
     readonly configurationVersion: Gauge;
     readonly servableGroups: Gauge<"model">;
@@ -60,6 +62,16 @@
         help: "Replica groups found standing still with a silent member",
         registers,
     });
+    const quarantines = new Counter({
+        name: "chervil_quarantines_total",
+        help: "Quarantines of prompt segments whose requests crash replicas",
+        registers,
+    });
+    const quarantineRefusals = new Counter({
+        name: "chervil_quarantine_refusals_total",
+        help: "Requests that were ended because of a quarantine",
+        registers,
+    });
     const orders = new Counter({
         name: "chervil_orders_total",
         help: "Orders to engines by kind and reply",
@@ -90,6 +102,8 @@
         responseSeconds: answerSeconds,
         storeFaults,
         suspectedGroups,
+        quarantines,
+        quarantineRefusals,
         orders,
         configurationVersion,
         servableGroups,
