--- a/src/serving/crash-attribution.ts
+++ b/src/serving/crash-attribution.ts
@@ -22,6 +22,8 @@
 const minimumMomentGapMilliseconds = 100;
 /** Age of the first report from which a quarantine may start, in milliseconds: the time for clearances to arrive. */
 const confirmationMilliseconds = 300;
+/** Time after a new report for which each tick looks for causes, in milliseconds; covers the confirmation. */
+const evaluationMilliseconds = 1_000;
 /** Maximum number of reports that are kept. */
 const maximumReports = 256;
 /** Maximum number of reports, clearances and quarantines in one message. */
@@ -130,6 +132,9 @@
     /** Segments that another entry instance cleared, with the time until which this one does not repeat it. */
     private readonly heardUntil = new Map<string, number>();
 
+    /** Local monotonic milliseconds until which each tick looks for causes. */
+    private evaluateUntil = 0;
+
     private constructor(private readonly options: CrashAttributionOptions) {}
 
     public static create(options: CrashAttributionOptions): CrashAttribution {
@@ -146,7 +151,7 @@
     public recordSound(segments: readonly string[], now: number): void {
         for (const segment of segments) {
             const wasSound = this.isSound(segment, now);
-            this.setSound(segment, now);
+            this.setSound(segment, now, now);
             if (!wasSound && this.isReported(segment)) {
                 this.scheduleClearance(segment, now);
             }
@@ -162,8 +167,7 @@
     ): void {
         const suspects = segments.filter(segment => !this.isSound(segment, now));
         if (suspects.length > 0) {
-            this.addReport({ request, start, segments: suspects, hasHead, at: now, isOwn: true });
-            this.evaluate(now);
+            this.addReport({ request, start, segments: suspects, hasHead, at: now, isOwn: true }, now);
             this.options.onChange();
         }
     }
@@ -227,21 +231,18 @@
             if (age < soundLifetimeMilliseconds) {
                 this.clearancesDueAt.delete(segment);
                 this.heardUntil.set(segment, now + repeatedClearanceMilliseconds);
-                this.setSound(segment, now - Math.max(0, age));
+                this.setSound(segment, now - Math.max(0, age), now);
             }
         }
         for (const { age, ...report } of reports) {
             if (age <= reportLifetimeMilliseconds) {
-                this.addReport({ ...report, at: now - Math.max(0, age), isOwn: false });
+                this.addReport({ ...report, at: now - Math.max(0, age), isOwn: false }, now);
                 this.clearIfSound(report.segments, now);
             }
         }
         for (const [segments, age] of quarantines) {
             this.adopt(segments, now - Math.max(0, age), from, now);
         }
-        if (reports.length > 0) {
-            this.evaluate(now);
-        }
     }
 
     /**
@@ -269,6 +270,7 @@
         }
     }
 
+    /** Starts and ends quarantines, and announces clearances that are due. */
     public tick(now: number): void {
         this.expire(now);
         for (const [segment, dueAt] of this.clearancesDueAt) {
@@ -278,14 +280,17 @@
                 this.options.onChange();
             }
         }
-        this.evaluate(now);
+        if (now < this.evaluateUntil) {
+            this.evaluate(now);
+        }
     }
 
-    private addReport(report: StoredReport): void {
+    private addReport(report: StoredReport, now: number): void {
         const key = `${report.request} ${report.start}`;
         const known = this.reports.get(key);
         if (known === undefined || (report.hasHead && !known.hasHead)) {
             this.reports.set(key, report);
+            this.evaluateUntil = now + evaluationMilliseconds;
         }
         if (this.reports.size > maximumReports) {
             this.reports.delete(this.reports.keys().next().value!);
@@ -373,7 +378,7 @@
         }
     }
 
-    private setSound(segment: string, at: number): void {
+    private setSound(segment: string, at: number, now: number): void {
         const latest = Math.max(at, this.soundAt.get(segment) ?? at);
         this.soundAt.delete(segment);
         this.soundAt.set(segment, latest);
@@ -383,6 +388,7 @@
         for (const [key, { segments }] of this.quarantines) {
             if (segments.includes(segment)) {
                 this.quarantines.delete(key);
+                this.evaluateUntil = now + evaluationMilliseconds;
                 this.options.onQuarantineEnd(segments, true);
             }
         }
