--- a/src/serving/exchange-attempt.ts
+++ b/src/serving/exchange-attempt.ts
@@ -4,6 +4,11 @@
 import { EventSplitter } from "./event-splitter.js";
 import type { ResponseHead } from "./wire-format.js";
 
+/** Time from the first event after which a request cannot be the cause of a crash, in milliseconds. */
+const progressMilliseconds = 400;
+/** Minimum time from sending a request to a crash that it causes before its response has a head, in milliseconds. */
+const minimumCrashMilliseconds = 30;
+
 /** State of one attempt at a replica. */
 export interface Attempt {
     /** Number of the attempt within its request, from 1. */
@@ -21,6 +26,10 @@
     hasReceivedEvents: boolean;
     /** Local monotonic milliseconds of the last event, or of the sending. */
     lastProgressAt: number;
+    /** Local monotonic milliseconds of the first event; undefined before. */
+    firstEventAt: number | undefined;
+    /** True if the request may have crashed the replica. */
+    hasCrashedReplica: boolean;
     slowAttemptTimer: NodeJS.Timeout | undefined;
 }
 
@@ -43,10 +52,24 @@
         bufferedBytes: 0,
         hasReceivedEvents: false,
         lastProgressAt: sentAt,
+        firstEventAt: undefined,
+        hasCrashedReplica: false,
         slowAttemptTimer: undefined,
     };
 }
 
+/**
+ * True if the replica may have crashed because it began to respond to the attempt, whose connection has just broken. An
+ * idle connection that the replica had closed breaks at once, and a response that has progressed shows that its request
+ * is sound.
+ */
+export function mayHaveCrashedReplica(attempt: Attempt, now: number): boolean {
+    if (attempt.firstEventAt !== undefined) {
+        return now - attempt.firstEventAt < progressMilliseconds;
+    }
+    return attempt.head !== undefined || now - attempt.sentAt >= minimumCrashMilliseconds;
+}
+
 /** True for a successful response that the replica has signed and that the caller can read. */
 export function isTrustedSuccess(head: ResponseHead | undefined): boolean {
     return (
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -7,10 +7,12 @@
 import { decideNextStep, mayTryElsewhere, resumeDelayMilliseconds } from "./attempt-decision.js";
 import { CallerResponse } from "./caller-response.js";
 import { isRetryable } from "./serving-configuration.js";
+import type { SegmentedRequest } from "./crash-attribution.js";
+import { quarantineMilliseconds } from "./crash-attribution.js";
 import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
-import { createAttempt, isTrustedSuccess } from "./exchange-attempt.js";
+import { createAttempt, isTrustedSuccess, mayHaveCrashedReplica } from "./exchange-attempt.js";
 import type { AdmittedRequest, ExchangeContext } from "./exchange-context.js";
 import { describeRequest, recordAttemptEnd, recordExchangeEnd } from "./exchange-reporting.js";
 import {
@@ -72,6 +74,8 @@
     private lastTarget: DispatchTarget | undefined;
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
     private isSettled = false;
+    /** True if the last attempt may have crashed its replica. */
+    private hasLastAttemptCrashed = false;
     private readonly deadlineTimer: NodeJS.Timeout;
     private waitTimer: NodeJS.Timeout | undefined;
 
@@ -134,6 +138,42 @@
         this.sendErrorResponse(wasSent || this.mayHaveRun ? 504 : 503, "expired", reason);
     }
 
+    /** Ends a request that waits at a replica if requests with its prompt segments crash replicas. */
+    public cancelIfQuarantined(): void {
+        const { context, promptSegments } = this;
+        const isWaiting = !this.isSettled && this.liveAttempts.some(attempt => !attempt.hasReceivedEvents);
+        if (isWaiting && context.crashAttribution.isQuarantined(promptSegments, this.now())) {
+            this.cancelAttempts();
+            this.mayHaveRun = true;
+            this.refuseQuarantined();
+        }
+    }
+
+    private get promptSegments(): readonly string[] {
+        return this.admitted.request.work?.promptSegments ?? [];
+    }
+
+    /** Identifies the request in all its attempts. */
+    private get crashSubject(): SegmentedRequest {
+        return {
+            request: this.admitted.request.id ?? String(this.admitted.arrivedAt),
+            segments: this.promptSegments,
+        };
+    }
+
+    private refuseQuarantined(): void {
+        const reason = "requests with this part of the prompt crash replicas; omit it or retry later";
+        this.context.metrics.quarantineRefusals.inc();
+        if (this.callerResponse.hasBegun) {
+            this.abortResponse(reason);
+        } else if (this.mayHaveRun) {
+            this.sendErrorResponse(502, "failed", reason);
+        } else {
+            const seconds = String(quarantineMilliseconds / 1000);
+            this.sendErrorResponse(503, "refused", reason, ["Retry-After", seconds]);
+        }
+    }
+
     private now(): number {
         return this.context.clock.monotonicMilliseconds();
     }
@@ -231,6 +271,11 @@
         if (this.isSettled || this.attempt !== undefined) {
             return;
         }
+        if (this.context.crashAttribution.recordRequest(this.promptSegments, this.now())) {
+            this.cancelAttempts();
+            this.refuseQuarantined();
+            return;
+        }
         const choice = this.chooseReplica();
         const { silentAttempt } = this;
         if (silentAttempt !== undefined && !isOtherReplica(choice, silentAttempt)) {
@@ -323,13 +368,26 @@
                 onHead: message => this.handleHead(attempt, message),
                 onData: chunk => this.handleData(attempt, chunk),
                 onEnd: () => this.handleEnd(attempt),
-                onFailure: (message, mayHaveBeenSent) =>
-                    this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message, mayHaveBeenSent),
+                onFailure: (message, mayHaveBeenSent) => {
+                    this.reportBrokenConnection(attempt, mayHaveBeenSent);
+                    this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message, mayHaveBeenSent);
+                },
             },
         );
         this.armAttemptTimer(attempt);
     }
 
+    private reportBrokenConnection(attempt: Attempt, mayHaveBeenSent: boolean): void {
+        const now = this.now();
+        attempt.hasCrashedReplica = mayHaveBeenSent && mayHaveCrashedReplica(attempt, now);
+        if (attempt.hasCrashedReplica) {
+            const { id, status } = attempt.target.instance;
+            const start = `${id} ${status.incarnation ?? ""}`;
+            const hasHead = attempt.head !== undefined && !attempt.hasReceivedEvents;
+            this.context.crashAttribution.recordCrash(this.crashSubject, start, hasHead, now);
+        }
+    }
+
     /**
      * Ranks a stream that the caller is already reading first, and a request that is expected to miss its objective
      * last.
@@ -452,6 +510,7 @@
         }
         if (!attempt.hasReceivedEvents) {
             attempt.hasReceivedEvents = true;
+            attempt.firstEventAt = now;
             clearTimeout(attempt.slowAttemptTimer);
             this.context.replicaRecords.recordSuccess(instance.id, now - attempt.sentAt);
             if (!this.callerResponse.hasBegun) {
@@ -518,6 +577,7 @@
         }
         this.keepOnly(attempt);
         this.releaseAttempt(attempt);
+        this.context.crashAttribution.recordSound(this.promptSegments, this.now());
         this.context.replicaRecords.recordSuccess(attempt.target.instance.id, this.now() - attempt.sentAt);
         this.context.metrics.attempts.inc({ service: this.admitted.service, outcome: "served" });
         if (this.callerResponse.hasBegun) {
@@ -552,6 +612,7 @@
             this.possibleRuns += hasRun ? 1 : 0;
         }
         this.recordAttemptEnd(attempt, outcome, reason);
+        this.hasLastAttemptCrashed = attempt.hasCrashedReplica;
         if (this.attempt !== undefined) {
             this.tryElsewhere(this.attempt);
             return;
@@ -595,7 +656,11 @@
     /** Takes the next step after an attempt without a complete response. */
     private continueAfterAttempt(outcome: AttemptOutcome, reason: string): void {
         this.refusals = outcome === "refused" || outcome === "notSent" ? this.refusals + 1 : 0;
-        const step = decideNextStep(outcome, this.attemptFacts());
+        const facts = this.attemptFacts();
+        const step = decideNextStep(
+            outcome,
+            this.mayCrashAnotherReplica(outcome) ? { ...facts, maximumAttempts: 0 } : facts,
+        );
         switch (step) {
             case "retry":
                 this.retry();
@@ -634,6 +699,15 @@
         this.waitTimer = setTimeout(() => this.startNextAttempt(), milliseconds);
     }
 
+    private mayCrashAnotherReplica(outcome: AttemptOutcome): boolean {
+        const { crashAttribution } = this.context;
+        return (
+            outcome === "lost" &&
+            this.hasLastAttemptCrashed &&
+            crashAttribution.isSuspect(this.crashSubject, this.now())
+        );
+    }
+
     private releaseAttempt(attempt: Attempt): void {
         clearTimeout(attempt.slowAttemptTimer);
         const { instance, group } = attempt.target;
