Detect a reset that arrives together with the last bytes of an unframed response

Callers got a success with a part of the body, and a connection that ended normally, where the replica had reset its connection; a stream reset between two events looked complete and was not resumed.

Cause: if the last bytes and the reset arrive in one poll of the event loop, libuv reports the end of the stream after a partial read and drops the error (uv__stream_io, the branch on POLLHUP). The pool took that end for a normal close, which is all that shows an unframed response to be complete. The slower the loop, the more often both arrive in one poll.

The pool now writes no bytes when a connection ends: the kernel still returns the error of a connection that was reset, and accepts the write after a normal close. Nothing is sent.

Evidence: with the reset sent right after the bytes, "an unframed response that is reset is no success" and "an unframed stream that is reset between two events is resumed" failed before (200 with a cut body; the stream ended at event 3) and pass now. The first also failed once before with 5 ms between bytes and reset, while the machine was busy; 400 such requests on a calm machine gave none.

--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -237,8 +237,12 @@
         return mayStart;
     };
     request.once("socket", socket => {
-        const onCleanEnd = (): void => {
-            state.closedCleanly = true;
+        const onEnd = (): void => {
+            // Node.js reports the end of the connection, and no error, if a reset arrives together with the last bytes.
+            // Only a write, even an empty one, fails then; it must come before Node.js ends the writable side.
+            socket.write(Buffer.alloc(0), error => {
+                state.closedCleanly = !error;
+            });
         };
         const onSocketError = (): void => {
             state.closedCleanly = false;
@@ -252,12 +256,12 @@
             return;
         }
         socket.setNoDelay(true);
-        socket.on("end", onCleanEnd);
+        socket.prependListener("end", onEnd);
         socket.on("error", onSocketError);
         // A pooled connection outlives its requests, so the listeners must be removed.
         request.once("close", () => {
             socket.removeListener("connect", onConnected);
-            socket.removeListener("end", onCleanEnd);
+            socket.removeListener("end", onEnd);
             socket.removeListener("error", onSocketError);
         });
     });
