Soak: silent replicas, unframed responses, series of configurations, and lost or cut responses

The schedule gains, from a sequence of its own (equal seeds keep the former disturbances): replicas that send nothing for 0.5 to 1.5 s and then go on; responses without a length or chunks that end whole, are reset, or end inside an event; and series of three configurations beside half of these. Configurations vary the route's timeout, the limits on headers and idle connections, and move a route to another service and back.

nothingIsLost excused each request on a kept connection that broke. It now excuses only one that no replica ran and that broke within LossSlackMs (200 ms) of its last byte: it crossed the close of an idle connection. A paused process is excused for requests that were open during the pause, no longer only for those that ended in it. nothingIsCut is new: a response that has begun ends complete unless a replica broke it off, a link to a replica of its group was disturbed, or the time limit of the caller or the route was reached.

--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../contracts/clocks.js";
+import { detectReset } from "./connection-end.js";
 import { IdleLimits } from "./idle-limits.js";
 
 /** Time-out for establishing a connection: several round trips of the longest link. */
@@ -238,10 +239,8 @@
     };
     request.once("socket", socket => {
         const onEnd = (): void => {
-            // Node.js reports the end of the connection, and no error, if a reset arrives together with the last bytes.
-            // Only a write, even an empty one, fails then; it must come before Node.js ends the writable side.
-            socket.write(Buffer.alloc(0), error => {
-                state.closedCleanly = !error;
+            detectReset(socket, isReset => {
+                state.closedCleanly = !isReset;
             });
         };
         const onSocketError = (): void => {
--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -1,11 +1,13 @@
 /** Callers of the soak. They keep connections alive until the process ends, and send some requests over new ones. */
 import * as http from "node:http";
 import { randomInteger } from "../../src/core/random-numbers.js";
+import { detectReset } from "../../src/links/connection-end.js";
 import type { EntryProcess, SoakEntry } from "./soak-entry.js";
 import type { CallerRecord, RequestKind } from "./history.js";
 import { host, modelName } from "./workload.js";
 
-const deadlineMilliseconds = 3_500;
+/** Time limit that callers state, in milliseconds. */
+export const deadlineMilliseconds = 3_500;
 /** Fraction of the requests that are sent over a new connection instead of a kept one. */
 const newConnectionFraction = 0.3;
 
@@ -23,8 +25,10 @@
     readonly answeredId: string | undefined;
     readonly body: string;
     readonly isWhole: boolean;
-    /** True if no connection was established, or a kept one broke, which the process may have closed before the request. */
-    readonly wasNotRead: boolean;
+    readonly isConnected: boolean;
+    readonly isOnKeptConnection: boolean;
+    /** When the last byte of the request was written, by `performance.now()`; undefined if it never was. */
+    readonly writtenAt: number | undefined;
 }
 
 export class SoakCallers {
@@ -65,6 +69,7 @@
         this.requestCount += 1;
         const id = `${kind}-${this.requestCount}`;
         const sentAt = now();
+        const clockOffset = performance.now() - sentAt;
         const { currentProcess: entryProcess } = entry;
         const usedCredential = credential();
         const agent = random() < newConnectionFraction ? undefined : this.agentOf(entry.name);
@@ -84,10 +89,14 @@
             },
             body: kind === "read" ? undefined : `body of ${id}`,
         });
-        const isExcused = response.wasNotRead || entryProcess === undefined || isDisturbed(entryProcess);
-        const { status, answeredId, body, isWhole } = response;
+        const isExcused =
+            !response.isConnected ||
+            entryProcess === undefined ||
+            isDisturbed(entryProcess, sentAt + clockOffset);
+        const { status, answeredId, body, isWhole, isOnKeptConnection } = response;
+        const writtenAt = response.writtenAt === undefined ? sentAt : response.writtenAt - clockOffset;
         const base = { id, kind, entry: entry.name, credential: usedCredential, sentAt, endedAt: now() };
-        onEnd({ ...base, status, answeredId, body, isWhole, isExcused });
+        onEnd({ ...base, writtenAt, status, answeredId, body, isWhole, isOnKeptConnection, isExcused });
     }
 
     private agentOf(entry: string): http.Agent {
@@ -100,9 +109,10 @@
     }
 }
 
-/** True if the process could not respond: it was killed, is paused, or ended after it had been asked to. */
-function isDisturbed({ wasKilled, isPaused, wasAskedToEnd: wasTold, isRunning }: EntryProcess): boolean {
-    return wasKilled || isPaused || (wasTold && !isRunning);
+/** True if the process could not respond: it was killed, paused meanwhile, or ended after it had been asked to. */
+function isDisturbed(entryProcess: EntryProcess, sentAt: number): boolean {
+    const { wasKilled, isPaused, resumedAt, wasAskedToEnd: wasTold, isRunning } = entryProcess;
+    return wasKilled || isPaused || resumedAt >= sentAt || (wasTold && !isRunning);
 }
 
 interface OutgoingRequest {
@@ -118,38 +128,45 @@
     agent: http.Agent | undefined,
     outgoing: OutgoingRequest,
 ): Promise<CallerResponse> {
-    const { path, method, headers, body } = outgoing;
+    const { path, method, headers } = outgoing;
     return new Promise(resolve => {
         let isConnected = false;
+        let isReset = false;
+        let writtenAt: number | undefined;
+        let received: http.IncomingMessage | undefined;
+        let body = "";
         const options = { host: "127.0.0.1", port, path, method, headers, agent: agent ?? false };
         const clientRequest = http.request(options, response => {
-            let text = "";
+            received = response;
             response.setEncoding("utf8");
-            response.on("data", (chunk: string) => (text += chunk));
-            response.on("error", () => undefined);
-            response.on("close", () => {
-                const named = response.headers["chervilrouter-request-id"];
-                resolve({
-                    status: response.statusCode ?? 0,
-                    answeredId: named === undefined ? undefined : String(named),
-                    body: text,
-                    isWhole: response.complete,
-                    wasNotRead: false,
-                });
-            });
+            response.on("data", (chunk: string) => (body += chunk));
+            response.on("error", () => (isReset = true));
         });
         const timeout = setTimeout(() => clientRequest.destroy(), deadlineMilliseconds + 3_000);
+        const onEnd = (): void => detectReset(clientRequest.socket!, wasReset => (isReset ||= wasReset));
         clientRequest.on("socket", socket => {
             isConnected = !socket.connecting;
             if (socket.connecting) {
                 socket.once("connect", () => (isConnected = true));
             }
+            socket.prependListener("end", onEnd);
         });
-        clientRequest.on("error", () => {
-            const wasNotRead = !isConnected || clientRequest.reusedSocket;
-            resolve({ status: 0, answeredId: undefined, body: "", isWhole: false, wasNotRead });
+        clientRequest.on("finish", () => (writtenAt = performance.now()));
+        clientRequest.on("error", () => (isReset = true));
+        clientRequest.on("close", () => {
+            clearTimeout(timeout);
+            clientRequest.socket?.removeListener("end", onEnd);
+            const answeredId = received?.headers["chervilrouter-request-id"];
+            resolve({
+                status: received?.statusCode ?? 0,
+                answeredId: answeredId === undefined ? undefined : String(answeredId),
+                body,
+                isWhole: received?.complete === true && !isReset,
+                isConnected,
+                isOnKeptConnection: clientRequest.reusedSocket,
+                writtenAt,
+            });
         });
-        clientRequest.on("close", () => clearTimeout(timeout));
-        clientRequest.end(body);
+        clientRequest.end(outgoing.body);
     });
 }
--- a/tests/soak/checkers.test.ts
+++ b/tests/soak/checkers.test.ts
@@ -9,6 +9,8 @@
     configurationMilliseconds: 2_000,
     leavingMilliseconds: 2_000,
     settleMilliseconds: 3_000,
+    timeLimitMilliseconds: 3_000,
+    lossSlackMilliseconds: 200,
     retryBudget: { windowMilliseconds: 10_000, fraction: 0.2, allowance: 2 },
 };
 const checkers = allCheckers(bounds);
@@ -19,11 +21,13 @@
     entry: "entry-0",
     credential: "atelier-1",
     sentAt: 100,
+    writtenAt: 101,
     endedAt: 200,
     status: 200,
     answeredId: "once-1",
     body: expectedResponse("once-1", "plain-1"),
     isWhole: true,
+    isOnKeptConnection: false,
     isExcused: false,
 };
 const run: RunRecord = {
@@ -32,6 +36,7 @@
     at: 150,
     workspace: "atelier",
     hasCredential: false,
+    members: [],
     target: "/once/once-1",
 };
 const sound: SoakHistory = {
@@ -84,6 +89,7 @@
     versionsInTime: { versions: [{ entry: "entry-0", start: 1, at: 11_000, version: 1 }] },
     leaving: { runs: [{ ...run, replica: "plain-2", at: 2_500 }] },
     nothingIsLost: { callers: [{ ...caller, status: 0, answeredId: undefined, body: "", isWhole: false }] },
+    nothingIsCut: { callers: [{ ...caller, isWhole: false }] },
     repeats: {
         callers: [caller],
         runs: Array.from({ length: 6 }, (_, index) => ({ ...run, id: "read-1", at: 150 + index })),
@@ -97,6 +103,28 @@
     });
 }
 
+const unanswered = { ...caller, status: 0, body: "", isWhole: false, isOnKeptConnection: true };
+
+test("only a request that crosses the close of a kept connection and is not passed on is not lost", t => {
+    const violationsOf = (record: CallerRecord, runs: readonly RunRecord[]): number =>
+        checkers.nothingIsLost!({ ...emptyHistory, callers: [record], runs }).length;
+    t.is(violationsOf(unanswered, []), 0);
+    t.is(violationsOf(unanswered, [run]), 1);
+    t.is(violationsOf({ ...unanswered, endedAt: 302 }, []), 1);
+    t.is(violationsOf({ ...unanswered, isOnKeptConnection: false }, []), 1);
+});
+
+test("a cut response is allowed after a break of a replica, a fault of its link and the time limit", t => {
+    const cut = { ...caller, isWhole: false };
+    const violationsOf = (changes: Partial<SoakHistory>): number =>
+        checkers.nothingIsCut!({ ...emptyHistory, callers: [cut], runs: [run], ...changes }).length;
+    t.is(violationsOf({}), 1);
+    t.is(violationsOf({ breaks: [{ id: caller.id, replica: run.replica }] }), 0);
+    t.is(violationsOf({ linkFaults: [{ replica: run.replica, from: 150, to: 160 }] }), 0);
+    t.is(violationsOf({ linkFaults: [{ replica: "plain-9", from: 150, to: 160 }] }), 1);
+    t.is(violationsOf({ callers: [{ ...cut, endedAt: 3_100 }] }), 0);
+});
+
 test("a credential that reaches a replica is a violation", t => {
     const history = { ...sound, runs: [{ ...run, hasCredential: true }] };
     t.is(checkers.workspaces!(history).length, 1);
--- a/tests/soak/checkers.ts
+++ b/tests/soak/checkers.ts
@@ -1,5 +1,5 @@
 /** Checks the guarantees of the serving process on the history of one run. Each checker returns a text per violation. */
-import { countBy } from "../../src/serving/collections.js";
+import { countBy, groupBy } from "../../src/serving/collections.js";
 import type { CallerRecord, RunRecord, SoakHistory } from "./history.js";
 import { expectedResponse, expectedStream, workspaceOf } from "./workload.js";
 
@@ -13,6 +13,10 @@
     readonly leavingMilliseconds: number;
     /** From the end of a disturbance until the time bounds apply again. */
     readonly settleMilliseconds: number;
+    /** Shortest time that a request may take until it is ended: of its caller and of its route. */
+    readonly timeLimitMilliseconds: number;
+    /** From the last byte of a request until a process that closes an idle connection must have noticed it. */
+    readonly lossSlackMilliseconds: number;
     readonly retryBudget: {
         readonly windowMilliseconds: number;
         readonly fraction: number;
@@ -75,7 +79,9 @@
 
 export function checkVersionsIncrease({ versions }: SoakHistory): readonly string[] {
     const highest = new Map<string, number>();
-    return versions.flatMap(({ entry, start, version }) => {
+    // A replica that is silent delays some responses, so the records are in the order of the responses.
+    const inSendingOrder = [...versions].sort((left, right) => left.at - right.at);
+    return inSendingOrder.flatMap(({ entry, start, version }) => {
         const key = `${entry} start ${start}`;
         const before = highest.get(key) ?? 0;
         highest.set(key, Math.max(before, version));
@@ -112,11 +118,49 @@
         });
 }
 
-/** A process that shuts down gracefully responds to every request that it has read, unless it is disturbed otherwise. */
-export function checkNoLostRequests({ callers }: SoakHistory): readonly string[] {
-    return callers
-        .filter(({ status, isExcused }) => status === 0 && !isExcused)
-        .map(({ id, entry }) => `${entry} closed the connection of ${id} without a response`);
+/**
+ * An undisturbed process responds to every request that was sent whole; a request may only cross the close of an idle
+ * connection, and then it isn't passed on.
+ */
+export function checkNoLostRequests({ lossSlackMilliseconds }: SoakBounds): Checker {
+    return ({ callers, runs }) => {
+        const counts = countById(runs);
+        const isCrossing = ({ id, isOnKeptConnection, writtenAt, endedAt }: CallerRecord): boolean =>
+            isOnKeptConnection && !counts.has(id) && endedAt - writtenAt <= lossSlackMilliseconds;
+        return callers
+            .filter(record => record.status === 0 && !record.isExcused && !isCrossing(record))
+            .map(
+                ({ id, entry, writtenAt, endedAt }) =>
+                    `${entry} closed the connection of ${id} without a response after ${Math.round(endedAt - writtenAt)} ms`,
+            );
+    };
+}
+
+/**
+ * An undisturbed process relays a response to its end, unless a replica broke it off, a connection to a replica was
+ * disturbed, or its time ran out. The silence of a replica is no reason to end it.
+ */
+export function checkNoCutResponses({ timeLimitMilliseconds }: SoakBounds): Checker {
+    return ({ callers, runs, breaks, linkFaults }) => {
+        const broken = new Set(breaks.map(({ id }) => id));
+        const replicasOf = groupBy(runs, ({ id }) => id);
+        const hadLinkFault = ({ id, sentAt, endedAt }: CallerRecord): boolean => {
+            const involved = new Set(
+                (replicasOf.get(id) ?? []).flatMap(({ replica, members }) => [replica, ...members]),
+            );
+            return linkFaults.some(
+                ({ replica, from, to }) => involved.has(replica) && from <= endedAt && to >= sentAt,
+            );
+        };
+        return callers
+            .filter(({ status, isWhole, isExcused }) => status !== 0 && !isWhole && !isExcused)
+            .filter(({ sentAt, endedAt }) => endedAt - sentAt < timeLimitMilliseconds)
+            .filter(record => !broken.has(record.id) && !hadLinkFault(record))
+            .map(
+                ({ id, entry, sentAt, endedAt }) =>
+                    `${entry} cut the response to ${id} after ${Math.round(endedAt - sentAt)} ms`,
+            );
+    };
 }
 
 export function checkRetryBudget({ retryBudget: repeats }: SoakBounds): Checker {
@@ -151,7 +195,8 @@
         versionsRise: checkVersionsIncrease,
         versionsInTime: checkVersionsInTime(bounds),
         leaving: checkLeaving(bounds),
-        nothingIsLost: checkNoLostRequests,
+        nothingIsLost: checkNoLostRequests(bounds),
+        nothingIsCut: checkNoCutResponses(bounds),
         repeats: checkRetryBudget(bounds),
         groups: checkGroups,
     };
--- a/tests/soak/history.ts
+++ b/tests/soak/history.ts
@@ -9,6 +9,8 @@
     readonly entry: string;
     readonly credential: string;
     readonly sentAt: number;
+    /** When the last byte of the request was written; the same as `sentAt` if it never was. */
+    readonly writtenAt: number;
     readonly endedAt: number;
     /** 0 if no response headers arrived. */
     readonly status: number;
@@ -16,7 +18,9 @@
     readonly body: string;
     /** True if the response is complete by its HTTP framing. */
     readonly isWhole: boolean;
-    /** True if the lack of a response is no violation: the process was disturbed or asked to end, or had not read the request. */
+    /** True if the request was sent over a connection that had carried another one before. */
+    readonly isOnKeptConnection: boolean;
+    /** True if the lack of a response is no violation: the process was disturbed or ended, or could not be reached. */
     readonly isExcused: boolean;
 }
 
@@ -27,6 +31,8 @@
     readonly at: number;
     readonly workspace: string | undefined;
     readonly hasCredential: boolean;
+    /** Engines of the group that ran the request, the replica itself included; empty for a plain replica. */
+    readonly members: readonly string[];
     readonly target: string;
 }
 
@@ -35,6 +41,7 @@
     readonly entry: string;
     /** Number of the process start of the entry instance, from 1. */
     readonly start: number;
+    /** When the request that showed the version was sent. */
     readonly at: number;
     readonly version: number;
 }
@@ -53,6 +60,19 @@
     readonly to: number;
 }
 
+/** A response that a replica itself did not complete. */
+export interface BreakRecord {
+    readonly id: string;
+    readonly replica: string;
+}
+
+/** A time span in which the connections to a replica were disturbed. */
+export interface LinkFaultSpan {
+    readonly replica: string;
+    readonly from: number;
+    readonly to: number;
+}
+
 /** A replica's announcement that it leaves. */
 export interface LeavingRecord {
     readonly replica: string;
@@ -66,6 +86,8 @@
     readonly published: readonly PublishedRecord[];
     readonly disturbed: readonly DisturbedSpan[];
     readonly leaving: readonly LeavingRecord[];
+    readonly breaks: readonly BreakRecord[];
+    readonly linkFaults: readonly LinkFaultSpan[];
     /** Violations of the group rules that the simulated engines detected. */
     readonly groupViolations: readonly string[];
     readonly endedAt: number;
@@ -79,6 +101,8 @@
     published: [],
     disturbed: [],
     leaving: [],
+    breaks: [],
+    linkFaults: [],
     groupViolations: [],
     endedAt: 0,
 };
--- a/tests/soak/proxies.ts
+++ b/tests/soak/proxies.ts
@@ -1,6 +1,7 @@
 /** A loopback proxy that disturbs connections: it delays, resets or blocks them, or forwards one direction only. */
 import { createServer, connect } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
+import { detectReset } from "../../src/links/connection-end.js";
 
 /** Fault of all connections of a link, in effect until it is changed. */
 export type LinkFault = "none" | "delay" | "silent" | "requestsOnly" | "answersOnly";
@@ -71,7 +72,11 @@
                 .then(run);
         };
         from.on("data", chunk => enqueue(() => !isBlocked() && !to.destroyed && to.write(chunk)));
-        from.on("end", () => enqueue(() => !isBlocked() && to.end()));
+        from.prependListener("end", () =>
+            detectReset(from, isReset =>
+                enqueue(() => !isBlocked() && (isReset ? resetSocket(to) : to.end())),
+            ),
+        );
         from.on("error", () => enqueue(() => !isBlocked() && resetSocket(to)));
         from.on("close", () => enqueue(() => !isBlocked() && to.destroy()));
     }
--- a/tests/soak/schedule.ts
+++ b/tests/soak/schedule.ts
@@ -7,7 +7,15 @@
 export type Disturbance = { readonly at: number; readonly until: number; readonly index: number } & (
     | {
           readonly kind:
-              "terminate" | "kill" | "pause" | "leave" | "replicaDown" | "publish" | "forget" | "restore";
+              | "terminate"
+              | "kill"
+              | "pause"
+              | "leave"
+              | "replicaDown"
+              | "publish"
+              | "forget"
+              | "restore"
+              | "silence";
       }
     | { readonly kind: "store"; readonly fault: "busy" | "silent" | "losesWrites" }
     | { readonly kind: "storeLink" | "replicaLink"; readonly fault: LinkFault }
@@ -42,6 +50,17 @@
 const minimumDurationMilliseconds = 200;
 const maximumDurationMilliseconds = 2_800;
 
+/** Faults of responses without a length or chunks, which end with their connection. */
+const unframedFaults: readonly ReplicaFault[] = ["unframed", "breakUnframed", "endInsideEvent"];
+/** Mean time between two silences of a replica or changes of its framing, in milliseconds. */
+const meanSilenceIntervalMilliseconds = 1_000;
+const minimumSilenceMilliseconds = 500;
+const maximumSilenceMilliseconds = 1_500;
+/** Delays after a silence or a change of framing at which a series of configurations is published, in milliseconds. */
+const publishDelaysMilliseconds = [0, 120, 400];
+/** Added to the seed of the sequence of silences, which is drawn apart from the others. */
+const silenceSeedOffset = 900_000;
+
 /** Mean time between two restores of the store or pauses of a replica, in milliseconds. */
 const meanRestoreIntervalMilliseconds = 2_500;
 /** Added to the seed of the sequence of restores and pauses, which is drawn apart from the main sequence. */
@@ -63,6 +82,27 @@
     return schedule;
 }
 
+/** Returns silences and unframed responses of replicas, some beside a series of configurations. */
+function createSilences(seed: number, milliseconds: number): readonly Disturbance[] {
+    const random = createRandomGenerator(seed + silenceSeedOffset);
+    const schedule: Disturbance[] = [];
+    const nextDelay = (): number => randomInteger(100, 2 * meanSilenceIntervalMilliseconds, random);
+    for (let at = nextDelay(); at < milliseconds; at += nextDelay()) {
+        const until = at + randomInteger(minimumSilenceMilliseconds, maximumSilenceMilliseconds, random);
+        const span = { at, until, index: randomInteger(0, 1_000, random) };
+        const fault = unframedFaults[randomInteger(0, 2 * unframedFaults.length - 1, random)];
+        schedule.push(
+            fault === undefined ? { ...span, kind: "silence" } : { ...span, kind: "replica", fault },
+        );
+        if (random() < 0.5) {
+            publishDelaysMilliseconds.forEach(delay =>
+                schedule.push({ ...span, at: at + delay, kind: "publish" }),
+            );
+        }
+    }
+    return schedule;
+}
+
 export function createSchedule(seed: number, milliseconds: number): readonly Disturbance[] {
     const random = createRandomGenerator(seed);
     const pick = <T>(items: readonly T[]): T => items[randomInteger(0, items.length - 1, random)]!;
@@ -87,5 +127,5 @@
                 schedule.push({ ...span, kind });
         }
     }
-    return [...schedule, ...createRestores(seed, milliseconds)];
+    return [...schedule, ...createRestores(seed, milliseconds), ...createSilences(seed, milliseconds)];
 }
--- a/tests/soak/soak-entry.ts
+++ b/tests/soak/soak-entry.ts
@@ -12,6 +12,8 @@
     configurationMilliseconds: 2_000,
     drainMilliseconds: 2_000,
     toleranceMilliseconds: 3_000,
+    /** Time for which a process may have read a request that it neither passes on nor answers. */
+    lossSlackMilliseconds: 200,
 };
 /** Retry budget of all entry instances together. */
 export const entryRetryBudget = { windowMilliseconds: 10_000, fraction: 0.2, allowance: 60 };
@@ -39,6 +41,8 @@
     wasAskedToEnd: boolean;
     wasKilled: boolean;
     isPaused: boolean;
+    /** When the process was last resumed after a pause, by `performance.now()`; -Infinity if it never was. */
+    resumedAt: number;
 }
 
 export class SoakEntry {
@@ -93,6 +97,7 @@
             wasAskedToEnd: false,
             wasKilled: false,
             isPaused: false,
+            resumedAt: -Infinity,
         };
         this.currentProcess = currentProcess;
         const log = createWriteStream(join(directory, `${name}.log`), { flags: "a" });
@@ -124,7 +129,7 @@
     }
 
     public resume(): void {
-        this.signal("SIGCONT", { isPaused: false });
+        this.signal("SIGCONT", { isPaused: false, resumedAt: performance.now() });
     }
 
     private signal(signal: NodeJS.Signals, change: Partial<EntryProcess>): void {
--- a/tests/soak/soak-replica.ts
+++ b/tests/soak/soak-replica.ts
@@ -11,19 +11,39 @@
 import { formatEvent, expectedResponse, streamEvents } from "./workload.js";
 
 /** Fault of the requests that a replica receives, in effect until it is changed. */
-export type ReplicaFault = "none" | "full" | "pause" | "loseAnswer" | "breakStream" | "fail" | "answerTwice";
+export type ReplicaFault =
+    | "none"
+    | "full"
+    | "pause"
+    | "loseAnswer"
+    | "breakStream"
+    | "fail"
+    | "answerTwice"
+    /** Responds without a length or chunks; a normal close of the connection ends the response. */
+    | "unframed"
+    /** As "unframed", but resets the connection in the middle of the response. */
+    | "breakUnframed"
+    /** As "unframed", but a stream ends inside an event. */
+    | "endInsideEvent";
+
+const unframedFaults: ReadonlySet<ReplicaFault> = new Set(["unframed", "breakUnframed", "endInsideEvent"]);
 
 const eventIntervalMilliseconds = 40;
 const responseDelayMilliseconds = 15;
 /** Time for which a replica with the fault "pause" wants no further request. */
 const pauseSeconds = 1;
 
+export type SoakService = "plain" | "other" | "engines";
+
 export interface SoakReplicaOptions {
     readonly id: string;
+    readonly service: SoakService;
     /** Simulation that holds the engine's state; undefined for a plain replica. */
     readonly world: EngineSimulation | undefined;
     readonly now: () => number;
     readonly onRun: (run: RunRecord) => void;
+    /** Called with the id of each request that the replica itself does not respond to completely. */
+    readonly onBreak: (id: string) => void;
     readonly onViolation: (text: string) => void;
 }
 
@@ -31,6 +51,8 @@
     public fault: ReplicaFault = "none";
     public isLeaving = false;
     private isUp = true;
+    /** Work that waits for the end of a silence; undefined outside one. */
+    private heldWork: (() => void)[] | undefined;
     private heartbeat = 0;
     private readonly sockets = new Set<Socket>();
 
@@ -80,6 +102,23 @@
         }
     }
 
+    public get isSilent(): boolean {
+        return this.heldWork !== undefined;
+    }
+
+    /** Sends nothing, reports included, for the given time, then goes on with all that it has. */
+    public fallSilent(milliseconds: number): void {
+        if (this.heldWork !== undefined) {
+            return;
+        }
+        const held: (() => void)[] = [];
+        this.heldWork = held;
+        setTimeout(() => {
+            this.heldWork = undefined;
+            held.forEach(run => run());
+        }, milliseconds);
+    }
+
     public close(): void {
         this.server.close();
         this.sockets.forEach(socket => socket.destroy());
@@ -89,7 +128,7 @@
     public nextRegistration(address: string): unknown {
         this.heartbeat += 1;
         return {
-            Service: this.options.world === undefined ? "plain" : "engines",
+            Service: this.options.service,
             Address: address,
             Zone: "zone-a",
             Slots: 16,
@@ -134,6 +173,10 @@
     }
 
     private handle(request: IncomingMessage, response: ServerResponse, body: string): void {
+        if (this.heldWork !== undefined) {
+            this.heldWork.push(() => this.handle(request, response, body));
+            return;
+        }
         const { world, id } = this.options;
         if (this.isLeaving) {
             response.setHeader("Server-Leaving", "1");
@@ -178,6 +221,7 @@
         const workspace = request.headers["chervilrouter-tenant-id"];
         if (world !== undefined && !world.leadsWholeGroup(this.id)) {
             // A group that lost a member: the leader still accepts requests, but makes no progress.
+            this.options.onBreak(id);
             return;
         }
         const members = world === undefined ? [] : world.engineOf(this.id).members;
@@ -190,10 +234,16 @@
             at: now(),
             workspace: workspace === undefined ? undefined : String(workspace),
             hasCredential: request.headers.authorization !== undefined,
+            members,
             target: request.url ?? "",
         });
         const headers = { "Chervilrouter-Request-Id": id, "Chervilrouter-Response-Seal": `seal-${this.id}` };
+        if (unframedFaults.has(this.fault)) {
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+        }
         if (this.fault === "loseAnswer") {
+            this.options.onBreak(id);
             setTimeout(() => response.socket && resetSocket(response.socket), responseDelayMilliseconds);
             return;
         }
@@ -203,7 +253,7 @@
         }
         if (world === undefined) {
             setTimeout(
-                () => this.respond(response, headers, expectedResponse(id, this.id)),
+                () => this.respond(response, headers, expectedResponse(id, this.id), this.fault),
                 responseDelayMilliseconds,
             );
             return;
@@ -212,20 +262,42 @@
         this.sendEvents(response, id, Number(request.headers["last-event-id"] ?? 0) + 1);
     }
 
-    private respond(response: ServerResponse, headers: Readonly<Record<string, string>>, text: string): void {
-        response.writeHead(200, { ...headers, "Content-Length": String(text.length) }).end(text);
-        if (this.fault === "answerTwice") {
+    private respond(
+        response: ServerResponse,
+        headers: Readonly<Record<string, string>>,
+        text: string,
+        fault: ReplicaFault,
+    ): void {
+        if (this.heldWork !== undefined) {
+            this.heldWork.push(() => this.respond(response, headers, text, fault));
+            return;
+        }
+        if (fault === "breakUnframed" || !this.isUp) {
+            this.options.onBreak(headers["Chervilrouter-Request-Id"]!);
+            response.writeHead(200, headers);
+            this.writeAndReset(response, text.slice(0, text.length / 2));
+            return;
+        }
+        const length = unframedFaults.has(fault) ? {} : { "Content-Length": String(text.length) };
+        response.writeHead(200, { ...headers, ...length }).end(text);
+        if (fault === "answerTwice") {
             response.socket?.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
         }
     }
 
     private sendEvents(response: ServerResponse, id: string, event: number): void {
-        if (response.destroyed || !this.isUp || !this.options.world!.leadsWholeGroup(this.id)) {
+        if (this.heldWork !== undefined) {
+            this.heldWork.push(() => this.sendEvents(response, id, event));
             return;
         }
-        if (this.fault === "breakStream" && event % 5 === 0) {
-            response.write(formatEvent(id, event).slice(0, 9));
-            setTimeout(() => response.socket && resetSocket(response.socket), responseDelayMilliseconds);
+        if (response.destroyed) {
+            return;
+        }
+        if (!this.isUp || !this.options.world!.leadsWholeGroup(this.id)) {
+            this.options.onBreak(id);
+            return;
+        }
+        if (event % 5 === 0 && this.breakEvent(response, id, event)) {
             return;
         }
         response.write(formatEvent(id, event));
@@ -235,6 +307,32 @@
         }
         setTimeout(() => this.sendEvents(response, id, event + 1), eventIntervalMilliseconds);
     }
+
+    /** Breaks a stream off if the fault says so; returns false otherwise. */
+    private breakEvent(response: ServerResponse, id: string, event: number): boolean {
+        const text = formatEvent(id, event);
+        switch (this.fault) {
+            case "endInsideEvent":
+                response.end(text.slice(0, 9));
+                break;
+            case "breakUnframed":
+                this.writeAndReset(response, text);
+                break;
+            case "breakStream":
+                response.write(text.slice(0, 9));
+                setTimeout(() => response.socket && resetSocket(response.socket), responseDelayMilliseconds);
+                break;
+            default:
+                return false;
+        }
+        this.options.onBreak(id);
+        return true;
+    }
+
+    /** Resets the connection right after its last bytes. */
+    private writeAndReset(response: ServerResponse, text: string): void {
+        response.write(text, () => response.socket && resetSocket(response.socket));
+    }
 }
 
 const orderSchema = z.object({
--- a/tests/soak/soak-run.ts
+++ b/tests/soak/soak-run.ts
@@ -12,24 +12,34 @@
 import { createRandomGenerator } from "../../src/core/random-numbers.js";
 import { EngineSimulation } from "../../src/serving/tests/engine-simulation.js";
 import { profile } from "../../src/serving/tests/simulated-fleet.js";
-import { SoakCallers, sendRequest } from "./callers.js";
+import { SoakCallers, deadlineMilliseconds, sendRequest } from "./callers.js";
 import type { SoakBounds } from "./checkers.js";
 import { allCheckers } from "./checkers.js";
 import { SoakEntry, entryBounds, entryRetryBudget, portsPerEntry } from "./soak-entry.js";
 import type {
+    BreakRecord,
     CallerRecord,
     DisturbedSpan,
     LeavingRecord,
+    LinkFaultSpan,
     PublishedRecord,
     RunRecord,
     SoakHistory,
     VersionRecord,
 } from "./history.js";
 import { FaultyLink } from "./proxies.js";
+import type { SoakService } from "./soak-replica.js";
 import { SoakReplica } from "./soak-replica.js";
 import type { Disturbance } from "./schedule.js";
 import { createSchedule } from "./schedule.js";
-import { configurationAt, credentialsAt, host, markerPath, modelName } from "./workload.js";
+import {
+    configurationAt,
+    credentialsAt,
+    host,
+    markerPath,
+    modelName,
+    shortestTimeoutMilliseconds,
+} from "./workload.js";
 
 const heartbeatMilliseconds = 400;
 const requestIntervalMilliseconds = 25;
@@ -47,6 +57,8 @@
     configurationMilliseconds: entryBounds.configurationMilliseconds + 1_000,
     leavingMilliseconds: entryBounds.drainMilliseconds + 1_000,
     settleMilliseconds: entryBounds.toleranceMilliseconds + 1_000,
+    timeLimitMilliseconds: Math.min(deadlineMilliseconds, shortestTimeoutMilliseconds),
+    lossSlackMilliseconds: entryBounds.lossSlackMilliseconds,
     retryBudget: entryRetryBudget,
 };
 
@@ -86,9 +98,14 @@
     private readonly published: PublishedRecord[] = [];
     private readonly disturbed: DisturbedSpan[] = [];
     private readonly leaving: LeavingRecord[] = [];
+    private readonly breaks: BreakRecord[] = [];
+    private readonly linkFaults: LinkFaultSpan[] = [];
     private readonly problems: string[] = [];
     private readonly counts: Record<string, number> = {};
+    /** Replicas that the main sequence of disturbances picks from. */
     private readonly replicas: LinkedReplica[] = [];
+    /** Replicas of the service that some configurations move a route to. */
+    private readonly otherReplicas: LinkedReplica[] = [];
     private readonly entries: { readonly entry: SoakEntry; readonly storeLink: FaultyLink }[] = [];
     private readonly timers = new Set<NodeJS.Timeout>();
     private readonly startedAt = performance.now();
@@ -135,6 +152,8 @@
             published: this.published,
             disturbed: this.disturbed,
             leaving: this.leaving,
+            breaks: this.breaks,
+            linkFaults: this.linkFaults,
             groupViolations: this.world.violations,
             endedAt: this.now(),
         };
@@ -170,8 +189,9 @@
 
     private async start(): Promise<void> {
         this.publishConfiguration();
-        await Promise.all(["plain", "plain", "plain"].map(() => this.addReplica(false)));
-        await Promise.all(Array.from({ length: this.options.engines }, () => this.addReplica(true)));
+        await Promise.all(["plain", "plain", "plain"].map(() => this.addReplica("plain")));
+        await Promise.all(Array.from({ length: this.options.engines }, () => this.addReplica("engines")));
+        await Promise.all(["other", "other"].map(() => this.addReplica("other")));
         this.every(heartbeatMilliseconds, () => this.renewRegistrations());
         this.every(copyIntervalMilliseconds, () => this.saveCopy());
         const ports = await findPorts(this.options.entries * portsPerEntry, undefined);
@@ -273,21 +293,28 @@
         this.published.push({ version, at: this.now() });
     }
 
-    private async addReplica(isEngine: boolean): Promise<void> {
+    private get allReplicas(): readonly LinkedReplica[] {
+        return [...this.replicas, ...this.otherReplicas];
+    }
+
+    private async addReplica(service: SoakService): Promise<void> {
         this.replicaCount += 1;
-        const id = `${isEngine ? "engine" : "plain"}-${this.replicaCount}`;
+        const isEngine = service === "engines";
+        const id = `${isEngine ? "engine" : service}-${this.replicaCount}`;
         if (isEngine) {
             this.world.add(id, "");
         }
         const replica = await SoakReplica.create({
             id,
+            service,
             world: isEngine ? this.world : undefined,
             now: () => this.now(),
             onRun: run => !run.id.startsWith("marker") && this.runs.push(run),
+            onBreak: request => this.breaks.push({ id: request, replica: id }),
             onViolation: text => this.problems.push(text),
         });
         const linked = { replica, link: await FaultyLink.create(replica.address) };
-        this.replicas.push(linked);
+        (service === "other" ? this.otherReplicas : this.replicas).push(linked);
         this.registerReplica(linked);
     }
 
@@ -296,7 +323,8 @@
     }
 
     private renewRegistrations(): void {
-        for (const linked of this.replicas.filter(({ replica }) => !replica.isDown)) {
+        const sending = this.allReplicas.filter(({ replica }) => !replica.isDown && !replica.isSilent);
+        for (const linked of sending) {
             this.registerReplica(linked);
         }
     }
@@ -373,6 +401,7 @@
                 });
                 return;
             case "replicaLink":
+                this.linkFaults.push({ replica: linked.replica.id, from, to: from + durationMilliseconds });
                 linked.link.fault = disturbance.fault;
                 this.after(durationMilliseconds, () => {
                     linked.link.fault = "none";
@@ -384,12 +413,18 @@
                 this.recordDisturbance(entry.name, from, from);
                 return;
             case "resetReplicaLink":
+                this.linkFaults.push({ replica: linked.replica.id, from, to: from });
                 linked.link.reset();
                 return;
             case "replica":
                 linked.replica.fault = disturbance.fault;
                 this.after(durationMilliseconds, () => (linked.replica.fault = "none"));
                 return;
+            case "silence": {
+                const { allReplicas } = this;
+                allReplicas[index % allReplicas.length]!.replica.fallSilent(durationMilliseconds);
+                return;
+            }
             case "replicaDown":
                 this.stopReplica(linked, durationMilliseconds);
                 return;
@@ -420,7 +455,7 @@
         });
         this.after(3 * heartbeatMilliseconds, () => {
             const registered = this.store.keysUnder("servers/");
-            const present = this.replicas.filter(({ replica }) => !replica.isDown);
+            const present = this.allReplicas.filter(({ replica }) => !replica.isDown);
             const keys = new Set(present.map(({ replica }) => `servers/${replica.id}`));
             registered.filter(key => !keys.has(key)).forEach(key => this.store.remove(key));
         });
@@ -456,7 +491,7 @@
         replica.isLeaving = true;
         this.registerReplica(linked);
         this.leaving.push({ replica: replica.id, at: this.now() });
-        void this.addReplica(replica.id.startsWith("engine"));
+        void this.addReplica(replica.id.startsWith("engine") ? "engines" : "plain");
         this.after(leavingMilliseconds, () => {
             this.replicas.splice(this.replicas.indexOf(linked), 1);
             this.store.remove(`servers/${replica.id}`);
@@ -485,7 +520,7 @@
         this.timers.forEach(timer => clearInterval(timer));
         this.entries.forEach(({ entry }) => entry.kill());
         this.entries.forEach(({ storeLink }) => storeLink.close());
-        this.replicas.forEach(({ replica, link }) => {
+        this.allReplicas.forEach(({ replica, link }) => {
             replica.close();
             link.close();
         });
--- a/tests/soak/workload.ts
+++ b/tests/soak/workload.ts
@@ -37,10 +37,27 @@
     return `/marker-${version}/`;
 }
 
+/** Shortest time limit of a route in any configuration, in milliseconds. */
+export const shortestTimeoutMilliseconds = 3_000;
+
+/** Values that vary between configuration versions. */
+const variants = [
+    { timeout: 4_000, idle: 15_000, headerBytes: 8_192, headerTimeout: 3_000, readService: "plain" },
+    {
+        timeout: shortestTimeoutMilliseconds,
+        idle: 1_000,
+        headerBytes: 8_192,
+        headerTimeout: 1_000,
+        readService: "plain",
+    },
+    { timeout: 4_000, idle: 4_000, headerBytes: 2_048, headerTimeout: 3_000, readService: "other" },
+] as const;
+
 export function configurationAt(version: number): unknown {
+    const variant = variants[(version - 1) % variants.length]!;
     const route = {
         Hostname: host,
-        TimeoutMs: 4_000,
+        TimeoutMs: variant.timeout,
         TargetLatencyMs: 300,
         Priority: 1,
         AllowAnonymous: false,
@@ -57,19 +74,27 @@
         Version: version,
         Routes: [
             { ...plain, Name: "once", Prefix: "/once/", Kind: "non_idempotent", MaxAttempts: 2 },
-            { ...plain, Name: "read", Prefix: "/read/", Kind: "idempotent", MaxAttempts: 2 },
+            {
+                ...plain,
+                Name: "read",
+                Prefix: "/read/",
+                Kind: "idempotent",
+                MaxAttempts: 2,
+                Service: variant.readService,
+            },
             { ...plain, Name: "marker", Prefix: markerPath(version), Kind: "idempotent", MaxAttempts: 2 },
             { ...route, ...stream, Service: "engines", MaxAttempts: 2 },
         ],
         Services: [
             { Name: "plain", HealthPath: "/health", MaxConnections: 60 },
+            { Name: "other", HealthPath: "/health", MaxConnections: 60 },
             { Name: "engines", HealthPath: "/health", MaxConnections: 60, Engine: engine },
         ],
         Limits: {
-            MaxHeaderBytes: 8_192,
+            MaxHeaderBytes: variant.headerBytes,
             MaxBodyBytes: 65_536,
-            HeaderTimeoutMs: 3_000,
-            IdleTimeoutMs: 15_000,
+            HeaderTimeoutMs: variant.headerTimeout,
+            IdleTimeoutMs: variant.idle,
         },
         Tenants: workspaces.map(workspace => ({
             Name: workspace,
