Close no connection on which a response is still being sent

A caller that read slowly lost the end of its response when the process began to reject requests, three seconds after SIGTERM: the connection was closed with the last bytes still in this process.

Cause: Node.js counts a connection as idle as soon as end() was called on its response (closeIdleConnections, which server.close() calls too), whether or not the bytes have been handed to the kernel. tickShutdown called both on each tick.

The port now closes idle connections and the listener only while no response waits to be sent, and tries again at the next tick; new requests are rejected in the meantime.

--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -492,7 +492,6 @@
         // The load balancer may continue to send callers when few processes are left; a request accepted now could not
         // finish.
         this.callerPort.close();
-        this.callerPort.closeIdle();
         if (step === "finish") {
             return;
         }
--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -76,16 +76,26 @@
         this.server.keepAliveTimeout = limits.idleMilliseconds;
     }
 
-    /** Closes the connections without an open request. */
-    public closeIdle(): void {
-        this.server.closeIdleConnections();
+    /** Rejects new requests, and stops accepting connections once no response is being sent; open requests continue. */
+    public close(): void {
+        this.isClosed = true;
+        this.closeIdle();
     }
 
-    /** Stops accepting connections and requests; open requests continue. */
-    public close(): void {
-        if (!this.isClosed) {
-            this.isClosed = true;
+    /**
+     * Closes the connections without an open request; waits for a later call while a response is still being sent, since
+     * Node.js counts its connection as idle.
+     */
+    private closeIdle(): void {
+        const isSending = [...this.openRequests].some(response => response.writableEnded);
+        if (isSending) {
+            return;
+        }
+        if (this.isClosed && this.server.listening) {
+            // Closes the idle connections, too.
             this.server.close();
+        } else {
+            this.server.closeIdleConnections();
         }
     }
 
