--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -83,8 +83,8 @@
     }
 
     /**
-     * Closes the connections without an open request; waits for a later call while a response is still being sent, since
-     * Node.js counts its connection as idle.
+     * Closes the connections without an open request, unless a response is still being sent: Node.js counts its connection
+     * as idle. The end of that response calls this again.
      */
     private closeIdle(): void {
         const isSending = [...this.openRequests].some(response => response.writableEnded);
@@ -102,7 +102,12 @@
     private handleRequest(message: IncomingMessage, response: ServerResponse): void {
         const arrivedAt = this.options.clock.monotonicMilliseconds();
         this.openRequests.add(response);
-        response.once("close", () => this.openRequests.delete(response));
+        response.once("close", () => {
+            this.openRequests.delete(response);
+            if (this.isClosed) {
+                this.closeIdle();
+            }
+        });
         response.on("error", error =>
             this.options.log.debug("writing the response to the caller failed", { reason: error.message }),
         );
