--- a/tests/soak/soak-replica.ts
+++ b/tests/soak/soak-replica.ts
@@ -55,6 +55,8 @@
     private heldWork: (() => void)[] | undefined;
     private heartbeat = 0;
     private readonly sockets = new Set<Socket>();
+    /** Ids of the requests that run, by their responses. */
+    private readonly running = new Map<ServerResponse, string>();
 
     private constructor(
         private readonly options: SoakReplicaOptions,
@@ -98,6 +100,7 @@
             world?.restart(id);
         } else {
             world?.crash(id);
+            this.running.forEach(request => this.options.onBreak(request));
             this.sockets.forEach(resetSocket);
         }
     }
@@ -238,6 +241,8 @@
             target: request.url ?? "",
         });
         const headers = { "Chervilrouter-Request-Id": id, "Chervilrouter-Response-Seal": `seal-${this.id}` };
+        this.running.set(response, id);
+        response.once("close", () => this.running.delete(response));
         if (unframedFaults.has(this.fault)) {
             response.useChunkedEncodingByDefault = false;
             response.shouldKeepAlive = false;
