--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../contracts/clocks.js";
+import { detectReset } from "./connection-end.js";
 import { IdleLimits } from "./idle-limits.js";
 
 /** Time-out for establishing a connection: several round trips of the longest link. */
@@ -237,8 +238,10 @@
         return mayStart;
     };
     request.once("socket", socket => {
-        const onCleanEnd = (): void => {
-            state.closedCleanly = true;
+        const onEnd = (): void => {
+            detectReset(socket, isReset => {
+                state.closedCleanly = !isReset;
+            });
         };
         const onSocketError = (): void => {
             state.closedCleanly = false;
@@ -252,12 +255,12 @@
             return;
         }
         socket.setNoDelay(true);
-        socket.on("end", onCleanEnd);
+        socket.prependListener("end", onEnd);
         socket.on("error", onSocketError);
         // A pooled connection outlives its requests, so the listeners must be removed.
         request.once("close", () => {
             socket.removeListener("connect", onConnected);
-            socket.removeListener("end", onCleanEnd);
+            socket.removeListener("end", onEnd);
             socket.removeListener("error", onSocketError);
         });
     });
--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -76,23 +76,38 @@
         this.server.keepAliveTimeout = limits.idleMilliseconds;
     }
 
-    /** Closes the connections without an open request. */
-    public closeIdle(): void {
-        this.server.closeIdleConnections();
+    /** Rejects new requests, and stops accepting connections once no response is being sent; open requests continue. */
+    public close(): void {
+        this.isClosed = true;
+        this.closeIdle();
     }
 
-    /** Stops accepting connections and requests; open requests continue. */
-    public close(): void {
-        if (!this.isClosed) {
-            this.isClosed = true;
+    /**
+     * Closes the connections without an open request, unless a response is still being sent: Node.js counts its connection
+     * as idle. The end of that response calls this again.
+     */
+    private closeIdle(): void {
+        const isSending = [...this.openRequests].some(response => response.writableEnded);
+        if (isSending) {
+            return;
+        }
+        if (this.isClosed && this.server.listening) {
+            // Closes the idle connections, too.
             this.server.close();
+        } else {
+            this.server.closeIdleConnections();
         }
     }
 
     private handleRequest(message: IncomingMessage, response: ServerResponse): void {
         const arrivedAt = this.options.clock.monotonicMilliseconds();
         this.openRequests.add(response);
-        response.once("close", () => this.openRequests.delete(response));
+        response.once("close", () => {
+            this.openRequests.delete(response);
+            if (this.isClosed) {
+                this.closeIdle();
+            }
+        });
         response.on("error", error =>
             this.options.log.debug("writing the response to the caller failed", { reason: error.message }),
         );
