Refuse requests whose bodies are still arriving when the shutdown ends

Cause: the end of the shutdown terminated the exchanges, but a request whose body was incomplete has none yet. Its caller saw a closed connection instead of a response, and a body completed in the last 50 ms was sent to a replica by a process that was about to exit. Now it gets the 503 that new requests get. Test: platform/tests/shutdown.test.ts; before, the request was sent to a replica after the end (200 instead of 503).

--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -497,6 +497,7 @@
             return;
         }
         this.exchanges.forEach(exchange => exchange.terminate("this process is about to end"));
+        this.callerPort.rejectOpen();
         this.ticks.stop();
         this.follower.close();
         this.peers.close();
--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -43,9 +43,16 @@
     readonly headers?: readonly string[];
 }
 
+const startingRejection: Rejection = {
+    status: 503,
+    reason: "no configuration has been loaded yet",
+    headers: ["Retry-After", otherProcessRetryAfterSeconds],
+};
+const endingRejection: Rejection = { ...startingRejection, reason: "this process is about to end" };
+
 export class CallerPort {
     private readonly server: http.Server;
-    private readonly openRequests = new Set<ServerResponse>();
+    private readonly openRequests = new Map<ServerResponse, IncomingMessage>();
     private isClosed = false;
 
     private constructor(private readonly options: CallerPortOptions) {
@@ -89,9 +96,19 @@
         }
     }
 
+    /** Rejects the open requests that have no response yet; covers requests whose bodies are still arriving. */
+    public rejectOpen(): void {
+        for (const [response, message] of this.openRequests) {
+            if (!response.headersSent) {
+                const request = this.options.wire.decodeRequest(message);
+                this.rejectUnread(message, request, response, endingRejection);
+            }
+        }
+    }
+
     private handleRequest(message: IncomingMessage, response: ServerResponse): void {
         const arrivedAt = this.options.clock.monotonicMilliseconds();
-        this.openRequests.add(response);
+        this.openRequests.set(response, message);
         response.once("close", () => this.openRequests.delete(response));
         response.on("error", error =>
             this.options.log.debug("writing the response to the caller failed", { reason: error.message }),
@@ -100,13 +117,7 @@
         if (table === undefined || this.isClosed) {
             message.resume();
             const request = this.options.wire.decodeRequest(message);
-            this.reject(request, response, {
-                status: 503,
-                reason: this.isClosed
-                    ? "this process is about to end"
-                    : "no configuration has been loaded yet",
-                headers: ["Retry-After", otherProcessRetryAfterSeconds],
-            });
+            this.reject(request, response, this.isClosed ? endingRejection : startingRejection);
             return;
         }
         this.readRequest(message, response, table, arrivedAt);
