Do not count a withheld request as a failure of its replica

A request that waits for a connection is held back right before its send when the replica has meanwhile refused one with Retry-After or says that it leaves. That was recorded as a failed attempt: after the pause the replica was avoided for another 3 s, and three such requests ejected it. It is an outcome of its own now (also in the log and the attempts metric), and is retried like a request of which no byte was sent.

--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -28,7 +28,7 @@
     readonly mayStart: () => boolean;
 }
 
-/** Callbacks of one request. None is called after `onEnd` or `onFailure`. */
+/** Callbacks of one request. None is called after `onEnd`, `onFailure` or `onWithheld`. */
 export interface UpstreamObserver {
     readonly onHead: (message: http.IncomingMessage) => void;
     readonly onData: (chunk: Buffer) => void;
@@ -36,6 +36,8 @@
     readonly onEnd: () => void;
     /** `mayHaveBeenSent` is false only if no byte of the request can have reached the replica. */
     readonly onFailure: (message: string, mayHaveBeenSent: boolean) => void;
+    /** The request was not sent because `mayStart` returned false. */
+    readonly onWithheld: () => void;
 }
 
 /** A request in flight. */
@@ -232,7 +234,8 @@
     const checkStart = (): boolean => {
         const mayStart = outgoing.mayStart();
         if (!mayStart) {
-            request.destroy(new Error("the replica wants no further requests"));
+            request.destroy();
+            settle(observer.onWithheld);
         }
         return mayStart;
     };
--- a/src/serving/attempt-decision.ts
+++ b/src/serving/attempt-decision.ts
@@ -9,6 +9,8 @@
 export type AttemptOutcome =
     /** No byte can have reached the replica. */
     | "notSent"
+    /** The request was held back because the replica wants no further requests; no byte was sent. */
+    | "withheld"
     /** The replica states that it did not run the request. */
     | "refused"
     /** The replica responded with an error. */
@@ -65,7 +67,7 @@
     ) {
         return false;
     }
-    if (outcome === "notSent") {
+    if (outcome === "notSent" || outcome === "withheld") {
         return true;
     }
     if (!facts.hasRetryBudget) {
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -250,6 +250,8 @@
                 onEnd: () => this.handleEnd(attempt),
                 onFailure: (message, mayHaveBeenSent) =>
                     this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message, mayHaveBeenSent),
+                onWithheld: () =>
+                    this.endAttempt(attempt, "withheld", "the replica wants no further requests", false),
             },
         );
         this.armAttemptTimer(attempt);
@@ -460,7 +462,7 @@
         const { admitted, context } = this;
         const now = this.now();
         const { instance } = attempt.target;
-        if (outcome !== "refused" && outcome !== "failed") {
+        if (outcome === "notSent" || outcome === "lost") {
             context.replicaRecords.recordFailure(instance.id, now);
         }
         if (outcome === "lost" || outcome === "failed") {
--- a/src/serving/tests/attempt-decision.test.ts
+++ b/src/serving/tests/attempt-decision.test.ts
@@ -38,6 +38,8 @@
 
 test("an attempt of which no byte was sent is retried even without a retry budget", t => {
     t.is(decideNextStep("notSent", { ...once, hasRetryBudget: false }), "retry");
+    t.is(decideNextStep("withheld", once), "retry");
+    t.is(decideNextStep("withheld", { ...once, remainingMilliseconds: 5 }), "refuse");
 });
 
 test("an idempotent request is retried up to the maximum number of attempts", t => {
