Send no second probe after the process has stopped

A probe of a suspected member is repeated by a timer of its own after 30 ms, which the end of the process did not stop. The test fails without the check.

--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -500,6 +500,7 @@
         this.callerPort.rejectOpen();
         this.ticks.stop();
         this.follower.close();
+        this.suspicions.close();
         this.peers.close();
         this.auxiliaryServers.forEach(server => server.close());
         this.isStopped = true;
--- a/src/serving/stalled-group-detector.ts
+++ b/src/serving/stalled-group-detector.ts
@@ -66,6 +66,7 @@
 }
 
 export class StalledGroupDetector {
+    private isClosed = false;
     private readonly suspects = new Map<string, readonly string[]>();
     private readonly nextRoundAt = new Map<string, number>();
     private readonly slowness = new Map<string, Slowness>();
@@ -123,6 +124,11 @@
         }
     }
 
+    /** Stops probing; covers second probes that would follow the end of the process. */
+    public close(): void {
+        this.isClosed = true;
+    }
+
     /** Probes the members that another process found silent. */
     public handleSuspicion({ group, instances }: Suspicion): void {
         if (!this.suspects.has(group)) {
@@ -221,7 +227,7 @@
         const second = new Promise<Result<EngineStatus>>(resolve => {
             let hasProbedAgain = false;
             const probeAgain = (): void => {
-                if (!hasProbedAgain) {
+                if (!hasProbedAgain && !this.isClosed) {
                     hasProbedAgain = true;
                     resolve(report(member, deadline));
                 }
--- a/src/serving/tests/stalled-group-detector.test.ts
+++ b/src/serving/tests/stalled-group-detector.test.ts
@@ -142,3 +142,11 @@
     await simulation.settle();
     t.true(simulation.suspicions.isSuspect(group));
 });
+
+test("no second probe follows the end of the process", async t => {
+    const simulation = createSimulation(() => false);
+    simulation.suspicions.handleSuspicion({ group, instances: ["i-1"] });
+    simulation.suspicions.close();
+    await simulation.settle();
+    t.deepEqual(simulation.probed, ["i-1"]);
+});
