Answer callers whose connections wait to be accepted when the callers' port closes

Cause: closing a listening socket resets the connections that the kernel has established and the event loop has not accepted. A caller that connected in the milliseconds before the end of a shutdown saw its connection reset, though it was the first request on it. The port now closes two event loop iterations later, and callers accepted in between get the 503 of an ending process.

--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -92,7 +92,8 @@
     public close(): void {
         if (!this.isClosed) {
             this.isClosed = true;
-            this.server.close();
+            // Connections that wait to be accepted would be reset; the event loop accepts them between two immediates.
+            setImmediate(() => setImmediate(() => this.server.close()));
         }
     }
 
