--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -554,8 +554,10 @@
             return;
         }
         this.exchanges.forEach(exchange => exchange.terminate("this process is about to end"));
+        this.callerPort.rejectOpen();
         this.ticks.stop();
         this.follower.close();
+        this.suspicions.close();
         this.peers.close();
         this.auxiliaryServers.forEach(server => server.close());
         this.isStopped = true;
--- a/src/serving/attempt-decision.ts
+++ b/src/serving/attempt-decision.ts
@@ -9,6 +9,8 @@
 export type AttemptOutcome =
     /** No byte can have reached the replica. */
     | "notSent"
+    /** The request was held back because the replica wants no further requests; no byte was sent. */
+    | "withheld"
     /** The replica states that it did not run the request. */
     | "refused"
     /** The replica responded with an error. */
@@ -98,7 +100,7 @@
     if (facts.remainingMilliseconds < minimumAttemptMilliseconds || !hasAttempts) {
         return false;
     }
-    if (outcome === "notSent" && !facts.hasBegunResponse) {
+    if ((outcome === "notSent" || outcome === "withheld") && !facts.hasBegunResponse) {
         return true;
     }
     if (!facts.hasRetryBudget) {
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -372,6 +372,8 @@
                     this.reportBrokenConnection(attempt, mayHaveBeenSent);
                     this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message, mayHaveBeenSent);
                 },
+                onWithheld: () =>
+                    this.endAttempt(attempt, "withheld", "the replica wants no further requests", false),
             },
         );
         this.armAttemptTimer(attempt);
@@ -604,7 +606,7 @@
         }
         this.releaseAttempt(attempt);
         const { instance } = attempt.target;
-        if (outcome !== "refused" && outcome !== "failed") {
+        if (outcome === "notSent" || outcome === "lost") {
             this.context.replicaRecords.recordFailure(instance.id, this.now());
         }
         if (outcome === "lost" || outcome === "failed") {
@@ -655,7 +657,7 @@
 
     /** Takes the next step after an attempt without a complete response. */
     private continueAfterAttempt(outcome: AttemptOutcome, reason: string): void {
-        this.refusals = outcome === "refused" || outcome === "notSent" ? this.refusals + 1 : 0;
+        this.refusals = outcome === "lost" || outcome === "failed" ? 0 : this.refusals + 1;
         const facts = this.attemptFacts();
         const step = decideNextStep(
             outcome,
