Frame each response to a caller, also one that the replica did not frame

A caller took a part of a response for the whole one when the entry process was killed while it relayed a response with neither a length nor chunks: it relayed the response in the same form, and the kernel ends the connections of a killed process normally.

Such a response now gets a length if it is known, and chunks otherwise; only HTTP/1.0 callers still get it ended by the connection, which is reset if it is broken off. Its connection to the caller can be kept.

--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -39,16 +39,14 @@
         }
         this.begunAt = now;
         const headers = [...head.headers];
-        if (!head.isFramed) {
-            // Only the end of the connection shows whether an unframed response is complete, so the caller's
-            // connection is closed after it too.
-            this.isCloseDelimited = true;
-            this.response.shouldKeepAlive = false;
-            this.response.useChunkedEncodingByDefault = false;
-        } else if (length !== undefined) {
+        // Also a response that was not framed is sent with a length or in chunks: if this process ended by a signal, the
+        // normal end of its connections would make a part look complete.
+        if (length !== undefined) {
             headers.push("Content-Length", String(length));
+        } else {
+            this.isCloseDelimited = !this.response.useChunkedEncodingByDefault;
         }
-        if (this.isStopping() && head.isFramed) {
+        if (this.isStopping()) {
             headers.push("Connection", "close");
         }
         this.response.sendDate = false;
