Take an event of a replica group as a sign of life of its members

Where the entries of instances do not change with their heartbeats, the placer asked every registered instance for a report once a second. A group sends events only while all its members work, so an event that the placer's process received within that second already says so. Members of groups without such events, and idle instances, are asked as before, at most one second after the last sign of life, and the probes of silent groups are unchanged, so a lost member is noticed as fast.

--- a/src/daemons/serving/group-placer.ts
+++ b/src/daemons/serving/group-placer.ts
@@ -95,7 +95,7 @@
     }
 
     public tick(): void {
-        const { key, clock, table, view } = this.options;
+        const { key, clock, table, view, inFlightRequests } = this.options;
         key.tick();
         this.applyTerm(this.currentTerm());
         const routes = table();
@@ -111,6 +111,7 @@
         const context = {
             profileOf: (service: string) => routes.findService(service)?.engine,
             supplies: this.demands.supplies(view()),
+            lastEventOf: (key: string) => inFlightRequests.lastEventOf(key),
         };
         planner.step(context, now).forEach(command => this.run(planner, command));
     }
--- a/src/serving/group-planner.ts
+++ b/src/serving/group-planner.ts
@@ -64,6 +64,11 @@
     readonly profileOf: (service: string) => EngineProfile | undefined;
     /** Supply by model over all failure domains, including this one. */
     readonly supplies: ReadonlyMap<string, ModelSupply>;
+    /**
+     * Local monotonic milliseconds at which this process last received an event of a stream from the group with a key, 0 if
+     * never.
+     */
+    readonly lastEventOf: (key: string) => number;
 }
 
 /** Instances of one service in one fabric domain. */
@@ -146,7 +151,8 @@
     /** Advances formations, plans every fabric domain whose reports were read, and returns the due commands. */
     public step(context: PlannerContext, now: number): readonly PlannerCommand[] {
         const forming = [...this.formations.values()].flatMap(each => [...each.awaitedReports(now)]);
-        for (const instance of this.reports.takeDue(new Map(forming), now)) {
+        const reportContext = { forming: new Map(forming), lastEventOf: context.lastEventOf };
+        for (const instance of this.reports.takeDue(reportContext, now)) {
             this.commands.push({ kind: "report", instance });
         }
         this.advanceFormations(now);
--- a/src/serving/in-flight-requests.ts
+++ b/src/serving/in-flight-requests.ts
@@ -42,6 +42,7 @@
 export class InFlightRequests {
     private readonly requestsByGroup = new Map<string, Map<number, InFlightRequest>>();
     private readonly lastProgressAt = new Map<string, number>();
+    private readonly lastEventAt = new Map<string, number>();
     private readonly loadsByPeer = new Map<string, PeerLoads>();
     private lastId = 0;
 
@@ -66,6 +67,7 @@
     /** Records an event of the stream of a request in flight. */
     public recordProgress(group: string, id: number, now: number): void {
         this.lastProgressAt.set(group, now);
+        this.lastEventAt.set(group, now);
         const requests = this.requestsByGroup.get(group);
         const request = requests?.get(id);
         if (request !== undefined && !request.hasBegun) {
@@ -104,6 +106,11 @@
         return this.lastProgressAt.get(group) ?? 0;
     }
 
+    /** Local monotonic milliseconds of this process's last event of a stream at the group, else 0. */
+    public lastEventOf(group: string): number {
+        return this.lastEventAt.get(group) ?? 0;
+    }
+
     /**
      * True if a stream of this process at the group has made progress since `since` (local monotonic milliseconds).
      */
@@ -139,10 +146,12 @@
 
     /** Drops the records of removed groups without requests in flight. */
     public retainGroups(groups: ReadonlySet<string>): void {
-        const removed = [...this.lastProgressAt.keys()].filter(
-            key => !groups.has(key) && !this.requestsByGroup.has(key),
-        );
-        removed.forEach(key => this.lastProgressAt.delete(key));
+        for (const times of [this.lastProgressAt, this.lastEventAt]) {
+            const removed = [...times.keys()].filter(
+                key => !groups.has(key) && !this.requestsByGroup.has(key),
+            );
+            removed.forEach(key => times.delete(key));
+        }
     }
 
     private localBacklogOf(group: string): GroupBacklog {
--- a/src/serving/report-schedule.ts
+++ b/src/serving/report-schedule.ts
@@ -1,5 +1,6 @@
 /** Schedules the report requests of a placer, which go only to instances whose present state matters. */
 import type { FleetInstance } from "./fleets.js";
+import { groupKey } from "./fleets.js";
 import type { KnownInstance, InstanceRegistry } from "./instance-registry.js";
 
 /** Interval between report requests to an instance that does not respond, in milliseconds. */
@@ -9,6 +10,17 @@
 /** Interval for instances that have ended and are no longer registered, in milliseconds; a new start registers itself. */
 const endedReportIntervalMilliseconds = 5_000;
 
+/** What the choice of the instances to ask depends on, beside what is known of them. */
+export interface ReportContext {
+    /** Members whose next state a formation awaits, with the interval between requests in milliseconds. */
+    readonly forming: ReadonlyMap<string, number>;
+    /**
+     * Local monotonic milliseconds at which this process last received an event of a stream from the group with a key, 0 if
+     * never.
+     */
+    readonly lastEventOf: (key: string) => number;
+}
+
 export class ReportSchedule {
     private readonly nextAt = new Map<string, number>();
     private readonly expedited = new Set<string>();
@@ -38,12 +50,10 @@
         this.prioritized.add(id);
     }
 
-    /**
-     * Returns the instances to request reports from now; `forming` are the members whose next state a formation awaits, with
-     * the interval between requests in milliseconds.
-     */
-    public takeDue(forming: ReadonlyMap<string, number>, now: number): readonly FleetInstance[] {
-        const due = this.registry.all.filter(known => this.isDue(known, forming, now));
+    /** Returns the instances to request reports from now. */
+    public takeDue(context: ReportContext, now: number): readonly FleetInstance[] {
+        const { forming } = context;
+        const due = this.registry.all.filter(known => this.isDue(known, context, now));
         for (const known of due) {
             const { id } = known.instance;
             const wasExpedited = this.expedited.delete(id);
@@ -53,7 +63,7 @@
         return due.map(known => known.instance);
     }
 
-    private isDue(known: KnownInstance, forming: ReadonlyMap<string, number>, now: number): boolean {
+    private isDue(known: KnownInstance, { forming, lastEventOf }: ReportContext, now: number): boolean {
         const { id } = known.instance;
         const isRequested =
             isUnsettled(known) ||
@@ -61,7 +71,9 @@
             forming.has(id) ||
             this.expedited.has(id) ||
             this.prioritized.has(id) ||
-            (isRelevant(known) && this.registry.hasMissedHeartbeat(known, now));
+            (isRelevant(known) &&
+                this.registry.hasMissedHeartbeat(known, now) &&
+                now >= lastEventOfGroup(known, lastEventOf) + deadReportIntervalMilliseconds);
         return isRequested && now >= (this.nextAt.get(id) ?? 0);
     }
 
@@ -93,3 +105,10 @@
 function isRelevant(known: KnownInstance): boolean {
     return known.isRegistered || known.status?.membership !== undefined;
 }
+
+/** A group sends events only while all its members work, so each event says as much as a report from every member. */
+function lastEventOfGroup({ status }: KnownInstance, lastEventOf: ReportContext["lastEventOf"]): number {
+    const membership = status?.membership;
+    const isServing = membership?.state === "ready" || membership?.state === "open";
+    return isServing ? lastEventOf(groupKey(membership)) : -Infinity;
+}
--- a/src/serving/tests/engine-simulation.ts
+++ b/src/serving/tests/engine-simulation.ts
@@ -113,10 +113,18 @@
     }
 
     /** Returns the groups whose leader is open and whose members are all up and in the group. */
-    public servingGroups(): readonly { readonly model: string; readonly members: readonly string[] }[] {
+    public servingGroups(): readonly {
+        readonly key: string;
+        readonly model: string;
+        readonly members: readonly string[];
+    }[] {
         return [...this.engines.values()]
             .filter(leader => this.leadsWholeGroup(leader.id))
-            .map(leader => ({ model: leader.model ?? "", members: leader.members }));
+            .map(leader => ({
+                key: groupKey(leader.membership!),
+                model: leader.model ?? "",
+                members: leader.members,
+            }));
     }
 
     /** True if an engine leads an open group whose members are all up and in the group. */
--- a/src/serving/tests/group-planner.test.ts
+++ b/src/serving/tests/group-planner.test.ts
@@ -254,6 +254,32 @@
     t.true(fleet.silentReports - before >= 3, `${fleet.silentReports - before} unanswered requests`);
 });
 
+test("members of a group that sends events are not asked for reports, whatever their entries show", t => {
+    const fleet = startFleet();
+    fleet.hidesHeartbeats = true;
+    fleet.sendsEvents = true;
+    fleet.runFor(10_000);
+    const members = fleet.servingGroups().flatMap(group => group.members);
+    const spares = fleet.ids().filter(id => !members.includes(id));
+    const before = fleet.reportRequests;
+    fleet.runFor(10_000);
+    const requests = fleet.reportRequests - before;
+    t.true(requests <= spares.length * 10 + 2, `${requests} report requests, ${spares.length} spares`);
+});
+
+test("a lost member of a group that no longer sends events is noticed within two seconds", t => {
+    const fleet = startFleet();
+    fleet.hidesHeartbeats = true;
+    fleet.keepsRegistrations = true;
+    fleet.sendsEvents = true;
+    fleet.runFor(10_000);
+    const group = fleet.servingGroups().find(each => each.model === "large")!;
+    fleet.sendsEvents = false;
+    fleet.crash(group.members[2]!);
+    fleet.runFor(2_000);
+    t.deepEqual(fleet.ended.slice(0, 1), [group.key]);
+});
+
 for (let seed = 1; seed <= 40; seed += 1) {
     test(`random losses, restarts, late orders and new terms keep replica groups disjoint, seed ${seed}`, t => {
         const random = createRandomGenerator(seed);
--- a/src/serving/tests/simulated-fleet.ts
+++ b/src/serving/tests/simulated-fleet.ts
@@ -53,6 +53,9 @@
     public lateOrderFraction = 0;
     /** True if the store's entries do not change with each heartbeat. */
     public hidesHeartbeats = false;
+    /** True if the groups serve streams, whose events reach the placer's process. */
+    public sendsEvents = false;
+    private readonly lastEventAt = new Map<string, number>();
     /** True if registrations of ended instances do not expire. */
     public keepsRegistrations = false;
     /** Report requests that got no response so far. */
@@ -179,7 +182,12 @@
                 each.run();
             });
             this.planner.applyRegistrations(this.registered, [], this.now);
-            const context = { profileOf: () => profile, supplies: new Map<string, ModelSupply>() };
+            this.recordEvents();
+            const context = {
+                profileOf: () => profile,
+                supplies: new Map<string, ModelSupply>(),
+                lastEventOf: (key: string) => this.lastEventAt.get(key) ?? 0,
+            };
             for (const command of this.planner.step(context, this.now)) {
                 if (command.kind === "report") {
                     this.reportRequests += 1;
@@ -197,6 +205,12 @@
         }
     }
 
+    private recordEvents(): void {
+        if (this.sendsEvents) {
+            this.servingGroups().forEach(({ key }) => this.lastEventAt.set(key, this.now));
+        }
+    }
+
     private recordNote(message: string, members: unknown): void {
         if (message === "started to form a group") {
             this.started.push(members as readonly string[]);
