--- a/src/serving/group-planner.ts
+++ b/src/serving/group-planner.ts
@@ -325,7 +325,7 @@
         if (isOpen && this.hasReplacements(group, domain, now)) {
             this.order(leader.instance.id, { kind: "close", group: name, epoch }, now);
         }
-        this.suspect(leader.instance.id);
+        this.reports.prioritize(leader.instance.id);
     }
 
     /**
--- a/src/serving/tests/group-planner.test.ts
+++ b/src/serving/tests/group-planner.test.ts
@@ -148,6 +148,20 @@
     t.deepEqual(fleet.violations, []);
 });
 
+test("the leader of a group with a leaving member is asked for reports at most ten times a second", t => {
+    const fleet = startFleet();
+    const spares = fleet.ids().filter(id => !fleet.servingGroups().some(group => group.members.includes(id)));
+    spares.forEach(id => fleet.crash(id));
+    fleet.runFor(8_000);
+    const large = fleet.servingGroups().find(group => group.model === "large")!;
+    fleet.leave(large.members[1]!);
+    fleet.runFor(2_000);
+    const before = fleet.reportRequests;
+    fleet.runFor(5_000);
+    const requests = fleet.reportRequests - before;
+    t.true(requests <= 5 * 10 + 5, `${requests} report requests`);
+});
+
 test("a new term resumes the formations of the previous term", t => {
     const fleet = SimulatedFleet.create(8, createRandomGenerator(3));
     fleet.runFor(8_000);
