Ask leaving members for reports whatever their group sends

Since an event counts as a sign of life of all members, a leaving member of a group without replacements was not asked while requests that had begun earlier still sent events. Test: no unanswered report request in 2 s before, three or more now.

--- a/src/serving/report-schedule.ts
+++ b/src/serving/report-schedule.ts
@@ -106,9 +106,15 @@
     return known.isRegistered || known.status?.membership !== undefined;
 }
 
-/** A group sends events only while all its members work, so each event says as much as a report from every member. */
-function lastEventOfGroup({ status }: KnownInstance, lastEventOf: ReportContext["lastEventOf"]): number {
+/**
+ * A group sends events only while all its members work, so each event says as much as a report from every member. A leaving
+ * member may stop listening, and thereby its leader, while events of earlier requests still arrive.
+ */
+function lastEventOfGroup(
+    { instance, status }: KnownInstance,
+    lastEventOf: ReportContext["lastEventOf"],
+): number {
     const membership = status?.membership;
     const isServing = membership?.state === "ready" || membership?.state === "open";
-    return isServing ? lastEventOf(groupKey(membership)) : -Infinity;
+    return isServing && !instance.isLeaving ? lastEventOf(groupKey(membership)) : -Infinity;
 }
--- a/src/serving/tests/group-planner.test.ts
+++ b/src/serving/tests/group-planner.test.ts
@@ -148,6 +148,23 @@
     t.deepEqual(fleet.violations, []);
 });
 
+test("a leaving member that no longer responds is noticed while its group still sends events", t => {
+    const fleet = startFleet();
+    fleet.hidesHeartbeats = true;
+    fleet.sendsEvents = true;
+    const spares = fleet.ids().filter(id => !fleet.servingGroups().some(group => group.members.includes(id)));
+    spares.forEach(id => fleet.crash(id));
+    fleet.runFor(8_000);
+    const large = fleet.servingGroups().find(group => group.model === "large")!;
+    fleet.leave(large.members[1]!);
+    fleet.runFor(2_000);
+    t.true(fleet.servingGroups().some(group => group.key === large.key));
+    const before = fleet.silentReports;
+    fleet.hide(large.members[1]!, true);
+    fleet.runFor(2_000);
+    t.true(fleet.silentReports - before >= 3, `${fleet.silentReports - before} unanswered requests`);
+});
+
 test("the leader of a group with a leaving member is asked for reports at most ten times a second", t => {
     const fleet = startFleet();
     const spares = fleet.ids().filter(id => !fleet.servingGroups().some(group => group.members.includes(id)));
