--- a/src/serving/tests/group-planner.test.ts
+++ b/src/serving/tests/group-planner.test.ts
@@ -148,6 +148,37 @@
     t.deepEqual(fleet.violations, []);
 });
 
+test("a leaving member that no longer responds is noticed while its group still sends events", t => {
+    const fleet = startFleet();
+    fleet.hidesHeartbeats = true;
+    fleet.sendsEvents = true;
+    const spares = fleet.ids().filter(id => !fleet.servingGroups().some(group => group.members.includes(id)));
+    spares.forEach(id => fleet.crash(id));
+    fleet.runFor(8_000);
+    const large = fleet.servingGroups().find(group => group.model === "large")!;
+    fleet.leave(large.members[1]!);
+    fleet.runFor(2_000);
+    t.true(fleet.servingGroups().some(group => group.key === large.key));
+    const before = fleet.silentReports;
+    fleet.hide(large.members[1]!, true);
+    fleet.runFor(2_000);
+    t.true(fleet.silentReports - before >= 3, `${fleet.silentReports - before} unanswered requests`);
+});
+
+test("the leader of a group with a leaving member is asked for reports at most ten times a second", t => {
+    const fleet = startFleet();
+    const spares = fleet.ids().filter(id => !fleet.servingGroups().some(group => group.members.includes(id)));
+    spares.forEach(id => fleet.crash(id));
+    fleet.runFor(8_000);
+    const large = fleet.servingGroups().find(group => group.model === "large")!;
+    fleet.leave(large.members[1]!);
+    fleet.runFor(2_000);
+    const before = fleet.reportRequests;
+    fleet.runFor(5_000);
+    const requests = fleet.reportRequests - before;
+    t.true(requests <= 5 * 10 + 5, `${requests} report requests`);
+});
+
 test("a new term resumes the formations of the previous term", t => {
     const fleet = SimulatedFleet.create(8, createRandomGenerator(3));
     fleet.runFor(8_000);
@@ -254,6 +285,32 @@
     t.true(fleet.silentReports - before >= 3, `${fleet.silentReports - before} unanswered requests`);
 });
 
+test("members of a group that sends events are not asked for reports, whatever their entries show", t => {
+    const fleet = startFleet();
+    fleet.hidesHeartbeats = true;
+    fleet.sendsEvents = true;
+    fleet.runFor(10_000);
+    const members = fleet.servingGroups().flatMap(group => group.members);
+    const spares = fleet.ids().filter(id => !members.includes(id));
+    const before = fleet.reportRequests;
+    fleet.runFor(10_000);
+    const requests = fleet.reportRequests - before;
+    t.true(requests <= spares.length * 10 + 2, `${requests} report requests, ${spares.length} spares`);
+});
+
+test("a lost member of a group that no longer sends events is noticed within two seconds", t => {
+    const fleet = startFleet();
+    fleet.hidesHeartbeats = true;
+    fleet.keepsRegistrations = true;
+    fleet.sendsEvents = true;
+    fleet.runFor(10_000);
+    const group = fleet.servingGroups().find(each => each.model === "large")!;
+    fleet.sendsEvents = false;
+    fleet.crash(group.members[2]!);
+    fleet.runFor(2_000);
+    t.deepEqual(fleet.ended.slice(0, 1), [group.key]);
+});
+
 for (let seed = 1; seed <= 40; seed += 1) {
     test(`random losses, restarts, late orders and new terms keep replica groups disjoint, seed ${seed}`, t => {
         const random = createRandomGenerator(seed);
