--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -112,6 +112,8 @@
 
 /** Fraction of the grace period after which a process may end the requests that still run. */
 const graceFraction = 5 / 6;
+/** Time after a request to end from which no request is excused by the end of the grace period, in milliseconds. */
+const lastExcusedSendMilliseconds = 3_000;
 
 /**
  * True if the process could not respond: it was killed, paused meanwhile, or ended or near the end of its grace period
@@ -119,7 +121,8 @@
  */
 function isDisturbed(entryProcess: EntryProcess, sentAt: number): boolean {
     const { wasKilled, isPaused, resumedAt, wasAskedToEnd, askedToEndAt, isRunning } = entryProcess;
-    const isGraceOver = performance.now() >= askedToEndAt + graceFraction * entryBounds.graceMilliseconds;
+    const isLateInGrace = performance.now() >= askedToEndAt + graceFraction * entryBounds.graceMilliseconds;
+    const isGraceOver = isLateInGrace && sentAt <= askedToEndAt + lastExcusedSendMilliseconds;
     return wasKilled || isPaused || resumedAt >= sentAt || (wasAskedToEnd && !isRunning) || isGraceOver;
 }
 
