Keep a group while a silent member may only be paused

What callers saw: a replica that fell silent for 0.3 s or more and then went on cost its group all streams, since the placer ordered the other members to leave as soon as the member had left three reports unanswered.

Cause: a silent member counted as dead after 0.3 s, and a group with a dead member was disbanded at once. Nothing that the placer sees tells a paused process from a dead one sooner: a heartbeat comes every 1.2 s, and both leave reports unanswered. A refused report still ends a group at once.

An open group that lacks only silent, registered members now stays for 1.3 s. The time is not lost: the group that replaces it is begun at 0.3 s as before, if spares hold the weights. The spares read them while the other members stay; these leave and join at 1.3 s. If the member responds first, the spares are released. No loads are begun for a member that may be paused.

--- a/src/serving/group-formation.ts
+++ b/src/serving/group-formation.ts
@@ -30,12 +30,17 @@
     readonly members: readonly string[];
     /** Local monotonic milliseconds. */
     readonly startedAt: number;
+    /** Key of the group that this one replaces if its silent members stay silent. */
+    readonly replacedGroup?: string | undefined;
+    /** Members that are still in the replaced group; they join once they are released. */
+    readonly boundMembers?: readonly string[];
     /** Local monotonic milliseconds before which a member cannot be ready; members without an entry may be at any time. */
     readonly earliestReadyAt?: ReadonlyMap<string, number>;
 }
 
 /** State machine of the formation of one group. */
 export class GroupFormation {
+    private readonly bound: Set<string>;
     private readonly joined = new Set<string>();
     private readonly ready = new Set<string>();
     private isLeaderOpen = false;
@@ -43,7 +48,9 @@
     /** Local monotonic milliseconds until which an accepted open order may take effect. */
     private openingUntil = 0;
 
-    private constructor(public readonly options: FormationOptions) {}
+    private constructor(public readonly options: FormationOptions) {
+        this.bound = new Set(options.boundMembers);
+    }
 
     public static create(options: FormationOptions): GroupFormation {
         return new GroupFormation(options);
@@ -57,6 +64,16 @@
         return this.isLeaderOpen;
     }
 
+    /** Members that are not released yet from the group that they were in. */
+    public get boundMembers(): readonly string[] {
+        return [...this.bound];
+    }
+
+    /** Lets a member join that has left the group that it was in. */
+    public release(member: string): void {
+        this.bound.delete(member);
+    }
+
     public hasFailed(now: number): boolean {
         const { model, startedAt } = this.options;
         return this.isRefused || now > startedAt + model.loadMilliseconds + formationSlackMilliseconds;
@@ -68,7 +85,8 @@
         const unjoined = members.filter(member => !this.joined.has(member));
         if (unjoined.length > 0) {
             const order: GroupOrder = { kind: "join", group, epoch, model: model.name, members };
-            return unjoined.map(instance => ({ instance, order }));
+            const released = unjoined.filter(member => !this.bound.has(member));
+            return released.map(instance => ({ instance, order }));
         }
         const leader = members[0];
         const isOpening = this.isLeaderOpen || now < this.openingUntil;
@@ -81,7 +99,7 @@
     /** Returns the members whose reports the formation waits for, with the interval between requests in milliseconds. */
     public awaitedReports(now: number): ReadonlyMap<string, number> {
         const { members, earliestReadyAt } = this.options;
-        const unready = members.filter(member => !this.ready.has(member));
+        const unready = members.filter(member => !this.ready.has(member) && !this.bound.has(member));
         const awaited = unready.length > 0 ? unready : members.slice(0, 1);
         return new Map(
             awaited.map(member => {
--- a/src/serving/group-planner.ts
+++ b/src/serving/group-planner.ts
@@ -5,11 +5,12 @@
  */
 import { countBy, groupBy } from "./collections.js";
 import type { GroupAnnouncement } from "./group-announcements.js";
-import type { Candidate, GroupChoice } from "./group-choices.js";
+import type { Candidate, DomainState, GroupChoice } from "./group-choices.js";
 import { chooseGroup, chooseStaging } from "./group-choices.js";
 import type { EngineProfile } from "./engine-model.js";
 import type { FleetInstance } from "./fleets.js";
 import { groupKey } from "./fleets.js";
+import type { FormationOptions } from "./group-formation.js";
 import { GroupFormation } from "./group-formation.js";
 import type { GroupOrder, OrderReply } from "./group-orders.js";
 import { GroupMembershipHistory } from "./group-membership-history.js";
@@ -77,6 +78,8 @@
 export class GroupPlanner {
     private readonly registry: InstanceRegistry;
     private readonly formations = new Map<string, GroupFormation>();
+    /** Keys of the groups that are kept because their silent members may only be paused. */
+    private readonly pausedGroups = new Set<string>();
     private readonly reports: ReportSchedule;
     private readonly membershipHistory = GroupMembershipHistory.create();
     private readonly nextOrderAt = new Map<string, number>();
@@ -233,10 +236,11 @@
         const usable = domain.known.filter(known => this.isUsable(known, now) && known.status !== undefined);
         const incompleteKeys = this.groupsWithUnknownMembers(domain);
         const free = usable.filter(known => this.isFree(known, incompleteKeys, now));
+        this.releaseBoundMembers(domain, incompleteKeys, now);
         const completeGroups = groups.filter(
             group => this.isComplete(group, now) || this.formations.has(group.key),
         );
-        const choice = chooseGroup({
+        const state: DomainState = {
             models: domain.profile.models,
             instances: usable.length,
             recentInstances: this.peakOf(domain).record(usable.length, now),
@@ -249,7 +253,11 @@
             isSettling: this.isSettling(domain, now),
             mayLoad: this.loads.isUnlimited(domain, now),
             supplies: context.supplies,
-        });
+        };
+        if (groups.some(group => this.prepareReplacement(group, state, domain, now))) {
+            return;
+        }
+        const choice = chooseGroup(state);
         if (choice !== undefined) {
             this.startFormation(choice, domain, now);
             return;
@@ -295,12 +303,18 @@
         }
         const state = group.leader?.status?.membership?.state;
         if (this.isComplete(group, now)) {
+            this.endPause(group);
             if (state === "joining" || state === "ready") {
                 this.resumeFormation(group, now);
             }
             return;
         }
         this.commands.push({ kind: "ended", key: group.key });
+        if (this.isPaused(group, now)) {
+            this.pausedGroups.add(group.key);
+            return;
+        }
+        this.pausedGroups.delete(group.key);
         const isOnlyLeaving =
             group.members.length === group.model?.size &&
             group.members.every(member => !this.registry.isDead(member, now));
@@ -312,6 +326,81 @@
         this.disband(group, now);
     }
 
+    /**
+     * True if a group serves and lacks only members that may be paused. Its streams go on with them, while a disbanded
+     * group loses its streams.
+     */
+    private isPaused({ model, leader, members }: ReportedGroup, now: number): boolean {
+        const canGoOn = (member: KnownInstance): boolean =>
+            this.canKeepMember(member, rankOf(member), now) ||
+            (!member.instance.isLeaving && this.registry.mayBePaused(member, now));
+        return (
+            model?.size === members.length &&
+            leader?.status?.membership?.state === "open" &&
+            members.every(canGoOn)
+        );
+    }
+
+    /** Gives up the formation that was to replace a group, and announces the group again. */
+    private endPause(group: ReportedGroup): void {
+        const replacement = this.replacementOf(group);
+        if (replacement !== undefined) {
+            this.formations.delete(replacement.key);
+        }
+        const isOpen = group.leader?.status?.membership?.state === "open";
+        if (!this.pausedGroups.delete(group.key) || !isOpen) {
+            return;
+        }
+        const { name, epoch, model } = group;
+        const byRank = [...group.members].sort((left, right) => rankOf(left) - rankOf(right));
+        const members = byRank.map(member => member.instance.id);
+        this.commands.push({ kind: "opened", group: { group: name, epoch, model: model!.name, members } });
+        this.note("kept a group whose silent members responded again", { group: group.key });
+    }
+
+    private replacementOf({ key }: ReportedGroup): GroupFormation | undefined {
+        return [...this.formations.values()].find(({ options }) => options.replacedGroup === key);
+    }
+
+    /**
+     * Begins the formation that replaces a group if its silent members stay silent; returns true if it did. The idle
+     * instances read their weights meanwhile, and the other members join after they have left their group.
+     */
+    private prepareReplacement(
+        group: ReportedGroup,
+        state: DomainState,
+        domain: FabricDomain,
+        now: number,
+    ): boolean {
+        if (!this.pausedGroups.has(group.key) || this.replacementOf(group) !== undefined) {
+            return false;
+        }
+        const bound = group.members.filter(member => this.isUsable(member, now));
+        const choice = chooseGroup({ ...state, free: [...bound.map(toCandidate), ...state.free] });
+        const boundMembers = bound.map(member => member.instance.id);
+        const isReplacement =
+            choice?.model === group.model &&
+            choice?.loads === 0 &&
+            boundMembers.every(member => choice.members.includes(member));
+        if (choice === undefined || !isReplacement) {
+            return false;
+        }
+        this.startFormation(choice, domain, now, { replacedGroup: group.key, boundMembers });
+        return true;
+    }
+
+    /** Lets the members of a formation join that have left the group which the formation replaces. */
+    private releaseBoundMembers(domain: FabricDomain, incompleteKeys: readonly string[], now: number): void {
+        for (const formation of this.formations.values()) {
+            const left = domain.known.filter(
+                known =>
+                    formation.boundMembers.includes(known.instance.id) &&
+                    this.hasLeftGroup(known, incompleteKeys, now),
+            );
+            left.forEach(known => formation.release(known.instance.id));
+        }
+    }
+
     /** Drains a group whose members are leaving, once enough idle instances can replace them. */
     private drain(group: ReportedGroup, leader: KnownInstance, domain: FabricDomain, now: number): void {
         const { name, epoch } = group;
@@ -382,6 +471,11 @@
         if ([...this.formations.values()].some(formation => formation.options.members.includes(id))) {
             return false;
         }
+        return this.hasLeftGroup(known, incompleteKeys, now);
+    }
+
+    private hasLeftGroup(known: KnownInstance, incompleteKeys: readonly string[], now: number): boolean {
+        const { id } = known.instance;
         const membership = known.status?.membership;
         if (membership !== undefined) {
             return membership.state === "broken";
@@ -422,7 +516,12 @@
         return countBy(keys.values(), model => model ?? "");
     }
 
-    private startFormation(choice: GroupChoice, domain: FabricDomain, now: number): void {
+    private startFormation(
+        choice: GroupChoice,
+        domain: FabricDomain,
+        now: number,
+        replacement: Pick<FormationOptions, "replacedGroup" | "boundMembers"> = {},
+    ): void {
         if (!this.loads.tryTake(domain, choice.loads, now)) {
             return;
         }
@@ -433,6 +532,7 @@
             epoch,
             model: choice.model,
             members: choice.members,
+            ...replacement,
             startedAt: now,
             // Loads before the first traffic take a fraction of their usual time.
             earliestReadyAt: this.loads.isUnlimited(domain, now)
--- a/src/serving/instance-registry.ts
+++ b/src/serving/instance-registry.ts
@@ -4,10 +4,12 @@
  */
 import type { EngineStatus, FleetInstance } from "./fleets.js";
 
-/** Minimum time without a report before an instance counts as dead and its group is ended, in milliseconds. */
+/** Minimum time without a report before an instance counts as dead and its group gets no new requests, in milliseconds. */
 export const deadAfterMilliseconds = 300;
 /** Minimum consecutive unanswered requests before an instance counts as dead; a single packet may be lost. */
 const minimumUnansweredReports = 3;
+/** Time without a report after which a registered instance no longer counts as paused, in milliseconds. */
+const maximumPauseMilliseconds = 1_300;
 /** Time without a report after which a leader without heartbeats has certainly ended, in milliseconds. */
 const leaderEndedMilliseconds = 1_000;
 /** Missed heartbeats, allowing for their delay, after which a registered instance or a member is asked for a report. */
@@ -126,6 +128,17 @@
         );
     }
 
+    /** True if the instance is silent for so short a time that it may be sound: a process may pause and go on. */
+    public mayBePaused(known: KnownInstance, now: number): boolean {
+        const { silentSince, isEnded, isRegistered } = known;
+        return (
+            isRegistered &&
+            !isEnded &&
+            silentSince !== undefined &&
+            now < silentSince + maximumPauseMilliseconds
+        );
+    }
+
     /**
      * True if the instance certainly leads no group for any caller, including callers that reach instances which this
      * process cannot reach. Its silence must be as recent as the other members' reports: after a network partition,
--- a/src/serving/report-schedule.ts
+++ b/src/serving/report-schedule.ts
@@ -4,6 +4,8 @@
 
 /** Interval between report requests to an instance that does not respond, in milliseconds. */
 const silentReportIntervalMilliseconds = 100;
+/** Interval for silent instances that may go on, in milliseconds. */
+const pausedReportIntervalMilliseconds = 200;
 /** Interval for dead instances, and for those that respond although their heartbeats are missing, in milliseconds. */
 const deadReportIntervalMilliseconds = 1_000;
 /** Interval for instances that have ended and are no longer registered, in milliseconds; a new start registers itself. */
@@ -81,6 +83,9 @@
         if (!isSettled || isPrioritized) {
             return silentReportIntervalMilliseconds;
         }
+        if (this.registry.mayBePaused(known, now)) {
+            return pausedReportIntervalMilliseconds;
+        }
         const hasEnded = this.registry.isDead(known, now) && !known.isRegistered;
         return hasEnded ? endedReportIntervalMilliseconds : deadReportIntervalMilliseconds;
     }
--- a/src/serving/tests/group-planner.test.ts
+++ b/src/serving/tests/group-planner.test.ts
@@ -44,6 +44,33 @@
     t.is(fleet.ended.length > 0, true, "the group is ended within three report requests");
 });
 
+for (const rank of [0, 2]) {
+    test(`a member of rank ${rank} that is silent for one second keeps its group`, t => {
+        const fleet = startFleet();
+        const large = fleet.servingGroups().find(group => group.model === "large")!;
+        fleet.hide(large.members[rank]!, true);
+        fleet.suspect(large.members[rank]!);
+        fleet.runFor(1_000);
+        fleet.hide(large.members[rank]!, false);
+        fleet.runFor(10_000);
+        const after = fleet.servingGroups().find(group => group.model === "large");
+        t.deepEqual(after?.members, large.members);
+        t.deepEqual(modelsOf(fleet), ["large", "small"]);
+        t.deepEqual([...fleet.stagedModels()].sort(), [["large"], ["small"]], "the spares are free again");
+        t.deepEqual(fleet.violations, []);
+    });
+}
+
+test("a small group that loses its leader is complete again within the time of a warm join", t => {
+    const fleet = startFleet();
+    const small = fleet.servingGroups().find(group => group.model === "small")!;
+    fleet.crash(small.members[0]!);
+    fleet.suspect(small.members[0]!);
+    fleet.runFor(4_000);
+    t.deepEqual(modelsOf(fleet), ["large", "small"]);
+    t.deepEqual(fleet.violations, []);
+});
+
 test("a group that loses its leader is formed again as soon as the other members have left it", t => {
     const fleet = startFleet();
     const large = fleet.servingGroups().find(group => group.model === "large")!;
