--- a/src/serving/tests/exchange.test.ts
+++ b/src/serving/tests/exchange.test.ts
@@ -6,6 +6,7 @@
 import { systemClock } from "../../links/system-clock.js";
 import { UpstreamPools } from "../../links/upstream-pools.js";
 import { BackPressure } from "../back-pressure.js";
+import { CrashAttribution } from "../crash-attribution.js";
 import type { DispatchChoice, DispatchTarget } from "../dispatcher.js";
 import { Exchange } from "../exchange.js";
 import type { AdmittedRequest, ExchangeContext } from "../exchange-context.js";
@@ -91,6 +92,14 @@
         dispatcher: { choose: () => choices.shift()! },
         replicaRecords: records,
         backPressure: BackPressure.create(() => 0),
+        isDoubtful: () => false,
+        crashAttribution: CrashAttribution.create({
+            random: () => 0,
+            clearanceSpreadMilliseconds: () => 0,
+            onQuarantine: ignore,
+            onQuarantineEnd: ignore,
+            onChange: ignore,
+        }),
         isLeaving: () => true,
         onLeaving: ignore,
         retryWindowOf: () => retries,
