Log the identity of requests whose attempts end without a response

The logs of the incident could not tell whether one repeated request or several requests of one path were lost in the crashes: each attempt of a caller has a new id. The line 'attempt ended' now has a hash of method, host, target, caller and body, and one without the query.

--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -9,6 +9,7 @@
 import type { CallerLimits, RouteTable } from "./serving-configuration.js";
 import { pickService } from "./serving-configuration.js";
 import type { AdmittedRequest } from "./exchange-context.js";
+import { RequestIdentity } from "./request-identity.js";
 import type { ServingMetrics } from "./serving-metrics.js";
 import type { CallerRequest, WireFormat } from "./wire-format.js";
 
@@ -210,6 +211,7 @@
                 workspace: workspace?.name,
                 rank: workspace?.rank ?? route.rank,
                 body,
+                identity: RequestIdentity.create(request, body),
                 arrivedAt,
                 deadline: arrivedAt + Math.min(timeout, route.timeoutMilliseconds),
             },
--- a/src/serving/exchange-context.ts
+++ b/src/serving/exchange-context.ts
@@ -9,6 +9,7 @@
 import type { BackPressure } from "./back-pressure.js";
 import type { FleetInstance } from "./fleets.js";
 import type { ReplicaRecords } from "./replica-records.js";
+import type { RequestIdentity } from "./request-identity.js";
 import type { RetryWindow } from "./retry-window.js";
 import type { ServingMetrics } from "./serving-metrics.js";
 import type { CallerRequest, WireFormat } from "./wire-format.js";
@@ -46,6 +47,7 @@
     readonly workspace: string | undefined;
     readonly rank: number;
     readonly body: Buffer | undefined;
+    readonly identity: RequestIdentity;
     /** Local monotonic milliseconds. */
     readonly arrivedAt: number;
     /** Local monotonic milliseconds. */
--- a/src/serving/exchange-reporting.ts
+++ b/src/serving/exchange-reporting.ts
@@ -59,6 +59,8 @@
         isDeferred: target.isDeferred,
         fleetRevision: target.fleetRevision,
         lastEvent: end.lastEventId,
+        identity: admitted.identity.hash,
+        resource: admitted.identity.resourceHash,
         promptSegments: admitted.request.work?.promptSegments,
         hasHead: attempt.head !== undefined,
         hasReceivedEvents: attempt.hasReceivedEvents,
--- /dev/null
+++ b/src/serving/request-identity.ts
@@ -0,0 +1,42 @@
+/** Tells whether a request is a repetition of an earlier one, whatever the id of its attempt. */
+import { createHash } from "node:crypto";
+import type { CallerRequest } from "./wire-format.js";
+
+/** Length of a hash in hexadecimal digits. */
+const hashLength = 16;
+
+/** Hashes of what a caller repeats if it sends the same request again; calculated when they are first read. */
+export class RequestIdentity {
+    private ownHash: string | undefined;
+    private ownResourceHash: string | undefined;
+
+    private constructor(
+        private readonly request: CallerRequest,
+        private readonly body: Buffer | undefined,
+    ) {}
+
+    public static create(request: CallerRequest, body: Buffer | undefined): RequestIdentity {
+        return new RequestIdentity(request, body);
+    }
+
+    /** Hash of the method, host, path and query, caller and body. */
+    public get hash(): string {
+        this.ownHash ??= this.hashWith(this.request.target);
+        return this.ownHash;
+    }
+
+    /** Hash of the same without the query, which some callers vary to pass caches. */
+    public get resourceHash(): string {
+        this.ownResourceHash ??= this.hashWith(this.request.path);
+        return this.ownResourceHash;
+    }
+
+    private hashWith(target: string): string {
+        const { method, host, credential } = this.request;
+        const hash = createHash("sha256").update(JSON.stringify([method, host, target, credential ?? null]));
+        return hash
+            .update(this.body ?? "")
+            .digest("hex")
+            .slice(0, hashLength);
+    }
+}
--- a/src/serving/tests/exchange.test.ts
+++ b/src/serving/tests/exchange.test.ts
@@ -13,6 +13,7 @@
 import { ReplicaRecords } from "../replica-records.js";
 import { RetryWindow } from "../retry-window.js";
 import { createServingMetrics } from "../serving-metrics.js";
+import { RequestIdentity } from "../request-identity.js";
 import type { Route } from "../serving-configuration.js";
 import { RouteTable } from "../serving-configuration.js";
 import { groupMember } from "./fleet-fixtures.js";
@@ -39,25 +40,27 @@
         workspaces: undefined,
     });
     const now = systemClock.monotonicMilliseconds();
+    const request = {
+        id: "r1",
+        method: "GET",
+        host: route.host,
+        target: "/",
+        path: "/",
+        credential: undefined,
+        timeoutMilliseconds: undefined,
+        lastEventId: undefined,
+        work: undefined,
+        headers: [],
+    };
     return {
-        request: {
-            id: "r1",
-            method: "GET",
-            host: route.host,
-            target: "/",
-            path: "/",
-            credential: undefined,
-            timeoutMilliseconds: undefined,
-            lastEventId: undefined,
-            work: undefined,
-            headers: [],
-        },
+        request,
         table,
         route,
         service: "plain",
         workspace: undefined,
         rank: 0,
         body: undefined,
+        identity: RequestIdentity.create(request, undefined),
         arrivedAt: now,
         deadline: now + route.timeoutMilliseconds,
     };
