Refuse a request whose repetitions crash replica after replica

What callers saw: one read, sent again by its caller at any entry instance, crashed all three replicas of the tracker service within 0.3 s, and again whenever new ones had started; until then reads and assignments were refused.

Cause: crashes were attributed to segments of prompts only. A request without a prompt had no suspect, so each lost connection led to a retry at the next replica, and no entry instance remembered the request when it came again.

One attribution judges both causes (src/serving/crash-attribution.ts): a report names the traits of a lost request, which are its identity (method, host, target, caller, prompt statement, body), that without query and prompt, and its prompt segments. A second attribution beside the first would blame prompt segments for the crashes that a repeated request explains, and the other way round. 'May crash another replica' is a fact of the decision instead of a maximum of 0 attempts.

Subjects carry their traits instead of segments alone.

--- a/src/daemons/serving/quarantine-keys.ts
+++ b/src/daemons/serving/quarantine-keys.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the quarantines of prompt segments in the store, for entry instances that start later or that no datagram reaches.
+ * Keeps the quarantines of requests that crash replicas in the store, for entry instances that start later or that no datagram reaches.
  * Reads cost no call, because one watch covers all keys; only the entry instances of the first ranks write.
  */
 import type { Clock } from "../../contracts/clocks.js";
@@ -10,7 +10,7 @@
 
 /** Duration of the lease of a quarantine's key, in seconds. */
 const leaseSeconds = 90;
-/** Age at which a key is written again if requests with its segments came since, in milliseconds. */
+/** Age at which a key is written again if requests with its traits came since, in milliseconds. */
 const renewalMilliseconds = 45_000;
 /** Delay of a write for each rank, in milliseconds: the watch shows the write of an earlier rank before. */
 const delayPerRankMilliseconds = 2_000;
@@ -25,7 +25,7 @@
     /** Position of this process in the order in which processes write; 0 is the first. */
     readonly rank: () => number;
     /** Called for each quarantine that the store shows. */
-    readonly onQuarantine: (segments: readonly string[]) => void;
+    readonly onQuarantine: (traits: readonly string[]) => void;
     readonly log: PartLogger;
 }
 
@@ -71,7 +71,7 @@
         const missing = new Set(
             quarantines
                 .filter(quarantine => this.needsWrite(quarantine, now))
-                .map(({ segments }) => this.keyOf(segments)),
+                .map(({ traits }) => this.keyOf(traits)),
         );
         for (const key of this.writesDueAt.keys()) {
             if (!missing.has(key)) {
@@ -89,9 +89,9 @@
         }
     }
 
-    /** Deletes the key of a quarantine that ended because its segments are sound. */
-    public remove(segments: readonly string[]): void {
-        const key = this.keyOf(segments);
+    /** Deletes the key of a quarantine that ended because its traits are sound. */
+    public remove(traits: readonly string[]): void {
+        const key = this.keyOf(traits);
         const entry = this.entries.get(key);
         if (entry !== undefined && this.options.rank() === 0) {
             const options = createCallOptions("other", this.options);
@@ -105,11 +105,11 @@
     }
 
     /** A quarantine that only the store shows is not written again, or it would never end. */
-    private needsWrite({ segments, lastRequestAt }: Quarantine, now: number): boolean {
+    private needsWrite({ traits, lastRequestAt }: Quarantine, now: number): boolean {
         if (lastRequestAt === undefined || now - lastRequestAt >= renewalMilliseconds) {
             return false;
         }
-        const entry = this.entries.get(this.keyOf(segments));
+        const entry = this.entries.get(this.keyOf(traits));
         return entry === undefined || now - entry.seenAt >= renewalMilliseconds;
     }
 
@@ -135,8 +135,8 @@
         return now + rank() * delayPerRankMilliseconds + random() * delaySpreadMilliseconds;
     }
 
-    private keyOf(segments: readonly string[]): string {
-        return `${this.options.prefix}${segments.join("+")}`;
+    private keyOf(traits: readonly string[]): string {
+        return `${this.options.prefix}${traits.join("+")}`;
     }
 
     private logFault(step: string, key: string, reason: string): void {
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -142,8 +142,8 @@
         this.crashAttribution = CrashAttribution.create({
             random,
             clearanceSpreadMilliseconds: () => this.peers.timing.probeSpreadMilliseconds,
-            onQuarantine: (segments, cause) => this.handleQuarantine(segments, cause),
-            onQuarantineEnd: (segments, isSound) => this.handleQuarantineEnd(segments, isSound),
+            onQuarantine: (traits, cause) => this.handleQuarantine(traits, cause),
+            onQuarantineEnd: (traits, isSound) => this.handleQuarantineEnd(traits, isSound),
             onChange: () => this.informPeers(),
         });
         this.peers = EntryPeers.create({
@@ -234,8 +234,7 @@
             clock,
             random,
             rank: () => this.peers.placerRank,
-            onQuarantine: segments =>
-                this.crashAttribution.adopt(segments, undefined, "the store", this.now()),
+            onQuarantine: traits => this.crashAttribution.adopt(traits, undefined, "the store", this.now()),
             log: logs("store"),
         });
         this.follower = this.createFollower(store);
@@ -460,20 +459,20 @@
         }
     }
 
-    private handleQuarantine(segments: readonly string[], cause: QuarantineCause): void {
+    private handleQuarantine(traits: readonly string[], cause: QuarantineCause): void {
         this.metrics.quarantines.inc();
-        this.log.warn("requests with these prompt segments crash replicas; refusing them", {
-            segments,
+        this.log.warn("requests with these traits crash replicas; refusing them", {
+            traits,
             cause,
         });
         this.hasNewQuarantine = true;
         this.ticks.bringForward();
     }
 
-    private handleQuarantineEnd(segments: readonly string[], isSound: boolean): void {
-        this.log.info("quarantine of prompt segments ended", { segments, isSound });
+    private handleQuarantineEnd(traits: readonly string[], isSound: boolean): void {
+        this.log.info("quarantine ended", { traits, isSound });
         if (isSound) {
-            this.quarantineKeys.remove(segments);
+            this.quarantineKeys.remove(traits);
         }
     }
 
--- a/src/daemons/serving/tests/quarantine-keys.test.ts
+++ b/src/daemons/serving/tests/quarantine-keys.test.ts
@@ -38,7 +38,7 @@
             clock: { monotonicMilliseconds: () => recorded.now, wallMilliseconds: () => 0 },
             random: () => 0,
             rank: () => rank,
-            onQuarantine: segments => recorded.adopted.push(segments.join()),
+            onQuarantine: traits => recorded.adopted.push(traits.join()),
             log: createLogs("test", "error", { write: () => undefined })("store"),
         }),
         swaps: [],
@@ -51,7 +51,7 @@
 
 test("the first rank writes a quarantine with a lease, a later one only if the watch does not show it", async t => {
     const [first, third] = [create(0), create(2)];
-    const quarantine = { segments: ["a", "b"], lastRequestAt: 0 };
+    const quarantine = { traits: ["a", "b"], lastRequestAt: 0 };
     first.keys.tick([quarantine]);
     third.keys.tick([quarantine]);
     await first.settle();
@@ -68,16 +68,16 @@
     const each = create();
     each.keys.setEntries([entry]);
     each.now = 44_000;
-    each.keys.tick([{ segments: ["a", "b"], lastRequestAt: each.now }]);
+    each.keys.tick([{ traits: ["a", "b"], lastRequestAt: each.now }]);
     await each.settle();
     t.is(each.swaps.length, 0);
     each.now = 46_000;
-    each.keys.tick([{ segments: ["a", "b"], lastRequestAt: each.now }]);
+    each.keys.tick([{ traits: ["a", "b"], lastRequestAt: each.now }]);
     await each.settle();
     t.is(each.swaps[0]?.expectedRevision, 7);
     each.keys.setEntries([]);
     each.now = 60_000;
-    each.keys.tick([{ segments: ["a", "b"], lastRequestAt: each.now }]);
+    each.keys.tick([{ traits: ["a", "b"], lastRequestAt: each.now }]);
     await each.settle();
     t.is(each.swaps[1]?.expectedRevision, 0);
 });
@@ -86,8 +86,8 @@
     const each = create();
     each.now = 100_000;
     each.keys.tick([]);
-    each.keys.tick([{ segments: ["a"], lastRequestAt: undefined }]);
-    each.keys.tick([{ segments: ["a"], lastRequestAt: 50_000 }]);
+    each.keys.tick([{ traits: ["a"], lastRequestAt: undefined }]);
+    each.keys.tick([{ traits: ["a"], lastRequestAt: 50_000 }]);
     await each.settle();
     t.deepEqual(each.swaps, []);
 });
--- a/src/serving/attempt-decision.ts
+++ b/src/serving/attempt-decision.ts
@@ -36,6 +36,8 @@
     readonly remainingMilliseconds: number;
     /** True if the retry budget allows one more attempt. */
     readonly hasRetryBudget: boolean;
+    /** True if the request may have crashed the replica, and is likely to crash the next one. */
+    readonly mayCrashAnotherReplica: boolean;
 }
 
 /**
@@ -92,6 +94,9 @@
 }
 
 function canRetry(outcome: AttemptOutcome, facts: AttemptFacts): boolean {
+    if (facts.mayCrashAnotherReplica) {
+        return false;
+    }
     // Only a stream can go on within the response that its caller has begun to receive.
     if (facts.hasBegunResponse && facts.repeatability !== "stream") {
         return false;
--- a/src/serving/exchange-attempt.ts
+++ b/src/serving/exchange-attempt.ts
@@ -1,13 +1,14 @@
 /** One attempt of a request at a replica, with what has been received of the response. */
 import type { UpstreamCall } from "../links/upstream-pools.js";
+import type { CrashProgress } from "./crash-attribution.js";
 import type { DispatchTarget } from "./dispatcher.js";
 import { EventSplitter } from "./event-splitter.js";
 import type { ResponseHead } from "./wire-format.js";
 
-/** Time from the first event after which a request cannot be the cause of a crash, in milliseconds. */
+/** Time from the first event after which the prompt of a request cannot be the cause of a crash, in milliseconds. */
 const progressMilliseconds = 400;
 /** Minimum time from sending a request to a crash that it causes before its response has a head, in milliseconds. */
-const minimumCrashMilliseconds = 30;
+const minimumCrashMilliseconds = 20;
 
 /** State of one attempt at a replica. */
 export interface Attempt {
@@ -28,7 +29,7 @@
     lastProgressAt: number;
     /** Local monotonic milliseconds of the first event; undefined before. */
     firstEventAt: number | undefined;
-    /** True if the request may have crashed the replica. */
+    /** True if the connection broke in a way that a request which crashes its replica could have caused. */
     hasCrashedReplica: boolean;
     slowAttemptTimer: NodeJS.Timeout | undefined;
 }
@@ -59,15 +60,21 @@
 }
 
 /**
- * True if the replica may have crashed because it began to respond to the attempt, whose connection has just broken. An
- * idle connection that the replica had closed breaks at once, and a response that has progressed shows that its request
- * is sound.
+ * Returns how far an attempt had progressed whose connection has just broken; undefined if it is no evidence of a crash. An
+ * idle connection that the replica had closed breaks at once. Later attempts of a stream are resumed, and a response that
+ * progressed in one of them shows that its request is sound.
  */
-export function mayHaveCrashedReplica(attempt: Attempt, now: number): boolean {
+export function crashProgressOf(attempt: Attempt, now: number): CrashProgress | undefined {
     if (attempt.firstEventAt !== undefined) {
-        return now - attempt.firstEventAt < progressMilliseconds;
+        if (now - attempt.firstEventAt < progressMilliseconds) {
+            return "begun";
+        }
+        return attempt.number === 1 ? "advanced" : undefined;
     }
-    return attempt.head !== undefined || now - attempt.sentAt >= minimumCrashMilliseconds;
+    if (attempt.head !== undefined) {
+        return "head";
+    }
+    return now - attempt.sentAt >= minimumCrashMilliseconds ? "none" : undefined;
 }
 
 /** True for a successful response that the replica has signed and that the caller can read. */
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -7,12 +7,12 @@
 import { decideNextStep, mayTryElsewhere, resumeDelayMilliseconds } from "./attempt-decision.js";
 import { CallerResponse } from "./caller-response.js";
 import { isRetryable } from "./serving-configuration.js";
-import type { SegmentedRequest } from "./crash-attribution.js";
-import { quarantineMilliseconds } from "./crash-attribution.js";
+import type { CrashSubject } from "./crash-attribution.js";
+import { requestTrait, resourceTrait } from "./crash-attribution.js";
 import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
-import { createAttempt, isTrustedSuccess, mayHaveCrashedReplica } from "./exchange-attempt.js";
+import { createAttempt, crashProgressOf, isTrustedSuccess } from "./exchange-attempt.js";
 import type { AdmittedRequest, ExchangeContext } from "./exchange-context.js";
 import { describeRequest, recordAttemptEnd, recordExchangeEnd } from "./exchange-reporting.js";
 import {
@@ -138,39 +138,45 @@
         this.sendErrorResponse(wasSent || this.mayHaveRun ? 504 : 503, "expired", reason);
     }
 
-    /** Ends a request that waits at a replica if requests with its prompt segments crash replicas. */
+    /** Ends a request that waits at a replica if requests like it crash replicas. */
     public cancelIfQuarantined(): void {
-        const { context, promptSegments } = this;
         const isWaiting = !this.isSettled && this.liveAttempts.some(attempt => !attempt.hasReceivedEvents);
-        if (isWaiting && context.crashAttribution.isQuarantined(promptSegments, this.now())) {
+        if (!isWaiting) {
+            return;
+        }
+        if (this.context.crashAttribution.isQuarantined(this.crashSubject, this.now())) {
             this.cancelAttempts();
             this.mayHaveRun = true;
             this.refuseQuarantined();
         }
     }
 
-    private get promptSegments(): readonly string[] {
-        return this.admitted.request.work?.promptSegments ?? [];
-    }
-
-    /** Identifies the request in all its attempts. */
-    private get crashSubject(): SegmentedRequest {
+    /** What may crash replicas in this request; the traits are calculated only while there are crashes. */
+    private get crashSubject(): CrashSubject {
+        const { identity, request } = this.admitted;
         return {
-            request: this.admitted.request.id ?? String(this.admitted.arrivedAt),
-            segments: this.promptSegments,
+            get request() {
+                return requestTrait(identity.hash);
+            },
+            get resource() {
+                return resourceTrait(identity.resourceHash);
+            },
+            segments: request.work?.promptSegments ?? [],
         };
     }
 
-    private refuseQuarantined(): void {
-        const reason = "requests with this part of the prompt crash replicas; omit it or retry later";
+    /** `endsAt`: end of the quarantine in local monotonic milliseconds; needed unless a replica may have run the request. */
+    private refuseQuarantined(endsAt = this.now()): void {
+        const reason = "requests like this one crash replicas; change it or retry later";
         this.context.metrics.quarantineRefusals.inc();
         if (this.callerResponse.hasBegun) {
             this.abortResponse(reason);
         } else if (this.mayHaveRun) {
             this.sendErrorResponse(502, "failed", reason);
         } else {
-            const seconds = String(quarantineMilliseconds / 1000);
-            this.sendErrorResponse(503, "refused", reason, ["Retry-After", seconds]);
+            const milliseconds = (endsAt - this.now()) * (1 + this.context.random() / 4);
+            const seconds = Math.ceil(milliseconds / 1000);
+            this.sendErrorResponse(503, "refused", reason, ["Retry-After", String(seconds)]);
         }
     }
 
@@ -271,9 +277,10 @@
         if (this.isSettled || this.attempt !== undefined) {
             return;
         }
-        if (this.context.crashAttribution.recordRequest(this.promptSegments, this.now())) {
+        const endsAt = this.context.crashAttribution.recordRequest(this.crashSubject, this.now());
+        if (endsAt !== undefined) {
             this.cancelAttempts();
-            this.refuseQuarantined();
+            this.refuseQuarantined(endsAt);
             return;
         }
         const choice = this.chooseReplica();
@@ -381,12 +388,12 @@
 
     private reportBrokenConnection(attempt: Attempt, mayHaveBeenSent: boolean): void {
         const now = this.now();
-        attempt.hasCrashedReplica = mayHaveBeenSent && mayHaveCrashedReplica(attempt, now);
-        if (attempt.hasCrashedReplica) {
+        const progress = mayHaveBeenSent ? crashProgressOf(attempt, now) : undefined;
+        attempt.hasCrashedReplica = progress !== undefined;
+        if (progress !== undefined) {
             const { id, status } = attempt.target.instance;
             const start = `${id} ${status.incarnation ?? ""}`;
-            const hasHead = attempt.head !== undefined && !attempt.hasReceivedEvents;
-            this.context.crashAttribution.recordCrash(this.crashSubject, start, hasHead, now);
+            this.context.crashAttribution.recordCrash(this.crashSubject, start, progress, now);
         }
     }
 
@@ -579,7 +586,7 @@
         }
         this.keepOnly(attempt);
         this.releaseAttempt(attempt);
-        this.context.crashAttribution.recordSound(this.promptSegments, this.now());
+        this.context.crashAttribution.recordSound(this.crashSubject, this.now());
         this.context.replicaRecords.recordSuccess(attempt.target.instance.id, this.now() - attempt.sentAt);
         this.context.metrics.attempts.inc({ service: this.admitted.service, outcome: "served" });
         if (this.callerResponse.hasBegun) {
@@ -652,17 +659,15 @@
             hasSilentAttempt: this.silentAttempt !== undefined,
             remainingMilliseconds: admitted.deadline - now,
             hasRetryBudget: context.retryWindowOf(admitted.service).availableRetries(now) > 0,
+            mayCrashAnotherReplica: false,
         };
     }
 
     /** Takes the next step after an attempt without a complete response. */
     private continueAfterAttempt(outcome: AttemptOutcome, reason: string): void {
         this.refusals = outcome === "lost" || outcome === "failed" ? 0 : this.refusals + 1;
-        const facts = this.attemptFacts();
-        const step = decideNextStep(
-            outcome,
-            this.mayCrashAnotherReplica(outcome) ? { ...facts, maximumAttempts: 0 } : facts,
-        );
+        const mayCrashAnotherReplica = this.mayCrashAnotherReplica(outcome);
+        const step = decideNextStep(outcome, { ...this.attemptFacts(), mayCrashAnotherReplica });
         switch (step) {
             case "retry":
                 this.retry();
--- a/src/serving/peer-link.ts
+++ b/src/serving/peer-link.ts
@@ -32,13 +32,13 @@
     configuration: z.number().default(0),
     /** Id and start of the instances that leave. */
     leaving: z.array(z.tuple([z.string(), z.number().nullable()])).default([]),
-    /** Request, start of the replica, prompt segments, whether the response had a head, and age in milliseconds. */
+    /** Request, start of the replica, further traits, whether the response had a head, and age in milliseconds. */
     crashes: z
         .array(z.tuple([z.string(), z.string(), z.array(z.string()), z.boolean(), z.number()]))
         .default([]),
-    /** Prompt segments with a complete response, and its age in milliseconds. */
+    /** Traits with a complete response, and its age in milliseconds. */
     sound: z.array(z.tuple([z.string(), z.number()])).default([]),
-    /** Quarantined prompt segments, and milliseconds since the last request with them. */
+    /** Quarantined traits, and milliseconds since the last request with them or since the start of the quarantine. */
     quarantines: z.array(z.tuple([z.array(z.string()), z.number()])).default([]),
 });
 
@@ -101,10 +101,10 @@
             groups: state.groups.map(({ group, epoch, model, members }) => [group, epoch, model, members]),
             configuration: state.configurationVersion,
             leaving: state.leaving.map(({ id, incarnation }) => [id, incarnation ?? null]),
-            crashes: state.crashEvidence.reports.map(({ request, start, segments, hasHead, age }) => [
+            crashes: state.crashEvidence.reports.map(({ request, start, traits, hasHead, age }) => [
                 request,
                 start,
-                segments,
+                traits,
                 hasHead,
                 age,
             ]),
@@ -157,10 +157,10 @@
             configurationVersion: configuration,
             leaving: leaving.map(([id, start]) => ({ id, incarnation: start ?? undefined })),
             crashEvidence: {
-                reports: crashes.map(([request, start, segments, hasHead, age]) => ({
+                reports: crashes.map(([request, start, traits, hasHead, age]) => ({
                     request,
                     start,
-                    segments,
+                    traits,
                     hasHead,
                     age,
                 })),
--- a/src/serving/request-identity.ts
+++ b/src/serving/request-identity.ts
@@ -19,21 +19,24 @@
         return new RequestIdentity(request, body);
     }
 
-    /** Hash of the method, host, path and query, caller and body. */
+    /** Hash of the method, host, path and query, caller, prompt and body. */
     public get hash(): string {
-        this.ownHash ??= this.hashWith(this.request.target);
+        const { target, work } = this.request;
+        this.ownHash ??= this.hashWith([target, work?.promptStatement ?? ""]);
         return this.ownHash;
     }
 
-    /** Hash of the same without the query, which some callers vary to pass caches. */
+    /** Hash of the method, host, path, caller and body, without the query, which some callers vary to pass caches. */
     public get resourceHash(): string {
-        this.ownResourceHash ??= this.hashWith(this.request.path);
+        this.ownResourceHash ??= this.hashWith([this.request.path]);
         return this.ownResourceHash;
     }
 
-    private hashWith(target: string): string {
+    private hashWith(parts: readonly string[]): string {
         const { method, host, credential } = this.request;
-        const hash = createHash("sha256").update(JSON.stringify([method, host, target, credential ?? null]));
+        const hash = createHash("sha256").update(
+            JSON.stringify([method, host, credential ?? null, ...parts]),
+        );
         return hash
             .update(this.body ?? "")
             .digest("hex")
--- a/src/serving/tests/attempt-decision.test.ts
+++ b/src/serving/tests/attempt-decision.test.ts
@@ -13,6 +13,7 @@
     hasSilentAttempt: false,
     remainingMilliseconds: 1_000,
     hasRetryBudget: true,
+    mayCrashAnotherReplica: false,
 };
 const once: AttemptFacts = { ...base, repeatability: "once", maximumAttempts: 1 };
 const stream: AttemptFacts = { ...base, repeatability: "stream", isResumable: true };
@@ -85,3 +86,9 @@
 test("attempts that no replica takes are spaced out, the second one follows at once", t => {
     t.deepEqual([0, 1, 2, 3, 4, 5, 9].map(resumeDelayMilliseconds), [0, 0, 40, 120, 280, 320, 320]);
 });
+
+test("a request that may crash another replica is not sent again", t => {
+    const lost = { ...base, mayHaveRun: true, possibleRuns: 1 };
+    t.is(decideNextStep("lost", lost), "retry");
+    t.is(decideNextStep("lost", { ...lost, mayCrashAnotherReplica: true }), "unknown");
+});
--- a/src/serving/tests/crash-simulation.test.ts
+++ b/src/serving/tests/crash-simulation.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { createRandomGenerator } from "../../core/random-numbers.js";
-import type { CrashEvidence } from "../crash-attribution.js";
-import { CrashAttribution } from "../crash-attribution.js";
+import type { CrashEvidence, CrashSubject } from "../crash-attribution.js";
+import { CrashAttribution, requestTrait, resourceTrait } from "../crash-attribution.js";
 import { fleetTimingOf } from "../fleet-timing.js";
 
 /** Step of the virtual time, in milliseconds. */
@@ -17,24 +17,25 @@
     readonly entries: number;
     readonly engines: number;
     readonly soundPerSecond: number;
+    /** Different requests with the crashing segment. */
     readonly crashingPerSecond: number;
+    /** Repetitions of one crashing request, whose segment other requests share. */
+    readonly repeatedPerSecond?: number;
     readonly crashesShowHead: boolean;
     readonly lossFraction: number;
     /** Engines that crash by themselves at a time. */
     readonly otherCrashes?: (now: number) => readonly number[];
 }
 
-interface Running {
-    readonly request: string;
+interface Running extends CrashSubject {
     readonly entry: number;
-    readonly segments: readonly string[];
     readonly sentAt: number;
     readonly attempts: number;
     readonly crashes: boolean;
 }
 
 interface Outcome {
-    /** Requests with the crashing segment that reached engines later than 3 s after the fifth crash. */
+    /** Crashing requests that reached engines later than 3 s after the fifth crash. */
     readonly lateSends: number;
     readonly crashes: number;
     readonly wrongQuarantines: readonly string[];
@@ -48,11 +49,14 @@
     const timing = fleetTimingOf(entries, bounds);
     const hasChange = new Set<number>();
     const wrong = new Set<string>();
+    const repeated = requestTrait("repeated");
+    const isWrong = (traits: readonly string[]): boolean =>
+        !traits.includes("bad") && !traits.includes(repeated);
     const processes = Array.from({ length: entries }, (_, index) =>
         CrashAttribution.create({
             random,
             clearanceSpreadMilliseconds: () => timing.probeSpreadMilliseconds,
-            onQuarantine: segments => !segments.includes("bad") && wrong.add(segments.join()),
+            onQuarantine: traits => isWrong(traits) && wrong.add(traits.join()),
             onQuarantineEnd: () => undefined,
             onChange: () => hasChange.add(index),
         }),
@@ -65,7 +69,7 @@
     let [lateSends, crashes, served, refusedSound, lastRequest] = [0, 0, 0, 0, 0];
     let fifthCrashAt = Infinity;
     const send = (each: Omit<Running, "sentAt">, now: number): void => {
-        if (processes[each.entry]!.recordRequest(each.segments, now)) {
+        if (processes[each.entry]!.recordRequest(each, now) !== undefined) {
             refusedSound += each.crashes ? 0 : 1;
             return;
         }
@@ -86,7 +90,9 @@
             const process = processes[each.entry]!;
             if (now - each.sentAt <= waitMilliseconds) {
                 const hasHead = scenario.crashesShowHead && each === culprit;
-                process.recordCrash(each, start, hasHead, now);
+                process.recordCrash(each, start, hasHead ? "head" : "none", now);
+            } else if (each.attempts === 1) {
+                process.recordCrash(each, start, "advanced", now);
             }
             if (each.attempts < 2 && !process.isSuspect(each, now)) {
                 send({ ...each, attempts: each.attempts + 1 }, now);
@@ -99,16 +105,19 @@
         }
         datagrams.delete(now);
         scenario.otherCrashes?.(now).forEach(engine => upAt[engine]! <= now && crash(engine, undefined, now));
-        const arrive = (isCrashing: boolean): void => {
+        const arrive = (kind: "sound" | "segment" | "repeated"): void => {
             lastRequest += 1;
+            const hash = kind === "repeated" ? "repeated" : `r${lastRequest}`;
             const rare = `d${Math.floor(300 * random() ** 3)}`;
+            const common = `c${kind === "repeated" ? 0 : Math.floor(4 * random())}`;
             send(
                 {
-                    request: `r${lastRequest}`,
+                    request: requestTrait(hash),
+                    resource: resourceTrait(hash),
                     entry: Math.floor(random() * entries),
-                    segments: [`c${Math.floor(4 * random())}`, isCrashing ? "bad" : rare],
+                    segments: [common, kind === "segment" ? "bad" : kind === "repeated" ? "d0" : rare],
                     attempts: 1,
-                    crashes: isCrashing,
+                    crashes: kind !== "sound",
                 },
                 now,
             );
@@ -116,10 +125,14 @@
         const perStep = (rate: number): number =>
             Math.floor((rate * step) / 1000) + (random() < ((rate * step) / 1000) % 1 ? 1 : 0);
         for (let count = perStep(scenario.soundPerSecond); count > 0; count -= 1) {
-            arrive(false);
+            arrive("sound");
         }
         for (let count = now < 4_000 ? 0 : perStep(scenario.crashingPerSecond); count > 0; count -= 1) {
-            arrive(true);
+            arrive("segment");
+        }
+        const repetitions = now < 4_000 ? 0 : perStep(scenario.repeatedPerSecond ?? 0);
+        for (let count = repetitions; count > 0; count -= 1) {
+            arrive("repeated");
         }
         for (let engine = 0; engine < engines; engine += 1) {
             const culprit = running[engine]!.find(
@@ -132,7 +145,7 @@
                 const isComplete = now - each.sentAt >= waitMilliseconds + streamMilliseconds;
                 if (isComplete) {
                     served += 1;
-                    processes[each.entry]!.recordSound(each.segments, now);
+                    processes[each.entry]!.recordSound(each, now);
                 }
                 return !isComplete;
             });
@@ -203,6 +216,25 @@
     });
 }
 
+for (const size of sizes) {
+    for (const [repeatedPerSecond, crashingPerSecond] of [
+        [2, 0],
+        [0.5, 0],
+        [2, 5],
+    ] as const) {
+        test(`one request repeated ${repeatedPerSecond} times per second at ${size.entries} entry instances, beside ${crashingPerSecond} with a crashing segment`, t => {
+            for (const seed of size.entries > 100 ? [1] : [1, 2, 3]) {
+                const scenario = { ...size, seed, crashesShowHead: false, lossFraction: 0.1 };
+                const outcome = simulate({ ...scenario, crashingPerSecond, repeatedPerSecond });
+                t.log(JSON.stringify({ seed, ...outcome }));
+                t.true(outcome.lateSends <= (crashingPerSecond > 0 ? 6 : 3));
+                t.deepEqual(outcome.wrongQuarantines, []);
+                t.is(outcome.refusedSound, 0);
+            }
+        });
+    }
+}
+
 for (const crashingPerSecond of [0.5, 20]) {
     for (const lossFraction of [0.1, 0.6]) {
         test(`${crashingPerSecond} crashing requests per second, ${lossFraction} of the datagrams lost`, t => {
--- a/src/serving/tests/dispatcher.test.ts
+++ b/src/serving/tests/dispatcher.test.ts
@@ -86,7 +86,7 @@
             const entry = entries[Math.floor(random() * entryCount)]!;
             const choice = entry.dispatcher.choose({
                 service: "llm",
-                work: { model: "small", promptTokens: 700, promptSegments: [] },
+                work: { model: "small", promptTokens: 700, promptSegments: [], promptStatement: "" },
                 triedInstances: new Set(),
                 objectiveDeadline: now + 300,
                 firstEventDeadline: now + 2_000,
@@ -138,7 +138,7 @@
     const isInTime = (promptTokens: number): boolean => {
         const choice = dispatcher.choose({
             service: "llm",
-            work: { model: "small", promptTokens, promptSegments: [] },
+            work: { model: "small", promptTokens, promptSegments: [], promptStatement: "" },
             triedInstances: new Set(),
             objectiveDeadline: now + 300,
             firstEventDeadline: now + 2_000,
--- a/src/serving/tests/peer-link.test.ts
+++ b/src/serving/tests/peer-link.test.ts
@@ -44,7 +44,7 @@
 test.serial("what is known of crashes arrives at a peer unchanged", async t => {
     const { sender, receiver, received } = await createLinks();
     const crashEvidence: CrashEvidence = {
-        reports: [{ request: "r", start: "i 1", segments: ["a", "b"], hasHead: true, age: 5 }],
+        reports: [{ request: "r", start: "i 1", traits: ["a", "b"], hasHead: true, age: 5 }],
         sound: [["c", 7]],
         quarantines: [[["a"], 9]],
     };
--- a/src/serving/wire-format.ts
+++ b/src/serving/wire-format.ts
@@ -7,6 +7,8 @@
     readonly promptTokens: number;
     /** Ids of the leading segments of the prompt, which requests share; without the request's own last segment. */
     readonly promptSegments: readonly string[];
+    /** What the caller states of the whole prompt; equal for equal prompts. Empty if it states nothing. */
+    readonly promptStatement: string;
 }
 
 /** A request of a caller, without its body. */
