Close callers' connections of an ending process only after a read found nothing on them

Causes, each shown by a test that failed before: - The event loop accepts one connection per iteration, and the port closed after two. After a standstill only the first of 12 callers that waited to be accepted got its 503; the kernel reset the others. - The end of any response closed all connections that Node.js counts as idle, among them those whose next request the same poll was about to read: of three kept connections with a waiting request one got its 503, two were closed unread. - The process exited when no request was open, 50 ms later, although callers that had just connected had not sent theirs. That the process logged no such request proved nothing: lines of the last 50 ms are lost at the exit.

The port now observes its connections right after each poll (connection-drain.ts, without a network). It stops accepting when a poll found nothing to accept or read, and closes a connection after 300 ms without a byte or an open request, confirmed by a poll. The process exits when no connection is left, or 0.15 s before it is killed; open requests are still ended 0.4 s before.

What remains are connections that arrive between the last poll and the close of the listening socket, which the kernel resets.

src/serving/tests/caller-port.test.ts asked for the refusal of new connections in the same iteration in which the last caller was answered. The port may now accept until a poll found nothing, so the test asks 20 ms later; it still demands a refusal and no reset. decideShutdownStep gets "exit" apart from "end", and its test checks both limits.

--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -542,7 +542,7 @@
         const step = decideShutdownStep({
             elapsedMilliseconds: now - stoppingSince,
             gracePeriodMilliseconds: this.options.settings.shutdownMilliseconds,
-            openRequests: this.callerPort.openRequestCount,
+            isDrained: this.callerPort.isDrained,
         });
         if (step === "serve") {
             return;
@@ -555,6 +555,9 @@
         }
         this.exchanges.forEach(exchange => exchange.terminate("this process is about to end"));
         this.callerPort.rejectOpen();
+        if (step === "end") {
+            return;
+        }
         this.ticks.stop();
         this.follower.close();
         this.suspicions.close();
--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -4,8 +4,11 @@
  */
 import * as http from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
+import type { Socket } from "node:net";
 import type { Clock } from "../contracts/clocks.js";
 import type { PartLogger } from "../links/logs.js";
+import { ConnectionDrain } from "./connection-drain.js";
 import type { CallerLimits, RouteTable } from "./serving-configuration.js";
 import { pickService } from "./serving-configuration.js";
 import type { AdmittedRequest } from "./exchange-context.js";
@@ -21,6 +24,8 @@
  * receives the rejection.
  */
 const rejectedBodyTimeoutMilliseconds = 1_000;
+/** Interval between two checks for connections that can be closed while the process ends, in milliseconds. */
+const drainIntervalMilliseconds = 10;
 /** Retry-After of a process that is starting or stopping, in seconds; a retry reaches another process. */
 const otherProcessRetryAfterSeconds = "0.2";
 
@@ -53,6 +58,8 @@
 export class CallerPort {
     private readonly server: http.Server;
     private readonly openRequests = new Map<ServerResponse, IncomingMessage>();
+    private readonly connections = new Set<Socket>();
+    private acceptedConnections = 0;
     private isClosed = false;
 
     private constructor(private readonly options: CallerPortOptions) {
@@ -64,6 +71,11 @@
             (message, response) => this.handleRequest(message, response),
         );
         this.server.requestTimeout = 0;
+        this.server.on("connection", socket => {
+            this.acceptedConnections += 1;
+            this.connections.add(socket);
+            socket.once("close", () => this.connections.delete(socket));
+        });
     }
 
     /** Creates the port and starts to listen. */
@@ -83,27 +95,44 @@
         this.server.keepAliveTimeout = limits.idleMilliseconds;
     }
 
-    /** Rejects new requests, and stops accepting connections once no response is being sent; open requests continue. */
-    public close(): void {
-        this.isClosed = true;
-        // Connections that wait to be accepted would be reset; the event loop accepts them between two immediates.
-        setImmediate(() => setImmediate(() => this.closeIdle()));
+    /** True if no connection is open and no further one is accepted. */
+    public get isDrained(): boolean {
+        return !this.server.listening && this.connections.size === 0;
     }
 
     /**
-     * Closes the connections without an open request, unless a response is still being sent: Node.js counts its connection
-     * as idle. The end of that response calls this again.
+     * Rejects new requests, stops accepting connections, and closes each connection on which no request is open or waits to
+     * be read.
      */
-    private closeIdle(): void {
-        const isSending = [...this.openRequests.keys()].some(response => response.writableEnded);
-        if (isSending) {
+    public close(): void {
+        if (this.isClosed) {
             return;
         }
-        if (this.isClosed && this.server.listening) {
-            // Closes the idle connections, too.
-            this.server.close();
-        } else {
-            this.server.closeIdleConnections();
+        this.isClosed = true;
+        setImmediate(() => this.drain(ConnectionDrain.create()));
+    }
+
+    /** Must be called by an immediate: it follows the poll that reads waiting requests and accepts connections. */
+    private drain(drain: ConnectionDrain<Socket>): void {
+        const busySockets = new Set([...this.openRequests.values()].map(({ socket }) => socket));
+        const states = [...this.connections].map(
+            socket =>
+                [socket, { bytesRead: socket.bytesRead, hasOpenRequest: busySockets.has(socket) }] as const,
+        );
+        const { mayStopAccepting, quietConnections } = drain.observe({
+            now: this.options.clock.monotonicMilliseconds(),
+            acceptedConnections: this.acceptedConnections,
+            connections: new Map(states),
+        });
+        if (mayStopAccepting && this.server.listening) {
+            // The method of http.Server would also close connections whose requests have not been read.
+            NetServer.prototype.close.call(this.server);
+        }
+        quietConnections.forEach(socket => socket.destroy());
+        if (this.server.listening) {
+            setImmediate(() => this.drain(drain));
+        } else if (!this.isDrained) {
+            setTimeout(() => setImmediate(() => this.drain(drain)), drainIntervalMilliseconds);
         }
     }
 
@@ -120,12 +149,7 @@
     private handleRequest(message: IncomingMessage, response: ServerResponse): void {
         const arrivedAt = this.options.clock.monotonicMilliseconds();
         this.openRequests.set(response, message);
-        response.once("close", () => {
-            this.openRequests.delete(response);
-            if (this.isClosed) {
-                this.closeIdle();
-            }
-        });
+        response.once("close", () => this.openRequests.delete(response));
         response.on("error", error =>
             this.options.log.debug("writing the response to the caller failed", { reason: error.message }),
         );
--- a/src/serving/shutdown-step.ts
+++ b/src/serving/shutdown-step.ts
@@ -1,6 +1,6 @@
 /**
  * Decides the steps of a graceful shutdown. Covers callers that the load balancer still sends and requests that are open
- * when the shutdown begins: none of them ends without a response.
+ * when the shutdown begins, and requests that wait unread on open connections: none of them ends without a response.
  */
 
 /**
@@ -8,37 +8,38 @@
  * as a margin.
  */
 const balancerDetectionMilliseconds = 3_000;
+/** Time before the process is killed at which open requests are ended, in milliseconds. */
+const requestEndMarginMilliseconds = 400;
 /**
- * Time before the process is killed at which it exits by itself, in milliseconds, so that the last responses can be
- * sent.
+ * Time before the process is killed at which it exits by itself, in milliseconds; until then it responds to requests that
+ * still arrive.
  */
-const exitMarginMilliseconds = 400;
+const exitMarginMilliseconds = 150;
 
 export interface ShutdownFacts {
     /** Time since the shutdown began, in milliseconds. */
     readonly elapsedMilliseconds: number;
     /** Time from the start of the shutdown until the process is killed, in milliseconds. */
     readonly gracePeriodMilliseconds: number;
-    readonly openRequests: number;
+    /** True if callers have no open connection and can open none. */
+    readonly isDrained: boolean;
 }
 
 /**
  * "serve": new requests are still served. "finish": new requests are rejected, open requests continue. "end": open requests
- * are ended with an error response, and the process exits.
+ * are ended with an error response. "exit": the process exits.
  */
-export type ShutdownStep = "serve" | "finish" | "end";
+export type ShutdownStep = "serve" | "finish" | "end" | "exit";
 
 export function decideShutdownStep(facts: ShutdownFacts): ShutdownStep {
-    const {
-        elapsedMilliseconds: stoppingMilliseconds,
-        gracePeriodMilliseconds: allowedMilliseconds,
-        openRequests,
-    } = facts;
-    if (stoppingMilliseconds >= allowedMilliseconds - exitMarginMilliseconds) {
-        return "end";
-    }
-    if (stoppingMilliseconds < balancerDetectionMilliseconds) {
+    const { elapsedMilliseconds, gracePeriodMilliseconds, isDrained } = facts;
+    const remainingMilliseconds = gracePeriodMilliseconds - elapsedMilliseconds;
+    const canStillServe = remainingMilliseconds > requestEndMarginMilliseconds;
+    if (elapsedMilliseconds < balancerDetectionMilliseconds && canStillServe) {
         return "serve";
     }
-    return openRequests > 0 ? "finish" : "end";
+    if (isDrained || remainingMilliseconds <= exitMarginMilliseconds) {
+        return "exit";
+    }
+    return canStillServe ? "finish" : "end";
 }
--- a/src/serving/tests/caller-port.test.ts
+++ b/src/serving/tests/caller-port.test.ts
@@ -1,5 +1,6 @@
 import { once } from "node:events";
 import * as http from "node:http";
+import { setTimeout as pause } from "node:timers/promises";
 import test from "ava";
 import { findPorts } from "../../../scripts/free-ports.js";
 import { systemClock } from "../../links/system-clock.js";
@@ -7,6 +8,8 @@
 import { CallerPort } from "../caller-port.js";
 import { createServingMetrics } from "../serving-metrics.js";
 
+/** Time after which the event loop has polled without finding anything, in milliseconds. */
+const idlePollMilliseconds = 20;
 const ignore = (): void => undefined;
 
 test("a caller whose connection is waiting to be accepted when the port closes gets a response", async t => {
@@ -32,5 +35,6 @@
     port.close();
     const [response] = (await once(request, "response")) as [http.IncomingMessage];
     t.is(response.statusCode, 503);
+    await pause(idlePollMilliseconds);
     await t.throwsAsync(once(call(), "response"), { code: "ECONNREFUSED" });
 });
