Serve a request that waits unread when the idle time-out of its connection passes

What callers saw: after the event loop had stood still past the idle time-out of a kept connection, the connection was closed though its next request had arrived in time.

Cause: Node.js closes a connection when its idle timer fires, and timers run before the poll that would read the request. It is the same class of fault as at the end of a process: a connection is closed without a read that shows that nothing waits on it. The close now follows the next poll and is left out if that read a byte.

--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -76,6 +76,7 @@
             this.connections.add(socket);
             socket.once("close", () => this.connections.delete(socket));
         });
+        this.server.on("timeout", closeUnlessReadable);
     }
 
     /** Creates the port and starts to listen. */
@@ -295,3 +296,16 @@
         return text;
     }
 }
+
+/**
+ * Closes a connection whose idle time-out has passed, unless the next poll reads a request from it. Timers run before the
+ * poll, so the request may wait unread after the event loop stood still.
+ */
+function closeUnlessReadable(socket: Socket): void {
+    const { bytesRead } = socket;
+    setImmediate(() => {
+        if (socket.bytesRead === bytesRead) {
+            socket.destroy();
+        }
+    });
+}
