Do not count a request on a dropped connection as a run

Callers saw streams that had begun cut although a replica could have resumed them: their own replica broke off, and the pooled connection to the second replica had been dropped, so the request failed as it was written. That failure counted as the second of two runs, and the response was cut within 2 ms.

The pools now state whether a failed request was not sent, was written to a reused connection that closed at once, or was sent. The second kind still counts as a possible run for requests that must not run twice, but not against the attempts of a request that may be repeated. The retry budget limits these attempts as before.

--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -29,14 +29,22 @@
     readonly mayStart: () => boolean;
 }
 
+/** How far a request got that has no complete response. */
+export type Delivery =
+    /** No byte can have reached the replica. */
+    | "notSent"
+    /** The reused connection closed at once, so the replica had probably dropped it before. */
+    | "dropped"
+    /** The replica may have run the request. */
+    | "sent";
+
 /** Callbacks of one request. None is called after `onEnd`, `onFailure` or `onWithheld`. */
 export interface UpstreamObserver {
     readonly onHead: (message: http.IncomingMessage) => void;
     readonly onData: (chunk: Buffer) => void;
     /** The response is complete according to its framing. */
     readonly onEnd: () => void;
-    /** `mayHaveBeenSent` is false only if no byte of the request can have reached the replica. */
-    readonly onFailure: (message: string, mayHaveBeenSent: boolean) => void;
+    readonly onFailure: (message: string, delivery: Delivery) => void;
     /** The request was not sent because `mayStart` returned false. */
     readonly onWithheld: () => void;
 }
@@ -195,11 +203,16 @@
         if (!outgoing.isRetryable) {
             agent.closeIdleConnections(maximumNonRetryableIdleMilliseconds);
         }
-        return sendRequest(agent, outgoing, observer);
+        return sendRequest(agent, outgoing, observer, this.clock);
     }
 }
 
-function sendRequest(agent: http.Agent, outgoing: UpstreamRequest, observer: UpstreamObserver): UpstreamCall {
+function sendRequest(
+    agent: http.Agent,
+    outgoing: UpstreamRequest,
+    observer: UpstreamObserver,
+    clock: Clock,
+): UpstreamCall {
     const [host, port] = outgoing.address.split(":");
     const request = http.request({
         host,
@@ -211,7 +224,8 @@
     });
     const state = {
         settled: false,
-        connected: false,
+        /** Local monotonic milliseconds at which the request was written; undefined before. */
+        writtenAt: undefined as number | undefined,
         closedCleanly: false,
         response: undefined as http.IncomingMessage | undefined,
     };
@@ -227,10 +241,19 @@
     };
     const onConnected = (): void => {
         if (checkStart()) {
-            state.connected = true;
+            state.writtenAt = clock.monotonicMilliseconds();
             clearTimeout(connectTimer);
         }
     };
+    const deliveryWithoutResponse = (): Delivery => {
+        if (state.writtenAt === undefined) {
+            return "notSent";
+        }
+        const isDropped =
+            request.reusedSocket &&
+            clock.monotonicMilliseconds() - state.writtenAt <= droppedDetectionMilliseconds;
+        return isDropped ? "dropped" : "sent";
+    };
     /** Returns false and ends the request, of which no byte was written, if it must not be sent any more. */
     const checkStart = (): boolean => {
         const mayStart = outgoing.mayStart();
@@ -270,7 +293,8 @@
     request.on("error", error => {
         // An error after a complete response concerns only the connection.
         if (state.response?.complete !== true || !isSelfDelimited(state.response)) {
-            settle(() => observer.onFailure(error.message, state.connected));
+            const delivery = state.response === undefined ? deliveryWithoutResponse() : "sent";
+            settle(() => observer.onFailure(error.message, delivery));
         }
     });
     request.once("response", response => {
@@ -279,7 +303,7 @@
             response.destroy();
             return;
         }
-        response.on("error", error => settle(() => observer.onFailure(error.message, true)));
+        response.on("error", error => settle(() => observer.onFailure(error.message, "sent")));
         response.on("data", (chunk: Buffer) => {
             if (!state.settled) {
                 observer.onData(chunk);
@@ -287,18 +311,23 @@
         });
         response.on("end", () => {
             const isWhole = response.complete && (isSelfDelimited(response) || state.closedCleanly);
-            settle(() => (isWhole ? observer.onEnd() : observer.onFailure("the response ended early", true)));
+            settle(() =>
+                isWhole ? observer.onEnd() : observer.onFailure("the response ended early", "sent"),
+            );
         });
         response.on("close", () =>
             settle(() =>
-                observer.onFailure("the connection was closed before the response was complete", true),
+                observer.onFailure("the connection was closed before the response was complete", "sent"),
             ),
         );
         observer.onHead(response);
     });
     request.once("close", () =>
         settle(() =>
-            observer.onFailure("the connection was closed before the response was complete", state.connected),
+            observer.onFailure(
+                "the connection was closed before the response was complete",
+                deliveryWithoutResponse(),
+            ),
         ),
     );
     request.end(outgoing.body);
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -368,9 +368,11 @@
                 onHead: message => this.handleHead(attempt, message),
                 onData: chunk => this.handleData(attempt, chunk),
                 onEnd: () => this.handleEnd(attempt),
-                onFailure: (message, mayHaveBeenSent) => {
+                onFailure: (message, delivery) => {
+                    const mayHaveBeenSent = delivery !== "notSent";
                     this.reportBrokenConnection(attempt, mayHaveBeenSent);
-                    this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message, mayHaveBeenSent);
+                    const outcome = mayHaveBeenSent ? "lost" : "notSent";
+                    this.endAttempt(attempt, outcome, message, delivery === "sent");
                 },
                 onWithheld: () =>
                     this.endAttempt(attempt, "withheld", "the replica wants no further requests", false),
