Do not end a response that has begun because its prompt segments are quarantined

Callers saw a stream that had begun cut, with neither its end nor a refusal, while its replica was sound: a quarantine of prompt segments that a request shares with others ended every stream with an attempt that waited, together with the attempt at the silent replica that would have gone on. An interrupted stream that waited for a replica was cut in the same way.

Requests that crash replicas do so before they send anything, so a response that has begun is not one of them, and a quarantine needs to hold back only what has not begun.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -138,10 +138,16 @@
         this.sendErrorResponse(wasSent || this.mayHaveRun ? 504 : 503, "expired", reason);
     }
 
-    /** Ends a request that waits at a replica if requests with its prompt segments crash replicas. */
+    /**
+     * Ends a request that waits at a replica if requests with its prompt segments crash replicas. A response that has begun
+     * goes on: such requests crash a replica before it sends anything.
+     */
     public cancelIfQuarantined(): void {
         const { context, promptSegments } = this;
-        const isWaiting = !this.isSettled && this.liveAttempts.some(attempt => !attempt.hasReceivedEvents);
+        const isWaiting =
+            !this.isSettled &&
+            !this.callerResponse.hasBegun &&
+            this.liveAttempts.some(attempt => !attempt.hasReceivedEvents);
         if (isWaiting && context.crashAttribution.isQuarantined(promptSegments, this.now())) {
             this.cancelAttempts();
             this.mayHaveRun = true;
@@ -164,9 +170,7 @@
     private refuseQuarantined(): void {
         const reason = "requests with this part of the prompt crash replicas; omit it or retry later";
         this.context.metrics.quarantineRefusals.inc();
-        if (this.callerResponse.hasBegun) {
-            this.abortResponse(reason);
-        } else if (this.mayHaveRun) {
+        if (this.mayHaveRun) {
             this.sendErrorResponse(502, "failed", reason);
         } else {
             const seconds = String(quarantineMilliseconds / 1000);
@@ -271,7 +275,9 @@
         if (this.isSettled || this.attempt !== undefined) {
             return;
         }
-        if (this.context.crashAttribution.recordRequest(this.promptSegments, this.now())) {
+        const { crashAttribution } = this.context;
+        const hasBegun = this.callerResponse.hasBegun;
+        if (!hasBegun && crashAttribution.recordRequest(this.promptSegments, this.now())) {
             this.cancelAttempts();
             this.refuseQuarantined();
             return;
@@ -282,7 +288,7 @@
             this.returnToSilentAttempt(silentAttempt);
             return;
         }
-        if (choice.kind === "paused" && this.callerResponse.hasBegun) {
+        if (choice.kind === "paused" && hasBegun) {
             this.handleNoTarget();
             return;
         }
