Do not count a request as sent if its pooled connection is already closed

A request that must not run twice got 502 instead of another attempt when the pool handed it a connection that had just been closed: Node's pool removes a connection only with its "close" event, and takes the last one without a check. The request was never written, but counted as possibly run.

--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -274,7 +274,8 @@
         };
         if (socket.connecting) {
             socket.once("connect", onConnected);
-        } else {
+        } else if (!socket.destroyed) {
+            // The pool keeps a closed connection until its "close" event.
             onConnected();
         }
         if (state.settled || request.destroyed) {
