--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -138,13 +138,16 @@
         this.sendErrorResponse(wasSent || this.mayHaveRun ? 504 : 503, "expired", reason);
     }
 
-    /** Ends a request that waits at a replica if requests like it crash replicas. */
+    /**
+     * Ends a request that waits at a replica if requests like it crash replicas. A response that has begun goes on: its
+     * caller would lose what it has, and a request that crashes replicas early never gets as far.
+     */
     public cancelIfQuarantined(): void {
-        const isWaiting = !this.isSettled && this.liveAttempts.some(attempt => !attempt.hasReceivedEvents);
-        if (!isWaiting) {
-            return;
-        }
-        if (this.context.crashAttribution.isQuarantined(this.crashSubject, this.now())) {
+        const isWaiting =
+            !this.isSettled &&
+            !this.callerResponse.hasBegun &&
+            this.liveAttempts.some(attempt => !attempt.hasReceivedEvents);
+        if (isWaiting && this.context.crashAttribution.isQuarantined(this.crashSubject, this.now())) {
             this.cancelAttempts();
             this.mayHaveRun = true;
             this.refuseQuarantined();
@@ -169,9 +172,7 @@
     private refuseQuarantined(endsAt = this.now()): void {
         const reason = "requests like this one crash replicas; change it or retry later";
         this.context.metrics.quarantineRefusals.inc();
-        if (this.callerResponse.hasBegun) {
-            this.abortResponse(reason);
-        } else if (this.mayHaveRun) {
+        if (this.mayHaveRun) {
             this.sendErrorResponse(502, "failed", reason);
         } else {
             const milliseconds = (endsAt - this.now()) * (1 + this.context.random() / 4);
@@ -277,7 +278,9 @@
         if (this.isSettled || this.attempt !== undefined) {
             return;
         }
-        const endsAt = this.context.crashAttribution.recordRequest(this.crashSubject, this.now());
+        const endsAt = this.callerResponse.hasBegun
+            ? undefined
+            : this.context.crashAttribution.recordRequest(this.crashSubject, this.now());
         if (endsAt !== undefined) {
             this.cancelAttempts();
             this.refuseQuarantined(endsAt);
@@ -375,9 +378,11 @@
                 onHead: message => this.handleHead(attempt, message),
                 onData: chunk => this.handleData(attempt, chunk),
                 onEnd: () => this.handleEnd(attempt),
-                onFailure: (message, mayHaveBeenSent) => {
+                onFailure: (message, delivery) => {
+                    const mayHaveBeenSent = delivery !== "notSent";
                     this.reportBrokenConnection(attempt, mayHaveBeenSent);
-                    this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message, mayHaveBeenSent);
+                    const outcome = mayHaveBeenSent ? "lost" : "notSent";
+                    this.endAttempt(attempt, outcome, message, delivery === "sent");
                 },
                 onWithheld: () =>
                     this.endAttempt(attempt, "withheld", "the replica wants no further requests", false),
