Refuse service calls whose repetitions crash each replica that runs them

What callers would see: the own entry daemon sent each repetition of a call that crashes replicas to a further replica, and an idempotent one to several; the service had fewer replicas for everyone else.

Cause: crashes were attributed to nothing. Retries were bound by the budget of the process only (a reserve of ten), and a call that came again, with a new id, counted as a new one.

Change: a call is recognised by the digests of its caller, service, method, target and body, with and without the query. The stand-ins' engines and services get the fault "crashing".

Evidence is not yet exchanged between entry processes.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -50,6 +50,7 @@
     | "keyExpired"
     | "keyMismatch"
     | "streamLost"
+    | "quarantined"
     | "shuttingDown"
     | "cancelled"
     | "peerUnreachable"
@@ -66,6 +67,8 @@
     readonly path?: readonly (string | number)[];
     /** True only if it is proved that no part of the request ran. */
     readonly notRun: boolean;
+    /** True if the peer's connection broke before its response was complete. */
+    readonly connectionLost?: boolean;
     /** Local monotonic milliseconds before which a retry should not be made. */
     readonly retryAt?: number;
 }
--- a/src/core/loss-counter.ts
+++ b/src/core/loss-counter.ts
@@ -13,7 +13,12 @@
 ]);
 
 // After these faults every replica would fail the request in the same way.
-const permanentCodes: ReadonlySet<FaultCode> = new Set(["invalidRequest", "requestTooLarge", "forbidden"]);
+const permanentCodes: ReadonlySet<FaultCode> = new Set([
+    "invalidRequest",
+    "requestTooLarge",
+    "forbidden",
+    "quarantined",
+]);
 
 /** Counts lost attempts since the last delivered token. */
 export class LossCounter {
--- a/src/daemons/entry/entry-context.ts
+++ b/src/daemons/entry/entry-context.ts
@@ -16,6 +16,7 @@
 import { startMeshView } from "../mesh-view.js";
 import type { DaemonNode } from "../node.js";
 import type { SystemView } from "../system-view.js";
+import { createCrashGuard } from "./crash-guard.js";
 import { Credentials } from "./credentials.js";
 import { EntryLoop } from "./entry-loop.js";
 import { isGateOpen, startRoutingInputs } from "./routing-inputs.js";
@@ -43,6 +44,12 @@
     const engines = createEngines(node.clock);
     const view = await startMeshView(node, "entry", engines);
     const retries = RetryBudget.create();
+    const log = node.logs("entry");
+    const crashGuard = createCrashGuard({
+        incarnationOf: instance => view.healthOf(instance)?.report.incarnation,
+        random: Math.random,
+        onQuarantine: fingerprints => log.warn("requests that crash instances are refused", { fingerprints }),
+    });
     const { admission, router, core } = createCore(node, view, retries);
     const seals = cacheByConfiguration(view, createConfiguredSeals);
     const loop = EntryLoop.create({
@@ -77,6 +84,7 @@
         random: Math.random,
         record: node.record,
         retryBudget: retries,
+        crashGuard,
     });
     const stopSweeps = startClaimSweeps({ store: node.store, clock: node.clock });
     return {
--- a/src/daemons/entry/running-call.ts
+++ b/src/daemons/entry/running-call.ts
@@ -2,6 +2,8 @@
 import type { Clock, RandomNumber } from "../../contracts/clocks.js";
 import type { SendOutcome, ServiceResponse } from "../../contracts/services.js";
 import type { SentRequestOutcome } from "../../core/claim-rules.js";
+import type { GuardedRequest } from "../../core/crash-guard.js";
+import { toGuardedCall } from "../../core/crash-guard.js";
 import type { Fault, FaultCode } from "../../core/errors.js";
 import type { Instance, InstanceId } from "../../core/instances.js";
 import type { ServiceCall } from "../../core/requests.js";
@@ -62,11 +64,15 @@
     private hasUnknownOutcome = false;
     private resolve: ((outcome: ServiceOutcome) => void) | undefined;
 
+    /** What the call has in common with its repetitions. */
+    public readonly guarded: GuardedRequest;
+
     private constructor(
         public readonly call: ServiceCall,
         resolve: (outcome: ServiceOutcome) => void,
     ) {
         this.resolve = resolve;
+        this.guarded = toGuardedCall(call);
     }
 
     public static create(call: ServiceCall, resolve: (outcome: ServiceOutcome) => void): RunningCall {
--- a/src/daemons/entry/service-call-loop.ts
+++ b/src/daemons/entry/service-call-loop.ts
@@ -4,8 +4,12 @@
 import type { ClaimCommand, CurrentTime } from "../../core/claim-rules.js";
 import { claimRules, defaultClaimOptions } from "../../core/claim-rules.js";
 import { ClaimStateMachine } from "../../core/claim-state-machine.js";
+import type { CrashGuard } from "../../core/crash-guard.js";
+import { noCrashGuard } from "../../core/crash-guard.js";
 import type { Fault } from "../../core/errors.js";
 import { callDigest } from "../../core/idempotency-keys.js";
+import type { SendOutcome } from "../../contracts/services.js";
+import type { Instance } from "../../core/instances.js";
 import type { RequestId, ServiceCall } from "../../core/requests.js";
 import { RetryBudget } from "../../core/retry-budget.js";
 import type { Schedule, SendRules, ServiceOutcome } from "./running-call.js";
@@ -14,10 +18,14 @@
 import { readClaims, sendCall, swapClaims } from "./service-call-events.js";
 import type { ServiceCallsOptions } from "./service-call-options.js";
 
+/** Responses with a lower status show that the call ran to its end. */
+const firstServerErrorStatus = 500;
+
 /** Runs the service calls of one process. All inputs pass through one stream and are handled one after the other. */
 export class ServiceCallLoop {
     private readonly claimStateMachine: ClaimStateMachine;
     private readonly retryBudget: RetryBudget;
+    private readonly crashGuard: CrashGuard;
     private readonly schedule: Schedule;
     private readonly sendRules: SendRules;
     private readonly inputs = new Subject<Observable<ServiceCallEvent>>();
@@ -27,6 +35,7 @@
 
     private constructor(private readonly options: ServiceCallsOptions) {
         this.retryBudget = options.retryBudget ?? RetryBudget.create();
+        this.crashGuard = options.crashGuard ?? noCrashGuard;
         this.schedule = options.schedule ?? createSystemSchedule(options.clock);
         this.sendRules = options.rules?.sends ?? defaultSendRules;
         const nonce = () => createNonce(options.random);
@@ -151,6 +160,11 @@
     // Checks the deadline last and sends in the same turn of the event loop, so that no call is sent after its deadline.
     private send(running: RunningCall): void {
         const { call } = running;
+        if (this.crashGuard.isQuarantined(running.guarded, this.currentMoment().now)) {
+            const message = "repetitions of this call crashed the instances that ran them; retry later";
+            this.endNotRun(running, running.notRunFault("quarantined", message));
+            return;
+        }
         const instance = this.options.route(call, running.triedInstanceIds());
         if (instance === undefined) {
             this.endNotRun(
@@ -185,6 +199,7 @@
         outcome,
     }: Extract<ServiceCallEvent, { kind: "sent" }>): void {
         running.endAttempt(outcome);
+        this.recordEvidence(running, instance, outcome);
         if (outcome.kind === "answered") {
             running.respond(outcome.answer, false);
             this.settleCall(running);
@@ -198,7 +213,7 @@
             attempt: running.triedInstanceIds().length,
             code,
         });
-        if (this.mayRetry(running, outcome.kind)) {
+        if (this.mayRetry(running, outcome)) {
             this.claimStateMachine.recordNotRun(request);
             this.send(running);
         } else if (outcome.kind === "notRun") {
@@ -209,9 +224,24 @@
         }
     }
 
-    private mayRetry(running: RunningCall, outcome: "notRun" | "unknown"): boolean {
-        const { call } = running;
-        if (running.isAnswered() || !this.sendRules.mayRetry(call, outcome)) {
+    private recordEvidence({ guarded }: RunningCall, instance: Instance, outcome: SendOutcome): void {
+        const { now } = this.currentMoment();
+        if (outcome.kind === "answered") {
+            if (outcome.answer.status < firstServerErrorStatus) {
+                this.crashGuard.recordComplete(guarded, now);
+            }
+        } else if (outcome.fault.connectionLost === true) {
+            this.crashGuard.recordCrash(guarded, instance.id, false, now);
+        }
+    }
+
+    private mayRetry(running: RunningCall, outcome: Exclude<SendOutcome, { kind: "answered" }>): boolean {
+        const { call, guarded } = running;
+        if (running.isAnswered() || !this.sendRules.mayRetry(call, outcome.kind)) {
+            return false;
+        }
+        const mayHaveCrashed = outcome.fault.connectionLost === true;
+        if (mayHaveCrashed && this.crashGuard.isSuspect(guarded, this.currentMoment().now)) {
             return false;
         }
         if (this.options.route(call, running.triedInstanceIds()) === undefined) {
--- a/src/daemons/entry/service-call-options.ts
+++ b/src/daemons/entry/service-call-options.ts
@@ -2,6 +2,7 @@
 import type { Clock, RandomNumber } from "../../contracts/clocks.js";
 import type { KeyValueStore } from "../../contracts/key-value-stores.js";
 import type { SendToService } from "../../contracts/services.js";
+import type { CrashGuard } from "../../core/crash-guard.js";
 import type { ClaimOptions, ClaimRules } from "../../core/claim-rules.js";
 import type { RecordEvent } from "../../core/events.js";
 import type { Instance, InstanceId } from "../../core/instances.js";
@@ -22,6 +23,7 @@
     readonly record: RecordEvent;
     readonly claims?: Partial<ClaimOptions>;
     readonly retryBudget?: RetryBudget;
+    readonly crashGuard?: CrashGuard;
     /** Runs actions at local monotonic times; tests pass a schedule in virtual time. */
     readonly schedule?: Schedule;
     /** Rules that tests replace by broken ones, to prove that the checkers detect these. */
--- a/src/links/engine-stream.ts
+++ b/src/links/engine-stream.ts
@@ -30,7 +30,9 @@
         const outgoing = mode === "start" ? startRequest(client, dispatch) : resumeRequest(dispatch);
         const { request, mayHaveBeenSent } = openHttpRequest(client, outgoing);
         const connection = StreamConnection.create(dispatch.leader.id, subscriber);
-        request.on("error", error => connection.fail(error.message, !mayHaveBeenSent()));
+        request.on("error", error =>
+            mayHaveBeenSent() ? connection.lose(error.message) : connection.fail(error.message, true),
+        );
         request.on("response", response => connection.handleResponse(response, paused));
         request.end(outgoing.body);
         return () => {
@@ -100,8 +102,8 @@
         }
         this.subscriber.next({ kind: "accepted" });
         response.on("data", (chunk: Buffer) => this.handleChunk(chunk));
-        response.on("error", error => this.fail(error.message, false));
-        response.on("close", () => this.fail("the stream ended without its terminal event", false));
+        response.on("error", error => this.lose(error.message));
+        response.on("close", () => this.lose("the stream ended without its terminal event"));
         const flow = paused?.subscribe(isPaused => (isPaused ? response.pause() : response.resume()));
         this.stopFlowControl = () => flow?.unsubscribe();
     }
@@ -110,6 +112,12 @@
         this.endWith({ code: "endpointFailed", message, step: "stream", peer: this.peer, notRun });
     }
 
+    /** Ends the events after the engine's connection broke. */
+    public lose(message: string): void {
+        const fault = { code: "endpointFailed", message, step: "stream", peer: this.peer } as const;
+        this.endWith({ ...fault, notRun: false, connectionLost: true });
+    }
+
     public close(): void {
         this.ended = true;
         this.stopFlowControl();
--- a/src/links/fault-responses.ts
+++ b/src/links/fault-responses.ts
@@ -30,6 +30,7 @@
     keyExpired: 422,
     keyMismatch: 422,
     streamLost: 410,
+    quarantined: 503,
     shuttingDown: 503,
     cancelled: 499,
     peerUnreachable: 503,
--- a/src/links/http-client.ts
+++ b/src/links/http-client.ts
@@ -28,7 +28,12 @@
 export type HttpOutcome =
     | { readonly kind: "answered"; readonly response: HttpResponse }
     | { readonly kind: "notSent"; readonly message: string }
-    | { readonly kind: "lost"; readonly message: string };
+    | {
+          readonly kind: "lost";
+          readonly message: string;
+          /** True if the peer's connection broke; false if this process ended the request. */
+          readonly connectionLost: boolean;
+      };
 
 /** Clock, connection pool and limits that requests share. */
 export interface HttpClient {
@@ -80,13 +85,22 @@
     }
     return new Promise(resolve => {
         const { request, mayHaveBeenSent } = openHttpRequest(client, outgoing);
-        const timer = setTimeout(() => request.destroy(new Error("the deadline has passed")), remaining);
+        let hasEnded = false;
+        const timer = setTimeout(() => {
+            hasEnded = true;
+            request.destroy(new Error("the deadline has passed"));
+        }, remaining);
         const settle = (outcome: HttpOutcome): void => {
             clearTimeout(timer);
             resolve(outcome);
         };
         request.on("error", error => {
-            settle({ kind: mayHaveBeenSent() ? "lost" : "notSent", message: error.message });
+            const { message } = error;
+            settle(
+                mayHaveBeenSent()
+                    ? { kind: "lost", message, connectionLost: !hasEnded }
+                    : { kind: "notSent", message },
+            );
         });
         request.on("response", response => {
             readMessageBody(response, client.maximumBodyLength).then(
@@ -96,8 +110,9 @@
                         response: { status: response.statusCode ?? 0, headers: response.headers, body },
                     }),
                 (error: Error) => {
+                    const connectionLost = response.destroyed && !hasEnded;
                     request.destroy();
-                    settle({ kind: "lost", message: error.message });
+                    settle({ kind: "lost", message: error.message, connectionLost });
                 },
             );
         });
--- a/src/links/services.ts
+++ b/src/links/services.ts
@@ -48,7 +48,8 @@
         return { kind: "notRun", fault: createCallFault(instance, outcome.message, true) };
     }
     if (outcome.kind === "lost") {
-        return { kind: "unknown", fault: createCallFault(instance, outcome.message, false) };
+        const { message, connectionLost } = outcome;
+        return { kind: "unknown", fault: { ...createCallFault(instance, message, false), connectionLost } };
     }
     const { status, headers, body } = outcome.response;
     if (status === 503 && headers["x-not-run"] === "true") {
--- a/stand-ins/admin.ts
+++ b/stand-ins/admin.ts
@@ -26,6 +26,8 @@
     reorderedEvents: "engine: adjacent tokens are swapped",
     ignoredFencing: "engine: orders with a stale fencing number are accepted",
     lostOrderAnswers: "engine: orders take effect, their responses are lost",
+    crashing:
+        "engine or service: dies when it begins to run a request whose path or body has the text, and restarts after milliseconds",
     refusals: "service: refuses with x-not-run",
     delayed: "service: calls run after a delay (milliseconds)",
     lateAnswers: "service: responses are delayed (milliseconds)",
@@ -43,6 +45,7 @@
     /** Milliseconds since 1970 or remaining milliseconds; if absent the fault stays on, 0 switches it off. */
     deadline: z.number().nonnegative().optional(),
     milliseconds: z.number().nonnegative().optional(),
+    text: z.string().min(1).optional(),
 });
 
 /** Clocks used to convert deadlines. */
@@ -126,7 +129,7 @@
         sendInvalidRequest(response, parsed.error.issues.map(issue => issue.message).join("; "));
         return;
     }
-    const { target, fault, deadline, milliseconds } = parsed.data;
+    const { target, fault, deadline, milliseconds, text } = parsed.data;
     if (!deployment.targets().has(target)) {
         sendInvalidRequest(response, `target "${target}" does not exist`);
         return;
@@ -135,7 +138,7 @@
         deployment.faults.switchOff(target, fault);
     } else {
         const local = toLocalDeadline(deadline, clocks);
-        deployment.faults.switchOn({ target, fault, deadline: local, milliseconds });
+        deployment.faults.switchOn({ target, fault, deadline: local, milliseconds, text });
     }
     sendJson(response, 200, { on: deployment.faults.list() });
 }
--- a/stand-ins/engine-calls.ts
+++ b/stand-ins/engine-calls.ts
@@ -154,6 +154,7 @@
             deadline: this.engine.options.now() + remaining,
         });
         this.attachReader(id, fromOffset, response);
+        this.engine.crashIfCausedBy(body);
     }
 
     private refusalOf(
--- a/stand-ins/engine.ts
+++ b/stand-ins/engine.ts
@@ -9,6 +9,8 @@
 import { PrefixCache } from "./prefix-cache.js";
 import type { StandInSettings } from "./settings.js";
 
+const defaultRestartMilliseconds = 1_000;
+
 /** Id and location of an engine instance. */
 export interface EngineLocation {
     readonly id: string;
@@ -29,6 +31,8 @@
     readonly members: readonly string[];
     readonly model: ModelVersion | undefined;
     readonly requestsAccepted: number;
+    /** Number of crashes that a request caused. */
+    readonly crashes: number;
     /** Requests accepted while a member of the group was missing. */
     readonly acceptedWhileIncomplete: number;
     readonly lastAcceptedAfterLeavingMilliseconds: number;
@@ -61,6 +65,8 @@
     private incarnation = 1;
     private sequence = 0;
     private isKilled = false;
+    private restartTimer: NodeJS.Timeout | undefined;
+    private crashes = 0;
     private isCut = false;
     private leavingSince: number | undefined;
     private acceptedCount = 0;
@@ -123,9 +129,21 @@
         }
         this.isCut = this.isFaultOn("cut");
         this.listener?.setFrozen(this.isCut || this.isFaultOn("paused"));
-        if (this.isFaultOn("killed") !== this.isKilled) {
-            await this.setKilled(!this.isKilled);
+        await this.updateKilled();
+    }
+
+    /** Crashes if the "crashing" fault applies to the request, whose execution begins. */
+    public crashIfCausedBy(body: string): void {
+        const fault = this.options.faults.find(this.faultTargets(), "crashing");
+        if (fault?.text === undefined || !body.includes(fault.text)) {
+            return;
         }
+        this.crashes += 1;
+        this.restartTimer = setTimeout(() => {
+            this.restartTimer = undefined;
+            void this.updateKilled();
+        }, fault.milliseconds ?? defaultRestartMilliseconds);
+        void this.updateKilled();
     }
 
     /** Records since when a member of the group has been missing. */
@@ -148,6 +166,7 @@
     }
 
     public close(): void {
+        clearTimeout(this.restartTimer);
         this.batch.dropAll();
         this.listener?.stop();
     }
@@ -168,6 +187,7 @@
             members: this.member.members,
             model: this.member.model,
             requestsAccepted: this.acceptedCount,
+            crashes: this.crashes,
             acceptedWhileIncomplete: this.acceptedWhileIncomplete,
             lastAcceptedAfterLeavingMilliseconds: this.lastAcceptedAfterLeavingMilliseconds,
             lastAcceptedAfterLossMilliseconds: this.lastAcceptedAfterLossMilliseconds,
@@ -232,6 +252,13 @@
         }
     }
 
+    private async updateKilled(): Promise<void> {
+        const isKilled = this.restartTimer !== undefined || this.isFaultOn("killed");
+        if (isKilled !== this.isKilled) {
+            await this.setKilled(isKilled);
+        }
+    }
+
     private async setKilled(killed: boolean): Promise<void> {
         this.isKilled = killed;
         if (killed) {
--- a/stand-ins/fault-switches.ts
+++ b/stand-ins/fault-switches.ts
@@ -8,6 +8,8 @@
     readonly deadline: number;
     /** Duration that the fault takes as a parameter, for example a delay. */
     readonly milliseconds?: number;
+    /** Text that the fault takes as a parameter, for example a part of a path. */
+    readonly text?: string;
 }
 
 /** Called when a fault is switched on and when it ends. */
--- a/stand-ins/service-replica.ts
+++ b/stand-ins/service-replica.ts
@@ -49,6 +49,20 @@
     readonly workMilliseconds: number;
 }
 
+/** A replica's own view of its state, and the calls it has accepted. */
+export interface ServiceDescription {
+    readonly instance: string;
+    readonly service: string;
+    readonly address: string;
+    readonly failureDomain: string;
+    readonly incarnation: number;
+    readonly state: "killed" | "serving";
+    readonly requestsAccepted: number;
+    /** Number of crashes that a call caused. */
+    readonly crashes: number;
+    readonly lastAcceptedAfterLeavingMilliseconds: number;
+}
+
 const defaultDelayMilliseconds = 1000;
 
 /** Stand-in for one service replica. */
@@ -58,6 +72,8 @@
     private incarnation = 1;
     private sequence = 0;
     private isKilled = false;
+    private restartTimer: NodeJS.Timeout | undefined;
+    private crashes = 0;
     private isCut = false;
     private leavingSince: number | undefined;
     private acceptedCount = 0;
@@ -97,9 +113,7 @@
         }
         this.isCut = this.isFaultOn("cut");
         this.listener?.setFrozen(this.isCut || this.isFaultOn("paused"));
-        if (this.isFaultOn("killed") !== this.isKilled) {
-            await this.setKilled(!this.isKilled);
-        }
+        await this.updateKilled();
     }
 
     /** Simulates a crash and restart of the process. */
@@ -109,21 +123,46 @@
     }
 
     public close(): void {
+        clearTimeout(this.restartTimer);
         this.listener?.stop();
     }
 
-    public describe(): unknown {
+    public describe(): ServiceDescription {
         return {
             instance: this.options.id,
             service: this.options.service,
             address: this.address(),
             failureDomain: this.options.failureDomain,
+            incarnation: this.incarnation,
             state: this.isKilled ? "killed" : "serving",
             requestsAccepted: this.acceptedCount,
+            crashes: this.crashes,
             lastAcceptedAfterLeavingMilliseconds: this.lastAcceptedAfterLeavingMilliseconds,
         };
     }
 
+    /** Crashes if the "crashing" fault applies to the request; returns whether it does. */
+    private crashIfCausedBy(content: string): boolean {
+        const fault = this.options.faults.find(this.faultTargets(), "crashing");
+        if (fault?.text === undefined || !content.includes(fault.text)) {
+            return false;
+        }
+        this.crashes += 1;
+        this.restartTimer = setTimeout(() => {
+            this.restartTimer = undefined;
+            void this.updateKilled();
+        }, fault.milliseconds ?? defaultDelayMilliseconds);
+        void this.updateKilled();
+        return true;
+    }
+
+    private async updateKilled(): Promise<void> {
+        const isKilled = this.restartTimer !== undefined || this.isFaultOn("killed");
+        if (isKilled !== this.isKilled) {
+            await this.setKilled(isKilled);
+        }
+    }
+
     private async setKilled(killed: boolean): Promise<void> {
         this.isKilled = killed;
         if (killed) {
@@ -174,6 +213,9 @@
 
     /** Runs the call; faults may delay or drop the response. */
     private execute(request: IncomingMessage, response: ServerResponse, body: string): void {
+        if (this.crashIfCausedBy(`${request.url} ${body}`)) {
+            return;
+        }
         const key = request.headers["idempotency-key"];
         const changesState = request.method !== "GET" && request.method !== "HEAD";
         if (changesState) {
