Refuse completions whose repetitions crash each engine that runs them

What callers would see: one request that crashes engines took up to eight replica groups out of service, one after the other, and each repetition took more; streams of other callers on these groups were interrupted each time.

Cause: a lost stream restarts on another group; only the ninth loss without a token ended the request (maximumLossesAfterStart), and repetitions, which have new ids, were not connected with one another.

Change: the coordinator uses the guard of the service calls. The entry request reports a connection that broke while an engine ran it and before a token, and each complete answer; a quarantined request is refused on arrival, after it waited in admission, and instead of a restart. One arrival is not retried after three such losses without a token in between, nor after one if a repetition was lost, too. A loss while a stream is resumed does not count, as no engine begins to run the request.

--- a/src/core/completion-coordinator.ts
+++ b/src/core/completion-coordinator.ts
@@ -6,7 +6,9 @@
 import type { EngineEvent } from "../contracts/engines.js";
 import type { StartedRequest } from "./admission.js";
 import type { AnswerStart, EntryCommand, EntryOptions, HeldStream } from "./entry-commands.js";
-import { EntryRequest } from "./entry-request.js";
+import { EntryRequest, quarantineFault } from "./entry-request.js";
+import type { GuardedRequest } from "./crash-guard.js";
+import { toGuardedCompletion } from "./crash-guard.js";
 import type { Fault } from "./errors.js";
 import type { EventBody } from "./events.js";
 import type { CompletionRequest, RequestId } from "./requests.js";
@@ -42,6 +44,11 @@
     ): readonly EntryCommand[] {
         const { id, caller, model, promptTokens, maximumTokens: expectedTokens, deadline } = request;
         this.record({ kind: "requestReceived", request: id, team: caller.team, target: model });
+        const guarded = toGuardedCompletion(request);
+        if (this.options.crashGuard.isQuarantined(guarded, now)) {
+            this.refuse(request, quarantineFault(start));
+            return this.takeCommands();
+        }
         const offered = { id, caller, model, promptTokens, expectedTokens, deadline };
         const offer = this.options.admission.offer(offered, now);
         if (offer.kind === "refused") {
@@ -49,7 +56,7 @@
             return this.takeCommands();
         }
         this.options.retries.recordFirstAttempt();
-        const entry = this.create(request, start);
+        const entry = this.create(request, start, guarded);
         this.startQueuedRequests(now);
         if (!entry.isStarted()) {
             this.record({ kind: "requestQueued", request: id, team: caller.team });
@@ -125,8 +132,12 @@
         return Math.max(next, now + 1);
     }
 
-    private create(request: CompletionRequest, start: AnswerStart): EntryRequest {
-        const entry = EntryRequest.create(request, start, {
+    private create(
+        request: CompletionRequest,
+        start: AnswerStart,
+        guarded: GuardedRequest = toGuardedCompletion(request),
+    ): EntryRequest {
+        const entry = EntryRequest.create(request, start, guarded, {
             options: this.options,
             emit: command => this.commands.push(command),
             onEnded: (endedRequest, now) => this.handleEnded(endedRequest, now),
@@ -163,7 +174,11 @@
             this.options.admission.finish(id, now);
             return;
         }
-        if (!entry.tryStart(started, now)) {
+        const quarantined = entry.quarantineFault(now);
+        if (quarantined !== undefined) {
+            this.options.admission.finish(id, now);
+            this.refuseQueued(id, quarantined);
+        } else if (!entry.tryStart(started, now)) {
             this.options.admission.requeue(id, now);
         }
     }
--- a/src/core/crash-guard.ts
+++ b/src/core/crash-guard.ts
@@ -9,6 +9,9 @@
 /** Number of hexadecimal digits of a fingerprint. */
 const fingerprintLength = 16;
 
+/** Number of crashes after which one arrival of a request is not retried. */
+export const maximumCrashesOfRequest = 3;
+
 /** A request and what its repetitions have in common. */
 export interface GuardedRequest {
     readonly id: RequestId;
--- a/src/core/entry-commands.ts
+++ b/src/core/entry-commands.ts
@@ -2,6 +2,7 @@
 import type { EngineDispatch } from "../contracts/engines.js";
 import type { Admission } from "./admission.js";
 import type { AnswerOptions } from "./answer-options.js";
+import type { CrashGuard } from "./crash-guard.js";
 import type { Fault } from "./errors.js";
 import type { EventBody } from "./events.js";
 import type { Instance, InstanceId } from "./instances.js";
@@ -15,6 +16,7 @@
     readonly admission: Admission;
     readonly router: Router;
     readonly retries: RetryBudget;
+    readonly crashGuard: CrashGuard;
     readonly instanceOf: (id: InstanceId) => Instance | undefined;
     /** Returns a member of the group that is missing past its health deadline, or undefined. */
     readonly missingMember: (group: ReplicaGroup, now: number) => InstanceId | undefined;
--- a/src/core/entry-request.ts
+++ b/src/core/entry-request.ts
@@ -9,6 +9,8 @@
 import type { AnswerStart, EntryCommand, EntryOptions } from "./entry-commands.js";
 import type { ReplicaChoice, DispatchOutcome } from "./replica-assignment.js";
 import { ReplicaAssignment } from "./replica-assignment.js";
+import type { GuardedRequest } from "./crash-guard.js";
+import { maximumCrashesOfRequest } from "./crash-guard.js";
 import type { Fault } from "./errors.js";
 import type { EventBody } from "./events.js";
 import type { Instance } from "./instances.js";
@@ -30,6 +32,12 @@
 type RestartCommand = Extract<AnswerCommand, { kind: "restart" }>;
 type DeliverCommand = Extract<AnswerCommand, { kind: "deliver" }>;
 
+/** Returns the fault of a request that must not be sent, because its repetitions crash engines. */
+export function quarantineFault({ fromOffset }: AnswerStart): Fault {
+    const message = "repetitions of this request crashed the engines that ran them; retry later";
+    return { code: "quarantined", message, step: "route", notRun: fromOffset === 0 };
+}
+
 /** A completion request and the stream of its answer. */
 export class EntryRequest {
     private answerLog: AnswerLog | undefined;
@@ -39,10 +47,16 @@
     private pendingRestart: RestartCommand | undefined;
     private hasFirstToken = false;
     private borrowed = false;
+    /** True while the current attempt runs the request and has delivered no token. */
+    private mayCrash = false;
+    private hasResponseHead = false;
+    /** Number of possible crashes since the last token. */
+    private crashes = 0;
 
     private constructor(
         private current: CompletionRequest,
         private readonly start: AnswerStart,
+        private readonly guarded: GuardedRequest,
         private readonly context: EntryRequestContext,
     ) {
         this.assignment = ReplicaAssignment.create(context.options);
@@ -51,9 +65,10 @@
     public static create(
         request: CompletionRequest,
         start: AnswerStart,
+        guarded: GuardedRequest,
         context: EntryRequestContext,
     ): EntryRequest {
-        return new EntryRequest(request, start, context);
+        return new EntryRequest(request, start, guarded, context);
     }
 
     /** The request, with the engine priority that admission assigned. */
@@ -71,6 +86,12 @@
         return this.nextTickAt;
     }
 
+    /** The fault of a request that must not be sent, because its repetitions crash engines. */
+    public quarantineFault(now: number): Fault | undefined {
+        const isQuarantined = this.context.options.crashGuard.isQuarantined(this.guarded, now);
+        return isQuarantined ? quarantineFault(this.start) : undefined;
+    }
+
     /** Dispatches the request to a replica; returns false if none is available. */
     public tryStart({ priority, borrowed }: StartedRequest, now: number): boolean {
         this.current = { ...this.current, priority };
@@ -99,10 +120,14 @@
         if (this.answerLog === undefined) {
             return;
         }
-        if (event.kind === "failed" && attempt === this.answerLog.currentAttempt()) {
+        const isCurrent = attempt === this.answerLog.currentAttempt();
+        if (isCurrent && event.kind === "accepted") {
+            this.hasResponseHead = true;
+        } else if (isCurrent && event.kind === "failed") {
             const instance = this.assignment.leader?.id;
             const code = event.fault.code;
             this.record({ kind: "attemptFailed", request: this.request.id, attempt, code, instance });
+            this.recordPossibleCrash(event.fault, now);
         }
         this.executeStep(this.answerLog.handleEvent({ request: this.request.id, attempt, event }, now), now);
     }
@@ -164,12 +189,33 @@
             delivered: this.start.delivered,
             deadline,
             // The retry budget never cuts off an answer that has begun.
-            mayRetry: (time: number, nextOffset: number) => nextOffset > 0 || retries.tryTake(retry, time),
+            mayRetry: (time: number, nextOffset: number) =>
+                this.mayReachAnotherEngine(time) && (nextOffset > 0 || retries.tryTake(retry, time)),
         };
         this.answerLog = AnswerLog.create(options, now);
         this.nextTickAt = now;
     }
 
+    private recordPossibleCrash(fault: Fault, now: number): void {
+        const { leader } = this.assignment;
+        if (this.mayCrash && fault.connectionLost === true && leader !== undefined) {
+            this.crashes += 1;
+            const { crashGuard } = this.context.options;
+            crashGuard.recordCrash(this.guarded, leader.id, this.hasResponseHead, now);
+        }
+        this.mayCrash = false;
+    }
+
+    private mayReachAnotherEngine(now: number): boolean {
+        if (this.crashes === 0) {
+            return true;
+        }
+        return (
+            this.crashes < maximumCrashesOfRequest &&
+            !this.context.options.crashGuard.isSuspect(this.guarded, now)
+        );
+    }
+
     private routeRequest(): RouteRequest {
         const { id, model, prompt, promptTokens } = this.current;
         return { id, model, prompt, promptTokens, borrowed: this.borrowed };
@@ -187,6 +233,8 @@
         }
         const { request } = this;
         const { leader } = chosen;
+        this.mayCrash = kind === "start";
+        this.hasResponseHead = false;
         const { id, epoch } = chosen.group;
         const dispatch = { request, attempt, group: id, epoch, leader, delivered, fromOffset };
         this.context.emit({ kind, dispatch });
@@ -220,6 +268,7 @@
                 this.cancel(command.attempt, now);
                 return;
             case "finish":
+                this.context.options.crashGuard.recordComplete(this.guarded, now);
                 this.end("finished", now);
                 this.record({ kind: "requestCompleted", request, tokens: command.nextOffset });
                 this.context.emit({ ...command, request });
@@ -233,6 +282,8 @@
     private deliver(command: DeliverCommand, now: number): void {
         const { options, emit } = this.context;
         const request = this.request.id;
+        this.mayCrash = false;
+        this.crashes = 0;
         if (!this.hasFirstToken) {
             this.hasFirstToken = true;
             this.record({ kind: "firstToken", request, attempt: this.answerLog?.currentAttempt() ?? 0 });
@@ -257,6 +308,11 @@
         if (command.attempt !== this.answerLog?.currentAttempt()) {
             return;
         }
+        const quarantined = this.quarantineFault(now);
+        if (quarantined !== undefined) {
+            this.handleEngineEvent(command.attempt, { kind: "failed", fault: quarantined }, now);
+            return;
+        }
         this.assignment.release(this.request.id, "failed", now);
         const chosen = this.assignment.choose(this.routeRequest(), now);
         if (chosen === undefined) {
--- a/src/core/tests/completion-coordinator.test.ts
+++ b/src/core/tests/completion-coordinator.test.ts
@@ -4,6 +4,7 @@
 import { Admission } from "../admission.js";
 import { defaultAnswerOptions } from "../answer-options.js";
 import { CompletionCoordinator } from "../completion-coordinator.js";
+import { noCrashGuard } from "../crash-guard.js";
 import type { EntryCommand } from "../entry-commands.js";
 import type { Fault } from "../errors.js";
 import type { Instance } from "../instances.js";
@@ -50,6 +51,7 @@
         admission,
         router,
         retries: RetryBudget.create(),
+        crashGuard: noCrashGuard,
         instanceOf: instance,
         missingMember: group => group.members.find(member => missing.has(member)),
         answerOptions: () => defaultAnswerOptions,
--- a/src/daemons/entry/entry-context.ts
+++ b/src/daemons/entry/entry-context.ts
@@ -4,6 +4,7 @@
 import { defaultAnswerOptions } from "../../core/answer-options.js";
 import type { Configuration } from "../../core/configuration-values.js";
 import { CompletionCoordinator } from "../../core/completion-coordinator.js";
+import type { CrashGuard } from "../../core/crash-guard.js";
 import type { InstanceId } from "../../core/instances.js";
 import type { ReplicaGroup } from "../../core/replica-groups.js";
 import { RetryBudget } from "../../core/retry-budget.js";
@@ -50,7 +51,7 @@
         random: Math.random,
         onQuarantine: fingerprints => log.warn("requests that crash instances are refused", { fingerprints }),
     });
-    const { admission, router, core } = createCore(node, view, retries);
+    const { admission, router, core } = createCore(node, view, retries, crashGuard);
     const seals = cacheByConfiguration(view, createConfiguredSeals);
     const loop = EntryLoop.create({
         core,
@@ -129,7 +130,12 @@
     readonly core: CompletionCoordinator;
 }
 
-function createCore(node: DaemonNode, view: SystemView, retries: RetryBudget): DecisionContext {
+function createCore(
+    node: DaemonNode,
+    view: SystemView,
+    retries: RetryBudget,
+    crashGuard: CrashGuard,
+): DecisionContext {
     const { settings } = node;
     const admission = Admission.create({ random: Math.random });
     const router = Router.create({
@@ -142,6 +148,7 @@
         admission,
         router,
         retries,
+        crashGuard,
         instanceOf: view.instanceOf,
         missingMember: (group, now) => findMissingMember(group, view, now),
         answerOptions: () => createAnswerOptions(view.configuration()),
--- a/src/daemons/entry/running-call.ts
+++ b/src/daemons/entry/running-call.ts
@@ -62,6 +62,7 @@
     private attemptsInProgress = 0;
     private lastOutcome: SendOutcome | undefined;
     private hasUnknownOutcome = false;
+    private lostConnections = 0;
     private resolve: ((outcome: ServiceOutcome) => void) | undefined;
 
     /** What the call has in common with its repetitions. */
@@ -101,6 +102,11 @@
         return this.hasUnknownOutcome || this.attemptsInProgress > 0;
     }
 
+    /** Number of attempts whose instance may have crashed. */
+    public get crashes(): number {
+        return this.lostConnections;
+    }
+
     public triedInstanceIds(): readonly InstanceId[] {
         return this.triedInstances;
     }
@@ -114,6 +120,9 @@
         this.attemptsInProgress -= 1;
         this.lastOutcome = outcome;
         this.hasUnknownOutcome = this.hasUnknownOutcome || outcome.kind === "unknown";
+        if (outcome.kind === "unknown" && outcome.fault.connectionLost === true) {
+            this.lostConnections += 1;
+        }
     }
 
     /** Returns the outcome to record: the response of the last attempt, or unknown if it had none. */
--- a/src/daemons/entry/service-call-loop.ts
+++ b/src/daemons/entry/service-call-loop.ts
@@ -5,7 +5,7 @@
 import { claimRules, defaultClaimOptions } from "../../core/claim-rules.js";
 import { ClaimStateMachine } from "../../core/claim-state-machine.js";
 import type { CrashGuard } from "../../core/crash-guard.js";
-import { noCrashGuard } from "../../core/crash-guard.js";
+import { maximumCrashesOfRequest, noCrashGuard } from "../../core/crash-guard.js";
 import type { Fault } from "../../core/errors.js";
 import { callDigest } from "../../core/idempotency-keys.js";
 import type { SendOutcome } from "../../contracts/services.js";
@@ -213,7 +213,7 @@
             attempt: running.triedInstanceIds().length,
             code,
         });
-        if (this.mayRetry(running, outcome)) {
+        if (this.mayRetry(running, outcome.kind)) {
             this.claimStateMachine.recordNotRun(request);
             this.send(running);
         } else if (outcome.kind === "notRun") {
@@ -235,13 +235,13 @@
         }
     }
 
-    private mayRetry(running: RunningCall, outcome: Exclude<SendOutcome, { kind: "answered" }>): boolean {
+    private mayRetry(running: RunningCall, outcome: "notRun" | "unknown"): boolean {
         const { call, guarded } = running;
-        if (running.isAnswered() || !this.sendRules.mayRetry(call, outcome.kind)) {
+        if (running.isAnswered() || !this.sendRules.mayRetry(call, outcome)) {
             return false;
         }
-        const mayHaveCrashed = outcome.fault.connectionLost === true;
-        if (mayHaveCrashed && this.crashGuard.isSuspect(guarded, this.currentMoment().now)) {
+        const isSuspect = (): boolean => this.crashGuard.isSuspect(guarded, this.currentMoment().now);
+        if (running.crashes >= maximumCrashesOfRequest || (running.crashes > 0 && isSuspect())) {
             return false;
         }
         if (this.options.route(call, running.triedInstanceIds()) === undefined) {
