Send responses whole when the callers' port of the entry daemon closes

What callers would see: at a shutdown, a response that was still being sent was cut off although the request had been read and run. A caller that goes on sending requests on a connection that was in use then kept the daemon from ending at all.

Cause: Node.js counts a connection as idle once its response is ended, not sent, and closes it with the port; and it leaves a connection whose response ends later open.

--- a/src/links/admin-server.ts
+++ b/src/links/admin-server.ts
@@ -1,6 +1,7 @@
 /** The admin port of a daemon, which serves its status and its timeline events. */
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
+import { createDrainingClose } from "./response-drain.js";
 import type { Timeline } from "../core/timeline.js";
 
 /** Data that the admin port serves. */
@@ -13,7 +14,7 @@
 export interface ListeningServer {
     /** Host and port in use. */
     readonly address: string;
-    /** Stops listening and closes idle connections. */
+    /** Stops listening; resolves once every response is sent and every connection closed. */
     readonly close: () => Promise<void>;
 }
 
@@ -52,18 +53,12 @@
 /** Listens on host:port and resolves once connections are accepted; rejects if the port is taken. */
 export function listenOn(server: http.Server, listen: string): Promise<ListeningServer> {
     const [host, port] = listen.split(":");
+    const close = createDrainingClose(server);
     return new Promise((resolve, reject) => {
         server.once("error", reject);
         server.listen(Number(port), host, () => {
             const bound = server.address() as AddressInfo;
-            resolve({ address: `${bound.address}:${bound.port}`, close: () => closeServer(server) });
+            resolve({ address: `${bound.address}:${bound.port}`, close });
         });
     });
 }
-
-function closeServer(server: http.Server): Promise<void> {
-    return new Promise(resolve => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
-    });
-}
