Exchange evidence of crashing requests between entry processes

What callers would see: a request that crashes engines or services, repeated at six entry processes in turn, went on crashing them, because each process needed three crashes of its own.

Cause: the evidence of src/daemons/entry/crash-guard.ts stayed in its process.

Peers from before this change ignore the new field.

--- a/src/core/mesh-exchange.ts
+++ b/src/core/mesh-exchange.ts
@@ -34,6 +34,7 @@
     readonly membership: Membership;
     readonly health: HealthTable;
     readonly usages: UsageTable;
+    readonly crashEvidence: UsageTable;
     readonly placements: PlacementTable;
     readonly configuration: ConfigurationFollower;
     /** Returns the current change number. */
@@ -65,6 +66,7 @@
     readonly configuration: ConfigurationChange | undefined;
     readonly endpointsChanged: boolean;
     readonly usagesChanged: boolean;
+    readonly crashEvidenceChanged: boolean;
     readonly placementsChanged: boolean;
 }
 
@@ -115,6 +117,7 @@
         placements: tables.placements.changesSince(since),
         leavings: tables.health.leavingsSince(since, now),
         usages: tables.usages.changesSince(since, peer, now, select.usage),
+        crashEvidence: tables.crashEvidence.changesSince(since, peer, now, select.crashEvidence),
     };
 }
 
@@ -122,6 +125,7 @@
     readonly member: (record: HeartbeatRecord<MemberBody>) => boolean;
     readonly endpoint: (record: HeartbeatRecord<EndpointBody>) => boolean;
     readonly usage: (usage: Usage) => boolean;
+    readonly crashEvidence: (evidence: Usage) => boolean;
 }
 
 /**
@@ -131,10 +135,15 @@
 function createSelectors(tables: ExchangeTables, position: MessagePosition, now: number): Selectors {
     const { failureDomain: target } = position;
     if (target === undefined) {
-        return { member: record => record.id === tables.self, endpoint: () => false, usage: () => false };
+        return {
+            member: record => record.id === tables.self,
+            endpoint: () => false,
+            usage: () => false,
+            crashEvidence: () => false,
+        };
     }
     if (target === tables.failureDomain) {
-        return { member: () => true, endpoint: () => true, usage: () => true };
+        return { member: () => true, endpoint: () => true, usage: () => true, crashEvidence: () => true };
     }
     const own = tables.failureDomain;
     const contacts = new Set(contactsOf(own, tables.membership.liveIn(own, now)));
@@ -146,6 +155,7 @@
             (contacts.has(record.id) || record.id === tables.self || record.body.state === "left"),
         endpoint: record => record.home === own && carriesEndpoint(record, target, fraction),
         usage: usage => usage.home === own && carriesUsage,
+        crashEvidence: evidence => evidence.home === own,
     };
 }
 
@@ -180,6 +190,9 @@
     const acceptedUsages = message.usages.filter(({ ageMilliseconds, ...usage }) =>
         tables.usages.accept({ ...usage, publishedAt: now - ageMilliseconds }, now),
     );
+    const acceptedEvidence = message.crashEvidence.filter(({ ageMilliseconds, ...evidence }) =>
+        tables.crashEvidence.accept({ ...evidence, publishedAt: now - ageMilliseconds }, now),
+    );
     const acceptedPlacements = message.placements.filter(entry => tables.placements.accept(entry));
     return {
         unknownKeys: [...memberKeys, ...endpointKeys].map(sent => sent.key),
@@ -187,6 +200,7 @@
         endpointsChanged:
             acceptedEndpoints.length > 0 || outcomes.includes("taken") || message.leavings.length > 0,
         usagesChanged: acceptedUsages.length > 0,
+        crashEvidenceChanged: acceptedEvidence.length > 0,
         placementsChanged: acceptedPlacements.length > 0,
     };
 }
--- a/src/core/mesh-messages.ts
+++ b/src/core/mesh-messages.ts
@@ -62,7 +62,7 @@
     readonly ageMilliseconds: number;
 }
 
-/** Usage counters of one process; the mesh does not interpret the payload. */
+/** Usage counters or crash evidence of one process; the mesh does not interpret the payload. */
 export interface SentUsage {
     readonly process: MemberId;
     readonly home: FailureDomainId;
@@ -103,4 +103,5 @@
     readonly placements: readonly SentPlacement[];
     readonly leavings: readonly SentLeaving[];
     readonly usages: readonly SentUsage[];
+    readonly crashEvidence: readonly SentUsage[];
 }
--- a/src/core/mesh-state.ts
+++ b/src/core/mesh-state.ts
@@ -15,7 +15,7 @@
 import { ExchangeRounds } from "./exchange-rounds.js";
 import { watchersOf } from "./mesh-topology.js";
 import type { PlacementEntry, Usage } from "./mesh-values.js";
-import { PlacementTable, UsageTable } from "./mesh-values.js";
+import { PlacementTable, UsageTable, maximumCrashEvidenceCharacters } from "./mesh-values.js";
 import type { Member } from "./membership.js";
 import { Membership } from "./membership.js";
 
@@ -31,6 +31,7 @@
     private readonly membership: Membership;
     private readonly healthTable: HealthTable;
     private readonly usageTable: UsageTable;
+    private readonly crashEvidenceTable: UsageTable;
     private readonly placementTable: PlacementTable;
     private readonly rounds = ExchangeRounds.create();
     private readonly tables: ExchangeTables;
@@ -38,6 +39,7 @@
     private change = 0;
     private confirmedAt: number | undefined;
     private usageSequence = 0;
+    private crashEvidenceSequence = 0;
     private readonly pauseDetector: PauseDetector;
     private pausedMilliseconds: number | undefined;
     private hasExchanged = false;
@@ -50,6 +52,7 @@
         this.membership = Membership.create({ id, body, incarnation, nextChange, compare });
         this.healthTable = HealthTable.create(nextChange, rules.evidence);
         this.usageTable = UsageTable.create(nextChange);
+        this.crashEvidenceTable = UsageTable.create(nextChange, maximumCrashEvidenceCharacters);
         this.placementTable = PlacementTable.create(nextChange);
         this.pauseDetector = PauseDetector.create(options.now);
         this.membership.emitHeartbeat(options.now);
@@ -59,6 +62,7 @@
             membership: this.membership,
             health: this.healthTable,
             usages: this.usageTable,
+            crashEvidence: this.crashEvidenceTable,
             placements: this.placementTable,
             configuration: this.configuration,
             change: () => this.change,
@@ -92,6 +96,10 @@
         return this.usageTable.usages;
     }
 
+    public get crashEvidence(): readonly Usage[] {
+        return this.crashEvidenceTable.usages;
+    }
+
     /** Number of members and endpoints, for metrics. */
     public get sizes(): { readonly members: number; readonly endpoints: number } {
         return { members: this.membership.table.size, endpoints: this.healthTable.endpoints.size };
@@ -104,6 +112,7 @@
         this.pausedMilliseconds = undefined;
         this.healthTable.tick(now);
         this.usageTable.tick(now);
+        this.crashEvidenceTable.tick(now);
         this.observeLeavingInstances(now);
         const memberChanges = this.membership.tick(now);
         const members = this.membership.members(now);
@@ -234,13 +243,13 @@
 
     public publishUsage(payload: string, now: number): boolean {
         this.usageSequence += 1;
-        const { id: process, body } = this.options;
-        const incarnation = this.membership.ownIncarnation;
-        const sequence = this.usageSequence;
-        return this.usageTable.accept(
-            { process, home: body.failureDomain, incarnation, sequence, payload, publishedAt: now },
-            now,
-        );
+        return this.usageTable.accept(this.createOwnValue(payload, this.usageSequence, now), now);
+    }
+
+    public publishCrashEvidence(payload: string, now: number): boolean {
+        this.crashEvidenceSequence += 1;
+        const value = this.createOwnValue(payload, this.crashEvidenceSequence, now);
+        return this.crashEvidenceTable.accept(value, now);
     }
 
     /** Applies a snapshot of all placement values. */
@@ -295,4 +304,10 @@
         this.healthTable.expireAll(now, this.healthMilliseconds);
         this.membership.excludePause(gapMilliseconds);
     }
+
+    private createOwnValue(payload: string, sequence: number, now: number): Usage {
+        const { id: process, body } = this.options;
+        const incarnation = this.membership.ownIncarnation;
+        return { process, home: body.failureDomain, incarnation, sequence, payload, publishedAt: now };
+    }
 }
--- a/src/core/mesh-values.ts
+++ b/src/core/mesh-values.ts
@@ -4,12 +4,14 @@
 
 /** Maximum length of a usage payload, in characters. */
 export const maximumUsageCharacters = 1_024;
+/** Maximum length of a payload of crash evidence, in characters. */
+export const maximumCrashEvidenceCharacters = 16_384;
 /** Age at which usage of a silent process is removed, in milliseconds. */
 export const usageExpiryMilliseconds = 30_000;
 /** Maximum number of placement keys. */
 export const maximumPlacements = 1_000;
 
-/** Latest known usage counters of one process. */
+/** Latest known usage counters, or crash evidence, of one process. */
 export interface Usage {
     readonly process: MemberId;
     readonly home: FailureDomainId;
@@ -32,10 +34,16 @@
 export class UsageTable {
     private readonly held = new Map<MemberId, VersionedValue<Usage>>();
 
-    private constructor(private readonly nextChange: () => number) {}
+    private constructor(
+        private readonly nextChange: () => number,
+        private readonly maximumCharacters: number,
+    ) {}
 
-    public static create(nextChange: () => number): UsageTable {
-        return new UsageTable(nextChange);
+    public static create(
+        nextChange: () => number,
+        maximumCharacters: number = maximumUsageCharacters,
+    ): UsageTable {
+        return new UsageTable(nextChange, maximumCharacters);
     }
 
     public get usages(): readonly Usage[] {
@@ -49,7 +57,7 @@
             usage.incarnation > known.incarnation ||
             (usage.incarnation === known.incarnation && usage.sequence > known.sequence);
         const isOld = now - usage.publishedAt >= usageExpiryMilliseconds;
-        if (!isLater || isOld || usage.payload.length > maximumUsageCharacters) {
+        if (!isLater || isOld || usage.payload.length > this.maximumCharacters) {
             return false;
         }
         this.held.set(usage.process, { value: usage, changedAt: this.nextChange() });
--- a/src/daemons/entry/entry-context.ts
+++ b/src/daemons/entry/entry-context.ts
@@ -17,7 +17,7 @@
 import { startMeshView } from "../mesh-view.js";
 import type { DaemonNode } from "../node.js";
 import type { SystemView } from "../system-view.js";
-import { createCrashGuard } from "./crash-guard.js";
+import { startCrashGuard } from "./crash-guard.js";
 import { Credentials } from "./credentials.js";
 import { EntryLoop } from "./entry-loop.js";
 import { isGateOpen, startRoutingInputs } from "./routing-inputs.js";
@@ -46,10 +46,13 @@
     const view = await startMeshView(node, "entry", engines);
     const retries = RetryBudget.create();
     const log = node.logs("entry");
-    const crashGuard = createCrashGuard({
+    const crashGuard = startCrashGuard({
+        clock: node.clock,
         incarnationOf: instance => view.healthOf(instance)?.report.incarnation,
         random: Math.random,
         onQuarantine: fingerprints => log.warn("requests that crash instances are refused", { fingerprints }),
+        publish: payload => void view.mesh.publishCrashEvidence(payload),
+        peers: view.crashEvidence,
     });
     const { admission, router, core } = createCore(node, view, retries, crashGuard);
     const seals = cacheByConfiguration(view, createConfiguredSeals);
@@ -98,6 +101,7 @@
         openSeal: sealed => seals().open(sealed),
         close: () => {
             stopSweeps();
+            crashGuard.close();
             inputs.unsubscribe();
             loop.close();
             view.close();
--- a/src/daemons/entry/tests/crashing-completions.test.ts
+++ b/src/daemons/entry/tests/crashing-completions.test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import type { ExecutionContext } from "ava";
+import { NEVER } from "rxjs";
 import type { EngineEvent } from "../../../contracts/engines.js";
 import { Admission } from "../../../core/admission.js";
 import { defaultAnswerOptions } from "../../../core/answer-options.js";
@@ -10,7 +12,8 @@
 import type { ReplicaGroup } from "../../../core/replica-groups.js";
 import { RetryBudget } from "../../../core/retry-budget.js";
 import { Router } from "../../../core/router.js";
-import { createCrashGuard } from "../crash-guard.js";
+import type { RunningCrashGuard } from "../crash-guard.js";
+import { startCrashGuard } from "../crash-guard.js";
 
 const restartMilliseconds = 600;
 const repeatIntervalMilliseconds = 400;
@@ -49,6 +52,7 @@
     private readonly incarnations = new Map<string, number>();
     private due: { readonly at: number; readonly run: () => void }[] = [];
     private readonly core: CompletionCoordinator;
+    private readonly guard: RunningCrashGuard;
 
     private constructor(private readonly runMilliseconds: number) {
         const random = createRandomGenerator(1);
@@ -62,23 +66,29 @@
         });
         router.applyGroups(groups.map(group => ({ group, failureDomain: "a" })));
         groups.forEach(({ id }) => router.observe(id, { running: 0, waiting: 0, slots: 4 }, 0));
+        this.guard = startCrashGuard({
+            clock: { monotonicMilliseconds: () => this.now, wallMilliseconds: () => this.now },
+            incarnationOf: id => this.incarnations.get(id),
+            random,
+            onQuarantine: () => undefined,
+            publish: () => undefined,
+            peers: NEVER,
+        });
         this.core = CompletionCoordinator.create({
             admission: Admission.create({ random }),
             router,
             retries: RetryBudget.create(),
-            crashGuard: createCrashGuard({
-                incarnationOf: id => this.incarnations.get(id),
-                random,
-                onQuarantine: () => undefined,
-            }),
+            crashGuard: this.guard,
             instanceOf,
             missingMember,
             answerOptions: () => defaultAnswerOptions,
         });
     }
 
-    public static create(runMilliseconds: number): Simulation {
-        return new Simulation(runMilliseconds);
+    public static create(t: ExecutionContext, runMilliseconds: number): Simulation {
+        const simulation = new Simulation(runMilliseconds);
+        t.teardown(() => simulation.guard.close());
+        return simulation;
     }
 
     public arrive(id: string, prompt: string): void {
@@ -146,7 +156,7 @@
 
 for (const runMilliseconds of [50, 2_000]) {
     test(`repeats of a prompt that crashes each engine after ${runMilliseconds} ms stop to reach engines`, t => {
-        const simulation = Simulation.create(runMilliseconds);
+        const simulation = Simulation.create(t, runMilliseconds);
         for (let repeat = 0; repeat < 60; repeat += 1) {
             simulation.arrive(`bad-${repeat}`, "crash");
             simulation.runUntil(simulation.now + repeatIntervalMilliseconds);
@@ -164,7 +174,7 @@
 }
 
 test("one arrival of a prompt that crashes each engine stops at the third crash", t => {
-    const simulation = Simulation.create(2_000);
+    const simulation = Simulation.create(t, 2_000);
     simulation.arrive("bad", "crash");
     simulation.runUntil(60_000);
     t.true(simulation.crashedAt.length <= 3, `${simulation.crashedAt.length} crashes`);
@@ -172,7 +182,7 @@
 });
 
 test("a sound request that is lost in three crashes of other causes is answered, and is not quarantined", t => {
-    const simulation = Simulation.create(300);
+    const simulation = Simulation.create(t, 300);
     for (let repeat = 0; repeat < 4; repeat += 1) {
         simulation.arrive(`bad-${repeat}`, "crash");
         simulation.arrive(`sound-${repeat}`, "other");
--- a/src/daemons/mesh-options.ts
+++ b/src/daemons/mesh-options.ts
@@ -68,6 +68,9 @@
     /** Publishes this process's usage counters; returns false if the payload is too long. */
     readonly publishUsage: (payload: string) => boolean;
     readonly usages: Observable<readonly Usage[]>;
+    /** Publishes what this process knows of crashes; returns false if the payload is too long. */
+    readonly publishCrashEvidence: (payload: string) => boolean;
+    readonly crashEvidence: Observable<readonly Usage[]>;
     /** Emits the placement values of all known keys, on subscription and at each change. */
     readonly placements: Observable<readonly PlacementEntry[]>;
     /** Applies a placement value that this process has written itself, without waiting for the store's watch. */
--- a/src/daemons/mesh-view.ts
+++ b/src/daemons/mesh-view.ts
@@ -11,7 +11,7 @@
 import type { Mesh } from "./mesh.js";
 import { startMesh } from "./mesh.js";
 import type { DaemonNode } from "./node.js";
-import type { PeerUsage, SystemView } from "./system-view.js";
+import type { PeerEvidence, PeerUsage, SystemView } from "./system-view.js";
 
 /** Minimum interval between checks of the health of all endpoints, in milliseconds. */
 const healthCheckIntervalMilliseconds = 50;
@@ -23,6 +23,7 @@
     /** Emits each new report of each endpoint. */
     readonly reports: Observable<EndpointHealth>;
     readonly usages: Observable<PeerUsage>;
+    readonly crashEvidence: Observable<PeerEvidence>;
     readonly close: () => void;
 }
 
@@ -71,6 +72,7 @@
         instanceLists,
         reports: observeNewReports(mesh),
         usages: mesh.usages.pipe(mergeMap(usages => usages)),
+        crashEvidence: mesh.crashEvidence.pipe(mergeMap(evidence => evidence)),
         close: () => {
             inputs.unsubscribe();
             following.unsubscribe();
--- a/src/daemons/mesh.ts
+++ b/src/daemons/mesh.ts
@@ -30,6 +30,7 @@
     private readonly configurationSubject: BehaviorSubject<Configuration>;
     private readonly healthSubject = new Subject<void>();
     private readonly usageSubject = new BehaviorSubject<readonly Usage[]>([]);
+    private readonly crashEvidenceSubject = new BehaviorSubject<readonly Usage[]>([]);
     private readonly placementSubject = new BehaviorSubject<readonly PlacementEntry[]>([]);
     private readonly subscriptions: Subscription[] = [];
     private readonly probes: MeshProbes;
@@ -105,6 +106,8 @@
             members: () => state.members(this.now()),
             publishUsage: payload => state.publishUsage(payload, this.now()),
             usages: this.usageSubject.asObservable(),
+            publishCrashEvidence: payload => state.publishCrashEvidence(payload, this.now()),
+            crashEvidence: this.crashEvidenceSubject.asObservable(),
             placements: this.placementSubject.asObservable(),
             observePlacement: entry => this.observePlacement(entry),
             peerBytes: this.link.bytes,
@@ -165,6 +168,9 @@
         if (effects.usagesChanged) {
             this.usageSubject.next(this.state.usages);
         }
+        if (effects.crashEvidenceChanged) {
+            this.crashEvidenceSubject.next(this.state.crashEvidence);
+        }
         if (effects.placementsChanged) {
             this.placementSubject.next(this.state.placements);
         }
--- a/src/daemons/system-view.ts
+++ b/src/daemons/system-view.ts
@@ -25,3 +25,11 @@
     readonly incarnation: number;
     readonly payload: string;
 }
+
+/** What one process knows of crashes, as an opaque payload. */
+export interface PeerEvidence {
+    readonly process: string;
+    readonly payload: string;
+    /** Local monotonic milliseconds. */
+    readonly publishedAt: number;
+}
--- a/src/daemons/tests/mesh.test.ts
+++ b/src/daemons/tests/mesh.test.ts
@@ -189,12 +189,16 @@
     second.mesh.usages.subscribe(all => usages.push(...all.map(usage => usage.payload)));
     const placements: (string | undefined)[] = [];
     second.mesh.placements.subscribe(all => placements.push(...all.map(entry => entry.text)));
+    const evidence: string[] = [];
+    second.mesh.crashEvidence.subscribe(all => evidence.push(...all.map(({ payload }) => payload)));
+    t.true(first.mesh.publishCrashEvidence("crashes"));
     t.true(first.mesh.publishUsage("tokens=3"));
     t.false(first.mesh.publishUsage("x".repeat(2_000)));
     first.mesh.observePlacement({ key: "placement/fabric-1", modRevision: 9, text: "{}" });
     t.true(
         await advanceUntil(simulation, both, () => usages.includes("tokens=3") && placements.includes("{}")),
     );
+    t.true(await advanceUntil(simulation, both, () => evidence.includes("crashes")));
     simulation.instances.next([{ ...createEngine(), state: "leaving" }]);
     t.true(await advanceUntil(simulation, both, () => both.every(({ mesh }) => mesh.isLeaving("engine-1"))));
     simulation.isEngineReachable = false;
--- a/src/links/peer-messages.ts
+++ b/src/links/peer-messages.ts
@@ -12,6 +12,7 @@
     PeerExchange,
     SentRecord,
 } from "../core/mesh-messages.js";
+import type { SentUsage } from "../core/mesh-messages.js";
 import * as wire from "../generated/peers_pb.js";
 import { decodeKeys, decodeHeartbeats, encodeKeys, encodeHeartbeats } from "./peer-heartbeats.js";
 
@@ -174,14 +175,8 @@
             incarnation: BigInt(incarnation),
             age: toWholeMilliseconds(ageMilliseconds),
         })),
-        usages: exchange.usages.map(usage => ({
-            process: usage.process,
-            home: usage.home,
-            incarnation: BigInt(usage.incarnation),
-            sequence: BigInt(usage.sequence),
-            payload: usage.payload,
-            age: toWholeMilliseconds(usage.ageMilliseconds),
-        })),
+        usages: exchange.usages.map(encodeUsage),
+        crashEvidence: exchange.crashEvidence.map(encodeUsage),
     });
 }
 
@@ -216,14 +211,8 @@
             incarnation: Number(incarnation),
             ageMilliseconds: Number(age),
         })),
-        usages: message.usages.map(usage => ({
-            process: usage.process,
-            home: usage.home,
-            incarnation: Number(usage.incarnation),
-            sequence: Number(usage.sequence),
-            payload: usage.payload,
-            ageMilliseconds: Number(usage.age),
-        })),
+        usages: message.usages.map(decodeUsage),
+        crashEvidence: message.crashEvidence.map(decodeUsage),
     };
 }
 
@@ -240,3 +229,25 @@
         return fail({ code: "invalidRequest", message, step: "gossip", notRun: true });
     }
 }
+
+function encodeUsage(usage: SentUsage) {
+    return {
+        process: usage.process,
+        home: usage.home,
+        incarnation: BigInt(usage.incarnation),
+        sequence: BigInt(usage.sequence),
+        payload: usage.payload,
+        age: toWholeMilliseconds(usage.ageMilliseconds),
+    };
+}
+
+function decodeUsage(usage: wire.Usage): SentUsage {
+    return {
+        process: usage.process,
+        home: usage.home,
+        incarnation: Number(usage.incarnation),
+        sequence: Number(usage.sequence),
+        payload: usage.payload,
+        ageMilliseconds: Number(usage.age),
+    };
+}
--- a/src/links/tests/gossip-transport.test.ts
+++ b/src/links/tests/gossip-transport.test.ts
@@ -85,6 +85,9 @@
     ],
     leavings: [{ instance: "engine-2", incarnation: 0, ageMilliseconds: 50 }],
     usages: [{ process: "p", home: "fd-1", incarnation: 1, sequence: 2, payload: "x", ageMilliseconds: 60 }],
+    crashEvidence: [
+        { process: "q", home: "fd-2", incarnation: 3, sequence: 4, payload: "y", ageMilliseconds: 70 },
+    ],
 };
 
 test("an exchange is unchanged after encoding and decoding, and invalid bytes give a fault", t => {
