--- a/src/core/completion-coordinator.ts
+++ b/src/core/completion-coordinator.ts
@@ -45,8 +45,9 @@
         const { id, caller, model, promptTokens, maximumTokens: expectedTokens, deadline } = request;
         this.record({ kind: "requestReceived", request: id, team: caller.team, target: model });
         const guarded = toGuardedCompletion(request);
-        if (this.options.crashGuard.isQuarantined(guarded, now)) {
-            this.refuse(request, quarantineFault(start));
+        const quarantinedUntil = this.options.crashGuard.quarantinedUntil(guarded, now);
+        if (quarantinedUntil !== undefined) {
+            this.refuse(request, quarantineFault(start, quarantinedUntil));
             return this.takeCommands();
         }
         const offered = { id, caller, model, promptTokens, expectedTokens, deadline };
--- a/src/core/crash-guard.ts
+++ b/src/core/crash-guard.ts
@@ -4,18 +4,17 @@
  */
 import { createHash } from "node:crypto";
 import type { InstanceId } from "./instances.js";
-import type { CompletionRequest, RequestId, ServiceCall } from "./requests.js";
+import type { CompletionRequest, ServiceCall } from "./requests.js";
 
-/** Number of hexadecimal digits of a fingerprint. */
-const fingerprintLength = 16;
+/** Length of a hash in hexadecimal digits. */
+const hashLength = 16;
 
-/** Number of crashes after which one arrival of a request is not retried. */
-export const maximumCrashesOfRequest = 3;
-
-/** A request and what its repetitions have in common. */
+/** What the repetitions of a request have in common. */
 export interface GuardedRequest {
-    readonly id: RequestId;
-    readonly fingerprints: readonly string[];
+    /** Hash that only this request and its repetitions have. */
+    readonly request: string;
+    /** Hash of the request without its query. */
+    readonly resource: string;
 }
 
 /** Times are local monotonic milliseconds. */
@@ -29,9 +28,9 @@
     ) => void;
     /** Records that a response to the request is complete. */
     readonly recordComplete: (request: GuardedRequest, now: number) => void;
-    /** True if the request must not be sent; its quarantine then continues. */
-    readonly isQuarantined: (request: GuardedRequest, now: number) => boolean;
-    /** True if a repetition of the request was lost, too: after a crash, it should not be retried. */
+    /** Time until which the request must not be sent; undefined if it may be sent. */
+    readonly quarantinedUntil: (request: GuardedRequest, now: number) => number | undefined;
+    /** True if the request and its repetitions have crashed several instances: after a crash, it is not retried. */
     readonly isSuspect: (request: GuardedRequest, now: number) => boolean;
 }
 
@@ -39,27 +38,25 @@
 export const noCrashGuard: CrashGuard = {
     recordCrash: () => undefined,
     recordComplete: () => undefined,
-    isQuarantined: () => false,
+    quarantinedUntil: () => undefined,
     isSuspect: () => false,
 };
 
 /** Identifies the repetitions of a call, and those that differ in the query only. */
-export function toGuardedCall(call: ServiceCall): GuardedRequest {
-    const { id, caller, service, method, path, body } = call;
-    const resource = path.split("?")[0] ?? "";
-    const fingerprints = [path, resource].map(target =>
-        fingerprintOf([caller.team, caller.subscriber, service, method, target, body]),
+export function toGuardedCall({ caller, service, method, path, body }: ServiceCall): GuardedRequest {
+    const [request, resource] = [path, path.split("?")[0] ?? ""].map(target =>
+        hashParts([caller.team, caller.subscriber, service, method, target, body]),
     );
-    return { id, fingerprints: [...new Set(fingerprints)] };
+    return { request: request!, resource: resource! };
 }
 
 /** Identifies the repetitions of a completion request. */
-export function toGuardedCompletion(request: CompletionRequest): GuardedRequest {
-    const { id, caller, model, prompt, maximumTokens } = request;
-    const parts = [caller.team, caller.subscriber, model, prompt, maximumTokens];
-    return { id, fingerprints: [fingerprintOf(parts)] };
+export function toGuardedCompletion(completion: CompletionRequest): GuardedRequest {
+    const { caller, model, prompt, maximumTokens } = completion;
+    const request = hashParts([caller.team, caller.subscriber, model, prompt, maximumTokens]);
+    return { request, resource: request };
 }
 
-function fingerprintOf(parts: readonly (string | number)[]): string {
-    return createHash("sha256").update(JSON.stringify(parts)).digest("hex").slice(0, fingerprintLength);
+function hashParts(parts: readonly (string | number)[]): string {
+    return createHash("sha256").update(JSON.stringify(parts)).digest("hex").slice(0, hashLength);
 }
--- a/src/core/entry-request.ts
+++ b/src/core/entry-request.ts
@@ -10,7 +10,6 @@
 import type { ReplicaChoice, DispatchOutcome } from "./replica-assignment.js";
 import { ReplicaAssignment } from "./replica-assignment.js";
 import type { GuardedRequest } from "./crash-guard.js";
-import { maximumCrashesOfRequest } from "./crash-guard.js";
 import type { Fault } from "./errors.js";
 import type { EventBody } from "./events.js";
 import type { Instance } from "./instances.js";
@@ -33,9 +32,9 @@
 type DeliverCommand = Extract<AnswerCommand, { kind: "deliver" }>;
 
 /** Returns the fault of a request that must not be sent, because its repetitions crash engines. */
-export function quarantineFault({ fromOffset }: AnswerStart): Fault {
+export function quarantineFault({ fromOffset }: AnswerStart, retryAt: number): Fault {
     const message = "repetitions of this request crashed the engines that ran them; retry later";
-    return { code: "quarantined", message, step: "route", notRun: fromOffset === 0 };
+    return { code: "quarantined", message, step: "route", notRun: fromOffset === 0, retryAt };
 }
 
 /** A completion request and the stream of its answer. */
@@ -50,8 +49,8 @@
     /** True while the current attempt runs the request and has delivered no token. */
     private mayCrash = false;
     private hasResponseHead = false;
-    /** Number of possible crashes since the last token. */
-    private crashes = 0;
+    /** True if an engine may have crashed since the last token. */
+    private mayHaveCrashed = false;
 
     private constructor(
         private current: CompletionRequest,
@@ -88,8 +87,8 @@
 
     /** The fault of a request that must not be sent, because its repetitions crash engines. */
     public quarantineFault(now: number): Fault | undefined {
-        const isQuarantined = this.context.options.crashGuard.isQuarantined(this.guarded, now);
-        return isQuarantined ? quarantineFault(this.start) : undefined;
+        const until = this.context.options.crashGuard.quarantinedUntil(this.guarded, now);
+        return until === undefined ? undefined : quarantineFault(this.start, until);
     }
 
     /** Dispatches the request to a replica; returns false if none is available. */
@@ -199,7 +198,7 @@
     private recordPossibleCrash(fault: Fault, now: number): void {
         const { leader } = this.assignment;
         if (this.mayCrash && fault.connectionLost === true && leader !== undefined) {
-            this.crashes += 1;
+            this.mayHaveCrashed = true;
             const { crashGuard } = this.context.options;
             crashGuard.recordCrash(this.guarded, leader.id, this.hasResponseHead, now);
         }
@@ -207,13 +206,7 @@
     }
 
     private mayReachAnotherEngine(now: number): boolean {
-        if (this.crashes === 0) {
-            return true;
-        }
-        return (
-            this.crashes < maximumCrashesOfRequest &&
-            !this.context.options.crashGuard.isSuspect(this.guarded, now)
-        );
+        return !this.mayHaveCrashed || !this.context.options.crashGuard.isSuspect(this.guarded, now);
     }
 
     private routeRequest(): RouteRequest {
@@ -283,7 +276,7 @@
         const { options, emit } = this.context;
         const request = this.request.id;
         this.mayCrash = false;
-        this.crashes = 0;
+        this.mayHaveCrashed = false;
         if (!this.hasFirstToken) {
             this.hasFirstToken = true;
             this.record({ kind: "firstToken", request, attempt: this.answerLog?.currentAttempt() ?? 0 });
--- a/src/daemons/entry/crash-guard.ts
+++ b/src/daemons/entry/crash-guard.ts
@@ -9,8 +9,8 @@
 import type { CrashGuard, GuardedRequest } from "../../core/crash-guard.js";
 import type { InstanceId } from "../../core/instances.js";
 import { parseJson } from "../../links/json.js";
-import type { CrashEvidence, SegmentedRequest } from "../../serving/crash-attribution.js";
-import { CrashAttribution } from "../../serving/crash-attribution.js";
+import type { CrashEvidence, CrashSubject } from "../../serving/crash-attribution.js";
+import { CrashAttribution, requestTrait, resourceTrait } from "../../serving/crash-attribution.js";
 import type { PeerEvidence } from "../system-view.js";
 
 /** Time over which entry processes spread their clearances of a request, in milliseconds. */
@@ -25,7 +25,7 @@
         z.object({
             request: z.string(),
             start: z.string(),
-            segments: z.array(z.string()),
+            traits: z.array(z.string()),
             hasHead: z.boolean(),
             age: z.number(),
         }),
@@ -39,7 +39,7 @@
     /** Increases each time the instance starts; undefined if the instance has not reported yet. */
     readonly incarnationOf: (instance: InstanceId) => number | undefined;
     readonly random: () => number;
-    readonly onQuarantine: (fingerprints: readonly string[]) => void;
+    readonly onQuarantine: (traits: readonly string[]) => void;
     /** Sends evidence to the other entry processes. */
     readonly publish: (payload: string) => void;
     readonly peers: Observable<PeerEvidence>;
@@ -93,19 +93,19 @@
     return {
         recordCrash: (request, instance, hasResponseHead, now) => {
             const start = `${instance}/${options.incarnationOf(instance) ?? 0}`;
-            attribution.recordCrash(toSegmented(request), start, hasResponseHead, now);
+            attribution.recordCrash(toSubject(request), start, hasResponseHead ? "head" : "none", now);
         },
-        recordComplete: ({ fingerprints }, now) => attribution.recordSound(fingerprints, now),
-        isQuarantined: ({ fingerprints }, now) => {
+        recordComplete: (request, now) => attribution.recordSound(toSubject(request), now),
+        quarantinedUntil: (request, now) => {
             attribution.tick(now);
-            return attribution.recordRequest(fingerprints, now);
+            return attribution.recordRequest(toSubject(request), now);
         },
-        isSuspect: (request, now) => attribution.isSuspect(toSegmented(request), now),
+        isSuspect: (request, now) => attribution.isSuspect(toSubject(request), now),
     };
 }
 
-function toSegmented({ id, fingerprints }: GuardedRequest): SegmentedRequest {
-    return { request: id, segments: fingerprints };
+function toSubject({ request, resource }: GuardedRequest): CrashSubject {
+    return { request: requestTrait(request), resource: resourceTrait(resource), segments: [] };
 }
 
 function hasContent({ reports, sound, quarantines }: CrashEvidence): boolean {
@@ -115,7 +115,7 @@
 function addAge({ reports, sound, quarantines }: CrashEvidence, milliseconds: number): CrashEvidence {
     return {
         reports: reports.map(report => ({ ...report, age: report.age + milliseconds })),
-        sound: sound.map(([segment, age]) => [segment, age + milliseconds] as const),
-        quarantines: quarantines.map(([segments, age]) => [segments, age + milliseconds] as const),
+        sound: sound.map(([trait, age]) => [trait, age + milliseconds] as const),
+        quarantines: quarantines.map(([traits, age]) => [traits, age + milliseconds] as const),
     };
 }
--- a/src/daemons/entry/entry-context.ts
+++ b/src/daemons/entry/entry-context.ts
@@ -50,7 +50,7 @@
         clock: node.clock,
         incarnationOf: instance => view.healthOf(instance)?.report.incarnation,
         random: Math.random,
-        onQuarantine: fingerprints => log.warn("requests that crash instances are refused", { fingerprints }),
+        onQuarantine: traits => log.warn("requests that crash instances are refused", { traits }),
         publish: payload => void view.mesh.publishCrashEvidence(payload),
         peers: view.crashEvidence,
     });
--- a/src/daemons/entry/running-call.ts
+++ b/src/daemons/entry/running-call.ts
@@ -62,7 +62,7 @@
     private attemptsInProgress = 0;
     private lastOutcome: SendOutcome | undefined;
     private hasUnknownOutcome = false;
-    private lostConnections = 0;
+    private hasLostConnection = false;
     private resolve: ((outcome: ServiceOutcome) => void) | undefined;
 
     /** What the call has in common with its repetitions. */
@@ -102,9 +102,9 @@
         return this.hasUnknownOutcome || this.attemptsInProgress > 0;
     }
 
-    /** Number of attempts whose instance may have crashed. */
-    public get crashes(): number {
-        return this.lostConnections;
+    /** True if an instance may have crashed in an attempt. */
+    public mayHaveCrashed(): boolean {
+        return this.hasLostConnection;
     }
 
     public triedInstanceIds(): readonly InstanceId[] {
@@ -121,7 +121,7 @@
         this.lastOutcome = outcome;
         this.hasUnknownOutcome = this.hasUnknownOutcome || outcome.kind === "unknown";
         if (outcome.kind === "unknown" && outcome.fault.connectionLost === true) {
-            this.lostConnections += 1;
+            this.hasLostConnection = true;
         }
     }
 
--- a/src/daemons/entry/service-call-loop.ts
+++ b/src/daemons/entry/service-call-loop.ts
@@ -5,7 +5,7 @@
 import { claimRules, defaultClaimOptions } from "../../core/claim-rules.js";
 import { ClaimStateMachine } from "../../core/claim-state-machine.js";
 import type { CrashGuard } from "../../core/crash-guard.js";
-import { maximumCrashesOfRequest, noCrashGuard } from "../../core/crash-guard.js";
+import { noCrashGuard } from "../../core/crash-guard.js";
 import type { Fault } from "../../core/errors.js";
 import { callDigest } from "../../core/idempotency-keys.js";
 import type { SendOutcome } from "../../contracts/services.js";
@@ -160,9 +160,10 @@
     // Checks the deadline last and sends in the same turn of the event loop, so that no call is sent after its deadline.
     private send(running: RunningCall): void {
         const { call } = running;
-        if (this.crashGuard.isQuarantined(running.guarded, this.currentMoment().now)) {
+        const retryAt = this.crashGuard.quarantinedUntil(running.guarded, this.currentMoment().now);
+        if (retryAt !== undefined) {
             const message = "repetitions of this call crashed the instances that ran them; retry later";
-            this.endNotRun(running, running.notRunFault("quarantined", message));
+            this.endNotRun(running, { ...running.notRunFault("quarantined", message), retryAt });
             return;
         }
         const instance = this.options.route(call, running.triedInstanceIds());
@@ -240,8 +241,7 @@
         if (running.isAnswered() || !this.sendRules.mayRetry(call, outcome)) {
             return false;
         }
-        const isSuspect = (): boolean => this.crashGuard.isSuspect(guarded, this.currentMoment().now);
-        if (running.crashes >= maximumCrashesOfRequest || (running.crashes > 0 && isSuspect())) {
+        if (running.mayHaveCrashed() && this.crashGuard.isSuspect(guarded, this.currentMoment().now)) {
             return false;
         }
         if (this.options.route(call, running.triedInstanceIds()) === undefined) {
