--- a/src/daemons/entry/entry-context.ts
+++ b/src/daemons/entry/entry-context.ts
@@ -4,6 +4,7 @@
 import { defaultAnswerOptions } from "../../core/answer-options.js";
 import type { Configuration } from "../../core/configuration-values.js";
 import { CompletionCoordinator } from "../../core/completion-coordinator.js";
+import type { CrashGuard } from "../../core/crash-guard.js";
 import type { InstanceId } from "../../core/instances.js";
 import type { ReplicaGroup } from "../../core/replica-groups.js";
 import { RetryBudget } from "../../core/retry-budget.js";
@@ -16,6 +17,7 @@
 import { startMeshView } from "../mesh-view.js";
 import type { DaemonNode } from "../node.js";
 import type { SystemView } from "../system-view.js";
+import { startCrashGuard } from "./crash-guard.js";
 import { Credentials } from "./credentials.js";
 import { EntryLoop } from "./entry-loop.js";
 import { isGateOpen, startRoutingInputs } from "./routing-inputs.js";
@@ -43,7 +45,16 @@
     const engines = createEngines(node.clock);
     const view = await startMeshView(node, "entry", engines);
     const retries = RetryBudget.create();
-    const { admission, router, core } = createCore(node, view, retries);
+    const log = node.logs("entry");
+    const crashGuard = startCrashGuard({
+        clock: node.clock,
+        incarnationOf: instance => view.healthOf(instance)?.report.incarnation,
+        random: Math.random,
+        onQuarantine: traits => log.warn("requests that crash instances are refused", { traits }),
+        publish: payload => void view.mesh.publishCrashEvidence(payload),
+        peers: view.crashEvidence,
+    });
+    const { admission, router, core } = createCore(node, view, retries, crashGuard);
     const seals = cacheByConfiguration(view, createConfiguredSeals);
     const loop = EntryLoop.create({
         core,
@@ -77,6 +88,7 @@
         random: Math.random,
         record: node.record,
         retryBudget: retries,
+        crashGuard,
     });
     const stopSweeps = startClaimSweeps({ store: node.store, clock: node.clock });
     return {
@@ -89,6 +101,7 @@
         openSeal: sealed => seals().open(sealed),
         close: () => {
             stopSweeps();
+            crashGuard.close();
             inputs.unsubscribe();
             loop.close();
             view.close();
@@ -121,7 +134,12 @@
     readonly core: CompletionCoordinator;
 }
 
-function createCore(node: DaemonNode, view: SystemView, retries: RetryBudget): DecisionContext {
+function createCore(
+    node: DaemonNode,
+    view: SystemView,
+    retries: RetryBudget,
+    crashGuard: CrashGuard,
+): DecisionContext {
     const { settings } = node;
     const admission = Admission.create({ random: Math.random });
     const router = Router.create({
@@ -134,6 +152,7 @@
         admission,
         router,
         retries,
+        crashGuard,
         instanceOf: view.instanceOf,
         missingMember: (group, now) => findMissingMember(group, view, now),
         answerOptions: () => createAnswerOptions(view.configuration()),
--- a/src/daemons/entry/running-call.ts
+++ b/src/daemons/entry/running-call.ts
@@ -2,6 +2,8 @@
 import type { Clock, RandomNumber } from "../../contracts/clocks.js";
 import type { SendOutcome, ServiceResponse } from "../../contracts/services.js";
 import type { SentRequestOutcome } from "../../core/claim-rules.js";
+import type { GuardedRequest } from "../../core/crash-guard.js";
+import { toGuardedCall } from "../../core/crash-guard.js";
 import type { Fault, FaultCode } from "../../core/errors.js";
 import type { Instance, InstanceId } from "../../core/instances.js";
 import type { ServiceCall } from "../../core/requests.js";
@@ -60,13 +62,18 @@
     private attemptsInProgress = 0;
     private lastOutcome: SendOutcome | undefined;
     private hasUnknownOutcome = false;
+    private hasLostConnection = false;
     private resolve: ((outcome: ServiceOutcome) => void) | undefined;
 
+    /** What the call has in common with its repetitions. */
+    public readonly guarded: GuardedRequest;
+
     private constructor(
         public readonly call: ServiceCall,
         resolve: (outcome: ServiceOutcome) => void,
     ) {
         this.resolve = resolve;
+        this.guarded = toGuardedCall(call);
     }
 
     public static create(call: ServiceCall, resolve: (outcome: ServiceOutcome) => void): RunningCall {
@@ -95,6 +102,11 @@
         return this.hasUnknownOutcome || this.attemptsInProgress > 0;
     }
 
+    /** True if an instance may have crashed in an attempt. */
+    public mayHaveCrashed(): boolean {
+        return this.hasLostConnection;
+    }
+
     public triedInstanceIds(): readonly InstanceId[] {
         return this.triedInstances;
     }
@@ -108,6 +120,9 @@
         this.attemptsInProgress -= 1;
         this.lastOutcome = outcome;
         this.hasUnknownOutcome = this.hasUnknownOutcome || outcome.kind === "unknown";
+        if (outcome.kind === "unknown" && outcome.fault.connectionLost === true) {
+            this.hasLostConnection = true;
+        }
     }
 
     /** Returns the outcome to record: the response of the last attempt, or unknown if it had none. */
