Retry on a new connection after a late response to another request

What callers saw: a request to an idempotent route got 502 ("the response names another request") although both replicas were sound and served it.

Cause: the first attempt met a late copy of an earlier response on a reused connection, and the second attempt, at the other replica, reused a connection that carried such a copy, too. Both counted as possible runs, which used up the attempts of the route.

A further attempt of such a request now closes the idle connections to its replica and opens a new one, on which no earlier response can arrive. A request that must not run twice still gets 502 after the first attempt.

--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -25,6 +25,8 @@
     readonly body: Buffer | undefined;
     /** False if the request must not be sent over a connection that the replica may already have dropped. */
     readonly isRetryable: boolean;
+    /** True if no idle connection may be reused, since it may carry bytes of another response. */
+    readonly needsNewConnection: boolean;
     /** Checked when a connection is available, right before the request is written to it. */
     readonly mayStart: () => boolean;
 }
@@ -192,7 +194,9 @@
     /** Sends one request to a replica. */
     public send(replica: string, outgoing: UpstreamRequest, observer: UpstreamObserver): UpstreamCall {
         const agent = this.getUpstreamAgent(replica);
-        if (!outgoing.isRetryable) {
+        if (outgoing.needsNewConnection) {
+            agent.closeIdleConnections(0);
+        } else if (!outgoing.isRetryable) {
             agent.closeIdleConnections(maximumNonRetryableIdleMilliseconds);
         }
         return sendRequest(agent, outgoing, observer);
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -74,6 +74,8 @@
     private lastTarget: DispatchTarget | undefined;
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
     private isSettled = false;
+    /** True if a connection that was reused for this request carried a late response to another request. */
+    private hasReceivedForeignResponse = false;
     /** True if the last attempt may have crashed its replica. */
     private hasLastAttemptCrashed = false;
     private readonly deadlineTimer: NodeJS.Timeout;
@@ -361,6 +363,7 @@
                 headers,
                 body,
                 isRetryable: isRetryable(admitted.route),
+                needsNewConnection: this.hasReceivedForeignResponse,
                 mayStart: () =>
                     !context.isLeaving(instance) && !context.backPressure.isPaused(instance, this.now()),
             },
@@ -448,6 +451,7 @@
         this.noteReplicaState(attempt, head);
         const isForOtherRequest = head.requestId !== undefined && head.requestId !== this.admitted.request.id;
         if (isForOtherRequest) {
+            this.hasReceivedForeignResponse = true;
             attempt.call?.cancel();
             this.endAttempt(attempt, "lost", "the response names another request", true);
         }
