Read the rest of a body whose request an ending process rejects

What callers saw, by the test below: a caller whose body still arrived when an ending process rejected its request had its connection closed at once; bytes of the body that reach a closed connection make the kernel reset it, which can cost the caller the rejection.

Cause: only requests that were open at the end were rejected with a reading of the rest (rejectUnread); those that arrived after the port had closed were answered and their connection closed by Node.js as soon as the response was written. Both now take the same way, which closes after the rest of the body, or after one second.

The test failed before: the connection had ended 100 ms after the first half of the body.

--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -155,10 +155,13 @@
             this.options.log.debug("writing the response to the caller failed", { reason: error.message }),
         );
         const table = this.options.table();
-        if (table === undefined || this.isClosed) {
+        if (this.isClosed) {
+            this.rejectUnread(message, this.options.wire.decodeRequest(message), response, endingRejection);
+            return;
+        }
+        if (table === undefined) {
             message.resume();
-            const request = this.options.wire.decodeRequest(message);
-            this.reject(request, response, this.isClosed ? endingRejection : startingRejection);
+            this.reject(this.options.wire.decodeRequest(message), response, startingRejection);
             return;
         }
         this.readRequest(message, response, table, arrivedAt);
