--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -10,6 +10,14 @@
 import type { SegmentedRequest } from "./crash-attribution.js";
 import { quarantineMilliseconds } from "./crash-attribution.js";
 import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
+import type { ErrorResponse, Refusal } from "./error-responses.js";
+import {
+    expiredResponse,
+    refusalAfterAttempt,
+    refusalWithoutTarget,
+    refusedResponse,
+    unknownResponse,
+} from "./error-responses.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
 import { createAttempt, isTrustedSuccess, mayHaveCrashedReplica } from "./exchange-attempt.js";
@@ -31,15 +39,6 @@
 const maximumEventBytes = 256 * 1024;
 /** Interval between two searches for a replica that takes over an interrupted or silent stream, in milliseconds. */
 const resumePollIntervalMilliseconds = 40;
-/** Default Retry-After of a refused request, in milliseconds, before jitter. */
-const defaultRetryAfter: RetryAfter = { milliseconds: 400 };
-/**
- * Retry-After while no replica can take the request, in milliseconds: about the time to form a group from hosts
- * with the weights.
- */
-const noReplicaRetryAfterMilliseconds = 1_500;
-/** Maximum Retry-After, as a fraction of the time that remains until the caller's deadline. */
-const maximumRetryAfterFraction = 1 / 3;
 /**
  * A caller is assumed to wait for the first event of a stream for `minimumFirstEventTimeoutMilliseconds` or for
  * `firstEventTimeoutObjectives` times the latency objective, whichever is longer.
@@ -53,13 +52,6 @@
 /** Rank of the requests that a replica handles last. */
 const lowestRank = 9;
 
-/** Time after which a refused caller should retry, before it is varied at random. */
-interface RetryAfter {
-    readonly milliseconds: number;
-    /** True if an earlier retry cannot succeed. */
-    readonly isEarliest?: boolean;
-}
-
 export class Exchange {
     private attempt: Attempt | undefined;
     /** Attempt at a silent replica that continues while `attempt` is made elsewhere. */
@@ -135,7 +127,7 @@
             this.abortResponse(reason);
             return;
         }
-        this.sendErrorResponse(wasSent || this.mayHaveRun ? 504 : 503, "expired", reason);
+        this.respondWithError(expiredResponse(reason, wasSent || this.mayHaveRun));
     }
 
     /** Ends a request that waits at a replica if requests with its prompt segments crash replicas. */
@@ -282,39 +274,14 @@
             this.returnToSilentAttempt(silentAttempt);
             return;
         }
-        if (choice.kind === "paused" && this.callerResponse.hasBegun) {
-            this.handleNoTarget();
-            return;
-        }
-        switch (choice.kind) {
-            case "target":
-                this.startAttempt(choice.target);
-                return;
-            case "overloaded": {
-                const expected = Math.round(choice.expectedMilliseconds);
-                this.refuse(`the first event is expected after ${expected} ms`, {
-                    milliseconds: choice.retryAfterMilliseconds,
-                });
-                return;
-            }
-            case "paused":
-                this.refuse("all replicas want no further requests for now", {
-                    milliseconds: choice.retryAfterMilliseconds,
-                    isEarliest: true,
-                });
-                return;
-            case "none":
-                this.handleNoTarget();
-        }
-    }
-
-    private handleNoTarget(): void {
-        if (!this.callerResponse.hasBegun) {
-            this.refuse("no replica can take the request", { milliseconds: noReplicaRetryAfterMilliseconds });
-            return;
+        if (choice.kind === "target") {
+            this.startAttempt(choice.target);
+        } else if (this.callerResponse.hasBegun && choice.kind !== "overloaded") {
+            // The caller may still be waiting; its deadline or its disconnection ends the search.
+            this.startNextAttemptAfter(resumePollIntervalMilliseconds);
+        } else {
+            this.refuse(refusalWithoutTarget(choice));
         }
-        // The caller may still be waiting; its deadline or its disconnection ends the search.
-        this.startNextAttemptAfter(resumePollIntervalMilliseconds);
     }
 
     private startAttempt(target: DispatchTarget): void {
@@ -677,10 +644,10 @@
                 this.sendCompleteResponse(this.lastFailure!.head, this.lastFailure!.body, "failed");
                 return;
             case "refuse":
-                this.refuse(reason);
+                this.refuse(refusalAfterAttempt(reason));
                 return;
             case "unknown":
-                this.sendErrorResponse(502, "failed", reason);
+                this.respondWithError(unknownResponse(reason));
                 return;
             case "cut":
                 this.abortResponse(reason);
@@ -724,20 +691,16 @@
         }
     }
 
-    private refuse(reason: string, retryAfter: RetryAfter = defaultRetryAfter): void {
+    private refuse(refusal: Refusal): void {
         if (this.mayHaveRun) {
-            this.sendErrorResponse(502, "failed", reason);
+            this.respondWithError(unknownResponse(refusal.reason));
             return;
         }
-        const spread = this.context.random() / 2;
-        const jittered =
-            retryAfter.milliseconds * (retryAfter.isEarliest === true ? 1 + spread / 2 : 0.75 + spread);
         const { arrivedAt, deadline, request } = this.admitted;
         // The caller waits for its own time, which may be longer than the route's.
         const callerDeadline = arrivedAt + (request.timeoutMilliseconds ?? deadline - arrivedAt);
-        const maximum = maximumRetryAfterFraction * Math.max(0, callerDeadline - this.now());
-        const seconds = Math.min(jittered, maximum) / 1000;
-        this.sendErrorResponse(503, "refused", reason, ["Retry-After", seconds.toFixed(2)]);
+        const remaining = callerDeadline - this.now();
+        this.respondWithError(refusedResponse(refusal, this.context.random(), remaining));
     }
 
     /** Cancels all attempts at their replicas; returns false if there is none. */
@@ -750,6 +713,10 @@
         return attempts.length > 0;
     }
 
+    private respondWithError({ status, outcome, reason, headers }: ErrorResponse): void {
+        this.sendErrorResponse(status, outcome, reason, headers);
+    }
+
     private sendErrorResponse(
         status: number,
         outcome: string,
