Read the response of an attempt apart from its exchange

ReplicaResponse decides which bytes of a replica's response are relayed, held back or of no use, and how the response ended; the exchange relays, cancels and records. endAttempt loses its parameter hasRun, which was true for each outcome for which it was read (lost, failed). Behaviour is unchanged.

--- a/src/serving/exchange-attempt.ts
+++ b/src/serving/exchange-attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt of a request at a replica, with what has been received of the response. */
 import type { UpstreamCall } from "../links/upstream-pools.js";
 import type { DispatchTarget } from "./dispatcher.js";
-import { EventSplitter } from "./event-splitter.js";
+import type { ReplicaResponse } from "./replica-response.js";
 import type { ResponseHead } from "./wire-format.js";
 
 /** Time from the first event after which a request cannot be the cause of a crash, in milliseconds. */
@@ -18,11 +18,10 @@
     readonly sentAt: number;
     /** Id among the requests in flight at the replica group; undefined at plain services. */
     readonly inFlightId: number | undefined;
-    readonly splitter: EventSplitter;
+    readonly response: ReplicaResponse;
+    /** Head of the response; undefined before it has arrived. */
+    readonly head: ResponseHead | undefined;
     call: UpstreamCall | undefined;
-    head: ResponseHead | undefined;
-    bufferedChunks: Buffer[];
-    bufferedBytes: number;
     hasReceivedEvents: boolean;
     /** Local monotonic milliseconds of the last event, or of the sending. */
     lastProgressAt: number;
@@ -39,17 +38,18 @@
     target: DispatchTarget,
     sentAt: number,
     inFlightId: number | undefined,
+    response: ReplicaResponse,
 ): Attempt {
     return {
         number,
         target,
         sentAt,
         inFlightId,
-        splitter: EventSplitter.create(),
+        response,
+        get head() {
+            return response.head;
+        },
         call: undefined,
-        head: undefined,
-        bufferedChunks: [],
-        bufferedBytes: 0,
         hasReceivedEvents: false,
         lastProgressAt: sentAt,
         firstEventAt: undefined,
@@ -69,15 +69,3 @@
     }
     return attempt.head !== undefined || now - attempt.sentAt >= minimumCrashMilliseconds;
 }
-
-/** True for a successful response that the replica has signed and that the caller can read. */
-export function isTrustedSuccess(head: ResponseHead | undefined): boolean {
-    return (
-        head !== undefined &&
-        head.isSigned &&
-        !head.isStatedNotRun &&
-        !head.hasUnrequestedEncoding &&
-        head.status >= 200 &&
-        head.status < 300
-    );
-}
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -20,7 +20,7 @@
 } from "./error-responses.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
-import { createAttempt, isTrustedSuccess, mayHaveCrashedReplica } from "./exchange-attempt.js";
+import { createAttempt, mayHaveCrashedReplica } from "./exchange-attempt.js";
 import type { AdmittedRequest, ExchangeContext } from "./exchange-context.js";
 import { describeRequest, recordAttemptEnd, recordExchangeEnd } from "./exchange-reporting.js";
 import {
@@ -28,15 +28,10 @@
     attemptExtensionMilliseconds,
     recentProgressMilliseconds,
 } from "./attempt-timeouts.js";
+import type { ResponsePart } from "./replica-response.js";
+import { ReplicaResponse } from "./replica-response.js";
 import type { ResponseHead } from "./wire-format.js";
 
-/**
- * Maximum size of a response that is buffered until it is complete, in bytes; longer responses are relayed as they
- * arrive.
- */
-const maximumBufferedResponseBytes = 256 * 1024;
-/** Maximum size of one event of a stream, in bytes. */
-const maximumEventBytes = 256 * 1024;
 /** Interval between two searches for a replica that takes over an interrupted or silent stream, in milliseconds. */
 const resumePollIntervalMilliseconds = 40;
 /**
@@ -298,7 +293,11 @@
             group === undefined
                 ? undefined
                 : context.inFlightRequests.start(group, tokens, now, target.isDeferred);
-        const attempt = createAttempt(this.attemptCount + 1, target, now, inFlightId);
+        const response = ReplicaResponse.create({
+            requestId: request.id,
+            isStream: admitted.route.repeatability === "stream",
+        });
+        const attempt = createAttempt(this.attemptCount + 1, target, now, inFlightId, response);
         this.attempt = attempt;
         this.lastTarget = target;
         this.attemptCount += 1;
@@ -337,10 +336,10 @@
                 onEnd: () => this.handleEnd(attempt),
                 onFailure: (message, mayHaveBeenSent) => {
                     this.reportBrokenConnection(attempt, mayHaveBeenSent);
-                    this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message, mayHaveBeenSent);
+                    this.endAttempt(attempt, mayHaveBeenSent ? "lost" : "notSent", message);
                 },
                 onWithheld: () =>
-                    this.endAttempt(attempt, "withheld", "the replica wants no further requests", false),
+                    this.endAttempt(attempt, "withheld", "the replica wants no further requests"),
             },
         );
         this.armAttemptTimer(attempt);
@@ -406,18 +405,13 @@
             return;
         }
         attempt.call?.cancel();
-        this.endAttempt(attempt, "lost", "no response before the attempt time-out", true);
+        this.endAttempt(attempt, "lost", "no response before the attempt time-out");
     }
 
     private handleHead(attempt: Attempt, message: IncomingMessage): void {
         const head = this.context.wire.decodeResponse(message);
-        attempt.head = head;
         this.noteReplicaState(attempt, head);
-        const isForOtherRequest = head.requestId !== undefined && head.requestId !== this.admitted.request.id;
-        if (isForOtherRequest) {
-            attempt.call?.cancel();
-            this.endAttempt(attempt, "lost", "the response names another request", true);
-        }
+        this.handleParts(attempt, attempt.response.readHead(head));
     }
 
     private noteReplicaState({ target }: Attempt, head: ResponseHead): void {
@@ -434,43 +428,28 @@
     }
 
     private handleData(attempt: Attempt, chunk: Buffer): void {
-        if (!this.isLive(attempt)) {
-            return;
-        }
-        if (this.isRelayableStream(attempt)) {
-            for (const event of attempt.splitter.push(chunk)) {
-                this.relayEvent(attempt, event);
-            }
-            if (attempt.splitter.partialEventBytes > maximumEventBytes) {
-                this.abandonEndlessResponse(attempt, `an event exceeds ${maximumEventBytes} bytes`);
+        if (this.isLive(attempt)) {
+            this.handleParts(attempt, attempt.response.readData(chunk));
+        }
+    }
+
+    private handleParts(attempt: Attempt, parts: readonly ResponsePart[]): void {
+        for (const part of parts) {
+            switch (part.kind) {
+                case "event":
+                    this.relayEvent(attempt, part.head, part.event);
+                    break;
+                case "bytes":
+                    this.relayBytes(attempt, part.head, part.chunks);
+                    break;
+                case "unusable":
+                    attempt.call?.cancel();
+                    this.endAttempt(attempt, "lost", part.reason);
             }
-            return;
         }
-        attempt.bufferedBytes += chunk.length;
-        if (attempt.bufferedBytes > maximumBufferedResponseBytes) {
-            if (isTrustedSuccess(attempt.head)) {
-                this.relayBuffered(attempt, chunk);
-            } else {
-                const status = attempt.head?.status;
-                const reason = `a response with status ${status} exceeds ${maximumBufferedResponseBytes} bytes`;
-                this.abandonEndlessResponse(attempt, reason);
-            }
-            return;
-        }
-        attempt.bufferedChunks.push(chunk);
-    }
-
-    /** Covers a replica that sends bytes that are no response, without end: only closing the connection stops them. */
-    private abandonEndlessResponse(attempt: Attempt, reason: string): void {
-        attempt.call?.cancel();
-        this.endAttempt(attempt, "lost", reason, true);
-    }
-
-    private isRelayableStream(attempt: Attempt): boolean {
-        return this.admitted.route.repeatability === "stream" && isTrustedSuccess(attempt.head);
     }
 
-    private relayEvent(attempt: Attempt, event: StreamEvent): void {
+    private relayEvent(attempt: Attempt, head: ResponseHead, event: StreamEvent): void {
         const now = this.now();
         const { group, instance } = attempt.target;
         attempt.lastProgressAt = now;
@@ -491,18 +470,16 @@
         }
         this.keepOnly(attempt);
         this.lastEventId = event.id ?? this.lastEventId;
-        this.callerResponse.begin(attempt.head!, undefined, now);
+        this.callerResponse.begin(head, undefined, now);
         if (!this.callerResponse.write(event.bytes)) {
             attempt.call?.pause();
         }
     }
 
-    /** Relays what was buffered of a response that exceeds the buffer, and the chunk that exceeded it. */
-    private relayBuffered(attempt: Attempt, chunk: Buffer): void {
-        this.callerResponse.begin(attempt.head!, undefined, this.now());
-        attempt.bufferedChunks.forEach(buffered => this.callerResponse.write(buffered));
-        attempt.bufferedChunks = [];
-        if (!this.callerResponse.write(chunk)) {
+    private relayBytes(attempt: Attempt, head: ResponseHead, chunks: readonly Buffer[]): void {
+        this.callerResponse.begin(head, undefined, this.now());
+        const areTaken = chunks.map(chunk => this.callerResponse.write(chunk));
+        if (areTaken.at(-1) === false) {
             attempt.call?.pause();
         }
     }
@@ -511,39 +488,20 @@
         if (!this.isLive(attempt)) {
             return;
         }
-        const { head } = attempt;
-        if (head === undefined) {
-            this.endAttempt(attempt, "lost", "the response ended without a head", true);
-        } else if (head.isStatedNotRun) {
-            if (head.status === misdirectedStatus) {
-                this.context.replicaRecords.recordMisdirected(attempt.target.instance.id, this.now());
-            }
-            this.endAttempt(
-                attempt,
-                "refused",
-                `the replica refused the request with status ${head.status}`,
-                false,
-            );
-        } else if (isTrustedSuccess(head)) {
-            this.handleSuccessfulEnd(attempt, head);
-        } else if (head.isSigned && head.status >= 300) {
-            this.lastFailure = { head, body: Buffer.concat(attempt.bufferedChunks) };
-            this.endAttempt(attempt, "failed", `the replica failed with status ${head.status}`, true);
-        } else {
-            this.endAttempt(
-                attempt,
-                "lost",
-                `the response with status ${head.status} is not signed by the replica`,
-                true,
-            );
+        const end = attempt.response.readEnd();
+        if (end.kind === "complete") {
+            this.handleSuccessfulEnd(attempt, end.head, end.body);
+            return;
         }
+        if (end.kind === "refused" && end.head.status === misdirectedStatus) {
+            this.context.replicaRecords.recordMisdirected(attempt.target.instance.id, this.now());
+        } else if (end.kind === "failed") {
+            this.lastFailure = end;
+        }
+        this.endAttempt(attempt, end.kind, end.reason);
     }
 
-    private handleSuccessfulEnd(attempt: Attempt, head: ResponseHead): void {
-        if (this.isRelayableStream(attempt) && attempt.splitter.hasPartialEvent) {
-            this.endAttempt(attempt, "lost", "the stream ended inside an event", true);
-            return;
-        }
+    private handleSuccessfulEnd(attempt: Attempt, head: ResponseHead, body: Buffer): void {
         this.keepOnly(attempt);
         this.releaseAttempt(attempt);
         this.context.crashAttribution.recordSound(this.promptSegments, this.now());
@@ -554,7 +512,7 @@
             this.callerResponse.end();
             return;
         }
-        this.sendCompleteResponse(head, Buffer.concat(attempt.bufferedChunks), "served");
+        this.sendCompleteResponse(head, body, "served");
     }
 
     private sendCompleteResponse(head: ResponseHead, body: Buffer, outcome: string): void {
@@ -563,11 +521,8 @@
         this.callerResponse.end(body);
     }
 
-    /**
-     * Ends the current attempt and decides the next step. `hasRun`: the attempt counts as a possible run of the
-     * request.
-     */
-    private endAttempt(attempt: Attempt, outcome: AttemptOutcome, reason: string, hasRun: boolean): void {
+    /** Ends an attempt and decides the next step. */
+    private endAttempt(attempt: Attempt, outcome: AttemptOutcome, reason: string): void {
         if (!this.isLive(attempt)) {
             return;
         }
@@ -578,7 +533,7 @@
         }
         if (outcome === "lost" || outcome === "failed") {
             this.mayHaveRun = true;
-            this.possibleRuns += hasRun ? 1 : 0;
+            this.possibleRuns += 1;
         }
         this.recordAttemptEnd(attempt, outcome, reason);
         this.hasLastAttemptCrashed = attempt.hasCrashedReplica;
--- /dev/null
+++ b/src/serving/replica-response.ts
@@ -0,0 +1,139 @@
+/**
+ * Reads a replica's response to one attempt: decides which bytes are relayed, which are held back until the response is
+ * complete, and how the attempt ended. Covers replicas that respond to another request, break off, or send bytes without end.
+ */
+import type { AttemptOutcome } from "./attempt-decision.js";
+import type { StreamEvent } from "./event-splitter.js";
+import { EventSplitter } from "./event-splitter.js";
+import type { ResponseHead } from "./wire-format.js";
+
+/**
+ * Maximum size of a response that is buffered until it is complete, in bytes; longer responses are relayed as they
+ * arrive.
+ */
+export const maximumBufferedResponseBytes = 256 * 1024;
+/** Maximum size of one event of a stream, in bytes. */
+export const maximumEventBytes = 256 * 1024;
+
+/** What follows from a part of a response. */
+export type ResponsePart =
+    /** A complete event of a trusted stream. */
+    | { readonly kind: "event"; readonly head: ResponseHead; readonly event: StreamEvent }
+    /** Bytes of a trusted response that is too long to be buffered. */
+    | { readonly kind: "bytes"; readonly head: ResponseHead; readonly chunks: readonly Buffer[] }
+    /** The rest of the response is of no use; only closing the connection ends it. */
+    | { readonly kind: "unusable"; readonly reason: string };
+
+/** How a response ended. */
+export type ResponseEnd =
+    /** `body`: the bytes that are not part of a `ResponsePart`. */
+    | { readonly kind: "complete"; readonly head: ResponseHead; readonly body: Buffer }
+    /** The replica responded with an error. */
+    | {
+          readonly kind: "failed";
+          readonly head: ResponseHead;
+          readonly body: Buffer;
+          readonly reason: string;
+      }
+    | {
+          readonly kind: Extract<AttemptOutcome, "refused">;
+          readonly head: ResponseHead;
+          readonly reason: string;
+      }
+    | { readonly kind: Extract<AttemptOutcome, "lost">; readonly reason: string };
+
+export interface ReplicaResponseOptions {
+    /** Id of the request; undefined if it has none. */
+    readonly requestId: string | undefined;
+    /** True if a successful response is a stream of events. */
+    readonly isStream: boolean;
+}
+
+export class ReplicaResponse {
+    private receivedHead: ResponseHead | undefined;
+    private readonly splitter = EventSplitter.create();
+    private bufferedChunks: Buffer[] = [];
+    private bufferedBytes = 0;
+
+    private constructor(private readonly options: ReplicaResponseOptions) {}
+
+    public static create(options: ReplicaResponseOptions): ReplicaResponse {
+        return new ReplicaResponse(options);
+    }
+
+    /** Undefined before the head has arrived. */
+    public get head(): ResponseHead | undefined {
+        return this.receivedHead;
+    }
+
+    public readHead(head: ResponseHead): readonly ResponsePart[] {
+        this.receivedHead = head;
+        const isForOtherRequest = head.requestId !== undefined && head.requestId !== this.options.requestId;
+        return isForOtherRequest ? [{ kind: "unusable", reason: "the response names another request" }] : [];
+    }
+
+    public readData(chunk: Buffer): readonly ResponsePart[] {
+        const { head } = this;
+        const trustedHead = head !== undefined && isTrustedSuccess(head) ? head : undefined;
+        if (this.options.isStream && trustedHead !== undefined) {
+            return this.readEvents(trustedHead, chunk);
+        }
+        this.bufferedBytes += chunk.length;
+        if (this.bufferedBytes <= maximumBufferedResponseBytes) {
+            this.bufferedChunks.push(chunk);
+            return [];
+        }
+        if (trustedHead === undefined) {
+            const reason = `a response with status ${head?.status} exceeds ${maximumBufferedResponseBytes} bytes`;
+            return [{ kind: "unusable", reason }];
+        }
+        const chunks = [...this.bufferedChunks, chunk];
+        this.bufferedChunks = [];
+        return [{ kind: "bytes", head: trustedHead, chunks }];
+    }
+
+    public readEnd(): ResponseEnd {
+        const { head } = this;
+        if (head === undefined) {
+            return { kind: "lost", reason: "the response ended without a head" };
+        }
+        if (head.isStatedNotRun) {
+            const reason = `the replica refused the request with status ${head.status}`;
+            return { kind: "refused", head, reason };
+        }
+        if (isTrustedSuccess(head)) {
+            return this.options.isStream && this.splitter.hasPartialEvent
+                ? { kind: "lost", reason: "the stream ended inside an event" }
+                : { kind: "complete", head, body: this.bufferedBody() };
+        }
+        if (head.isSigned && head.status >= 300) {
+            const reason = `the replica failed with status ${head.status}`;
+            return { kind: "failed", head, body: this.bufferedBody(), reason };
+        }
+        const reason = `the response with status ${head.status} is not signed by the replica`;
+        return { kind: "lost", reason };
+    }
+
+    private readEvents(head: ResponseHead, chunk: Buffer): readonly ResponsePart[] {
+        const events = this.splitter.push(chunk);
+        const parts = events.map(event => ({ kind: "event", head, event }) as const);
+        return this.splitter.partialEventBytes > maximumEventBytes
+            ? [...parts, { kind: "unusable", reason: `an event exceeds ${maximumEventBytes} bytes` }]
+            : parts;
+    }
+
+    private bufferedBody(): Buffer {
+        return Buffer.concat(this.bufferedChunks);
+    }
+}
+
+/** True for a successful response that the replica has signed and that the caller can read. */
+function isTrustedSuccess(head: ResponseHead): boolean {
+    return (
+        head.isSigned &&
+        !head.isStatedNotRun &&
+        !head.hasUnrequestedEncoding &&
+        head.status >= 200 &&
+        head.status < 300
+    );
+}
--- /dev/null
+++ b/src/serving/tests/replica-response.test.ts
@@ -0,0 +1,97 @@
+import test from "ava";
+import { ReplicaResponse, maximumBufferedResponseBytes, maximumEventBytes } from "../replica-response.js";
+import type { ResponseHead } from "../wire-format.js";
+
+const success: ResponseHead = {
+    status: 200,
+    requestId: "r1",
+    isSigned: true,
+    isStatedNotRun: false,
+    isLeaving: false,
+    pauseMilliseconds: undefined,
+    isFramed: true,
+    hasUnrequestedEncoding: false,
+    headers: [],
+};
+const error: ResponseHead = { ...success, status: 500 };
+
+function responseWith(head: ResponseHead, isStream = false): ReplicaResponse {
+    const response = ReplicaResponse.create({ requestId: "r1", isStream });
+    response.readHead(head);
+    return response;
+}
+
+test("a response is held back until it is complete", t => {
+    const response = responseWith(success);
+    t.deepEqual(response.readData(Buffer.from("ab")), []);
+    t.deepEqual(response.readData(Buffer.from("c")), []);
+    t.deepEqual(response.readEnd(), { kind: "complete", head: success, body: Buffer.from("abc") });
+});
+
+test("a response that exceeds the buffer is relayed from its first byte, each byte once", t => {
+    const response = responseWith(success);
+    const first = Buffer.alloc(maximumBufferedResponseBytes);
+    const [second, third] = [Buffer.from("a"), Buffer.from("b")];
+    t.deepEqual(response.readData(first), []);
+    t.deepEqual(response.readData(second), [{ kind: "bytes", head: success, chunks: [first, second] }]);
+    t.deepEqual(response.readData(third), [{ kind: "bytes", head: success, chunks: [third] }]);
+    t.deepEqual(response.readEnd(), { kind: "complete", head: success, body: Buffer.alloc(0) });
+});
+
+test("bytes without end that are no trusted response are never relayed", t => {
+    const untrusted = [
+        error,
+        { ...success, isSigned: false },
+        { ...success, isStatedNotRun: true },
+        { ...success, hasUnrequestedEncoding: true },
+    ];
+    for (const head of untrusted) {
+        for (const isStream of [false, true]) {
+            const response = responseWith(head, isStream);
+            t.deepEqual(response.readData(Buffer.alloc(maximumBufferedResponseBytes)), []);
+            const [part] = response.readData(Buffer.from("a"));
+            t.is(part?.kind, "unusable");
+        }
+    }
+});
+
+test("events are relayed as they are complete, and an event without end is abandoned", t => {
+    const response = responseWith(success, true);
+    const bytes = Buffer.from("id: 1\ndata: a\n\n");
+    t.deepEqual(response.readData(bytes.subarray(0, 5)), []);
+    t.deepEqual(response.readData(bytes.subarray(5)), [
+        { kind: "event", head: success, event: { id: 1, bytes } },
+    ]);
+    const endless = Buffer.concat([bytes, Buffer.alloc(maximumEventBytes + 1, "a")]);
+    t.deepEqual(
+        response.readData(endless).map(({ kind }) => kind),
+        ["event", "unusable"],
+    );
+});
+
+test("a response to another request is unusable", t => {
+    const response = ReplicaResponse.create({ requestId: "r2", isStream: false });
+    t.is(response.readHead(success)[0]?.kind, "unusable");
+    t.deepEqual(response.readHead({ ...success, requestId: undefined }), []);
+});
+
+test("a stream that ends inside an event is lost, one that ends between events is complete", t => {
+    const response = responseWith(success, true);
+    response.readData(Buffer.from("data: a\n\n"));
+    t.is(response.readEnd().kind, "complete");
+    response.readData(Buffer.from("data"));
+    t.is(response.readEnd().kind, "lost");
+});
+
+test("only a signed error counts as a failure of the replica, and only a stated refusal as not run", t => {
+    const failed = responseWith(error);
+    failed.readData(Buffer.from("why"));
+    const end = failed.readEnd();
+    t.is(end.kind, "failed");
+    t.deepEqual(end.kind === "failed" && end.body, Buffer.from("why"));
+    t.is(responseWith({ ...error, isSigned: false }).readEnd().kind, "lost");
+    t.is(responseWith({ ...success, isSigned: false }).readEnd().kind, "lost");
+    t.is(responseWith({ ...success, hasUnrequestedEncoding: true }).readEnd().kind, "lost");
+    t.is(responseWith({ ...error, status: 503, isStatedNotRun: true }).readEnd().kind, "refused");
+    t.is(ReplicaResponse.create({ requestId: "r1", isStream: false }).readEnd().kind, "lost");
+});
