Decide the attempts of a request by a pure state machine

A retry that the budget denies beside a silent attempt is a transition of its own: before, the current and the silent attempt were the same for a moment, and the outcome depended on the order of the statements. In that case the log no longer says that another replica is tried. Otherwise behaviour is unchanged.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -3,21 +3,16 @@
  * and relays the replica's response unchanged. An event stream may be resumed at another replica within one response.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { AttemptFacts, AttemptOutcome } from "./attempt-decision.js";
-import { decideNextStep, mayTryElsewhere, resumeDelayMilliseconds } from "./attempt-decision.js";
+import type { AttemptOutcome } from "./attempt-decision.js";
+import type { AttemptCommand, AttemptConditions, AttemptEvent, ChoicePurpose } from "./attempt-sequence.js";
+import { advanceAttempts, countPossibleRuns, noAttempts } from "./attempt-sequence.js";
 import { CallerResponse } from "./caller-response.js";
 import { isRetryable } from "./serving-configuration.js";
 import type { SegmentedRequest } from "./crash-attribution.js";
 import { quarantineMilliseconds } from "./crash-attribution.js";
 import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
 import type { ErrorResponse, Refusal } from "./error-responses.js";
-import {
-    expiredResponse,
-    refusalAfterAttempt,
-    refusalWithoutTarget,
-    refusedResponse,
-    unknownResponse,
-} from "./error-responses.js";
+import { expiredResponse, refusedResponse, unknownResponse } from "./error-responses.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
 import { createAttempt, mayHaveCrashedReplica } from "./exchange-attempt.js";
@@ -32,31 +27,23 @@
 import { ReplicaResponse } from "./replica-response.js";
 import type { ResponseHead } from "./wire-format.js";
 
-/** Interval between two searches for a replica that takes over an interrupted or silent stream, in milliseconds. */
-const resumePollIntervalMilliseconds = 40;
 /**
  * A caller is assumed to wait for the first event of a stream for `minimumFirstEventTimeoutMilliseconds` or for
  * `firstEventTimeoutObjectives` times the latency objective, whichever is longer.
  */
 const minimumFirstEventTimeoutMilliseconds = 2_000;
 const firstEventTimeoutObjectives = 4;
-/** Minimum time without an event after which an attempt at a suspected group counts as silent, in milliseconds. */
-const minimumSilenceMilliseconds = 130;
 /** HTTP status of a replica that is not the intended recipient of the request (421 Misdirected Request). */
 const misdirectedStatus = 421;
 /** Rank of the requests that a replica handles last. */
 const lowestRank = 9;
 
 export class Exchange {
-    private attempt: Attempt | undefined;
-    /** Attempt at a silent replica that continues while `attempt` is made elsewhere. */
-    private silentAttempt: Attempt | undefined;
+    /** What is decided about the attempts; input and output of the live ones are in `attempts`. */
+    private sequence = noAttempts;
+    /** Live attempts by number. */
+    private readonly attempts = new Map<number, Attempt>();
     private readonly triedInstances = new Set<string>();
-    private attemptCount = 0;
-    private possibleRuns = 0;
-    /** Attempts in a row that no replica took. */
-    private refusals = 0;
-    private mayHaveRun = false;
     private lastEventId: number | undefined;
     private lastTarget: DispatchTarget | undefined;
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
@@ -108,7 +95,7 @@
     public handleSilentGroup(): void {
         const { attempt } = this;
         if (attempt !== undefined && this.admitted.route.repeatability === "stream") {
-            this.tryElsewhere(attempt);
+            this.checkSilence(attempt);
         }
     }
 
@@ -130,8 +117,7 @@
         const { context, promptSegments } = this;
         const isWaiting = !this.isSettled && this.liveAttempts.some(attempt => !attempt.hasReceivedEvents);
         if (isWaiting && context.crashAttribution.isQuarantined(promptSegments, this.now())) {
-            this.cancelAttempts();
-            this.mayHaveRun = true;
+            this.cancelAttempts(true);
             this.refuseQuarantined();
         }
     }
@@ -165,12 +151,100 @@
         return this.context.clock.monotonicMilliseconds();
     }
 
+    private get attempt(): Attempt | undefined {
+        const { current } = this.sequence;
+        return current && this.attempts.get(current.number);
+    }
+
     private get liveAttempts(): readonly Attempt[] {
-        return [this.attempt, this.silentAttempt].filter(attempt => attempt !== undefined);
+        return [...this.attempts.values()];
     }
 
     private isLive(attempt: Attempt): boolean {
-        return !this.isSettled && (this.attempt === attempt || this.silentAttempt === attempt);
+        return !this.isSettled && this.attempts.has(attempt.number);
+    }
+
+    private get mayHaveRun(): boolean {
+        return this.sequence.mayHaveRun;
+    }
+
+    private advance(event: AttemptEvent): void {
+        this.apply(event).forEach(command => this.execute(command));
+    }
+
+    /** Applies an event to the attempts and returns the commands that follow from it. */
+    private apply(event: AttemptEvent): readonly AttemptCommand[] {
+        const { state, commands } = advanceAttempts(this.sequence, event);
+        this.sequence = state;
+        this.lastTarget = this.attempt?.target ?? this.lastTarget;
+        return commands;
+    }
+
+    private execute(command: AttemptCommand): void {
+        switch (command.kind) {
+            case "choose":
+                if (command.purpose === "next") {
+                    this.startNextAttempt();
+                } else {
+                    this.choose(command.purpose);
+                }
+                return;
+            case "chooseNextAfter":
+                this.wait(command.milliseconds, () => this.startNextAttempt());
+                return;
+            case "start":
+                this.startAttempt(command.target, command.isBeside);
+                return;
+            case "pass":
+                this.sendCompleteResponse(this.lastFailure!.head, this.lastFailure!.body, "failed");
+                return;
+            case "refuse":
+                this.refuse(command.refusal);
+                return;
+            case "unknown":
+                this.respondWithError(unknownResponse(command.reason));
+                return;
+            case "cut":
+                this.abortResponse(command.reason);
+                return;
+            default:
+                this.executeFor(this.attempts.get(command.attempt)!, command);
+        }
+    }
+
+    private executeFor(
+        attempt: Attempt,
+        command: Extract<AttemptCommand, { readonly attempt: number }>,
+    ): void {
+        switch (command.kind) {
+            case "checkSilence":
+                this.checkSilence(attempt);
+                return;
+            case "checkSilenceAfter":
+                this.wait(command.milliseconds, () => this.checkSilence(attempt));
+                return;
+            case "checkSlownessAfter":
+                this.checkSlownessAfter(attempt, command.milliseconds);
+                return;
+            case "supersede":
+                attempt.call?.cancel();
+                this.releaseAttempt(attempt);
+                this.recordAttemptEnd(attempt, "superseded", "another replica made progress first");
+                return;
+            case "abandon":
+                attempt.call?.cancel();
+                this.endAttempt(attempt, "lost", command.reason);
+        }
+    }
+
+    private wait(milliseconds: number, then: () => void): void {
+        clearTimeout(this.waitTimer);
+        this.waitTimer = setTimeout(then, milliseconds);
+    }
+
+    private choose(purpose: ChoicePurpose): void {
+        const choice = this.chooseReplica();
+        this.advance({ kind: "chosen", purpose, choice, hasBegunResponse: this.callerResponse.hasBegun });
     }
 
     private chooseReplica(): DispatchChoice {
@@ -189,73 +263,23 @@
         });
     }
 
-    /** Checks until the group of the attempt is in use again, since a group may fall silent, go on and fall silent again. */
-    private tryElsewhere(attempt: Attempt): void {
-        const { instance, group } = attempt.target;
-        const isDoubtful = group !== undefined && this.context.isDoubtful(group);
-        if (this.isSettled || this.attempt !== attempt || !isDoubtful) {
-            return;
-        }
-        const isSilent = this.now() - attempt.lastProgressAt >= minimumSilenceMilliseconds;
-        const choice =
-            isSilent && mayTryElsewhere(this.attemptFacts())
-                ? this.chooseReplica()
-                : ({ kind: "none" } as const);
-        if (!isOtherReplica(choice, attempt)) {
-            this.scheduleTryElsewhere(attempt);
+    private checkSilence(attempt: Attempt): void {
+        if (!this.isLive(attempt)) {
             return;
         }
-        this.context.log.info("replica is silent; trying another one meanwhile", {
-            ...describeRequest(this.admitted),
-            instance: instance.id,
-            group,
+        const { group } = attempt.target;
+        this.advance({
+            kind: "silenceChecked",
             attempt: attempt.number,
-            lastEvent: this.lastEventId,
+            isDoubtful: group !== undefined && this.context.isDoubtful(group),
+            silentMilliseconds: this.now() - attempt.lastProgressAt,
+            conditions: this.conditions(),
         });
-        clearTimeout(attempt.slowAttemptTimer);
-        this.silentAttempt = attempt;
-        this.startAttempt(choice.target);
-    }
-
-    private scheduleTryElsewhere(attempt: Attempt): void {
-        clearTimeout(this.waitTimer);
-        const delay = resumePollIntervalMilliseconds + resumeDelayMilliseconds(this.refusals);
-        this.waitTimer = setTimeout(() => this.tryElsewhere(attempt), delay);
-    }
-
-    /** Waits for the silent replica again, because no other one served the request. */
-    private returnToSilentAttempt(attempt: Attempt): void {
-        this.attempt = attempt;
-        this.silentAttempt = undefined;
-        this.lastTarget = attempt.target;
-        this.scheduleTryElsewhere(attempt);
-    }
-
-    /** Continues with one of two attempts and cancels the other, if there is one. */
-    private keepOnly(attempt: Attempt): void {
-        if (this.attempt === attempt && this.silentAttempt === undefined) {
-            return;
-        }
-        const other = this.liveAttempts.find(each => each !== attempt);
-        const wasSilent = other === this.silentAttempt;
-        this.attempt = attempt;
-        this.silentAttempt = undefined;
-        this.lastTarget = attempt.target;
-        this.scheduleTryElsewhere(attempt);
-        if (other === undefined) {
-            return;
-        }
-        other.call?.cancel();
-        this.releaseAttempt(other);
-        this.mayHaveRun = true;
-        // When the connection closes, a silent leader drops a stream that has not begun.
-        this.possibleRuns += other.hasReceivedEvents || !wasSilent ? 1 : 0;
-        this.recordAttemptEnd(other, "superseded", "another replica made progress first");
     }
 
     private startNextAttempt(): void {
         clearTimeout(this.waitTimer);
-        if (this.isSettled || this.attempt !== undefined) {
+        if (this.isSettled || this.sequence.current !== undefined) {
             return;
         }
         if (this.context.crashAttribution.recordRequest(this.promptSegments, this.now())) {
@@ -263,30 +287,21 @@
             this.refuseQuarantined();
             return;
         }
-        const choice = this.chooseReplica();
-        const { silentAttempt } = this;
-        if (silentAttempt !== undefined && !isOtherReplica(choice, silentAttempt)) {
-            this.returnToSilentAttempt(silentAttempt);
-            return;
-        }
-        if (choice.kind === "target") {
-            this.startAttempt(choice.target);
-        } else if (this.callerResponse.hasBegun && choice.kind !== "overloaded") {
-            // The caller may still be waiting; its deadline or its disconnection ends the search.
-            this.startNextAttemptAfter(resumePollIntervalMilliseconds);
-        } else {
-            this.refuse(refusalWithoutTarget(choice));
-        }
+        this.choose("next");
     }
 
-    private startAttempt(target: DispatchTarget): void {
+    private startAttempt(target: DispatchTarget, isBeside: boolean): void {
         const { context, admitted } = this;
         const { request, body } = admitted;
         const now = this.now();
-        if (this.attemptCount > 0 && !context.retryWindowOf(admitted.service).tryTakeRetry(now)) {
-            this.continueAfterAttempt("refused", "the retry budget of the service is exhausted");
+        const number = this.sequence.attemptCount + 1;
+        if (number > 1 && !context.retryWindowOf(admitted.service).tryTakeRetry(now)) {
+            this.advance({ kind: "retryDenied", isBeside, conditions: this.conditions() });
             return;
         }
+        if (isBeside) {
+            this.recordSilence(this.attempt!);
+        }
         const { instance, group } = target;
         const tokens = request.work?.promptTokens ?? 0;
         const inFlightId =
@@ -297,10 +312,9 @@
             requestId: request.id,
             isStream: admitted.route.repeatability === "stream",
         });
-        const attempt = createAttempt(this.attemptCount + 1, target, now, inFlightId, response);
-        this.attempt = attempt;
-        this.lastTarget = target;
-        this.attemptCount += 1;
+        const attempt = createAttempt(number, target, now, inFlightId, response);
+        this.attempts.set(number, attempt);
+        this.advance({ kind: "started", isBeside, instance: instance.id });
         this.triedInstances.add(instance.id);
         context.replicaRecords.startRequest(instance.id);
         context.backPressure.recordSend(instance.id, now);
@@ -345,6 +359,17 @@
         this.armAttemptTimer(attempt);
     }
 
+    private recordSilence(attempt: Attempt): void {
+        clearTimeout(attempt.slowAttemptTimer);
+        this.context.log.info("replica is silent; trying another one meanwhile", {
+            ...describeRequest(this.admitted),
+            instance: attempt.target.instance.id,
+            group: attempt.target.group,
+            attempt: attempt.number,
+            lastEvent: this.lastEventId,
+        });
+    }
+
     private reportBrokenConnection(attempt: Attempt, mayHaveBeenSent: boolean): void {
         const now = this.now();
         attempt.hasCrashedReplica = mayHaveBeenSent && mayHaveCrashedReplica(attempt, now);
@@ -370,42 +395,34 @@
     /** Limits the wait for a response, or the first event of a stream, while another attempt is allowed. */
     private armAttemptTimer(attempt: Attempt): void {
         const { route } = this.admitted;
-        const hasFurtherAttempt = this.countedRuns + 1 < route.maximumAttempts;
+        const hasFurtherAttempt = countPossibleRuns(this.sequence) + 1 < route.maximumAttempts;
         const timeout = attemptTimeoutMilliseconds(route, attempt.target.expectedMilliseconds);
         if (hasFurtherAttempt && !this.callerResponse.hasBegun && timeout !== undefined) {
-            attempt.slowAttemptTimer = setTimeout(() => this.handleSlowAttempt(attempt), timeout);
+            this.checkSlownessAfter(attempt, timeout);
         }
     }
 
+    private checkSlownessAfter(attempt: Attempt, milliseconds: number): void {
+        attempt.slowAttemptTimer = setTimeout(() => this.handleSlowAttempt(attempt), milliseconds);
+    }
+
     private handleSlowAttempt(attempt: Attempt): void {
         const now = this.now();
         const { group } = attempt.target;
         const hasProgress =
             group !== undefined &&
             this.context.inFlightRequests.hasProgressedSince(group, now - recentProgressMilliseconds);
-        const extension = attemptExtensionMilliseconds(
+        const extensionMilliseconds = attemptExtensionMilliseconds(
             this.admitted.route,
             now - attempt.sentAt,
             hasProgress,
         );
-        if (extension > 0) {
-            attempt.slowAttemptTimer = setTimeout(() => this.handleSlowAttempt(attempt), extension);
-            return;
-        }
-        const hasBegun = attempt.hasReceivedEvents || this.callerResponse.hasBegun;
-        if (this.attempt !== attempt || this.isSettled || hasBegun) {
-            return;
-        }
-        if (!mayTryElsewhere(this.attemptFacts()) || !isOtherReplica(this.chooseReplica(), attempt)) {
-            // Ending the attempt would lose a response that may still come.
-            attempt.slowAttemptTimer = setTimeout(
-                () => this.handleSlowAttempt(attempt),
-                resumePollIntervalMilliseconds,
-            );
-            return;
-        }
-        attempt.call?.cancel();
-        this.endAttempt(attempt, "lost", "no response before the attempt time-out");
+        this.advance({
+            kind: "slow",
+            attempt: attempt.number,
+            extensionMilliseconds,
+            conditions: this.conditions(),
+        });
     }
 
     private handleHead(attempt: Attempt, message: IncomingMessage): void {
@@ -465,10 +482,11 @@
                 this.context.dispatcher.recordFirstEvent(attempt.target, now - attempt.sentAt);
             }
         }
-        if (event.id !== undefined && this.lastEventId !== undefined && event.id <= this.lastEventId) {
+        const isNew = event.id === undefined || this.lastEventId === undefined || event.id > this.lastEventId;
+        this.advance({ kind: "eventReceived", attempt: attempt.number, isNew });
+        if (!isNew) {
             return;
         }
-        this.keepOnly(attempt);
         this.lastEventId = event.id ?? this.lastEventId;
         this.callerResponse.begin(head, undefined, now);
         if (!this.callerResponse.write(event.bytes)) {
@@ -502,7 +520,8 @@
     }
 
     private handleSuccessfulEnd(attempt: Attempt, head: ResponseHead, body: Buffer): void {
-        this.keepOnly(attempt);
+        this.advance({ kind: "served", attempt: attempt.number });
+        this.lastTarget = attempt.target;
         this.releaseAttempt(attempt);
         this.context.crashAttribution.recordSound(this.promptSegments, this.now());
         this.context.replicaRecords.recordSuccess(attempt.target.instance.id, this.now() - attempt.sentAt);
@@ -531,21 +550,24 @@
         if (outcome === "notSent" || outcome === "lost") {
             this.context.replicaRecords.recordFailure(instance.id, this.now());
         }
-        if (outcome === "lost" || outcome === "failed") {
-            this.mayHaveRun = true;
-            this.possibleRuns += 1;
-        }
-        this.recordAttemptEnd(attempt, outcome, reason);
         this.hasLastAttemptCrashed = attempt.hasCrashedReplica;
-        if (this.attempt !== undefined) {
-            this.tryElsewhere(this.attempt);
-            return;
-        }
-        this.continueAfterAttempt(outcome, reason);
+        const conditions = this.conditions();
+        const commands = this.apply({
+            kind: "ended",
+            attempt: attempt.number,
+            outcome,
+            reason,
+            conditions: this.mayCrashAnotherReplica(outcome)
+                ? { ...conditions, maximumAttempts: 0 }
+                : conditions,
+        });
+        this.recordAttemptEnd(attempt, outcome, reason);
+        commands.forEach(command => this.execute(command));
     }
 
     private recordAttemptEnd(attempt: Attempt, outcome: AttemptOutcome | "superseded", reason: string): void {
-        const { lastEventId, possibleRuns } = this;
+        const { lastEventId } = this;
+        const { possibleRuns } = this.sequence;
         recordAttemptEnd(this.context, this.admitted, attempt, {
             outcome,
             reason,
@@ -555,74 +577,19 @@
         });
     }
 
-    /** Number of replicas that may have run the request, including one that is silent. */
-    private get countedRuns(): number {
-        return this.possibleRuns + (this.silentAttempt === undefined ? 0 : 1);
-    }
-
-    private attemptFacts(): AttemptFacts {
+    private conditions(): AttemptConditions {
         const { admitted, context } = this;
         const now = this.now();
         return {
             repeatability: admitted.route.repeatability,
             isResumable: admitted.route.isResumable,
-            possibleRuns: this.countedRuns,
-            attemptCount: this.attemptCount,
             maximumAttempts: admitted.route.maximumAttempts,
-            mayHaveRun: this.mayHaveRun,
             hasBegunResponse: this.callerResponse.hasBegun,
-            hasSilentAttempt: this.silentAttempt !== undefined,
             remainingMilliseconds: admitted.deadline - now,
             hasRetryBudget: context.retryWindowOf(admitted.service).availableRetries(now) > 0,
         };
     }
 
-    /** Takes the next step after an attempt without a complete response. */
-    private continueAfterAttempt(outcome: AttemptOutcome, reason: string): void {
-        this.refusals = outcome === "lost" || outcome === "failed" ? 0 : this.refusals + 1;
-        const facts = this.attemptFacts();
-        const step = decideNextStep(
-            outcome,
-            this.mayCrashAnotherReplica(outcome) ? { ...facts, maximumAttempts: 0 } : facts,
-        );
-        switch (step) {
-            case "retry":
-                this.retry();
-                return;
-            case "postpone":
-                this.startNextAttemptAfter(resumePollIntervalMilliseconds);
-                return;
-            case "wait":
-                this.returnToSilentAttempt(this.silentAttempt!);
-                return;
-            case "pass":
-                this.sendCompleteResponse(this.lastFailure!.head, this.lastFailure!.body, "failed");
-                return;
-            case "refuse":
-                this.refuse(refusalAfterAttempt(reason));
-                return;
-            case "unknown":
-                this.respondWithError(unknownResponse(reason));
-                return;
-            case "cut":
-                this.abortResponse(reason);
-        }
-    }
-
-    private retry(): void {
-        const delay = this.callerResponse.hasBegun ? resumeDelayMilliseconds(this.refusals) : 0;
-        if (delay === 0) {
-            this.startNextAttempt();
-        } else {
-            this.startNextAttemptAfter(delay);
-        }
-    }
-
-    private startNextAttemptAfter(milliseconds: number): void {
-        clearTimeout(this.waitTimer);
-        this.waitTimer = setTimeout(() => this.startNextAttempt(), milliseconds);
-    }
-
     private mayCrashAnotherReplica(outcome: AttemptOutcome): boolean {
         const { crashAttribution } = this.context;
         return (
@@ -639,18 +606,10 @@
         if (group !== undefined && attempt.inFlightId !== undefined) {
             this.context.inFlightRequests.end(group, attempt.inFlightId);
         }
-        if (this.attempt === attempt) {
-            this.attempt = undefined;
-        } else if (this.silentAttempt === attempt) {
-            this.silentAttempt = undefined;
-        }
+        this.attempts.delete(attempt.number);
     }
 
     private refuse(refusal: Refusal): void {
-        if (this.mayHaveRun) {
-            this.respondWithError(unknownResponse(refusal.reason));
-            return;
-        }
         const { arrivedAt, deadline, request } = this.admitted;
         // The caller waits for its own time, which may be longer than the route's.
         const callerDeadline = arrivedAt + (request.timeoutMilliseconds ?? deadline - arrivedAt);
@@ -658,9 +617,13 @@
         this.respondWithError(refusedResponse(refusal, this.context.random(), remaining));
     }
 
-    /** Cancels all attempts at their replicas; returns false if there is none. */
-    private cancelAttempts(): boolean {
+    /**
+     * Cancels all attempts at their replicas; returns false if there is none. `mayHaveRun`: one of them may have run the
+     * request.
+     */
+    private cancelAttempts(mayHaveRun = false): boolean {
         const attempts = this.liveAttempts;
+        this.advance({ kind: "cancelled", mayHaveRun });
         attempts.forEach(attempt => {
             attempt.call?.cancel();
             this.releaseAttempt(attempt);
@@ -700,7 +663,8 @@
         this.isSettled = true;
         clearTimeout(this.deadlineTimer);
         clearTimeout(this.waitTimer);
-        const { lastTarget, attemptCount, possibleRuns } = this;
+        const { lastTarget } = this;
+        const { attemptCount, possibleRuns } = this.sequence;
         const { firstByteAt } = this.callerResponse;
         const end = {
             outcome,
@@ -714,11 +678,3 @@
         recordExchangeEnd(this.context, this.admitted, end);
     }
 }
-
-/** True if a choice is a replica other than that of an attempt. */
-function isOtherReplica(
-    choice: DispatchChoice,
-    { target }: Attempt,
-): choice is Extract<DispatchChoice, { readonly kind: "target" }> {
-    return choice.kind === "target" && choice.target.instance.id !== target.instance.id;
-}
