Count a cancelled attempt as a possible run of its request

A stream waited at a silent replica, its attempt beside it reached no replica, and its prompt was quarantined before the next one: the attempt at the silent replica was cancelled, and the caller got 503 with a Retry-After although that replica may have run the request. Each cancellation now counts, so cancelIfQuarantined and terminate need no rule of their own.

--- a/src/serving/attempt-sequence.ts
+++ b/src/serving/attempt-sequence.ts
@@ -105,8 +105,8 @@
           readonly reason: string;
           readonly conditions: AttemptConditions;
       }
-    /** All live attempts were cancelled. */
-    | { readonly kind: "cancelled"; readonly mayHaveRun: boolean };
+    /** All live attempts were cancelled; each of them may have run the request. */
+    | { readonly kind: "cancelled" };
 
 /** Attempts are named by their numbers. */
 export type AttemptCommand =
@@ -164,7 +164,8 @@
         case "ended":
             return handleEnd(state, event);
         case "cancelled": {
-            const mayHaveRun = state.mayHaveRun || event.mayHaveRun;
+            const isLive = state.current !== undefined || state.silent !== undefined;
+            const mayHaveRun = state.mayHaveRun || isLive;
             return transition({ ...state, current: undefined, silent: undefined, mayHaveRun });
         }
     }
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -104,12 +104,12 @@
         if (this.isSettled) {
             return;
         }
-        const wasSent = this.cancelAttempts();
+        this.cancelAttempts();
         if (this.callerResponse.hasBegun) {
             this.abortResponse(reason);
             return;
         }
-        this.respondWithError(expiredResponse(reason, wasSent || this.mayHaveRun));
+        this.respondWithError(expiredResponse(reason, this.mayHaveRun));
     }
 
     /** Ends a request that waits at a replica if requests with its prompt segments crash replicas. */
@@ -117,7 +117,7 @@
         const { context, promptSegments } = this;
         const isWaiting = !this.isSettled && this.liveAttempts.some(attempt => !attempt.hasReceivedEvents);
         if (isWaiting && context.crashAttribution.isQuarantined(promptSegments, this.now())) {
-            this.cancelAttempts(true);
+            this.cancelAttempts();
             this.refuseQuarantined();
         }
     }
@@ -617,18 +617,14 @@
         this.respondWithError(refusedResponse(refusal, this.context.random(), remaining));
     }
 
-    /**
-     * Cancels all attempts at their replicas; returns false if there is none. `mayHaveRun`: one of them may have run the
-     * request.
-     */
-    private cancelAttempts(mayHaveRun = false): boolean {
+    /** Cancels all attempts at their replicas. */
+    private cancelAttempts(): void {
         const attempts = this.liveAttempts;
-        this.advance({ kind: "cancelled", mayHaveRun });
+        this.advance({ kind: "cancelled" });
         attempts.forEach(attempt => {
             attempt.call?.cancel();
             this.releaseAttempt(attempt);
         });
-        return attempts.length > 0;
     }
 
     private respondWithError({ status, outcome, reason, headers }: ErrorResponse): void {
