Resume the time-out of an attempt whose replica was silent

A stream waits at a silent replica, the attempt beside it ends, and the group is in use again: the time-out of the first attempt had been cleared when it became the silent one, and the silence is no longer checked, so a response that was lost kept its caller waiting until the deadline although another replica could have served it. The time-out now continues when the group is in use again, counted from the sending of the attempt; while the group is doubtful, only the check of its silence decides, as before.

--- a/src/serving/attempt-sequence.ts
+++ b/src/serving/attempt-sequence.ts
@@ -27,6 +27,8 @@
     /** Id of the instance. */
     readonly instance: string;
     readonly hasReceivedEvents: boolean;
+    /** True once another attempt was made beside this one, which suspends its time-out. */
+    readonly hasSuspendedTimeout: boolean;
 }
 
 /** The attempts of one request so far. */
@@ -117,6 +119,8 @@
     | { readonly kind: "start"; readonly isBeside: boolean; readonly target: DispatchTarget }
     | { readonly kind: "checkSilence"; readonly attempt: number }
     | { readonly kind: "checkSilenceAfter"; readonly attempt: number; readonly milliseconds: number }
+    /** Check the attempt for slowness when its attempt time-out has passed, counted from its sending. */
+    | { readonly kind: "resumeTimeout"; readonly attempt: number }
     | { readonly kind: "checkSlownessAfter"; readonly attempt: number; readonly milliseconds: number }
     /** Cancel an attempt that is no longer needed. */
     | { readonly kind: "supersede"; readonly attempt: number }
@@ -225,9 +229,16 @@
 
 /** The silence is checked until the group is in use again, since it may fall silent, go on and fall silent again. */
 function handleSilence(state: AttemptSequence, event: EventOf<"silenceChecked">): AttemptTransition {
-    if (state.current?.number !== event.attempt || !event.isDoubtful) {
+    const { current } = state;
+    if (current?.number !== event.attempt) {
         return transition(state);
     }
+    if (!event.isDoubtful) {
+        const next = { ...state, current: { ...current, hasSuspendedTimeout: false } };
+        return current.hasSuspendedTimeout
+            ? transition(next, { kind: "resumeTimeout", attempt: current.number })
+            : transition(state);
+    }
     const isSilent = event.silentMilliseconds >= minimumSilenceMilliseconds;
     return isSilent && mayTryElsewhere(factsOf(state, event.conditions))
         ? transition(state, { kind: "choose", purpose: "beside" })
@@ -335,8 +346,13 @@
     return {
         ...state,
         attemptCount,
-        current: { number: attemptCount, instance, hasReceivedEvents: false },
-        silent: isBeside ? state.current : state.silent,
+        current: {
+            number: attemptCount,
+            instance,
+            hasReceivedEvents: false,
+            hasSuspendedTimeout: false,
+        },
+        silent: isBeside ? { ...state.current!, hasSuspendedTimeout: true } : state.silent,
     };
 }
 
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -223,6 +223,9 @@
             case "checkSilenceAfter":
                 this.wait(command.milliseconds, () => this.checkSilence(attempt));
                 return;
+            case "resumeTimeout":
+                this.armAttemptTimer(attempt);
+                return;
             case "checkSlownessAfter":
                 this.checkSlownessAfter(attempt, command.milliseconds);
                 return;
@@ -397,8 +400,9 @@
         const { route } = this.admitted;
         const hasFurtherAttempt = countPossibleRuns(this.sequence) + 1 < route.maximumAttempts;
         const timeout = attemptTimeoutMilliseconds(route, attempt.target.expectedMilliseconds);
-        if (hasFurtherAttempt && !this.callerResponse.hasBegun && timeout !== undefined) {
-            this.checkSlownessAfter(attempt, timeout);
+        const hasBegun = attempt.hasReceivedEvents || this.callerResponse.hasBegun;
+        if (hasFurtherAttempt && !hasBegun && timeout !== undefined) {
+            this.checkSlownessAfter(attempt, attempt.sentAt + timeout - this.now());
         }
     }
 
--- a/src/serving/tests/attempt-sequence.test.ts
+++ b/src/serving/tests/attempt-sequence.test.ts
@@ -148,6 +148,19 @@
     ]);
 });
 
+test("the time-out of an attempt continues once its replica is in use again after another one was made beside it", t => {
+    const inUse = { ...silence, isDoubtful: false, silentMilliseconds: 0 };
+    const returned = after(
+        started("a"),
+        started("b", true),
+        ended(2, "refused"),
+        chosen("next", { kind: "none" }),
+    );
+    const { state, commands } = advanceAttempts(returned, inUse);
+    t.deepEqual(commands, [{ kind: "resumeTimeout", attempt: 1 }]);
+    t.deepEqual(advanceAttempts(state, inUse).commands, []);
+});
+
 test("each refusal in a row makes the next search for a stream later, until a replica takes it", t => {
     const denial: AttemptEvent = { kind: "retryDenied", isBeside: true, conditions: begun };
     t.deepEqual(advanceAttempts(after(started("a"), denial), denial).commands, [
@@ -209,7 +222,8 @@
     }
 
     private silenceOf(attempt: number): AttemptEvent {
-        return { ...silence, attempt, silentMilliseconds: 200, conditions: this.conditions };
+        const isDoubtful = this.draw(3) > 0;
+        return { ...silence, attempt, isDoubtful, silentMilliseconds: 200, conditions: this.conditions };
     }
 
     private fireTimer(): void {
@@ -268,6 +282,7 @@
                 this.live.delete(command.attempt);
                 return;
             case "checkSlownessAfter":
+            case "resumeTimeout":
                 return;
             default:
                 this.isSettled = true;
