--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -8,14 +8,14 @@
 import { advanceAttempts, countPossibleRuns, noAttempts } from "./attempt-sequence.js";
 import { CallerResponse } from "./caller-response.js";
 import { isRetryable } from "./serving-configuration.js";
-import type { SegmentedRequest } from "./crash-attribution.js";
-import { quarantineMilliseconds } from "./crash-attribution.js";
+import type { CrashSubject } from "./crash-attribution.js";
+import { requestTrait, resourceTrait } from "./crash-attribution.js";
 import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
 import type { ErrorResponse, Refusal } from "./error-responses.js";
 import { expiredResponse, refusedResponse, unknownResponse } from "./error-responses.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
-import { createAttempt, mayHaveCrashedReplica } from "./exchange-attempt.js";
+import { crashProgressOf, createAttempt } from "./exchange-attempt.js";
 import type { AdmittedRequest, ExchangeContext } from "./exchange-context.js";
 import { describeRequest, recordAttemptEnd, recordExchangeEnd } from "./exchange-reporting.js";
 import {
@@ -112,38 +112,44 @@
         this.respondWithError(expiredResponse(reason, this.mayHaveRun));
     }
 
-    /** Ends a request that waits at a replica if requests with its prompt segments crash replicas. */
+    /** Ends a request that waits at a replica if requests like it crash replicas. */
     public cancelIfQuarantined(): void {
-        const { context, promptSegments } = this;
         const isWaiting = !this.isSettled && this.liveAttempts.some(attempt => !attempt.hasReceivedEvents);
-        if (isWaiting && context.crashAttribution.isQuarantined(promptSegments, this.now())) {
+        if (!isWaiting) {
+            return;
+        }
+        if (this.context.crashAttribution.isQuarantined(this.crashSubject, this.now())) {
             this.cancelAttempts();
             this.refuseQuarantined();
         }
     }
 
-    private get promptSegments(): readonly string[] {
-        return this.admitted.request.work?.promptSegments ?? [];
-    }
-
-    /** Identifies the request in all its attempts. */
-    private get crashSubject(): SegmentedRequest {
+    /** What may crash replicas in this request; the traits are calculated only while there are crashes. */
+    private get crashSubject(): CrashSubject {
+        const { identity, request } = this.admitted;
         return {
-            request: this.admitted.request.id ?? String(this.admitted.arrivedAt),
-            segments: this.promptSegments,
+            get request() {
+                return requestTrait(identity.hash);
+            },
+            get resource() {
+                return resourceTrait(identity.resourceHash);
+            },
+            segments: request.work?.promptSegments ?? [],
         };
     }
 
-    private refuseQuarantined(): void {
-        const reason = "requests with this part of the prompt crash replicas; omit it or retry later";
+    /** `endsAt`: end of the quarantine in local monotonic milliseconds; needed unless a replica may have run the request. */
+    private refuseQuarantined(endsAt = this.now()): void {
+        const reason = "requests like this one crash replicas; change it or retry later";
         this.context.metrics.quarantineRefusals.inc();
         if (this.callerResponse.hasBegun) {
             this.abortResponse(reason);
         } else if (this.mayHaveRun) {
             this.sendErrorResponse(502, "failed", reason);
         } else {
-            const seconds = String(quarantineMilliseconds / 1000);
-            this.sendErrorResponse(503, "refused", reason, ["Retry-After", seconds]);
+            const milliseconds = (endsAt - this.now()) * (1 + this.context.random() / 4);
+            const seconds = Math.ceil(milliseconds / 1000);
+            this.sendErrorResponse(503, "refused", reason, ["Retry-After", String(seconds)]);
         }
     }
 
@@ -285,9 +291,10 @@
         if (this.isSettled || this.sequence.current !== undefined) {
             return;
         }
-        if (this.context.crashAttribution.recordRequest(this.promptSegments, this.now())) {
+        const endsAt = this.context.crashAttribution.recordRequest(this.crashSubject, this.now());
+        if (endsAt !== undefined) {
             this.cancelAttempts();
-            this.refuseQuarantined();
+            this.refuseQuarantined(endsAt);
             return;
         }
         this.choose("next");
@@ -375,12 +382,12 @@
 
     private reportBrokenConnection(attempt: Attempt, mayHaveBeenSent: boolean): void {
         const now = this.now();
-        attempt.hasCrashedReplica = mayHaveBeenSent && mayHaveCrashedReplica(attempt, now);
-        if (attempt.hasCrashedReplica) {
+        const progress = mayHaveBeenSent ? crashProgressOf(attempt, now) : undefined;
+        attempt.hasCrashedReplica = progress !== undefined;
+        if (progress !== undefined) {
             const { id, status } = attempt.target.instance;
             const start = `${id} ${status.incarnation ?? ""}`;
-            const hasHead = attempt.head !== undefined && !attempt.hasReceivedEvents;
-            this.context.crashAttribution.recordCrash(this.crashSubject, start, hasHead, now);
+            this.context.crashAttribution.recordCrash(this.crashSubject, start, progress, now);
         }
     }
 
@@ -527,7 +534,7 @@
         this.advance({ kind: "served", attempt: attempt.number });
         this.lastTarget = attempt.target;
         this.releaseAttempt(attempt);
-        this.context.crashAttribution.recordSound(this.promptSegments, this.now());
+        this.context.crashAttribution.recordSound(this.crashSubject, this.now());
         this.context.replicaRecords.recordSuccess(attempt.target.instance.id, this.now() - attempt.sentAt);
         this.context.metrics.attempts.inc({ service: this.admitted.service, outcome: "served" });
         if (this.callerResponse.hasBegun) {
@@ -555,15 +562,13 @@
             this.context.replicaRecords.recordFailure(instance.id, this.now());
         }
         this.hasLastAttemptCrashed = attempt.hasCrashedReplica;
-        const conditions = this.conditions();
+        const mayCrashAnotherReplica = this.mayCrashAnotherReplica(outcome);
         const commands = this.apply({
             kind: "ended",
             attempt: attempt.number,
             outcome,
             reason,
-            conditions: this.mayCrashAnotherReplica(outcome)
-                ? { ...conditions, maximumAttempts: 0 }
-                : conditions,
+            conditions: { ...this.conditions(), mayCrashAnotherReplica },
         });
         this.recordAttemptEnd(attempt, outcome, reason);
         commands.forEach(command => this.execute(command));
@@ -591,6 +596,7 @@
             hasBegunResponse: this.callerResponse.hasBegun,
             remainingMilliseconds: admitted.deadline - now,
             hasRetryBudget: context.retryWindowOf(admitted.service).availableRetries(now) > 0,
+            mayCrashAnotherReplica: false,
         };
     }
 
--- a/src/serving/tests/attempt-sequence.test.ts
+++ b/src/serving/tests/attempt-sequence.test.ts
@@ -19,6 +19,7 @@
     hasBegunResponse: false,
     remainingMilliseconds: 1_000,
     hasRetryBudget: true,
+    mayCrashAnotherReplica: false,
 };
 const begun: AttemptConditions = { ...conditions, hasBegunResponse: true };
 const silence = { kind: "silenceChecked", attempt: 1, isDoubtful: true, conditions } as const;
--- a/src/serving/tests/exchange-silence.test.ts
+++ b/src/serving/tests/exchange-silence.test.ts
@@ -77,7 +77,10 @@
         replicaRecords: ReplicaRecords.create(),
         backPressure: BackPressure.create(() => 0),
         isDoubtful: facts.isDoubtful,
-        crashAttribution: { recordRequest: facts.isQuarantined, isSuspect: () => false },
+        crashAttribution: {
+            recordRequest: () => (facts.isQuarantined() ? now : undefined),
+            isSuspect: () => false,
+        },
         retryWindowOf: () => retries,
         log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
         metrics: createServingMetrics(),
