--- a/src/links/tests/upstream-pools.test.ts
+++ b/src/links/tests/upstream-pools.test.ts
@@ -21,6 +21,7 @@
                 headers: ["Host", "replica"],
                 body: undefined,
                 isRetryable: true,
+                needsNewConnection: false,
                 mayStart: () => true,
             },
             {
--- a/src/serving/attempt-decision.ts
+++ b/src/serving/attempt-decision.ts
@@ -15,6 +15,8 @@
     | "refused"
     /** The replica responded with an error. */
     | "failed"
+    /** The reused connection closed at once: the replica had probably dropped it, and is not known to have run the request. */
+    | "dropped"
     /** No complete response arrived; the replica may have run the request. */
     | "lost";
 
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -3,16 +3,20 @@
  * and relays the replica's response unchanged. An event stream may be resumed at another replica within one response.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { AttemptFacts, AttemptOutcome } from "./attempt-decision.js";
-import { decideNextStep, mayTryElsewhere, resumeDelayMilliseconds } from "./attempt-decision.js";
+import type { Delivery } from "../links/upstream-pools.js";
+import type { AttemptOutcome } from "./attempt-decision.js";
+import type { AttemptCommand, AttemptConditions, AttemptEvent, ChoicePurpose } from "./attempt-sequence.js";
+import { advanceAttempts, countPossibleRuns, noAttempts } from "./attempt-sequence.js";
 import { CallerResponse } from "./caller-response.js";
 import { isRetryable } from "./serving-configuration.js";
 import type { CrashSubject } from "./crash-attribution.js";
 import { requestTrait, resourceTrait } from "./crash-attribution.js";
 import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
+import type { ErrorResponse, Refusal } from "./error-responses.js";
+import { expiredResponse, refusedResponse, unknownResponse } from "./error-responses.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
-import { createAttempt, crashProgressOf, isTrustedSuccess } from "./exchange-attempt.js";
+import { crashProgressOf, createAttempt } from "./exchange-attempt.js";
 import type { AdmittedRequest, ExchangeContext } from "./exchange-context.js";
 import { describeRequest, recordAttemptEnd, recordExchangeEnd } from "./exchange-reporting.js";
 import {
@@ -20,56 +24,32 @@
     attemptExtensionMilliseconds,
     recentProgressMilliseconds,
 } from "./attempt-timeouts.js";
+import type { ResponsePart } from "./replica-response.js";
+import { ReplicaResponse } from "./replica-response.js";
 import type { ResponseHead } from "./wire-format.js";
 
-/**
- * Maximum size of a response that is buffered until it is complete, in bytes; longer responses are relayed as they
- * arrive.
- */
-const maximumBufferedResponseBytes = 256 * 1024;
-/** Maximum size of one event of a stream, in bytes. */
-const maximumEventBytes = 256 * 1024;
-/** Interval between two searches for a replica that takes over an interrupted or silent stream, in milliseconds. */
-const resumePollIntervalMilliseconds = 40;
-/** Default Retry-After of a refused request, in milliseconds, before jitter. */
-const defaultRetryAfter: RetryAfter = { milliseconds: 400 };
-/**
- * Retry-After while no replica can take the request, in milliseconds: about the time to form a group from hosts
- * with the weights.
- */
-const noReplicaRetryAfterMilliseconds = 1_500;
-/** Maximum Retry-After, as a fraction of the time that remains until the caller's deadline. */
-const maximumRetryAfterFraction = 1 / 3;
 /**
  * A caller is assumed to wait for the first event of a stream for `minimumFirstEventTimeoutMilliseconds` or for
  * `firstEventTimeoutObjectives` times the latency objective, whichever is longer.
  */
 const minimumFirstEventTimeoutMilliseconds = 2_000;
 const firstEventTimeoutObjectives = 4;
-/** Minimum time without an event after which an attempt at a suspected group counts as silent, in milliseconds. */
-const minimumSilenceMilliseconds = 130;
+const outcomeByDelivery: Readonly<Record<Delivery, AttemptOutcome>> = {
+    notSent: "notSent",
+    dropped: "dropped",
+    sent: "lost",
+};
 /** HTTP status of a replica that is not the intended recipient of the request (421 Misdirected Request). */
 const misdirectedStatus = 421;
 /** Rank of the requests that a replica handles last. */
 const lowestRank = 9;
 
-/** Time after which a refused caller should retry, before it is varied at random. */
-interface RetryAfter {
-    readonly milliseconds: number;
-    /** True if an earlier retry cannot succeed. */
-    readonly isEarliest?: boolean;
-}
-
 export class Exchange {
-    private attempt: Attempt | undefined;
-    /** Attempt at a silent replica that continues while `attempt` is made elsewhere. */
-    private silentAttempt: Attempt | undefined;
+    /** What is decided about the attempts; input and output of the live ones are in `attempts`. */
+    private sequence = noAttempts;
+    /** Live attempts by number. */
+    private readonly attempts = new Map<number, Attempt>();
     private readonly triedInstances = new Set<string>();
-    private attemptCount = 0;
-    private possibleRuns = 0;
-    /** Attempts in a row that no replica took. */
-    private refusals = 0;
-    private mayHaveRun = false;
     private lastEventId: number | undefined;
     private lastTarget: DispatchTarget | undefined;
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
@@ -123,7 +103,7 @@
     public handleSilentGroup(): void {
         const { attempt } = this;
         if (attempt !== undefined && this.admitted.route.repeatability === "stream") {
-            this.tryElsewhere(attempt);
+            this.checkSilence(attempt);
         }
     }
 
@@ -132,12 +112,12 @@
         if (this.isSettled) {
             return;
         }
-        const wasSent = this.cancelAttempts();
+        this.cancelAttempts();
         if (this.callerResponse.hasBegun) {
             this.abortResponse(reason);
             return;
         }
-        this.sendErrorResponse(wasSent || this.mayHaveRun ? 504 : 503, "expired", reason);
+        this.respondWithError(expiredResponse(reason, this.mayHaveRun));
     }
 
     /**
@@ -151,7 +131,6 @@
             this.liveAttempts.some(attempt => !attempt.hasReceivedEvents);
         if (isWaiting && this.context.crashAttribution.isQuarantined(this.crashSubject, this.now())) {
             this.cancelAttempts();
-            this.mayHaveRun = true;
             this.refuseQuarantined();
         }
     }
@@ -187,12 +166,103 @@
         return this.context.clock.monotonicMilliseconds();
     }
 
+    private get attempt(): Attempt | undefined {
+        const { current } = this.sequence;
+        return current && this.attempts.get(current.number);
+    }
+
     private get liveAttempts(): readonly Attempt[] {
-        return [this.attempt, this.silentAttempt].filter(attempt => attempt !== undefined);
+        return [...this.attempts.values()];
     }
 
     private isLive(attempt: Attempt): boolean {
-        return !this.isSettled && (this.attempt === attempt || this.silentAttempt === attempt);
+        return !this.isSettled && this.attempts.has(attempt.number);
+    }
+
+    private get mayHaveRun(): boolean {
+        return this.sequence.mayHaveRun;
+    }
+
+    private advance(event: AttemptEvent): void {
+        this.apply(event).forEach(command => this.execute(command));
+    }
+
+    /** Applies an event to the attempts and returns the commands that follow from it. */
+    private apply(event: AttemptEvent): readonly AttemptCommand[] {
+        const { state, commands } = advanceAttempts(this.sequence, event);
+        this.sequence = state;
+        this.lastTarget = this.attempt?.target ?? this.lastTarget;
+        return commands;
+    }
+
+    private execute(command: AttemptCommand): void {
+        switch (command.kind) {
+            case "choose":
+                if (command.purpose === "next") {
+                    this.startNextAttempt();
+                } else {
+                    this.choose(command.purpose);
+                }
+                return;
+            case "chooseNextAfter":
+                this.wait(command.milliseconds, () => this.startNextAttempt());
+                return;
+            case "start":
+                this.startAttempt(command.target, command.isBeside);
+                return;
+            case "pass":
+                this.sendCompleteResponse(this.lastFailure!.head, this.lastFailure!.body, "failed");
+                return;
+            case "refuse":
+                this.refuse(command.refusal);
+                return;
+            case "unknown":
+                this.respondWithError(unknownResponse(command.reason));
+                return;
+            case "cut":
+                this.abortResponse(command.reason);
+                return;
+            default:
+                this.executeFor(this.attempts.get(command.attempt)!, command);
+        }
+    }
+
+    private executeFor(
+        attempt: Attempt,
+        command: Extract<AttemptCommand, { readonly attempt: number }>,
+    ): void {
+        switch (command.kind) {
+            case "checkSilence":
+                this.checkSilence(attempt);
+                return;
+            case "checkSilenceAfter":
+                this.wait(command.milliseconds, () => this.checkSilence(attempt));
+                return;
+            case "resumeTimeout":
+                this.armAttemptTimer(attempt);
+                return;
+            case "checkSlownessAfter":
+                this.checkSlownessAfter(attempt, command.milliseconds);
+                return;
+            case "supersede":
+                attempt.call?.cancel();
+                this.releaseAttempt(attempt);
+                this.recordAttemptEnd(attempt, "superseded", "another replica made progress first");
+                return;
+            case "abandon":
+                attempt.call?.cancel();
+                this.endAttempt(attempt, "lost", command.reason);
+        }
+    }
+
+    private wait(milliseconds: number, then: () => void): void {
+        clearTimeout(this.waitTimer);
+        this.waitTimer = setTimeout(then, milliseconds);
+    }
+
+    private choose(purpose: ChoicePurpose): void {
+        const choice = this.chooseReplica();
+        this.advance({ kind: "chosen", purpose, choice, hasBegunResponse: this.callerResponse.hasBegun });
     }
 
     private chooseReplica(): DispatchChoice {
@@ -211,73 +281,23 @@
         });
     }
 
-    /** Checks until the group of the attempt is in use again, since a group may fall silent, go on and fall silent again. */
-    private tryElsewhere(attempt: Attempt): void {
-        const { instance, group } = attempt.target;
-        const isDoubtful = group !== undefined && this.context.isDoubtful(group);
-        if (this.isSettled || this.attempt !== attempt || !isDoubtful) {
-            return;
-        }
-        const isSilent = this.now() - attempt.lastProgressAt >= minimumSilenceMilliseconds;
-        const choice =
-            isSilent && mayTryElsewhere(this.attemptFacts())
-                ? this.chooseReplica()
-                : ({ kind: "none" } as const);
-        if (!isOtherReplica(choice, attempt)) {
-            this.scheduleTryElsewhere(attempt);
+    private checkSilence(attempt: Attempt): void {
+        if (!this.isLive(attempt)) {
             return;
         }
-        this.context.log.info("replica is silent; trying another one meanwhile", {
-            ...describeRequest(this.admitted),
-            instance: instance.id,
-            group,
+        const { group } = attempt.target;
+        this.advance({
+            kind: "silenceChecked",
             attempt: attempt.number,
-            lastEvent: this.lastEventId,
+            isDoubtful: group !== undefined && this.context.isDoubtful(group),
+            silentMilliseconds: this.now() - attempt.lastProgressAt,
+            conditions: this.conditions(),
         });
-        clearTimeout(attempt.slowAttemptTimer);
-        this.silentAttempt = attempt;
-        this.startAttempt(choice.target);
-    }
-
-    private scheduleTryElsewhere(attempt: Attempt): void {
-        clearTimeout(this.waitTimer);
-        const delay = resumePollIntervalMilliseconds + resumeDelayMilliseconds(this.refusals);
-        this.waitTimer = setTimeout(() => this.tryElsewhere(attempt), delay);
-    }
-
-    /** Waits for the silent replica again, because no other one served the request. */
-    private returnToSilentAttempt(attempt: Attempt): void {
-        this.attempt = attempt;
-        this.silentAttempt = undefined;
-        this.lastTarget = attempt.target;
-        this.scheduleTryElsewhere(attempt);
-    }
-
-    /** Continues with one of two attempts and cancels the other, if there is one. */
-    private keepOnly(attempt: Attempt): void {
-        if (this.attempt === attempt && this.silentAttempt === undefined) {
-            return;
-        }
-        const other = this.liveAttempts.find(each => each !== attempt);
-        const wasSilent = other === this.silentAttempt;
-        this.attempt = attempt;
-        this.silentAttempt = undefined;
-        this.lastTarget = attempt.target;
-        this.scheduleTryElsewhere(attempt);
-        if (other === undefined) {
-            return;
-        }
-        other.call?.cancel();
-        this.releaseAttempt(other);
-        this.mayHaveRun = true;
-        // When the connection closes, a silent leader drops a stream that has not begun.
-        this.possibleRuns += other.hasReceivedEvents || !wasSilent ? 1 : 0;
-        this.recordAttemptEnd(other, "superseded", "another replica made progress first");
     }
 
     private startNextAttempt(): void {
         clearTimeout(this.waitTimer);
-        if (this.isSettled || this.attempt !== undefined) {
+        if (this.isSettled || this.sequence.current !== undefined) {
             return;
         }
         const endsAt = this.callerResponse.hasBegun
@@ -288,65 +308,34 @@
             this.refuseQuarantined(endsAt);
             return;
         }
-        const choice = this.chooseReplica();
-        const { silentAttempt } = this;
-        if (silentAttempt !== undefined && !isOtherReplica(choice, silentAttempt)) {
-            this.returnToSilentAttempt(silentAttempt);
-            return;
-        }
-        if (choice.kind === "paused" && this.callerResponse.hasBegun) {
-            this.handleNoTarget();
-            return;
-        }
-        switch (choice.kind) {
-            case "target":
-                this.startAttempt(choice.target);
-                return;
-            case "overloaded": {
-                const expected = Math.round(choice.expectedMilliseconds);
-                this.refuse(`the first event is expected after ${expected} ms`, {
-                    milliseconds: choice.retryAfterMilliseconds,
-                });
-                return;
-            }
-            case "paused":
-                this.refuse("all replicas want no further requests for now", {
-                    milliseconds: choice.retryAfterMilliseconds,
-                    isEarliest: true,
-                });
-                return;
-            case "none":
-                this.handleNoTarget();
-        }
-    }
-
-    private handleNoTarget(): void {
-        if (!this.callerResponse.hasBegun) {
-            this.refuse("no replica can take the request", { milliseconds: noReplicaRetryAfterMilliseconds });
-            return;
-        }
-        // The caller may still be waiting; its deadline or its disconnection ends the search.
-        this.startNextAttemptAfter(resumePollIntervalMilliseconds);
+        this.choose("next");
     }
 
-    private startAttempt(target: DispatchTarget): void {
+    private startAttempt(target: DispatchTarget, isBeside: boolean): void {
         const { context, admitted } = this;
         const { request, body } = admitted;
         const now = this.now();
-        if (this.attemptCount > 0 && !context.retryWindowOf(admitted.service).tryTakeRetry(now)) {
-            this.continueAfterAttempt("refused", "the retry budget of the service is exhausted");
+        const number = this.sequence.attemptCount + 1;
+        if (number > 1 && !context.retryWindowOf(admitted.service).tryTakeRetry(now)) {
+            this.advance({ kind: "retryDenied", isBeside, conditions: this.conditions() });
             return;
         }
+        if (isBeside) {
+            this.recordSilence(this.attempt!);
+        }
         const { instance, group } = target;
         const tokens = request.work?.promptTokens ?? 0;
         const inFlightId =
             group === undefined
                 ? undefined
                 : context.inFlightRequests.start(group, tokens, now, target.isDeferred);
-        const attempt = createAttempt(this.attemptCount + 1, target, now, inFlightId);
-        this.attempt = attempt;
-        this.lastTarget = target;
-        this.attemptCount += 1;
+        const response = ReplicaResponse.create({
+            requestId: request.id,
+            isStream: admitted.route.repeatability === "stream",
+        });
+        const attempt = createAttempt(number, target, now, inFlightId, response);
+        this.attempts.set(number, attempt);
+        this.advance({ kind: "started", isBeside, instance: instance.id });
         this.triedInstances.add(instance.id);
         context.replicaRecords.startRequest(instance.id);
         context.backPressure.recordSend(instance.id, now);
@@ -382,18 +371,27 @@
                 onData: chunk => this.handleData(attempt, chunk),
                 onEnd: () => this.handleEnd(attempt),
                 onFailure: (message, delivery) => {
-                    const mayHaveBeenSent = delivery !== "notSent";
-                    this.reportBrokenConnection(attempt, mayHaveBeenSent);
-                    const outcome = mayHaveBeenSent ? "lost" : "notSent";
-                    this.endAttempt(attempt, outcome, message, delivery === "sent");
+                    this.reportBrokenConnection(attempt, delivery !== "notSent");
+                    this.endAttempt(attempt, outcomeByDelivery[delivery], message);
                 },
                 onWithheld: () =>
-                    this.endAttempt(attempt, "withheld", "the replica wants no further requests", false),
+                    this.endAttempt(attempt, "withheld", "the replica wants no further requests"),
             },
         );
         this.armAttemptTimer(attempt);
     }
 
+    private recordSilence(attempt: Attempt): void {
+        clearTimeout(attempt.slowAttemptTimer);
+        this.context.log.info("replica is silent; trying another one meanwhile", {
+            ...describeRequest(this.admitted),
+            instance: attempt.target.instance.id,
+            group: attempt.target.group,
+            attempt: attempt.number,
+            lastEvent: this.lastEventId,
+        });
+    }
+
     private reportBrokenConnection(attempt: Attempt, mayHaveBeenSent: boolean): void {
         const now = this.now();
         const progress = mayHaveBeenSent ? crashProgressOf(attempt, now) : undefined;
@@ -419,54 +417,41 @@
     /** Limits the wait for a response, or the first event of a stream, while another attempt is allowed. */
     private armAttemptTimer(attempt: Attempt): void {
         const { route } = this.admitted;
-        const hasFurtherAttempt = this.countedRuns + 1 < route.maximumAttempts;
+        const hasFurtherAttempt = countPossibleRuns(this.sequence) + 1 < route.maximumAttempts;
         const timeout = attemptTimeoutMilliseconds(route, attempt.target.expectedMilliseconds);
-        if (hasFurtherAttempt && !this.callerResponse.hasBegun && timeout !== undefined) {
-            attempt.slowAttemptTimer = setTimeout(() => this.handleSlowAttempt(attempt), timeout);
+        const hasBegun = attempt.hasReceivedEvents || this.callerResponse.hasBegun;
+        if (hasFurtherAttempt && !hasBegun && timeout !== undefined) {
+            this.checkSlownessAfter(attempt, attempt.sentAt + timeout - this.now());
         }
     }
 
+    private checkSlownessAfter(attempt: Attempt, milliseconds: number): void {
+        attempt.slowAttemptTimer = setTimeout(() => this.handleSlowAttempt(attempt), milliseconds);
+    }
+
     private handleSlowAttempt(attempt: Attempt): void {
         const now = this.now();
         const { group } = attempt.target;
         const hasProgress =
             group !== undefined &&
             this.context.inFlightRequests.hasProgressedSince(group, now - recentProgressMilliseconds);
-        const extension = attemptExtensionMilliseconds(
+        const extensionMilliseconds = attemptExtensionMilliseconds(
             this.admitted.route,
             now - attempt.sentAt,
             hasProgress,
         );
-        if (extension > 0) {
-            attempt.slowAttemptTimer = setTimeout(() => this.handleSlowAttempt(attempt), extension);
-            return;
-        }
-        const hasBegun = attempt.hasReceivedEvents || this.callerResponse.hasBegun;
-        if (this.attempt !== attempt || this.isSettled || hasBegun) {
-            return;
-        }
-        if (!mayTryElsewhere(this.attemptFacts()) || !isOtherReplica(this.chooseReplica(), attempt)) {
-            // Ending the attempt would lose a response that may still come.
-            attempt.slowAttemptTimer = setTimeout(
-                () => this.handleSlowAttempt(attempt),
-                resumePollIntervalMilliseconds,
-            );
-            return;
-        }
-        attempt.call?.cancel();
-        this.endAttempt(attempt, "lost", "no response before the attempt time-out", true);
+        this.advance({
+            kind: "slow",
+            attempt: attempt.number,
+            extensionMilliseconds,
+            conditions: this.conditions(),
+        });
     }
 
     private handleHead(attempt: Attempt, message: IncomingMessage): void {
         const head = this.context.wire.decodeResponse(message);
-        attempt.head = head;
         this.noteReplicaState(attempt, head);
-        const isForOtherRequest = head.requestId !== undefined && head.requestId !== this.admitted.request.id;
-        if (isForOtherRequest) {
-            this.hasReceivedForeignResponse = true;
-            attempt.call?.cancel();
-            this.endAttempt(attempt, "lost", "the response names another request", true);
-        }
+        this.handleParts(attempt, attempt.response.readHead(head));
     }
 
     private noteReplicaState({ target }: Attempt, head: ResponseHead): void {
@@ -483,43 +468,33 @@
     }
 
     private handleData(attempt: Attempt, chunk: Buffer): void {
-        if (!this.isLive(attempt)) {
-            return;
-        }
-        if (this.isRelayableStream(attempt)) {
-            for (const event of attempt.splitter.push(chunk)) {
-                this.relayEvent(attempt, event);
-            }
-            if (attempt.splitter.partialEventBytes > maximumEventBytes) {
-                this.abandonEndlessResponse(attempt, `an event exceeds ${maximumEventBytes} bytes`);
+        if (this.isLive(attempt)) {
+            this.handleParts(attempt, attempt.response.readData(chunk));
+        }
+    }
+
+    private handleParts(attempt: Attempt, parts: readonly ResponsePart[]): void {
+        for (const part of parts) {
+            switch (part.kind) {
+                case "event":
+                    this.relayEvent(attempt, part.head, part.event);
+                    break;
+                case "bytes":
+                    this.relayBytes(attempt, part.head, part.chunks);
+                    break;
+                case "foreign":
+                    this.hasReceivedForeignResponse = true;
+                    attempt.call?.cancel();
+                    this.endAttempt(attempt, "lost", part.reason);
+                    break;
+                case "unusable":
+                    attempt.call?.cancel();
+                    this.endAttempt(attempt, "lost", part.reason);
             }
-            return;
         }
-        attempt.bufferedBytes += chunk.length;
-        if (attempt.bufferedBytes > maximumBufferedResponseBytes) {
-            if (isTrustedSuccess(attempt.head)) {
-                this.relayBuffered(attempt, chunk);
-            } else {
-                const status = attempt.head?.status;
-                const reason = `a response with status ${status} exceeds ${maximumBufferedResponseBytes} bytes`;
-                this.abandonEndlessResponse(attempt, reason);
-            }
-            return;
-        }
-        attempt.bufferedChunks.push(chunk);
-    }
-
-    /** Covers a replica that sends bytes that are no response, without end: only closing the connection stops them. */
-    private abandonEndlessResponse(attempt: Attempt, reason: string): void {
-        attempt.call?.cancel();
-        this.endAttempt(attempt, "lost", reason, true);
-    }
-
-    private isRelayableStream(attempt: Attempt): boolean {
-        return this.admitted.route.repeatability === "stream" && isTrustedSuccess(attempt.head);
     }
 
-    private relayEvent(attempt: Attempt, event: StreamEvent): void {
+    private relayEvent(attempt: Attempt, head: ResponseHead, event: StreamEvent): void {
         const now = this.now();
         const { group, instance } = attempt.target;
         attempt.lastProgressAt = now;
@@ -535,23 +510,22 @@
                 this.context.dispatcher.recordFirstEvent(attempt.target, now - attempt.sentAt);
             }
         }
-        if (event.id !== undefined && this.lastEventId !== undefined && event.id <= this.lastEventId) {
+        const isNew = event.id === undefined || this.lastEventId === undefined || event.id > this.lastEventId;
+        this.advance({ kind: "eventReceived", attempt: attempt.number, isNew });
+        if (!isNew) {
             return;
         }
-        this.keepOnly(attempt);
         this.lastEventId = event.id ?? this.lastEventId;
-        this.callerResponse.begin(attempt.head!, undefined, now);
+        this.callerResponse.begin(head, undefined, now);
         if (!this.callerResponse.write(event.bytes)) {
             attempt.call?.pause();
         }
     }
 
-    /** Relays what was buffered of a response that exceeds the buffer, and the chunk that exceeded it. */
-    private relayBuffered(attempt: Attempt, chunk: Buffer): void {
-        this.callerResponse.begin(attempt.head!, undefined, this.now());
-        attempt.bufferedChunks.forEach(buffered => this.callerResponse.write(buffered));
-        attempt.bufferedChunks = [];
-        if (!this.callerResponse.write(chunk)) {
+    private relayBytes(attempt: Attempt, head: ResponseHead, chunks: readonly Buffer[]): void {
+        this.callerResponse.begin(head, undefined, this.now());
+        const areTaken = chunks.map(chunk => this.callerResponse.write(chunk));
+        if (areTaken.at(-1) === false) {
             attempt.call?.pause();
         }
     }
@@ -560,40 +534,22 @@
         if (!this.isLive(attempt)) {
             return;
         }
-        const { head } = attempt;
-        if (head === undefined) {
-            this.endAttempt(attempt, "lost", "the response ended without a head", true);
-        } else if (head.isStatedNotRun) {
-            if (head.status === misdirectedStatus) {
-                this.context.replicaRecords.recordMisdirected(attempt.target.instance.id, this.now());
-            }
-            this.endAttempt(
-                attempt,
-                "refused",
-                `the replica refused the request with status ${head.status}`,
-                false,
-            );
-        } else if (isTrustedSuccess(head)) {
-            this.handleSuccessfulEnd(attempt, head);
-        } else if (head.isSigned && head.status >= 300) {
-            this.lastFailure = { head, body: Buffer.concat(attempt.bufferedChunks) };
-            this.endAttempt(attempt, "failed", `the replica failed with status ${head.status}`, true);
-        } else {
-            this.endAttempt(
-                attempt,
-                "lost",
-                `the response with status ${head.status} is not signed by the replica`,
-                true,
-            );
+        const end = attempt.response.readEnd();
+        if (end.kind === "complete") {
+            this.handleSuccessfulEnd(attempt, end.head, end.body);
+            return;
         }
+        if (end.kind === "refused" && end.head.status === misdirectedStatus) {
+            this.context.replicaRecords.recordMisdirected(attempt.target.instance.id, this.now());
+        } else if (end.kind === "failed") {
+            this.lastFailure = end;
+        }
+        this.endAttempt(attempt, end.kind, end.reason);
     }
 
-    private handleSuccessfulEnd(attempt: Attempt, head: ResponseHead): void {
-        if (this.isRelayableStream(attempt) && attempt.splitter.hasPartialEvent) {
-            this.endAttempt(attempt, "lost", "the stream ended inside an event", true);
-            return;
-        }
-        this.keepOnly(attempt);
+    private handleSuccessfulEnd(attempt: Attempt, head: ResponseHead, body: Buffer): void {
+        this.advance({ kind: "served", attempt: attempt.number });
+        this.lastTarget = attempt.target;
         this.releaseAttempt(attempt);
         this.context.crashAttribution.recordSound(this.crashSubject, this.now());
         this.context.replicaRecords.recordSuccess(attempt.target.instance.id, this.now() - attempt.sentAt);
@@ -603,7 +559,7 @@
             this.callerResponse.end();
             return;
         }
-        this.sendCompleteResponse(head, Buffer.concat(attempt.bufferedChunks), "served");
+        this.sendCompleteResponse(head, body, "served");
     }
 
     private sendCompleteResponse(head: ResponseHead, body: Buffer, outcome: string): void {
@@ -612,34 +568,32 @@
         this.callerResponse.end(body);
     }
 
-    /**
-     * Ends the current attempt and decides the next step. `hasRun`: the attempt counts as a possible run of the
-     * request.
-     */
-    private endAttempt(attempt: Attempt, outcome: AttemptOutcome, reason: string, hasRun: boolean): void {
+    /** Ends an attempt and decides the next step. */
+    private endAttempt(attempt: Attempt, outcome: AttemptOutcome, reason: string): void {
         if (!this.isLive(attempt)) {
             return;
         }
         this.releaseAttempt(attempt);
         const { instance } = attempt.target;
-        if (outcome === "notSent" || outcome === "lost") {
+        if (outcome === "notSent" || outcome === "dropped" || outcome === "lost") {
             this.context.replicaRecords.recordFailure(instance.id, this.now());
         }
-        if (outcome === "lost" || outcome === "failed") {
-            this.mayHaveRun = true;
-            this.possibleRuns += hasRun ? 1 : 0;
-        }
-        this.recordAttemptEnd(attempt, outcome, reason);
         this.hasLastAttemptCrashed = attempt.hasCrashedReplica;
-        if (this.attempt !== undefined) {
-            this.tryElsewhere(this.attempt);
-            return;
-        }
-        this.continueAfterAttempt(outcome, reason);
+        const mayCrashAnotherReplica = this.mayCrashAnotherReplica(outcome);
+        const commands = this.apply({
+            kind: "ended",
+            attempt: attempt.number,
+            outcome,
+            reason,
+            conditions: { ...this.conditions(), mayCrashAnotherReplica },
+        });
+        this.recordAttemptEnd(attempt, outcome, reason);
+        commands.forEach(command => this.execute(command));
     }
 
     private recordAttemptEnd(attempt: Attempt, outcome: AttemptOutcome | "superseded", reason: string): void {
-        const { lastEventId, possibleRuns } = this;
+        const { lastEventId } = this;
+        const { possibleRuns } = this.sequence;
         recordAttemptEnd(this.context, this.admitted, attempt, {
             outcome,
             reason,
@@ -649,72 +603,20 @@
         });
     }
 
-    /** Number of replicas that may have run the request, including one that is silent. */
-    private get countedRuns(): number {
-        return this.possibleRuns + (this.silentAttempt === undefined ? 0 : 1);
-    }
-
-    private attemptFacts(): AttemptFacts {
+    private conditions(): AttemptConditions {
         const { admitted, context } = this;
         const now = this.now();
         return {
             repeatability: admitted.route.repeatability,
             isResumable: admitted.route.isResumable,
-            possibleRuns: this.countedRuns,
-            attemptCount: this.attemptCount,
             maximumAttempts: admitted.route.maximumAttempts,
-            mayHaveRun: this.mayHaveRun,
             hasBegunResponse: this.callerResponse.hasBegun,
-            hasSilentAttempt: this.silentAttempt !== undefined,
             remainingMilliseconds: admitted.deadline - now,
             hasRetryBudget: context.retryWindowOf(admitted.service).availableRetries(now) > 0,
             mayCrashAnotherReplica: false,
         };
     }
 
-    /** Takes the next step after an attempt without a complete response. */
-    private continueAfterAttempt(outcome: AttemptOutcome, reason: string): void {
-        this.refusals = outcome === "lost" || outcome === "failed" ? 0 : this.refusals + 1;
-        const mayCrashAnotherReplica = this.mayCrashAnotherReplica(outcome);
-        const step = decideNextStep(outcome, { ...this.attemptFacts(), mayCrashAnotherReplica });
-        switch (step) {
-            case "retry":
-                this.retry();
-                return;
-            case "postpone":
-                this.startNextAttemptAfter(resumePollIntervalMilliseconds);
-                return;
-            case "wait":
-                this.returnToSilentAttempt(this.silentAttempt!);
-                return;
-            case "pass":
-                this.sendCompleteResponse(this.lastFailure!.head, this.lastFailure!.body, "failed");
-                return;
-            case "refuse":
-                this.refuse(reason);
-                return;
-            case "unknown":
-                this.sendErrorResponse(502, "failed", reason);
-                return;
-            case "cut":
-                this.abortResponse(reason);
-        }
-    }
-
-    private retry(): void {
-        const delay = this.callerResponse.hasBegun ? resumeDelayMilliseconds(this.refusals) : 0;
-        if (delay === 0) {
-            this.startNextAttempt();
-        } else {
-            this.startNextAttemptAfter(delay);
-        }
-    }
-
-    private startNextAttemptAfter(milliseconds: number): void {
-        clearTimeout(this.waitTimer);
-        this.waitTimer = setTimeout(() => this.startNextAttempt(), milliseconds);
-    }
-
     private mayCrashAnotherReplica(outcome: AttemptOutcome): boolean {
         const { crashAttribution } = this.context;
         return (
@@ -731,37 +633,29 @@
         if (group !== undefined && attempt.inFlightId !== undefined) {
             this.context.inFlightRequests.end(group, attempt.inFlightId);
         }
-        if (this.attempt === attempt) {
-            this.attempt = undefined;
-        } else if (this.silentAttempt === attempt) {
-            this.silentAttempt = undefined;
-        }
+        this.attempts.delete(attempt.number);
     }
 
-    private refuse(reason: string, retryAfter: RetryAfter = defaultRetryAfter): void {
-        if (this.mayHaveRun) {
-            this.sendErrorResponse(502, "failed", reason);
-            return;
-        }
-        const spread = this.context.random() / 2;
-        const jittered =
-            retryAfter.milliseconds * (retryAfter.isEarliest === true ? 1 + spread / 2 : 0.75 + spread);
+    private refuse(refusal: Refusal): void {
         const { arrivedAt, deadline, request } = this.admitted;
         // The caller waits for its own time, which may be longer than the route's.
         const callerDeadline = arrivedAt + (request.timeoutMilliseconds ?? deadline - arrivedAt);
-        const maximum = maximumRetryAfterFraction * Math.max(0, callerDeadline - this.now());
-        const seconds = Math.min(jittered, maximum) / 1000;
-        this.sendErrorResponse(503, "refused", reason, ["Retry-After", seconds.toFixed(2)]);
+        const remaining = callerDeadline - this.now();
+        this.respondWithError(refusedResponse(refusal, this.context.random(), remaining));
     }
 
-    /** Cancels all attempts at their replicas; returns false if there is none. */
-    private cancelAttempts(): boolean {
+    /** Cancels all attempts at their replicas. */
+    private cancelAttempts(): void {
         const attempts = this.liveAttempts;
+        this.advance({ kind: "cancelled" });
         attempts.forEach(attempt => {
             attempt.call?.cancel();
             this.releaseAttempt(attempt);
         });
-        return attempts.length > 0;
+    }
+
+    private respondWithError({ status, outcome, reason, headers }: ErrorResponse): void {
+        this.sendErrorResponse(status, outcome, reason, headers);
     }
 
     private sendErrorResponse(
@@ -792,7 +686,8 @@
         this.isSettled = true;
         clearTimeout(this.deadlineTimer);
         clearTimeout(this.waitTimer);
-        const { lastTarget, attemptCount, possibleRuns } = this;
+        const { lastTarget } = this;
+        const { attemptCount, possibleRuns } = this.sequence;
         const { firstByteAt } = this.callerResponse;
         const end = {
             outcome,
@@ -806,11 +701,3 @@
         recordExchangeEnd(this.context, this.admitted, end);
     }
 }
-
-/** True if a choice is a replica other than that of an attempt. */
-function isOtherReplica(
-    choice: DispatchChoice,
-    { target }: Attempt,
-): choice is Extract<DispatchChoice, { readonly kind: "target" }> {
-    return choice.kind === "target" && choice.target.instance.id !== target.instance.id;
-}
