Announce at once that a path or request is sound which another entry instance may blame

An entry instance that had completed one of them counted no crash of the path any more, so it saw no reason to clear it for another one that had only seen the crashes. Two unit tests; the second, on a quarantine that is announced, failed before; the first passed before and guards the order of the messages. A path is now blamed only for three different requests, as a segment is.

--- a/src/serving/crash-attribution.ts
+++ b/src/serving/crash-attribution.ts
@@ -68,7 +68,7 @@
 const blameRules: Readonly<Record<TraitKind, BlameRule>> = {
     // A request is at one replica at a time, so that three losses of one sound request are rare.
     request: { requests: 1, moments: 2, fraction: 0 },
-    resource: { requests: 2, moments: 2, fraction: 0 },
+    resource: { requests: 3, moments: 2, fraction: 0 },
     segment: { requests: 3, moments: 3, fraction: 1 / 3 },
 };
 
@@ -240,7 +240,8 @@
         const hasHead = progress === "head";
         this.addReport({ request, start, traits, hasHead, at: now, isOwn: true }, now);
         const hasSuspectSegment = traits.some(trait => kindOf(trait) === "segment");
-        if (hasSuspectSegment || this.crashesOf(request) >= suspectCrashes) {
+        const isRepeated = [request, subject.resource].some(trait => this.crashesOf(trait) >= suspectCrashes);
+        if (hasSuspectSegment || isRepeated) {
             this.options.onChange();
         }
     }
@@ -349,7 +350,7 @@
         from: string,
         now: number,
     ): void {
-        this.clearIfSound(traits, now);
+        traits.filter(trait => this.isSound(trait, now)).forEach(trait => this.scheduleClearance(trait, now));
         const suspects = traits.filter(trait => !this.isSound(trait, now));
         const hasExpired = lastRequestAt !== undefined && now - lastRequestAt >= this.lifetimeOf(suspects);
         if (suspects.length === 0 || hasExpired || this.hasEnded(suspects, lastRequestAt)) {
@@ -587,11 +588,13 @@
         return at !== undefined && now - at < soundLifetimeMilliseconds;
     }
 
-    /** True if other entry instances may blame a trait. */
+    /** True if other entry instances may blame a trait, also if this one knows that it is sound. */
     private needsClearance(trait: string): boolean {
         const isQuarantined = [...this.quarantines.values()].some(({ traits }) => traits.includes(trait));
         const minimum = kindOf(trait) === "segment" ? 1 : suspectCrashes;
-        return isQuarantined || this.trials.has(trait) || this.crashesOf(trait) >= minimum;
+        const reports = [...(this.reportsByTrait.get(trait) ?? [])];
+        const starts = new Set(reports.map(({ start }) => start));
+        return isQuarantined || this.trials.has(trait) || starts.size >= minimum;
     }
 
     private clearIfSound(traits: readonly string[], now: number): void {
--- a/src/serving/tests/crash-attribution.test.ts
+++ b/src/serving/tests/crash-attribution.test.ts
@@ -261,3 +261,35 @@
     other.attribution.apply("one", one.attribution.announcement(endsAt + 70), endsAt + 70);
     t.true(other.attribution.isQuarantined(repeated, endsAt + 3 * quarantineMilliseconds));
 });
+
+test("a path whose requests complete at one entry instance is not refused at another that only sees its crashes", t => {
+    const [one, other] = [create(), create()];
+    const createVariant = (count: number): CrashSubject => ({
+        ...createSubject(`page ${count}`),
+        resource: resourceTrait("board"),
+    });
+    one.attribution.recordCrash(createVariant(0), "i0", "none", 0);
+    one.attribution.recordSound(createVariant(9), 50);
+    for (let count = 1; count < 4; count += 1) {
+        other.attribution.recordCrash(createVariant(count), `i${count}`, "none", count * 100);
+        one.attribution.apply("other", other.attribution.announcement(count * 100), count * 100);
+    }
+    one.attribution.tick(400);
+    other.attribution.apply("one", one.attribution.announcement(400), 400);
+    other.attribution.tick(500);
+    t.deepEqual(other.quarantines, []);
+});
+
+test("a quarantine ends as soon as an entry instance that knows its trait to be sound learns of it", t => {
+    const [one, other] = [create(), create()];
+    const repeated = createSubject("repeated");
+    one.attribution.recordCrash(repeated, "i9", "none", 0);
+    one.attribution.recordSound(repeated, 50);
+    crashRepeatedly([other], repeated, 100);
+    other.attribution.tick(600);
+    t.deepEqual(other.quarantines, ["request:repeated"]);
+    one.attribution.apply("other", { ...noCrashEvidence, quarantines: [[["request:repeated"], 0]] }, 610);
+    one.attribution.tick(900);
+    other.attribution.apply("one", one.attribution.announcement(900), 900);
+    t.deepEqual(other.ended, ["request:repeated"]);
+});
