--- a/src/daemons/entry/crash-guard.ts
+++ b/src/daemons/entry/crash-guard.ts
@@ -10,7 +10,8 @@
 import type { InstanceId } from "../../core/instances.js";
 import { parseJson } from "../../links/json.js";
 import type { CrashEvidence, CrashSubject } from "../../serving/crash-attribution.js";
-import { CrashAttribution, requestTrait, resourceTrait } from "../../serving/crash-attribution.js";
+import { CrashAttribution } from "../../serving/crash-attribution.js";
+import { requestTrait, resourceTrait } from "../../serving/crash-causes.js";
 import type { PeerEvidence } from "../system-view.js";
 
 /** Time over which entry processes spread their clearances of a request, in milliseconds. */
--- a/src/serving/crash-attribution.ts
+++ b/src/serving/crash-attribution.ts
@@ -5,9 +5,17 @@
  * that runs on it. Sound requests are lost in the same crashes, so a trait counts as the cause only if none of its requests
  * completes anywhere.
  */
+import type { StoredReport } from "./crash-causes.js";
+import {
+    findCauses,
+    includesAll,
+    kindOf,
+    minimumCrashes,
+    selectForSegments,
+    traitsInCommon,
+    traitsOf,
+} from "./crash-causes.js";
 
-/** Time for which a report of a crash counts against prompt segments, in milliseconds. */
-const segmentReportLifetimeMilliseconds = 60_000;
 /** Time for which a report of a crash counts against its request, in milliseconds: the request may be repeated slowly. */
 const reportLifetimeMilliseconds = 600_000;
 /** Time for which a complete response shows that its traits are sound, in milliseconds. */
@@ -27,14 +35,8 @@
 const announcementMilliseconds = 15_000;
 /** Time for which a clearance by another entry instance is not repeated, in milliseconds. */
 const repeatedClearanceMilliseconds = 2_000;
-/** Minimum number of starts of replicas that are blamed on a trait. */
-const minimumCrashes = 3;
 /** Number of crashes of one request from which it is not retried, and from which other entry instances learn of it at once. */
 const suspectCrashes = 2;
-/** Minimum time between two crashes that count as different moments, in milliseconds: a failure domain ends at once. */
-const minimumMomentGapMilliseconds = 100;
-/** Age of the first report from which a quarantine may start, in milliseconds: the time for clearances to arrive. */
-const confirmationMilliseconds = 300;
 /** Time after a new report for which each tick looks for causes, in milliseconds; covers the confirmation. */
 const evaluationMilliseconds = 1_000;
 /** Interval between two deletions of expired reports, in milliseconds. */
@@ -48,30 +50,6 @@
 /** Maximum number of quarantines, and of ended quarantines of requests that are remembered. */
 const maximumQuarantines = 64;
 
-/** Prefixes of the traits that are no prompt segment; the ids of segments have none. */
-const requestPrefix = "request:";
-const resourcePrefix = "resource:";
-
-/** What a trait stands for: one request, requests with the same path, caller and body, or a segment of prompts. */
-type TraitKind = "request" | "resource" | "segment";
-
-/** Evidence that is needed to blame a trait, beside `minimumCrashes` starts of replicas. */
-interface BlameRule {
-    /** Minimum number of different requests. */
-    readonly requests: number;
-    /** Minimum number of moments at which replicas crashed. */
-    readonly moments: number;
-    /** Minimum fraction of all moments between the first and the last crash. */
-    readonly fraction: number;
-}
-
-const blameRules: Readonly<Record<TraitKind, BlameRule>> = {
-    // A request is at one replica at a time, so that three losses of one sound request are rare.
-    request: { requests: 1, moments: 2, fraction: 0 },
-    resource: { requests: 3, moments: 2, fraction: 0 },
-    segment: { requests: 3, moments: 3, fraction: 1 / 3 },
-};
-
 /** A request that was lost in the crash of a replica. */
 export interface CrashReport {
     /** Trait that identifies the request, the same for all attempts and for its repetitions by the caller. */
@@ -150,11 +128,6 @@
     readonly onChange: () => void;
 }
 
-interface StoredReport extends Omit<CrashReport, "age"> {
-    readonly at: number;
-    readonly isOwn: boolean;
-}
-
 interface StoredQuarantine {
     readonly traits: readonly string[];
     readonly startedAt: number;
@@ -172,15 +145,6 @@
     readonly startedAt: number;
 }
 
-/** Involvement of one trait in crashes. */
-interface Involvement {
-    readonly trait: string;
-    readonly requests: ReadonlySet<string>;
-    /** Time of the first report by start of a replica. */
-    readonly starts: ReadonlyMap<string, number>;
-    readonly hasOwnReport: boolean;
-}
-
 export class CrashAttribution {
     private readonly reports = new Map<string, StoredReport>();
     private readonly reportsByTrait = new Map<string, Set<StoredReport>>();
@@ -507,22 +471,16 @@
         }
         for (;;) {
             const unexplained = this.unexplainedReports(now);
-            const forSegments = selectForSegments(unexplained, now);
-            const crashTimes = [...firstTimesOf(forSegments).values()];
-            const causes = [
-                ...this.involvements(unexplained, now).filter(({ trait }) => kindOf(trait) !== "segment"),
-                ...this.involvements(forSegments, now).filter(({ trait }) => kindOf(trait) === "segment"),
-            ].filter(each => isCause(each, crashTimes, now) && !this.quarantines.has(each.trait));
-            const [first] = causes.sort(compareCauses);
+            const isUnsound = (trait: string, report: StoredReport): boolean =>
+                !this.isSound(trait, now) && this.isAfterSound(trait, report);
+            const causes = findCauses(unexplained, isUnsound, now).filter(
+                ({ trait }) => !this.quarantines.has(trait),
+            );
+            const [first] = causes;
             if (first === undefined || this.quarantines.size >= maximumQuarantines) {
                 return;
             }
-            const traits =
-                kindOf(first.trait) === "segment"
-                    ? causes
-                          .filter(({ requests }) => includesAll([...requests], [...first.requests]))
-                          .map(({ trait }) => trait)
-                    : [first.trait];
+            const traits = traitsInCommon(first, causes);
             // If each process announced it, the number of datagrams would grow with the square of the processes.
             if (this.quarantines.has(keyOf(traits))) {
                 return;
@@ -538,26 +496,6 @@
         }
     }
 
-    private involvements(reports: readonly StoredReport[], now: number): readonly Involvement[] {
-        const byTrait = new Map<string, StoredReport[]>();
-        for (const report of reports) {
-            for (const trait of traitsOf(report)) {
-                if (!this.isSound(trait, now) && this.isAfterSound(trait, report)) {
-                    const involved = byTrait.get(trait) ?? [];
-                    involved.push(report);
-                    byTrait.set(trait, involved);
-                }
-            }
-        }
-        const repeated = [...byTrait].filter(([, involved]) => involved.length >= minimumCrashes);
-        return repeated.map(([trait, involved]) => ({
-            trait,
-            requests: new Set(involved.map(({ request }) => request)),
-            starts: firstTimesOf(involved),
-            hasOwnReport: involved.some(({ isOwn }) => isOwn),
-        }));
-    }
-
     private start(quarantine: StoredQuarantine, cause: QuarantineCause): void {
         if (this.quarantines.size < maximumQuarantines) {
             const traits = [...quarantine.traits].sort();
@@ -679,94 +617,10 @@
     }
 }
 
-/** Returns the trait of one request; `hash` identifies its method, host, target, caller, prompt and body. */
-export function requestTrait(hash: string): string {
-    return `${requestPrefix}${hash}`;
-}
-
-/** Returns the trait of requests that differ in their query or the statement of their prompt alone. */
-export function resourceTrait(hash: string): string {
-    return `${resourcePrefix}${hash}`;
-}
-
-function kindOf(trait: string): TraitKind {
-    if (trait.startsWith(requestPrefix)) {
-        return "request";
-    }
-    return trait.startsWith(resourcePrefix) ? "resource" : "segment";
-}
-
 function isOfSegments({ traits }: StoredQuarantine): boolean {
     return traits.every(trait => kindOf(trait) === "segment");
 }
 
-function traitsOf({ request, traits }: StoredReport): readonly string[] {
-    return [request, ...traits];
-}
-
-/**
- * Selects the reports that count against prompt segments: of the replicas that had begun to respond to a request only the
- * reports of such requests.
- */
-function selectForSegments(reports: readonly StoredReport[], now: number): readonly StoredReport[] {
-    const recent = reports.filter(
-        ({ at, traits }) =>
-            now - at < segmentReportLifetimeMilliseconds && traits.some(trait => kindOf(trait) === "segment"),
-    );
-    const begun = new Set(recent.filter(({ hasHead }) => hasHead).map(({ start }) => start));
-    return recent.filter(({ start, hasHead }) => hasHead || !begun.has(start));
-}
-
-/** Orders causes from the narrowest to the widest kind, and then by the number of crashes. */
-function compareCauses(left: Involvement, right: Involvement): number {
-    const order: readonly TraitKind[] = ["request", "resource", "segment"];
-    const byKind = order.indexOf(kindOf(left.trait)) - order.indexOf(kindOf(right.trait));
-    return byKind || right.requests.size - left.requests.size || right.starts.size - left.starts.size;
-}
-
-/** `crashTimes`: times of all crashes for which no cause is known and that may be due to a prompt segment. */
-function isCause(
-    { trait, requests, starts }: Involvement,
-    crashTimes: readonly number[],
-    now: number,
-): boolean {
-    const rule = blameRules[kindOf(trait)];
-    const times = [...starts.values()];
-    const [first, last] = [Math.min(...times), Math.max(...times)];
-    const moments = countMoments(times);
-    const allMoments = countMoments(crashTimes.filter(at => at >= first && at <= last));
-    return (
-        starts.size >= minimumCrashes &&
-        requests.size >= rule.requests &&
-        moments >= rule.moments &&
-        moments >= rule.fraction * allMoments &&
-        now - first >= confirmationMilliseconds
-    );
-}
-
-/** Returns the time of the first report by start of a replica. */
-function firstTimesOf(reports: readonly StoredReport[]): ReadonlyMap<string, number> {
-    const times = new Map<string, number>();
-    reports.forEach(({ start, at }) => times.set(start, Math.min(at, times.get(start) ?? at)));
-    return times;
-}
-
-function countMoments(times: readonly number[]): number {
-    let moments = 0;
-    let lastMomentAt = -Infinity;
-    for (const at of [...times].sort((left, right) => left - right)) {
-        if (at - lastMomentAt >= minimumMomentGapMilliseconds) {
-            moments += 1;
-            lastMomentAt = at;
-        }
-    }
-    return moments;
-}
-
-function includesAll(items: readonly string[], required: readonly string[]): boolean {
-    return required.every(each => items.includes(each));
-}
-
 function keyOf(traits: readonly string[]): string {
     return [...traits].sort().join("+");
 }
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -10,7 +10,7 @@
 import { CallerResponse } from "./caller-response.js";
 import { isRetryable } from "./serving-configuration.js";
 import type { CrashSubject } from "./crash-attribution.js";
-import { requestTrait, resourceTrait } from "./crash-attribution.js";
+import { requestTrait, resourceTrait } from "./crash-causes.js";
 import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
 import type { ErrorResponse, Refusal } from "./error-responses.js";
 import { expiredResponse, refusedResponse, unknownResponse } from "./error-responses.js";
--- a/src/serving/tests/crash-attribution.test.ts
+++ b/src/serving/tests/crash-attribution.test.ts
@@ -1,12 +1,7 @@
 import test from "ava";
 import type { CrashEvidence, CrashSubject } from "../crash-attribution.js";
-import {
-    CrashAttribution,
-    noCrashEvidence,
-    quarantineMilliseconds,
-    requestTrait,
-    resourceTrait,
-} from "../crash-attribution.js";
+import { CrashAttribution, noCrashEvidence, quarantineMilliseconds } from "../crash-attribution.js";
+import { requestTrait, resourceTrait } from "../crash-causes.js";
 
 interface Recorded {
     readonly attribution: CrashAttribution;
--- a/src/serving/tests/crash-simulation.test.ts
+++ b/src/serving/tests/crash-simulation.test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
 import { createRandomGenerator } from "../../core/random-numbers.js";
 import type { CrashEvidence, CrashSubject } from "../crash-attribution.js";
-import { CrashAttribution, requestTrait, resourceTrait } from "../crash-attribution.js";
+import { CrashAttribution } from "../crash-attribution.js";
+import { requestTrait, resourceTrait } from "../crash-causes.js";
 import { fleetTimingOf } from "../fleet-timing.js";
 
 /** Step of the virtual time, in milliseconds. */
