Do not take a paused response for lost when its connection closes

What callers saw: a caller that read slowly paused its replica's response; if the replica then closed the connection after its last byte (Connection: close, a response without a length, or an idle limit), the request's 'close' event came while the rest was still buffered. The attempt counted as lost: a long response was cut, a stream counted a run and was resumed, and a sound request was reported as lost in a crash.

Now only a request without a response head ends with the request's own close; a response ends by its own events.

--- a/src/links/tests/upstream-pools.test.ts
+++ b/src/links/tests/upstream-pools.test.ts
@@ -1,37 +1,38 @@
 import { once } from "node:events";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { createServer as createSocketServer } from "node:net";
 import test from "ava";
 import { systemClock } from "../system-clock.js";
-import type { Delivery } from "../upstream-pools.js";
+import type { Delivery, UpstreamRequest } from "../upstream-pools.js";
 import { UpstreamPools } from "../upstream-pools.js";
 
 const replica = "replica-1";
 const ignore = (): void => undefined;
 
+function requestTo(port: number): UpstreamRequest {
+    return {
+        address: `127.0.0.1:${port}`,
+        method: "POST",
+        target: "/",
+        headers: ["Host", "replica"],
+        body: undefined,
+        isRetryable: true,
+        needsNewConnection: false,
+        mayStart: () => true,
+    };
+}
+
 /** Sends one request; resolves with how far it got, or undefined if its response is complete. */
 function send(pools: UpstreamPools, port: number): Promise<Delivery | undefined> {
     return new Promise(resolve => {
-        pools.send(
-            replica,
-            {
-                address: `127.0.0.1:${port}`,
-                method: "POST",
-                target: "/",
-                headers: ["Host", "replica"],
-                body: undefined,
-                isRetryable: true,
-                needsNewConnection: false,
-                mayStart: () => true,
-            },
-            {
-                onHead: ignore,
-                onData: ignore,
-                onEnd: () => resolve(undefined),
-                onFailure: (_, delivery) => resolve(delivery),
-                onWithheld: ignore,
-            },
-        );
+        pools.send(replica, requestTo(port), {
+            onHead: ignore,
+            onData: ignore,
+            onEnd: () => resolve(undefined),
+            onFailure: (_, delivery) => resolve(delivery),
+            onWithheld: ignore,
+        });
     });
 }
 
@@ -56,3 +57,54 @@
     t.is(await send(pools, port), undefined);
     idle!.forEach(socket => socket.destroy());
 });
+
+/** Bytes of each half of a response, and the time for which its reader pauses between the halves, in milliseconds. */
+const halfBytes = 8_000;
+const pauseMilliseconds = 200;
+const halves = ["a", "b"].map(each => each.repeat(halfBytes));
+const chunks = halves.map(half => `${halfBytes.toString(16)}\r\n${half}\r\n`).join("");
+
+const closingReplicas: Readonly<Record<string, (socket: Socket) => void>> = {
+    "in chunks, with Connection: close": socket =>
+        socket.end(
+            `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n${chunks}0\r\n\r\n`,
+        ),
+    "without a length": socket =>
+        socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${halves.join("")}`),
+    "in chunks, on a connection that is idle for too long": socket => {
+        socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`);
+        setTimeout(() => socket.end(), pauseMilliseconds / 4);
+    },
+};
+
+for (const [title, respond] of Object.entries(closingReplicas)) {
+    test(`a response that is paused when its replica closes the connection is complete: ${title}`, async t => {
+        const server = createSocketServer(socket => {
+            socket.on("error", ignore);
+            socket.once("data", () => respond(socket));
+        });
+        t.teardown(() => server.close());
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const { port } = server.address() as AddressInfo;
+        const pools = UpstreamPools.create(systemClock, () => 4);
+        let bytes = 0;
+        const failure = await new Promise<string | undefined>(resolve => {
+            const call = pools.send(replica, requestTo(port), {
+                onHead: ignore,
+                onData: chunk => {
+                    if (bytes === 0) {
+                        call.pause();
+                        setTimeout(() => call.resume(), pauseMilliseconds);
+                    }
+                    bytes += chunk.length;
+                },
+                onEnd: () => resolve(undefined),
+                onFailure: message => resolve(message),
+                onWithheld: ignore,
+            });
+        });
+        t.is(failure, undefined);
+        t.is(bytes, 2 * halfBytes);
+    });
+}
--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -327,14 +327,13 @@
         );
         observer.onHead(response);
     });
-    request.once("close", () =>
-        settle(() =>
-            observer.onFailure(
-                "the connection was closed before the response was complete",
-                deliveryWithoutResponse(),
-            ),
-        ),
-    );
+    request.once("close", () => {
+        // A response that is paused may be complete; its own events follow.
+        if (state.response === undefined) {
+            const message = "the connection was closed before the response";
+            settle(() => observer.onFailure(message, deliveryWithoutResponse()));
+        }
+    });
     request.end(outgoing.body);
     return {
         cancel: () =>
