Close the ports of the product's own daemons by the drain of the callers' port

What callers saw: connections of an ending entry daemon that waited to be accepted, or whose request waited unread, were reset. Now one ServerDrain (links/server-drain.ts) with one decision (core/connection-drain.ts, moved) closes both; a caller that goes on sending gets 'Connection: close' instead of keeping the port open. Evidence: the new test in caller-server.test.ts failed before (callers that waited got no response); the tests of the port of the serving process and those of the former drain pass unchanged.

--- a/src/links/admin-server.ts
+++ b/src/links/admin-server.ts
@@ -1,8 +1,9 @@
 /** The admin port of a daemon, which serves its status and its timeline events. */
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
-import { createDrainingClose } from "./response-drain.js";
 import type { Timeline } from "../core/timeline.js";
+import { ServerDrain } from "./server-drain.js";
+import { systemClock } from "./system-clock.js";
 
 /** Data that the admin port serves. */
 export interface AdminSource {
@@ -53,7 +54,11 @@
 /** Listens on host:port and resolves once connections are accepted; rejects if the port is taken. */
 export function listenOn(server: http.Server, listen: string): Promise<ListeningServer> {
     const [host, port] = listen.split(":");
-    const close = createDrainingClose(server);
+    const drain = ServerDrain.create(server, () => systemClock.monotonicMilliseconds());
+    const close = (): Promise<void> => {
+        drain.start();
+        return drain.whenDrained;
+    };
     return new Promise((resolve, reject) => {
         server.once("error", reject);
         server.listen(Number(port), host, () => {
--- a/src/links/tests/caller-server.test.ts
+++ b/src/links/tests/caller-server.test.ts
@@ -2,6 +2,7 @@
 import * as net from "node:net";
 import test from "ava";
 import { startCallerServer } from "../caller-server.js";
+import { BlockedCallers } from "./blocked-callers.js";
 
 const bodyLength = 20_000_000;
 const limits = { connections: 16, headerMilliseconds: 1_000, requestMilliseconds: 1_000 };
@@ -29,6 +30,20 @@
     await closed;
 });
 
+test("callers that wait to be accepted or to be read when the port closes get responses", async t => {
+    const server = await start((_, response) => response.end("x"));
+    const callers = await BlockedCallers.create(Number(server.address.split(":")[1]));
+    t.teardown(() => callers.close());
+    await callers.run(["open", 3], ["send"], ["receive"]);
+    callers.runBlocked(["open", 9], ["send"]);
+    const closed = server.close();
+    t.deepEqual(
+        await callers.run(["receive"]),
+        Array.from({ length: 12 }, () => 200),
+    );
+    await closed;
+});
+
 test("a caller that goes on sending requests on its connection does not keep a closing port open", async t => {
     const server = await start((_, response) => void setTimeout(() => response.end("x"), 100));
     const socket = net.connect(Number(server.address.split(":")[1]), "127.0.0.1");
--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -4,11 +4,10 @@
  */
 import * as http from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { Server as NetServer } from "node:net";
 import type { Socket } from "node:net";
 import type { Clock } from "../contracts/clocks.js";
 import type { PartLogger } from "../links/logs.js";
-import { ConnectionDrain } from "./connection-drain.js";
+import { ServerDrain } from "../links/server-drain.js";
 import type { CallerLimits, RouteTable } from "./serving-configuration.js";
 import { pickService } from "./serving-configuration.js";
 import type { AdmittedRequest } from "./exchange-context.js";
@@ -25,8 +24,6 @@
  * receives the rejection.
  */
 const rejectedBodyTimeoutMilliseconds = 1_000;
-/** Interval between two checks for connections that can be closed while the process ends, in milliseconds. */
-const drainIntervalMilliseconds = 10;
 /** Retry-After of a process that is starting or stopping, in seconds; a retry reaches another process. */
 const otherProcessRetryAfterSeconds = "0.2";
 
@@ -59,8 +56,7 @@
 export class CallerPort {
     private readonly server: http.Server;
     private readonly openRequests = new Map<ServerResponse, IncomingMessage>();
-    private readonly connections = new Set<Socket>();
-    private acceptedConnections = 0;
+    private readonly drain: ServerDrain;
     private isClosed = false;
 
     private constructor(private readonly options: CallerPortOptions) {
@@ -72,11 +68,7 @@
             (message, response) => this.handleRequest(message, response),
         );
         this.server.requestTimeout = 0;
-        this.server.on("connection", socket => {
-            this.acceptedConnections += 1;
-            this.connections.add(socket);
-            socket.once("close", () => this.connections.delete(socket));
-        });
+        this.drain = ServerDrain.create(this.server, () => options.clock.monotonicMilliseconds());
         this.server.on("timeout", closeUnlessReadable);
     }
 
@@ -99,43 +91,13 @@
 
     /** True if no connection is open and no further one is accepted. */
     public get isDrained(): boolean {
-        return !this.server.listening && this.connections.size === 0;
+        return this.drain.isDrained;
     }
 
-    /**
-     * Rejects new requests, stops accepting connections, and closes each connection on which no request is open or waits to
-     * be read.
-     */
+    /** Rejects new requests, and closes the port and its connections as they fall quiet. */
     public close(): void {
-        if (this.isClosed) {
-            return;
-        }
         this.isClosed = true;
-        setImmediate(() => this.drain(ConnectionDrain.create()));
-    }
-
-    /** Must be called by an immediate: it follows the poll that reads waiting requests and accepts connections. */
-    private drain(drain: ConnectionDrain<Socket>): void {
-        const busySockets = new Set([...this.openRequests.values()].map(({ socket }) => socket));
-        const states = [...this.connections].map(
-            socket =>
-                [socket, { bytesRead: socket.bytesRead, hasOpenRequest: busySockets.has(socket) }] as const,
-        );
-        const { mayStopAccepting, quietConnections } = drain.observe({
-            now: this.options.clock.monotonicMilliseconds(),
-            acceptedConnections: this.acceptedConnections,
-            connections: new Map(states),
-        });
-        if (mayStopAccepting && this.server.listening) {
-            // The method of http.Server would also close connections whose requests have not been read.
-            NetServer.prototype.close.call(this.server);
-        }
-        quietConnections.forEach(socket => socket.destroy());
-        if (this.server.listening) {
-            setImmediate(() => this.drain(drain));
-        } else if (!this.isDrained) {
-            setTimeout(() => setImmediate(() => this.drain(drain)), drainIntervalMilliseconds);
-        }
+        this.drain.start();
     }
 
     /** Rejects the open requests that have no response yet; covers requests whose bodies are still arriving. */
