--- a/src/core/crash-guard.ts
+++ b/src/core/crash-guard.ts
@@ -2,13 +2,10 @@
  * Keeps requests that crash replicas away from further replicas. Covers a request that crashes each replica or engine that
  * begins to run it, and that its caller repeats, with a new id and perhaps another query, at any entry process.
  */
-import { createHash } from "node:crypto";
+import { hashIdentity } from "./hashes.js";
 import type { InstanceId } from "./instances.js";
 import type { CompletionRequest, ServiceCall } from "./requests.js";
 
-/** Length of a hash in hexadecimal digits. */
-const hashLength = 16;
-
 /** What the repetitions of a request have in common. */
 export interface GuardedRequest {
     /** Hash that only this request and its repetitions have. */
@@ -45,7 +42,7 @@
 /** Identifies the repetitions of a call, and those that differ in the query only. */
 export function toGuardedCall({ caller, service, method, path, body }: ServiceCall): GuardedRequest {
     const [request, resource] = [path, path.split("?")[0] ?? ""].map(target =>
-        hashParts([caller.team, caller.subscriber, service, method, target, body]),
+        hashIdentity([caller.team, caller.subscriber, service, method, target, body]),
     );
     return { request: request!, resource: resource! };
 }
@@ -53,10 +50,6 @@
 /** Identifies the repetitions of a completion request. */
 export function toGuardedCompletion(completion: CompletionRequest): GuardedRequest {
     const { caller, model, prompt, maximumTokens } = completion;
-    const request = hashParts([caller.team, caller.subscriber, model, prompt, maximumTokens]);
+    const request = hashIdentity([caller.team, caller.subscriber, model, prompt, maximumTokens]);
     return { request, resource: request };
 }
-
-function hashParts(parts: readonly (string | number)[]): string {
-    return createHash("sha256").update(JSON.stringify(parts)).digest("hex").slice(0, hashLength);
-}
--- a/src/serving/request-identity.ts
+++ b/src/serving/request-identity.ts
@@ -1,10 +1,7 @@
 /** Tells whether a request is a repetition of an earlier one, whatever the id of its attempt. */
-import { createHash } from "node:crypto";
+import { hashIdentity } from "../core/hashes.js";
 import type { CallerRequest } from "./wire-format.js";
 
-/** Length of a hash in hexadecimal digits. */
-const hashLength = 16;
-
 /** Hashes of what a caller repeats if it sends the same request again; calculated when they are first read. */
 export class RequestIdentity {
     private ownHash: string | undefined;
@@ -34,12 +31,6 @@
 
     private hashWith(parts: readonly string[]): string {
         const { method, host, credential } = this.request;
-        const hash = createHash("sha256").update(
-            JSON.stringify([method, host, credential ?? null, ...parts]),
-        );
-        return hash
-            .update(this.body ?? "")
-            .digest("hex")
-            .slice(0, hashLength);
+        return hashIdentity([method, host, credential, ...parts], this.body);
     }
 }
