Build the refusal of a quarantined request with the other refusals

The exchange varied its Retry-After by a formula of its own, the one of error-responses.ts for an earliest time. No change of behaviour. The fact that an attempt may have crashed its replica is read from the attempt instead of a copy of it.

--- a/src/serving/error-responses.ts
+++ b/src/serving/error-responses.ts
@@ -69,12 +69,16 @@
  * caller's own deadline, of which most is left for the retry.
  */
 export function retryAfterMilliseconds(
-    { milliseconds, isEarliest = false }: RetryAfter,
+    retryAfter: RetryAfter,
     random: number,
     remainingMilliseconds: number,
 ): number {
-    const varied = milliseconds * (isEarliest ? 1 + random / 4 : 0.75 + random / 2);
-    return Math.min(varied, maximumRetryAfterFraction * Math.max(0, remainingMilliseconds));
+    const maximum = maximumRetryAfterFraction * Math.max(0, remainingMilliseconds);
+    return Math.min(variedMilliseconds(retryAfter, random), maximum);
+}
+
+function variedMilliseconds({ milliseconds, isEarliest = false }: RetryAfter, random: number): number {
+    return milliseconds * (isEarliest ? 1 + random / 4 : 0.75 + random / 2);
 }
 
 /** States that no replica ran the request. Parameters as in `retryAfterMilliseconds`. */
@@ -87,6 +91,24 @@
     return { status: 503, outcome: "refused", reason, headers: ["Retry-After", seconds.toFixed(2)] };
 }
 
+/**
+ * Refuses a request whose repetitions crash replicas, until `remainingMilliseconds` have passed; `random` is from [0, 1). Unlike
+ * other refusals, it may name a time after the caller's deadline, since an earlier retry cannot succeed.
+ */
+export function quarantinedResponse(
+    mayHaveRun: boolean,
+    random: number,
+    remainingMilliseconds: number,
+): ErrorResponse {
+    const reason = "requests like this one crash replicas; change it or retry later";
+    if (mayHaveRun) {
+        return unknownResponse(reason);
+    }
+    const retryAfter = { milliseconds: remainingMilliseconds, isEarliest: true };
+    const seconds = Math.ceil(variedMilliseconds(retryAfter, random) / 1000);
+    return { status: 503, outcome: "refused", reason, headers: ["Retry-After", String(seconds)] };
+}
+
 /** States that a replica may have run the request, whose response was lost. */
 export function unknownResponse(reason: string): ErrorResponse {
     return { status: 502, outcome: "failed", reason, headers: [] };
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -13,7 +13,7 @@
 import { requestTrait, resourceTrait } from "./crash-causes.js";
 import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
 import type { ErrorResponse, Refusal } from "./error-responses.js";
-import { expiredResponse, refusedResponse, unknownResponse } from "./error-responses.js";
+import { expiredResponse, quarantinedResponse, refusedResponse, unknownResponse } from "./error-responses.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
 import { crashProgressOf, createAttempt } from "./exchange-attempt.js";
@@ -56,8 +56,6 @@
     private isSettled = false;
     /** True if a connection that was reused for this request carried a late response to another request. */
     private hasReceivedForeignResponse = false;
-    /** True if the last attempt may have crashed its replica. */
-    private hasLastAttemptCrashed = false;
     private readonly deadlineTimer: NodeJS.Timeout;
     private waitTimer: NodeJS.Timeout | undefined;
 
@@ -151,15 +149,9 @@
 
     /** `endsAt`: end of the quarantine in local monotonic milliseconds; needed unless a replica may have run the request. */
     private refuseQuarantined(endsAt = this.now()): void {
-        const reason = "requests like this one crash replicas; change it or retry later";
         this.context.metrics.quarantineRefusals.inc();
-        if (this.mayHaveRun) {
-            this.sendErrorResponse(502, "failed", reason);
-        } else {
-            const milliseconds = (endsAt - this.now()) * (1 + this.context.random() / 4);
-            const seconds = Math.ceil(milliseconds / 1000);
-            this.sendErrorResponse(503, "refused", reason, ["Retry-After", String(seconds)]);
-        }
+        const remaining = endsAt - this.now();
+        this.respondWithError(quarantinedResponse(this.mayHaveRun, this.context.random(), remaining));
     }
 
     private now(): number {
@@ -578,8 +570,7 @@
         if (outcome === "notSent" || outcome === "dropped" || outcome === "lost") {
             this.context.replicaRecords.recordFailure(instance.id, this.now());
         }
-        this.hasLastAttemptCrashed = attempt.hasCrashedReplica;
-        const mayCrashAnotherReplica = this.mayCrashAnotherReplica(outcome);
+        const mayCrashAnotherReplica = outcome === "lost" && this.mayCrashAnotherReplica(attempt);
         const commands = this.apply({
             kind: "ended",
             attempt: attempt.number,
@@ -617,13 +608,8 @@
         };
     }
 
-    private mayCrashAnotherReplica(outcome: AttemptOutcome): boolean {
-        const { crashAttribution } = this.context;
-        return (
-            outcome === "lost" &&
-            this.hasLastAttemptCrashed &&
-            crashAttribution.isSuspect(this.crashSubject, this.now())
-        );
+    private mayCrashAnotherReplica({ hasCrashedReplica }: Attempt): boolean {
+        return hasCrashedReplica && this.context.crashAttribution.isSuspect(this.crashSubject, this.now());
     }
 
     private releaseAttempt(attempt: Attempt): void {
@@ -655,15 +641,6 @@
     }
 
     private respondWithError({ status, outcome, reason, headers }: ErrorResponse): void {
-        this.sendErrorResponse(status, outcome, reason, headers);
-    }
-
-    private sendErrorResponse(
-        status: number,
-        outcome: string,
-        reason: string,
-        headers: readonly string[] = [],
-    ): void {
         this.settle(outcome, { status, reason });
         const { id } = this.admitted.request;
         const idHeader = id === undefined ? [] : [this.context.wire.requestIdHeader, id];
--- a/src/serving/tests/error-responses.test.ts
+++ b/src/serving/tests/error-responses.test.ts
@@ -2,6 +2,7 @@
 import * as fc from "fast-check";
 import {
     expiredResponse,
+    quarantinedResponse,
     refusalAfterAttempt,
     refusalWithoutTarget,
     refusedResponse,
@@ -63,3 +64,12 @@
     t.is(expiredResponse("late", true).status, 504);
     t.is(expiredResponse("late", false).status, 503);
 });
+
+test("a quarantined request is told the whole time of its quarantine, unless it may have run", t => {
+    const refused = quarantinedResponse(false, 0.5, 60_000);
+    t.is(refused.status, 503);
+    t.deepEqual(refused.headers, ["Retry-After", "68"]);
+    const unknown = quarantinedResponse(true, 0.5, 60_000);
+    t.is(unknown.status, 502);
+    t.deepEqual(unknown.headers, []);
+});
