Count no run for an attempt that is superseded before its request is written

What callers would see: a stream tries a second replica while the first is silent; the first goes on before the second attempt has a connection. If the first breaks off later, the stream was cut, since the unwritten attempt counted as a run on a route that allows two. Evidence: the new test failed before (cut instead of a search). The pools now tell when a request is written. The condition on 'overloaded' for a response that has begun, which would have sent an error inside it, is gone; it could not be reached.

--- a/src/links/tests/upstream-pools.test.ts
+++ b/src/links/tests/upstream-pools.test.ts
@@ -27,6 +27,7 @@
 function send(pools: UpstreamPools, port: number): Promise<Delivery | undefined> {
     return new Promise(resolve => {
         pools.send(replica, requestTo(port), {
+            onWritten: ignore,
             onHead: ignore,
             onData: ignore,
             onEnd: () => resolve(undefined),
@@ -91,6 +92,7 @@
         let bytes = 0;
         const failure = await new Promise<string | undefined>(resolve => {
             const call = pools.send(replica, requestTo(port), {
+                onWritten: ignore,
                 onHead: ignore,
                 onData: chunk => {
                     if (bytes === 0) {
--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -42,6 +42,8 @@
 
 /** Callbacks of one request. None is called after `onEnd`, `onFailure` or `onWithheld`. */
 export interface UpstreamObserver {
+    /** Called right before the request is written; from then on, bytes of it may reach the replica. */
+    readonly onWritten: () => void;
     readonly onHead: (message: http.IncomingMessage) => void;
     readonly onData: (chunk: Buffer) => void;
     /** The response is complete according to its framing. */
@@ -246,6 +248,7 @@
     const onConnected = (): void => {
         if (checkStart()) {
             state.writtenAt = clock.monotonicMilliseconds();
+            observer.onWritten();
             clearTimeout(connectTimer);
         }
     };
--- a/src/serving/attempt-sequence.ts
+++ b/src/serving/attempt-sequence.ts
@@ -26,6 +26,8 @@
     readonly number: number;
     /** Id of the instance. */
     readonly instance: string;
+    /** True if bytes of the request may have reached the replica. */
+    readonly isWritten: boolean;
     readonly hasReceivedEvents: boolean;
     /** True once another attempt was made beside this one, which suspends its time-out. */
     readonly hasSuspendedTimeout: boolean;
@@ -76,6 +78,8 @@
           readonly hasBegunResponse: boolean;
       }
     | { readonly kind: "started"; readonly isBeside: boolean; readonly instance: string }
+    /** The request is being written to the connection of an attempt. */
+    | { readonly kind: "written"; readonly attempt: number }
     /** The retry budget allowed no attempt at the chosen replica. */
     | { readonly kind: "retryDenied"; readonly isBeside: boolean; readonly conditions: AttemptConditions }
     | {
@@ -149,6 +153,8 @@
             return handleChoice(state, event);
         case "started":
             return transition(withNewAttempt(state, event));
+        case "written":
+            return transition(withChange(state, event.attempt, { isWritten: true }));
         case "retryDenied":
             return event.isBeside
                 ? waitForCurrent({ ...state, refusals: state.refusals + 1 })
@@ -158,7 +164,7 @@
         case "slow":
             return handleSlowness(state, event);
         case "eventReceived": {
-            const next = withEvents(state, event.attempt);
+            const next = withChange(state, event.attempt, { hasReceivedEvents: true });
             return event.isNew ? keepOnly(next, event.attempt) : transition(next);
         }
         case "served": {
@@ -216,7 +222,7 @@
     if (choice.kind === "target") {
         return transition(state, { kind: "start", isBeside: false, target: choice.target });
     }
-    if (hasBegunResponse && choice.kind !== "overloaded") {
+    if (hasBegunResponse) {
         // The caller may still be waiting; its deadline or its disconnection ends the search.
         return transition(state, { kind: "chooseNextAfter", milliseconds: resumePollIntervalMilliseconds });
     }
@@ -319,8 +325,8 @@
     if (other === undefined) {
         return transition(next, ...commands);
     }
-    // When the connection closes, a silent leader drops a stream that has not begun.
-    const mayContinue = other.hasReceivedEvents || other !== silent;
+    // When the connection closes, a silent leader drops a stream that has not begun, and an unwritten request reaches none.
+    const mayContinue = other.hasReceivedEvents || (other !== silent && other.isWritten);
     return transition(
         { ...next, mayHaveRun: true, possibleRuns: state.possibleRuns + (mayContinue ? 1 : 0) },
         ...commands,
@@ -350,6 +356,7 @@
         current: {
             number: attemptCount,
             instance,
+            isWritten: false,
             hasReceivedEvents: false,
             hasSuspendedTimeout: false,
         },
@@ -357,15 +364,17 @@
     };
 }
 
-function withEvents(state: AttemptSequence, attempt: number): AttemptSequence {
+function withChange(
+    state: AttemptSequence,
+    attempt: number,
+    change: Partial<Pick<LiveAttempt, "isWritten" | "hasReceivedEvents">>,
+): AttemptSequence {
     const { current, silent } = state;
-    if (current?.number === attempt && !current.hasReceivedEvents) {
-        return { ...state, current: { ...current, hasReceivedEvents: true } };
-    }
-    if (silent?.number === attempt && !silent.hasReceivedEvents) {
-        return { ...state, silent: { ...silent, hasReceivedEvents: true } };
-    }
-    return state;
+    return {
+        ...state,
+        current: current?.number === attempt ? { ...current, ...change } : current,
+        silent: silent?.number === attempt ? { ...silent, ...change } : silent,
+    };
 }
 
 function without(state: AttemptSequence, attempt: number): AttemptSequence {
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -359,6 +359,7 @@
                     !context.isLeaving(instance) && !context.backPressure.isPaused(instance, this.now()),
             },
             {
+                onWritten: () => this.advance({ kind: "written", attempt: number }),
                 onHead: message => this.handleHead(attempt, message),
                 onData: chunk => this.handleData(attempt, chunk),
                 onEnd: () => this.handleEnd(attempt),
--- a/src/serving/tests/attempt-sequence.test.ts
+++ b/src/serving/tests/attempt-sequence.test.ts
@@ -55,7 +55,7 @@
 
 const one = after(started("a"));
 /** Attempt 1 at the silent group "a", attempt 2 at the group "b". */
-const two = after(started("a"), started("b", true));
+const two = after(started("a"), started("b", true), { kind: "written", attempt: 2 });
 
 test("a silent replica is tried elsewhere only when it is doubtful, silent long enough and another one takes the request", t => {
     const silent = { ...silence, silentMilliseconds: 130 };
@@ -103,6 +103,14 @@
     t.is(served.state.current, undefined);
 });
 
+test("an attempt beside a silent one counts as no run if it is superseded before its request is written", t => {
+    const events = { kind: "eventReceived", attempt: 1, isNew: true } as const;
+    const state = after(started("a"), events, started("b", true), events);
+    t.is(state.possibleRuns, 0);
+    const lost = advanceAttempts(state, ended(1, "lost", { ...begun, maximumAttempts: 2 }));
+    t.deepEqual(lost.commands, [{ kind: "choose", purpose: "next" }]);
+});
+
 test("a silent attempt with events counts as a run when it is superseded", t => {
     const state = after(
         started("a"),
@@ -144,9 +152,12 @@
     t.deepEqual(advanceAttempts(one, chosen("next", none)).commands, []);
     const lost = after(started("a"), ended(1, "lost"));
     t.is(advanceAttempts(lost, chosen("next", none)).commands[0]?.kind, "unknown");
-    t.deepEqual(advanceAttempts(lost, chosen("next", none, true)).commands, [
-        { kind: "chooseNextAfter", milliseconds: 40 },
-    ]);
+    const overloaded = { kind: "overloaded", expectedMilliseconds: 1, retryAfterMilliseconds: 1 } as const;
+    for (const choice of [none, overloaded]) {
+        t.deepEqual(advanceAttempts(lost, chosen("next", choice, true)).commands, [
+            { kind: "chooseNextAfter", milliseconds: 40 },
+        ]);
+    }
 });
 
 test("the time-out of an attempt continues once its replica is in use again after another one was made beside it", t => {
@@ -201,7 +212,7 @@
     public step(): void {
         const live = [this.state.current, this.state.silent].filter(each => each !== undefined);
         const attempt = live[this.draw(2)]?.number ?? live[0]?.number;
-        const kind = this.draw(6);
+        const kind = this.draw(7);
         if (this.isSettled) {
             return;
         }
@@ -213,6 +224,8 @@
         } else if (kind === 2) {
             const outcomes = ["notSent", "withheld", "refused", "failed", "dropped", "lost"] as const;
             this.apply(ended(attempt, outcomes[this.draw(outcomes.length)]!, this.conditions));
+        } else if (kind === 6) {
+            this.apply({ kind: "written", attempt });
         } else if (kind === 3) {
             this.apply({ ...slow, attempt, conditions: this.conditions });
         } else {
