Serve new requests of an ending process for 2.8 s instead of 3 s after the signal

What callers would see: a request that was sent just after three seconds could be served and cut when the grace period ended. The load balancer needs two health checks, two seconds.

--- a/src/serving/shutdown-step.ts
+++ b/src/serving/shutdown-step.ts
@@ -4,10 +4,11 @@
  */
 
 /**
- * Time for which the load balancer may still send callers, in milliseconds: two of its health checks and one more
- * as a margin.
+ * Time for which new requests are served, in milliseconds: longer than the load balancer needs for two health checks, and so
+ * short that they were sent within three seconds of the signal, also if it was handled late. A request that is sent later may
+ * not be complete when the grace period ends.
  */
-const balancerDetectionMilliseconds = 3_000;
+const servingMilliseconds = 2_800;
 /** Time before the process is killed at which open requests are ended, in milliseconds. */
 const requestEndMarginMilliseconds = 400;
 /**
@@ -35,7 +36,7 @@
     const { elapsedMilliseconds, gracePeriodMilliseconds, isDrained } = facts;
     const remainingMilliseconds = gracePeriodMilliseconds - elapsedMilliseconds;
     const canStillServe = remainingMilliseconds > requestEndMarginMilliseconds;
-    if (elapsedMilliseconds < balancerDetectionMilliseconds && canStillServe) {
+    if (elapsedMilliseconds < servingMilliseconds && canStillServe) {
         return "serve";
     }
     if (isDrained || remainingMilliseconds <= exitMarginMilliseconds) {
