--- a/src/core/crash-guard.ts
+++ b/src/core/crash-guard.ts
@@ -2,7 +2,7 @@
  * Keeps requests that crash replicas away from further replicas. Covers a request that crashes each replica or engine that
  * begins to run it, and that its caller repeats, with a new id and perhaps another query, at any entry process.
  */
-import { hashIdentity } from "./hashes.js";
+import { hashIdentity } from "./identity-hashes.js";
 import type { InstanceId } from "./instances.js";
 import type { CompletionRequest, ServiceCall } from "./requests.js";
 
--- a/src/core/hashes.ts
+++ b/src/core/hashes.ts
@@ -1,5 +1,4 @@
-/** Fast non-cryptographic hashes, rendezvous hashing on them, and hashes that callers cannot forge. */
-import { createHash } from "node:crypto";
+/** Fast non-cryptographic hashes, and rendezvous hashing on them. */
 import xxhash from "xxhash-wasm";
 
 const hasher = await xxhash();
@@ -9,18 +8,6 @@
     return hasher.h64ToString(text);
 }
 
-/** Length of the hash of an identity, in hexadecimal digits. */
-const identityLength = 16;
-
-/** Start of the SHA-256 of parts and a body: no caller can make a request that is taken for another caller's. */
-export function hashIdentity(
-    parts: readonly (string | number | undefined)[],
-    body: Uint8Array | string = "",
-): string {
-    const hash = createHash("sha256").update(JSON.stringify(parts)).update(body);
-    return hash.digest("hex").slice(0, identityLength);
-}
-
 /** XXH32 of a text, as an unsigned number. */
 export function hashNumber(text: string): number {
     return hasher.h32(text) >>> 0;
--- a/src/serving/request-identity.ts
+++ b/src/serving/request-identity.ts
@@ -1,5 +1,5 @@
 /** Tells whether a request is a repetition of an earlier one, whatever the id of its attempt. */
-import { hashIdentity } from "../core/hashes.js";
+import { hashIdentity } from "../core/identity-hashes.js";
 import type { CallerRequest } from "./wire-format.js";
 
 /** Hashes of what a caller repeats if it sends the same request again; calculated when they are first read. */
