--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -25,6 +25,8 @@
 import type { GroupEngines } from "../../serving/group-orders.js";
 import type { Suspicion } from "../../serving/stalled-group-detector.js";
 import { StalledGroupDetector } from "../../serving/stalled-group-detector.js";
+import type { LimitStatement } from "../../serving/rate-limits.js";
+import { RateLimits } from "../../serving/rate-limits.js";
 import { ReplicaRecords } from "../../serving/replica-records.js";
 import { RetryBudgets } from "../../serving/retry-budgets.js";
 import type { ServingMetrics } from "../../serving/serving-metrics.js";
@@ -111,6 +113,7 @@
     private readonly announcedGroups: AnnouncedGroups;
     private readonly records = ReplicaRecords.create();
     private readonly backPressure: BackPressure;
+    private readonly rateLimits = RateLimits.create();
     private readonly leaving: LeavingReports;
     private readonly retryBudgets: RetryBudgets;
     private readonly crashAttribution: CrashAttribution;
@@ -219,6 +222,7 @@
             inFlightRequests: this.flights,
             replicaRecords: this.records,
             backPressure: this.backPressure,
+            onLimitStatement: (instance, statement) => this.recordLimit(instance, statement),
             isDoubtful: group => this.suspicions.isSuspect(group) || !this.view.groups.has(group),
             crashAttribution: this.crashAttribution,
             isLeaving: instance => this.leaving.isLeaving(instance),
@@ -418,10 +422,21 @@
         this.upstreams.keepOnly(ids);
         this.records.retainReplicas(ids);
         this.backPressure.retainReplicas(ids);
+        this.rateLimits.retainReplicas(ids);
         this.flights.retainGroups(new Set(this.view.groups.keys()));
         this.view.countByModel().forEach((count, model) => this.metrics.servableGroups.set({ model }, count));
     }
 
+    private recordLimit(instance: FleetInstance, statement: LimitStatement): void {
+        if (this.rateLimits.record(instance, statement, this.now())) {
+            const { requestsPerSecond } = statement;
+            this.log.info("instance changed the rate of requests that it takes", {
+                instance: instance.id,
+                requestsPerSecond: requestsPerSecond ?? "unlimited",
+            });
+        }
+    }
+
     private handlePeers(peers: readonly Peer[]): void {
         this.peers.setRegistered(peers);
         this.retryBudgets.applyEntryCount();
--- a/src/serving/exchange-context.ts
+++ b/src/serving/exchange-context.ts
@@ -9,6 +9,7 @@
 import type { BackPressure } from "./back-pressure.js";
 import type { FleetInstance } from "./fleets.js";
 import type { ReplicaRecords } from "./replica-records.js";
+import type { LimitStatement } from "./rate-limits.js";
 import type { RequestIdentity } from "./request-identity.js";
 import type { RetryWindow } from "./retry-window.js";
 import type { ServingMetrics } from "./serving-metrics.js";
@@ -24,6 +25,8 @@
     readonly inFlightRequests: InFlightRequests;
     readonly replicaRecords: ReplicaRecords;
     readonly backPressure: BackPressure;
+    /** Called with each response of an instance, also if it states no limit. */
+    readonly onLimitStatement: (instance: FleetInstance, statement: LimitStatement) => void;
     /** True if a replica group is suspected to be stalled or is no longer in use. */
     readonly isDoubtful: (group: string) => boolean;
     readonly crashAttribution: CrashAttribution;
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -447,9 +447,10 @@
         this.handleParts(attempt, attempt.response.readHead(head));
     }
 
-    private noteReplicaState({ target }: Attempt, head: ResponseHead): void {
-        const { backPressure, onLeaving } = this.context;
+    private noteReplicaState({ target, sentAt }: Attempt, head: ResponseHead): void {
+        const { backPressure, onLeaving, onLimitStatement } = this.context;
         const { instance } = target;
+        onLimitStatement(instance, { requestsPerSecond: head.requestsPerSecond, sentAt });
         if (head.pauseMilliseconds !== undefined) {
             backPressure.record(instance, head.pauseMilliseconds, this.now());
         } else if (!head.isStatedNotRun) {
--- a/src/serving/tests/replica-response.test.ts
+++ b/src/serving/tests/replica-response.test.ts
@@ -9,6 +9,7 @@
     isStatedNotRun: false,
     isLeaving: false,
     pauseMilliseconds: undefined,
+    requestsPerSecond: undefined,
     isFramed: true,
     hasUnrequestedEncoding: false,
     headers: [],
--- a/src/serving/wire-format.ts
+++ b/src/serving/wire-format.ts
@@ -55,6 +55,8 @@
     readonly isLeaving: boolean;
     /** Time for which the replica wants no further request; undefined unless it refused this one and states a time. */
     readonly pauseMilliseconds: number | undefined;
+    /** Requests per second that the replica takes from all entry instances together; undefined without a limit. */
+    readonly requestsPerSecond: number | undefined;
     /** True if the message states where it ends; otherwise it ends with its connection. */
     readonly isFramed: boolean;
     /** True if the body has a content encoding that no caller requested. */
