Send requests to replicas that limit their rate only with a permit

Cause: the rate was not read, so the engine model alone chose the leader. Class of fault: a limit for all entry instances together, while these share beliefs but no allowances. Change: for each limited replica the first entry instance by rendezvous hashing issues permits at the stated rate by datagram to whoever asks (PermitIssuer). Limits and their ends are part of the peers' datagrams. A request waits for a permit only as long as another replica would take and its objective holds; otherwise it is refused at once with the time of the next permit.

--- a/src/core/hashes.ts
+++ b/src/core/hashes.ts
@@ -1,5 +1,6 @@
 /** Fast non-cryptographic hashes, and rendezvous hashing on them. */
 import xxhash from "xxhash-wasm";
+import { rankByWeight } from "./rendezvous.js";
 
 const hasher = await xxhash();
 
@@ -15,12 +16,7 @@
 
 /** Orders candidates by their rendezvous weight for a key, the highest first. */
 export function rankByRendezvous(key: string, candidates: readonly string[]): readonly string[] {
-    const weighted = candidates.map(candidate => ({
-        candidate,
-        weight: hashNumber(`${key}\u0000${candidate}`),
-    }));
-    weighted.sort((left, right) => right.weight - left.weight || (left.candidate < right.candidate ? -1 : 1));
-    return weighted.map(entry => entry.candidate);
+    return rankByWeight(candidates, candidate => hashNumber(`${key}\u0000${candidate}`));
 }
 
 /** An incremental XXH64; `digest` may be called at any point. */
--- a/src/daemons/serving/entry-peers.ts
+++ b/src/daemons/serving/entry-peers.ts
@@ -9,8 +9,9 @@
 import type { InFlightRequests } from "../../serving/in-flight-requests.js";
 import type { LeavingInstance } from "../../serving/leaving-instances.js";
 import type { Suspicion } from "../../serving/stalled-group-detector.js";
-import type { PeerMessage } from "../../serving/peer-link.js";
+import type { PeerMessage, PermitMessage } from "../../serving/peer-link.js";
 import { PeerLink } from "../../serving/peer-link.js";
+import type { LimitAnnouncement } from "../../serving/rate-limits.js";
 import type { ServingSettings } from "../../serving/serving-settings.js";
 import type { Peer } from "./serving-follower.js";
 
@@ -50,6 +51,10 @@
     /** Version of the configuration in force; 0 if none. */
     readonly configurationVersion: () => number;
     readonly onConfigurationVersion: (version: number) => void;
+    /** What this process knows of replicas that limit their requests, and whether it issues permits for them. */
+    readonly limits: () => Pick<PeerMessage, "isIssuing" | "limits">;
+    readonly onLimits: (from: string, isIssuing: boolean, limits: readonly LimitAnnouncement[]) => void;
+    readonly onPermitMessage: (from: string, message: PermitMessage) => void;
     readonly log: PartLogger;
 }
 
@@ -75,6 +80,7 @@
             name: settings.name,
             incarnation,
             onMessage: message => this.handle(message),
+            onPermitMessage: (from, message) => this.handlePermitMessage(from, message),
             log,
         });
     }
@@ -160,6 +166,7 @@
             leaving,
             crashEvidence,
             configurationVersion,
+            limits,
         } = this.options;
         this.link.send(
             {
@@ -169,6 +176,7 @@
                 leaving: leaving(),
                 crashEvidence: crashEvidence(),
                 configurationVersion: configurationVersion(),
+                ...limits(),
             },
             includesFar,
         );
@@ -190,6 +198,21 @@
         this.options.onLeaving(from, leaving);
         this.options.onCrashEvidence(from, crashEvidence);
         this.options.onConfigurationVersion(configurationVersion);
+        this.options.onLimits(from, message.isIssuing, message.limits);
+    }
+
+    /** Sends a question for a permit, or a reply, to a registered entry instance. */
+    public sendPermitMessage(name: string, message: PermitMessage): void {
+        const peer = this.registered.find(each => each.name === name);
+        if (peer !== undefined) {
+            this.link.sendPermitMessage(peer.address, message);
+        }
+    }
+
+    private handlePermitMessage(from: string, message: PermitMessage): void {
+        if (this.registered.some(peer => peer.name === from)) {
+            this.options.onPermitMessage(from, message);
+        }
     }
 
     private isInOwnDomain(peer: Peer): boolean {
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -25,8 +25,6 @@
 import type { GroupEngines } from "../../serving/group-orders.js";
 import type { Suspicion } from "../../serving/stalled-group-detector.js";
 import { StalledGroupDetector } from "../../serving/stalled-group-detector.js";
-import type { LimitStatement } from "../../serving/rate-limits.js";
-import { RateLimits } from "../../serving/rate-limits.js";
 import { ReplicaRecords } from "../../serving/replica-records.js";
 import { RetryBudgets } from "../../serving/retry-budgets.js";
 import type { ServingMetrics } from "../../serving/serving-metrics.js";
@@ -42,6 +40,7 @@
 import { HeldKey } from "./held-key.js";
 import { LeavingReports } from "./leaving-reports.js";
 import { QuarantineKeys } from "./quarantine-keys.js";
+import { RequestPermits } from "./request-permits.js";
 import { PauseDetector } from "./pause-detector.js";
 import { TickLoop } from "./tick-loop.js";
 import { serveMetrics, serveReadiness } from "./auxiliary-servers.js";
@@ -113,7 +112,7 @@
     private readonly announcedGroups: AnnouncedGroups;
     private readonly records = ReplicaRecords.create();
     private readonly backPressure: BackPressure;
-    private readonly rateLimits = RateLimits.create();
+    private readonly permits: RequestPermits;
     private readonly leaving: LeavingReports;
     private readonly retryBudgets: RetryBudgets;
     private readonly crashAttribution: CrashAttribution;
@@ -165,8 +164,19 @@
             crashEvidence: () => this.crashAttribution.announcement(this.now()),
             onCrashEvidence: (from, evidence) => this.crashAttribution.apply(from, evidence, this.now()),
             onOpenedGroups: (from, groups) => this.announcedGroups.apply(from, groups),
+            limits: () => ({ isIssuing: this.permits.isIssuing, limits: this.permits.announcement }),
+            onLimits: (from, isIssuing, limits) => this.permits.recordPeer(from, isIssuing, limits),
+            onPermitMessage: (from, message) => this.permits.handleMessage(from, message),
             log: logs("peer"),
         });
+        this.permits = RequestPermits.create({
+            name: settings.name,
+            clock,
+            peerExpiryMilliseconds: () => this.peers.timing.peerExpiryMilliseconds,
+            isAvailable: () => this.peers.shares.isSettled && this.stoppingSince === undefined,
+            send: (peer, message) => this.peers.sendPermitMessage(peer, message),
+            log: this.log,
+        });
         this.announcedGroups = AnnouncedGroups.create({
             name: settings.name,
             clock,
@@ -209,6 +219,7 @@
             suspicions: this.suspicions,
             records: this.records,
             backPressure: this.backPressure,
+            limits: this.permits,
             isConnected: instance => this.upstreams.hasIdleConnection(instance),
             mostOptions: () => this.peers.timing.maximumGroupOptions,
             admit: decideAdmission,
@@ -222,7 +233,7 @@
             inFlightRequests: this.flights,
             replicaRecords: this.records,
             backPressure: this.backPressure,
-            onLimitStatement: (instance, statement) => this.recordLimit(instance, statement),
+            permits: this.permits,
             isDoubtful: group => this.suspicions.isSuspect(group) || !this.view.groups.has(group),
             crashAttribution: this.crashAttribution,
             isLeaving: instance => this.leaving.isLeaving(instance),
@@ -422,21 +433,11 @@
         this.upstreams.keepOnly(ids);
         this.records.retainReplicas(ids);
         this.backPressure.retainReplicas(ids);
-        this.rateLimits.retainReplicas(ids);
+        this.permits.retainReplicas(fleet.instances);
         this.flights.retainGroups(new Set(this.view.groups.keys()));
         this.view.countByModel().forEach((count, model) => this.metrics.servableGroups.set({ model }, count));
     }
 
-    private recordLimit(instance: FleetInstance, statement: LimitStatement): void {
-        if (this.rateLimits.record(instance, statement, this.now())) {
-            const { requestsPerSecond } = statement;
-            this.log.info("instance changed the rate of requests that it takes", {
-                instance: instance.id,
-                requestsPerSecond: requestsPerSecond ?? "unlimited",
-            });
-        }
-    }
-
     private handlePeers(peers: readonly Peer[]): void {
         this.peers.setRegistered(peers);
         this.retryBudgets.applyEntryCount();
@@ -523,6 +524,7 @@
         this.suspicions.tick();
         this.announcedGroups.tick();
         this.tickQuarantines(now);
+        this.permits.tick();
         this.peers.tick();
     }
 
--- a/src/serving/attempt-sequence.ts
+++ b/src/serving/attempt-sequence.ts
@@ -197,8 +197,8 @@
                 ? transition(state, { kind: "start", isBeside: true, target: choice.target })
                 : waitForCurrent(state);
         case "instead":
-            // Without another replica, ending the attempt would lose a response that may still come.
-            return isOtherReplica(choice, current!)
+            // Without another replica that takes the request at once, a response that may still come would be lost.
+            return isOtherReplica(choice, current!) && choice.target.permit === undefined
                 ? transition(state, {
                       kind: "abandon",
                       attempt: current!.number,
--- a/src/serving/dispatcher.ts
+++ b/src/serving/dispatcher.ts
@@ -28,6 +28,23 @@
     readonly fleetRevision: number;
     /** True if the request waits at the replica behind those that can still meet their objective. */
     readonly isDeferred: boolean;
+    /** Set if the replica limits its requests, so that this one needs a permit. */
+    readonly permit?: PermitNeed;
+}
+
+/** The permit that a request needs before it is sent. */
+export interface PermitNeed {
+    /** Expected time until the permit, in milliseconds. */
+    readonly waitMilliseconds: number;
+    /** Time until the permit after which another replica, or a refusal, is better for the caller, in milliseconds. */
+    readonly patienceMilliseconds: number;
+}
+
+/** What is known of replicas that limit the rate of their requests. */
+export interface RequestLimits {
+    readonly isLimited: (instance: FleetInstance) => boolean;
+    /** Expected time until a permit for the replica, in milliseconds. */
+    readonly waitOf: (instance: FleetInstance) => number;
 }
 
 export type DispatchChoice =
@@ -66,6 +83,7 @@
     readonly suspicions: StalledGroupDetector;
     readonly records: ReplicaRecords;
     readonly backPressure: BackPressure;
+    readonly limits: RequestLimits;
     /**
      * Maximum number of groups that one request chooses among; small where the loads of other entry
      * instances arrive with a delay.
@@ -78,10 +96,14 @@
 }
 
 /** A group that may take a request, with its known backlog. */
-interface LoadedGroup extends ServableGroup, Pick<GroupOption, "slowness" | "isConnected"> {
+interface LoadedGroup
+    extends ServableGroup, Pick<GroupOption, "slowness" | "isConnected" | "waitMilliseconds"> {
     readonly backlog: GroupBacklog;
 }
 
+/** Time for which a stream that its caller is already reading waits for a permit, in milliseconds. */
+const resumedPatienceMilliseconds = 500;
+
 const noLoad: EngineLoad = { requests: 0, unreadTokens: 0 };
 
 /**
@@ -133,13 +155,41 @@
             ({ group }) => group.leader!,
             now,
         );
-        let best = choiceIfNone;
-        for (const candidates of this.candidateSets(this.preferUntried(willing, question, now))) {
+        const candidates = this.preferUntried(willing, question, now);
+        const [free, limited] = this.partition(candidates, ({ group }) => group.leader!);
+        const unlimitedChoice = this.chooseInSets(free, question, work, now) ?? choiceIfNone;
+        const limitedChoice = this.chooseInSets(limited, question, work, now);
+        return limitedChoice === undefined
+            ? unlimitedChoice
+            : preferWithinPatience(unlimitedChoice, limitedChoice, patienceOf(question, now));
+    }
+
+    /** Separates the options whose replica limits its requests. */
+    private partition<T>(
+        options: readonly T[],
+        replicaOf: (option: T) => FleetInstance,
+    ): readonly [unlimited: readonly T[], limited: readonly T[]] {
+        const { limits } = this.dependencies;
+        const limited = options.filter(option => limits.isLimited(replicaOf(option)));
+        return limited.length === 0
+            ? [options, limited]
+            : [options.filter(option => !limits.isLimited(replicaOf(option))), limited];
+    }
+
+    /** Chooses among sets of groups until one of them serves the request in time; undefined if there are no groups. */
+    private chooseInSets(
+        groups: readonly ServableGroup[],
+        question: DispatchRequest,
+        work: EngineWork,
+        now: number,
+    ): DispatchChoice | undefined {
+        let best: DispatchChoice | undefined;
+        for (const candidates of this.candidateSets(groups)) {
             const choice = this.chooseAmongGroups(candidates, question, work, now);
             if (choice.kind === "target" && !choice.target.isDeferred) {
                 return choice;
             }
-            best = isSoonerThan(choice, best) ? choice : best;
+            best = best === undefined || isSoonerThan(choice, best) ? choice : best;
         }
         return best;
     }
@@ -226,7 +276,7 @@
     }
 
     private loadedGroupsOf(candidates: readonly ServableGroup[], now: number): readonly LoadedGroup[] {
-        const { flights, suspicions, isConnected } = this.dependencies;
+        const { flights, suspicions, isConnected, limits } = this.dependencies;
         return candidates.map(({ group, model, profile }) => ({
             group,
             model,
@@ -234,6 +284,7 @@
             backlog: flights.backlogOf(group.key, now),
             slowness: suspicions.slownessOf(group.key),
             isConnected: isConnected(group.leader!.id),
+            waitMilliseconds: limits.isLimited(group.leader!) ? limits.waitOf(group.leader!) : undefined,
         }));
     }
 
@@ -294,18 +345,21 @@
     }
 
     private toTarget({ option, expectedMilliseconds }: GroupRoute, isDeferred: boolean): DispatchTarget {
+        const { waitMilliseconds } = option;
         return {
             instance: option.group.leader!,
             group: option.group.key,
             model: option.model.name,
-            expectedMilliseconds,
+            expectedMilliseconds: expectedMilliseconds - (waitMilliseconds ?? 0),
             fleetRevision: this.dependencies.view().fleet.revision,
             isDeferred,
+            permit:
+                waitMilliseconds === undefined ? undefined : { waitMilliseconds, patienceMilliseconds: 0 },
         };
     }
 
     private chooseInstance(question: DispatchRequest): DispatchChoice {
-        const { clock, records, random, failureDomain } = this.dependencies;
+        const { clock, records, random, failureDomain, limits } = this.dependencies;
         const now = clock.monotonicMilliseconds();
         const { willing: instances, choiceIfNone } = this.willingOf(
             this.dependencies.view().instancesOf(question.service),
@@ -320,23 +374,36 @@
             (instance.failureDomain === failureDomain ? 0 : crossDomainCost) +
             0.05 * random();
         const ranked = candidates.map(instance => ({ instance, cost: cost(instance) }));
-        const best = ranked.sort((left, right) => left.cost - right.cost)[0];
-        if (best === undefined) {
+        ranked.sort((left, right) => left.cost - right.cost);
+        const [free, limited] = this.partition(ranked, ({ instance }) => instance);
+        const waiting = limited.map(({ instance }) => ({ instance, wait: limits.waitOf(instance) }));
+        waiting.sort((left, right) => left.wait - right.wait);
+        const [soonest] = waiting;
+        const isFreeCheaper = soonest === undefined || soonest.wait > 0 || ranked[0] === free[0];
+        if (free[0] !== undefined && isFreeCheaper) {
+            return this.toPlainChoice(free[0].instance, undefined);
+        }
+        if (soonest === undefined) {
             return choiceIfNone;
         }
-        const fleetRevision = this.dependencies.view().fleet.revision;
-        const { instance } = best;
-        return {
-            kind: "target",
-            target: {
-                instance,
-                group: undefined,
-                model: undefined,
-                expectedMilliseconds: 0,
-                fleetRevision,
-                isDeferred: false,
-            },
+        // With a replica that takes the request at once, a permit is worth no wait.
+        const patienceMilliseconds = free.length > 0 ? 0 : patienceOf(question, now);
+        return soonest.wait > patienceMilliseconds
+            ? { kind: "paused", retryAfterMilliseconds: soonest.wait }
+            : this.toPlainChoice(soonest.instance, { waitMilliseconds: soonest.wait, patienceMilliseconds });
+    }
+
+    private toPlainChoice(instance: FleetInstance, permit: PermitNeed | undefined): DispatchChoice {
+        const target: DispatchTarget = {
+            instance,
+            group: undefined,
+            model: undefined,
+            expectedMilliseconds: 0,
+            fleetRevision: this.dependencies.view().fleet.revision,
+            isDeferred: false,
+            permit,
         };
+        return { kind: "target", target };
     }
 }
 
@@ -371,5 +438,51 @@
 }
 
 function expectedMillisecondsOf(choice: EstimatedChoice): number {
-    return choice.kind === "target" ? choice.target.expectedMilliseconds : choice.expectedMilliseconds;
+    return choice.kind === "target"
+        ? choice.target.expectedMilliseconds + (choice.target.permit?.waitMilliseconds ?? 0)
+        : choice.expectedMilliseconds;
+}
+
+/** Time for which a request can wait for a permit and still meet its objective, in milliseconds. */
+function patienceOf({ objectiveDeadline, isResumed }: DispatchRequest, now: number): number {
+    return isResumed ? resumedPatienceMilliseconds : Math.max(0, objectiveDeadline - now);
+}
+
+/**
+ * Returns the better of a choice among replicas without a limit and one among those with a limit. A permit is waited for
+ * until the other choice would be as good, and until the objective is missed: permits that are taken for late requests
+ * would make all later ones late.
+ */
+function preferWithinPatience(
+    unlimited: DispatchChoice,
+    limited: DispatchChoice,
+    maximumPatience: number,
+): DispatchChoice {
+    if (limited.kind !== "target") {
+        return isSoonerThan(limited, unlimited) ? limited : unlimited;
+    }
+    const { target } = limited;
+    const { waitMilliseconds } = target.permit!;
+    const hasAlternative = unlimited.kind === "target" && (!unlimited.target.isDeferred || target.isDeferred);
+    const patienceMilliseconds = Math.max(
+        0,
+        hasAlternative
+            ? Math.min(maximumPatience, unlimited.target.expectedMilliseconds) - target.expectedMilliseconds
+            : maximumPatience - target.expectedMilliseconds,
+    );
+    if (waitMilliseconds <= patienceMilliseconds) {
+        const permit = { waitMilliseconds, patienceMilliseconds };
+        return { kind: "target", target: { ...target, permit } };
+    }
+    if (unlimited.kind === "target") {
+        return unlimited;
+    }
+    const waits = [waitMilliseconds, ...(isRefusal(unlimited) ? [unlimited.retryAfterMilliseconds] : [])];
+    return { kind: "paused", retryAfterMilliseconds: Math.min(...waits) };
+}
+
+function isRefusal(
+    choice: DispatchChoice,
+): choice is Extract<DispatchChoice, { readonly kind: "overloaded" | "paused" }> {
+    return choice.kind === "overloaded" || choice.kind === "paused";
 }
--- a/src/serving/exchange-context.ts
+++ b/src/serving/exchange-context.ts
@@ -15,6 +15,18 @@
 import type { ServingMetrics } from "./serving-metrics.js";
 import type { CallerRequest, WireFormat } from "./wire-format.js";
 
+/** Permits for requests to replicas that limit their rate. */
+export interface RequestPermitSource {
+    /** Asks for a permit; `onEnd` is called with true when the request may be sent, and with false if it must not be. */
+    readonly request: (
+        instance: FleetInstance,
+        patienceMilliseconds: number,
+        onEnd: (isGranted: boolean) => void,
+    ) => void;
+    /** Records what a response of an instance states, also if it states no limit. */
+    readonly recordResponse: (instance: FleetInstance, statement: LimitStatement) => void;
+}
+
 /** Dependencies that all exchanges of a process share. */
 export interface ExchangeContext {
     readonly clock: Clock;
@@ -25,8 +37,7 @@
     readonly inFlightRequests: InFlightRequests;
     readonly replicaRecords: ReplicaRecords;
     readonly backPressure: BackPressure;
-    /** Called with each response of an instance, also if it states no limit. */
-    readonly onLimitStatement: (instance: FleetInstance, statement: LimitStatement) => void;
+    readonly permits: RequestPermitSource;
     /** True if a replica group is suspected to be stalled or is no longer in use. */
     readonly isDoubtful: (group: string) => boolean;
     readonly crashAttribution: CrashAttribution;
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -41,6 +41,10 @@
 };
 /** HTTP status of a replica that is not the intended recipient of the request (421 Misdirected Request). */
 const misdirectedStatus = 421;
+/** Number of denied permits after which a request is refused. */
+const maximumDeniedPermits = 5;
+/** Minimum Retry-After of a request that was denied its permits, in milliseconds. */
+const minimumPermitRetryAfterMilliseconds = 100;
 /** Rank of the requests that a replica handles last. */
 const lowestRank = 9;
 
@@ -54,6 +58,9 @@
     private lastTarget: DispatchTarget | undefined;
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
     private isSettled = false;
+    private isAwaitingPermit = false;
+    /** Denied permits since the last choice of a replica that needs none. */
+    private deniedPermits = 0;
     /** True if a connection that was reused for this request carried a late response to another request. */
     private hasReceivedForeignResponse = false;
     private readonly deadlineTimer: NodeJS.Timeout;
@@ -200,7 +207,7 @@
                 this.wait(command.milliseconds, () => this.startNextAttempt());
                 return;
             case "start":
-                this.startAttempt(command.target, command.isBeside);
+                this.startPermitted(command.target, command.isBeside);
                 return;
             case "pass":
                 this.sendCompleteResponse(this.lastFailure!.head, this.lastFailure!.body, "failed");
@@ -253,10 +260,26 @@
     }
 
     private choose(purpose: ChoicePurpose): void {
-        const choice = this.chooseReplica();
+        if (this.isAwaitingPermit) {
+            return;
+        }
+        const choice = this.withoutDeniedPermits(this.chooseReplica());
         this.advance({ kind: "chosen", purpose, choice, hasBegunResponse: this.callerResponse.hasBegun });
     }
 
+    /** Ends the search for a replica whose permit comes in time after several denials. */
+    private withoutDeniedPermits(choice: DispatchChoice): DispatchChoice {
+        const needsPermit = choice.kind === "target" && choice.target.permit !== undefined;
+        if (!needsPermit || this.deniedPermits < maximumDeniedPermits) {
+            this.deniedPermits = needsPermit ? this.deniedPermits : 0;
+            return choice;
+        }
+        this.deniedPermits = 0;
+        const { waitMilliseconds } = choice.target.permit!;
+        const retryAfterMilliseconds = Math.max(minimumPermitRetryAfterMilliseconds, waitMilliseconds);
+        return { kind: "paused", retryAfterMilliseconds };
+    }
+
     private chooseReplica(): DispatchChoice {
         const { service, request, arrivedAt, route } = this.admitted;
         const isEngine = this.admitted.table.findService(service)?.engine !== undefined;
@@ -289,7 +312,7 @@
 
     private startNextAttempt(): void {
         clearTimeout(this.waitTimer);
-        if (this.isSettled || this.sequence.current !== undefined) {
+        if (this.isSettled || this.sequence.current !== undefined || this.isAwaitingPermit) {
             return;
         }
         const endsAt = this.callerResponse.hasBegun
@@ -303,6 +326,29 @@
         this.choose("next");
     }
 
+    /** Starts an attempt, after its permit if the replica limits its requests; without one, chooses again. */
+    private startPermitted(target: DispatchTarget, isBeside: boolean): void {
+        if (target.permit === undefined) {
+            this.startAttempt(target, isBeside);
+            return;
+        }
+        this.isAwaitingPermit = true;
+        const { current } = this.sequence;
+        const onEnd = (isGranted: boolean): void => {
+            this.isAwaitingPermit = false;
+            if (this.isSettled || this.sequence.current?.number !== current?.number) {
+                return;
+            }
+            if (isGranted) {
+                this.startAttempt(target, isBeside);
+            } else {
+                this.deniedPermits += 1;
+                this.choose(isBeside ? "beside" : "next");
+            }
+        };
+        this.context.permits.request(target.instance, target.permit.patienceMilliseconds, onEnd);
+    }
+
     private startAttempt(target: DispatchTarget, isBeside: boolean): void {
         const { context, admitted } = this;
         const { request, body } = admitted;
@@ -448,9 +494,9 @@
     }
 
     private noteReplicaState({ target, sentAt }: Attempt, head: ResponseHead): void {
-        const { backPressure, onLeaving, onLimitStatement } = this.context;
+        const { backPressure, onLeaving, permits } = this.context;
         const { instance } = target;
-        onLimitStatement(instance, { requestsPerSecond: head.requestsPerSecond, sentAt });
+        permits.recordResponse(instance, { requestsPerSecond: head.requestsPerSecond, sentAt });
         if (head.pauseMilliseconds !== undefined) {
             backPressure.record(instance, head.pauseMilliseconds, this.now());
         } else if (!head.isStatedNotRun) {
--- a/src/serving/group-route.ts
+++ b/src/serving/group-route.ts
@@ -26,9 +26,11 @@
     readonly slowness: number;
     /** True if an idle keep-alive connection to the leader is available. */
     readonly isConnected: boolean;
+    /** Expected time until a permit for the leader, in milliseconds; undefined if the leader limits no requests. */
+    readonly waitMilliseconds: number | undefined;
 }
 
-/** The chosen group with the expected time to the first event, in milliseconds. */
+/** The chosen group with the expected time to the first event, in milliseconds, including the wait for a permit. */
 export interface GroupRoute {
     readonly option: GroupOption;
     readonly expectedMilliseconds: number;
@@ -65,7 +67,7 @@
     let best: GroupRoute | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const option of question.options) {
-        const expectedMilliseconds =
+        const serviceMilliseconds =
             option.slowness *
             estimateFirstEventMilliseconds(
                 question.profile,
@@ -73,6 +75,7 @@
                 option.load,
                 question.promptTokens,
             );
+        const expectedMilliseconds = serviceMilliseconds + (option.waitMilliseconds ?? 0);
         const isCrossDomain = option.group.leader?.failureDomain !== question.failureDomain;
         const cost =
             expectedMilliseconds * (1 + randomSpreadFraction * question.random()) +
--- a/src/serving/peer-link.ts
+++ b/src/serving/peer-link.ts
@@ -12,9 +12,13 @@
 import type { EngineLoad } from "./engine-model.js";
 import type { GroupAnnouncement } from "./group-announcements.js";
 import type { GroupLoad } from "./in-flight-requests.js";
+import type { LimitAnnouncement } from "./rate-limits.js";
 import type { LeavingInstance } from "./leaving-instances.js";
 import type { Suspicion } from "./stalled-group-detector.js";
 
+/** Stated instead of a rate when the limit of a replica has ended. */
+const noLimit = -1;
+
 /** Requests and unread prompt tokens. */
 const loadSchema = z.tuple([z.number(), z.number()]);
 
@@ -40,8 +44,42 @@
     sound: z.array(z.tuple([z.string(), z.number()])).default([]),
     /** Quarantined traits, and milliseconds since the last request with them or since the start of the quarantine. */
     quarantines: z.array(z.tuple([z.array(z.string()), z.number()])).default([]),
+    /** True if the sender issues permits for requests to replicas that limit their rate. */
+    issues: z.boolean().default(false),
+    /** Id and start of replicas, the requests per second that they take (-1: no limit any more), and age in milliseconds. */
+    limits: z.array(z.tuple([z.string(), z.number().nullable(), z.number(), z.number()])).default([]),
+});
+
+const permitQuestionSchema = z.object({
+    kind: z.literal("question"),
+    id: z.number(),
+    question: z.object({
+        replica: z.string(),
+        requestsPerSecond: z.number().positive(),
+        patienceMilliseconds: z.number(),
+    }),
+});
+const permitReplySchema = z.object({
+    kind: z.literal("reply"),
+    id: z.number(),
+    reply: z.discriminatedUnion("kind", [
+        z.object({
+            kind: z.literal("granted"),
+            delayMilliseconds: z.number(),
+            nextMilliseconds: z.number(),
+        }),
+        z.object({ kind: z.literal("denied"), nextMilliseconds: z.number() }),
+        z.object({ kind: z.literal("unavailable") }),
+    ]),
+});
+const permitDatagramSchema = z.object({
+    from: z.string(),
+    permit: z.discriminatedUnion("kind", [permitQuestionSchema, permitReplySchema]),
 });
 
+/** Question for a permit to send a request to a replica that limits their rate, or the reply to one. */
+export type PermitMessage = z.infer<typeof permitDatagramSchema>["permit"];
+
 /** State that one entry instance sends to the others. */
 export interface PeerMessage {
     readonly from: string;
@@ -53,6 +91,9 @@
     readonly crashEvidence: CrashEvidence;
     /** Version of the configuration in force; 0 if none. */
     readonly configurationVersion: number;
+    /** True if the sender issues permits. */
+    readonly isIssuing: boolean;
+    readonly limits: readonly LimitAnnouncement[];
 }
 
 export interface PeerLinkOptions {
@@ -60,6 +101,7 @@
     readonly name: string;
     readonly incarnation: string;
     readonly onMessage: (message: PeerMessage) => void;
+    readonly onPermitMessage: (from: string, message: PermitMessage) => void;
     readonly log: PartLogger;
 }
 
@@ -110,26 +152,47 @@
             ]),
             sound: state.crashEvidence.sound,
             quarantines: state.crashEvidence.quarantines,
+            issues: state.isIssuing,
+            limits: state.limits.map(({ id, incarnation, requestsPerSecond, age }) => [
+                id,
+                incarnation ?? null,
+                requestsPerSecond ?? noLimit,
+                age,
+            ]),
         });
         for (const peer of alsoFar ? [...this.near, ...this.far] : this.near) {
-            const [host, port] = peer.split(":");
-            this.socket.send(text, Number(port), host, error => {
-                if (error) {
-                    this.options.log.debug("could not send a datagram to a peer", {
-                        peer,
-                        reason: error.message,
-                    });
-                }
-            });
+            this.sendText(peer, text);
         }
     }
 
+    /** Sends a question for a permit, or a reply, to the entry instance at an address (host and port). */
+    public sendPermitMessage(address: string, permit: PermitMessage): void {
+        this.sendText(address, JSON.stringify({ from: this.options.name, permit }));
+    }
+
+    private sendText(peer: string, text: string): void {
+        const [host, port] = peer.split(":");
+        this.socket.send(text, Number(port), host, error => {
+            if (error) {
+                this.options.log.debug("could not send a datagram to a peer", {
+                    peer,
+                    reason: error.message,
+                });
+            }
+        });
+    }
+
     public close(): void {
         this.socket.close();
     }
 
     private receive(bytes: Buffer): void {
-        const parsed = messageSchema.safeParse(parseJson(bytes.toString("utf8")));
+        const json = parseJson(bytes.toString("utf8"));
+        if (typeof json === "object" && json !== null && "permit" in json) {
+            this.receivePermitMessage(json);
+            return;
+        }
+        const parsed = messageSchema.safeParse(json);
         if (!parsed.success) {
             this.options.log.warn("dropped an unreadable datagram from a peer", {
                 reason: parsed.error.issues[0]?.message,
@@ -138,7 +201,7 @@
         }
         const { from, incarnation, sequence, loads, suspicions, groups, leaving, configuration } =
             parsed.data;
-        const { crashes, sound, quarantines } = parsed.data;
+        const { crashes, sound, quarantines, issues, limits } = parsed.data;
         const sender = `${from} ${incarnation}`;
         if (sequence <= (this.lastSequences.get(sender) ?? 0)) {
             return;
@@ -167,8 +230,26 @@
                 sound,
                 quarantines,
             },
+            isIssuing: issues,
+            limits: limits.map(([id, start, requestsPerSecond, age]) => ({
+                id,
+                incarnation: start ?? undefined,
+                requestsPerSecond: requestsPerSecond === noLimit ? undefined : requestsPerSecond,
+                age,
+            })),
         });
     }
+
+    private receivePermitMessage(json: object): void {
+        const parsed = permitDatagramSchema.safeParse(json);
+        if (parsed.success) {
+            this.options.onPermitMessage(parsed.data.from, parsed.data.permit);
+        } else {
+            this.options.log.warn("dropped an unreadable datagram on a permit from a peer", {
+                reason: parsed.error.issues[0]?.message,
+            });
+        }
+    }
 }
 
 function encodeLoad({ requests, unreadTokens }: EngineLoad): z.infer<typeof loadSchema> {
--- a/src/serving/tests/dispatcher.test.ts
+++ b/src/serving/tests/dispatcher.test.ts
@@ -38,6 +38,7 @@
         suspicions,
         records: ReplicaRecords.create(),
         backPressure: BackPressure.create(options.random),
+        limits: { isLimited: () => false, waitOf: () => 0 },
         isConnected: () => true,
     });
 }
--- a/src/serving/tests/exchange-silence.test.ts
+++ b/src/serving/tests/exchange-silence.test.ts
@@ -76,7 +76,7 @@
         inFlightRequests: InFlightRequests.create(),
         replicaRecords: ReplicaRecords.create(),
         backPressure: BackPressure.create(() => 0),
-        onLimitStatement: ignore,
+        permits: { request: ignore, recordResponse: ignore },
         isDoubtful: facts.isDoubtful,
         crashAttribution: {
             recordRequest: () => (facts.isQuarantined() ? now : undefined),
--- a/src/serving/tests/exchange.test.ts
+++ b/src/serving/tests/exchange.test.ts
@@ -95,7 +95,7 @@
         dispatcher: { choose: () => choices.shift()! },
         replicaRecords: records,
         backPressure: BackPressure.create(() => 0),
-        onLimitStatement: ignore,
+        permits: { request: ignore, recordResponse: ignore },
         isDoubtful: () => false,
         crashAttribution: CrashAttribution.create({
             random: () => 0,
--- a/src/serving/tests/group-route.test.ts
+++ b/src/serving/tests/group-route.test.ts
@@ -23,6 +23,7 @@
         load: { requests: 4, unreadTokens: 0 },
         slowness: 1,
         isConnected: true,
+        waitMilliseconds: undefined,
         ...changes,
     };
 }
--- a/src/serving/tests/peer-link.test.ts
+++ b/src/serving/tests/peer-link.test.ts
@@ -20,7 +20,7 @@
     const address = `127.0.0.1:${port}`;
     const resolvers: ((message: PeerMessage) => void)[] = [];
     const received = new Promise<PeerMessage>(resolve => resolvers.push(resolve));
-    const options = { incarnation: "1", log };
+    const options = { incarnation: "1", log, onPermitMessage: () => undefined };
     const onMessage = (message: PeerMessage): void => resolvers.forEach(resolve => resolve(message));
     const receiver = PeerLink.create({ ...options, address, name: "receiver", onMessage });
     const sender = PeerLink.create({
@@ -34,6 +34,8 @@
 }
 
 const emptyState = {
+    isIssuing: false,
+    limits: [],
     loads: [],
     suspicions: [],
     groups: [],
