--- a/tests/soak/proxies.ts
+++ b/tests/soak/proxies.ts
@@ -15,6 +15,9 @@
 
 export class FaultyLink {
     public fault: LinkFault = "none";
+    /** Number of connections that were accepted. */
+    public accepted = 0;
+    private port: number | undefined;
     private readonly pairs = new Set<ConnectionPair>();
 
     private constructor(
@@ -43,12 +46,24 @@
         }
     }
 
+    /** Refuses new connections; open ones live on. */
+    public refuse(): void {
+        this.port = (this.server.address() as AddressInfo).port;
+        this.server.close();
+    }
+
+    /** Accepts connections at the same address again. */
+    public acceptAgain(): void {
+        this.server.listen(this.port, "127.0.0.1");
+    }
+
     public close(): void {
         this.server.close();
         this.reset();
     }
 
     private accept(near: Socket): void {
+        this.accepted += 1;
         const [host, port] = this.target.split(":");
         const far = connect({ host, port: Number(port) });
         const pair = { near, far };
