--- a/src/daemons/serving/entry-peers.ts
+++ b/src/daemons/serving/entry-peers.ts
@@ -54,6 +54,12 @@
     /** What this process knows of replicas that limit their requests, and whether it issues permits for them. */
     readonly limits: () => Pick<PeerMessage, "isIssuing" | "limits">;
     readonly onLimits: (from: string, isIssuing: boolean, limits: readonly LimitAnnouncement[]) => void;
+    /** Which replicas this process reaches. */
+    readonly reach: () => Pick<PeerMessage, "reachedCounts" | "unreachableServices">;
+    readonly onReach: (
+        from: string,
+        reach: Pick<PeerMessage, "reachedCounts" | "unreachableServices">,
+    ) => void;
     readonly onPermitMessage: (from: string, message: PermitMessage) => void;
     readonly log: PartLogger;
 }
@@ -167,6 +173,7 @@
             crashEvidence,
             configurationVersion,
             limits,
+            reach,
         } = this.options;
         this.link.send(
             {
@@ -177,6 +184,7 @@
                 crashEvidence: crashEvidence(),
                 configurationVersion: configurationVersion(),
                 ...limits(),
+                ...reach(),
             },
             includesFar,
         );
@@ -199,6 +207,7 @@
         this.options.onCrashEvidence(from, crashEvidence);
         this.options.onConfigurationVersion(configurationVersion);
         this.options.onLimits(from, message.isIssuing, message.limits);
+        this.options.onReach(from, message);
     }
 
     /** Sends a question for a permit, or a reply, to a registered entry instance. */
--- /dev/null
+++ b/src/daemons/serving/forward-port.ts
@@ -0,0 +1,130 @@
+/** HTTP port on which a process takes requests that other entry instances forward to it. */
+import { timingSafeEqual } from "node:crypto";
+import * as http from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../../contracts/clocks.js";
+import type { PartLogger } from "../../links/logs.js";
+import { ServerDrain } from "../../links/server-drain.js";
+import type { AdmittedRequest } from "../../serving/exchange-context.js";
+import { decodeForwardedRequest, forwardReplyHeaders } from "../../serving/forwarded-requests.js";
+import type { RouteTable } from "../../serving/serving-configuration.js";
+
+/** Maximum length of the description that precedes the body of a forwarded request, in bytes. */
+const maximumDescriptionBytes = 512 * 1024;
+/** Maximum number of forwarded requests that a process serves at the same time. */
+const maximumOpenRequests = 512;
+/** Idle time after which a connection from another entry instance is closed, in milliseconds. */
+const idleTimeoutMilliseconds = 15_000;
+
+export interface ForwardPortOptions {
+    /** Host and port. */
+    readonly address: string;
+    /** What the sender must state; it is known from this process's registration. */
+    readonly secret: string;
+    readonly clock: Clock;
+    readonly table: () => RouteTable | undefined;
+    /** True if this process can serve requests for a service now. */
+    readonly canServe: (service: string) => boolean;
+    readonly serve: (admitted: AdmittedRequest, response: ServerResponse) => void;
+    readonly log: PartLogger;
+}
+
+export class ForwardPort {
+    private readonly server: http.Server;
+    private readonly drain: ServerDrain;
+    private openRequests = 0;
+
+    private constructor(private readonly options: ForwardPortOptions) {
+        this.server = http.createServer((message, response) => this.handle(message, response));
+        this.server.keepAliveTimeout = idleTimeoutMilliseconds;
+        this.server.on("error", error =>
+            options.log.error("port for forwarded requests failed", {
+                address: options.address,
+                reason: error.message,
+            }),
+        );
+        this.drain = ServerDrain.create(this.server, () => options.clock.monotonicMilliseconds());
+    }
+
+    /** Creates the port and starts to listen. */
+    public static create(options: ForwardPortOptions): ForwardPort {
+        const port = new ForwardPort(options);
+        const [host, number] = options.address.split(":");
+        port.server.listen(Number(number), host);
+        return port;
+    }
+
+    /** True if no connection is open and no further one is accepted. */
+    public get isDrained(): boolean {
+        return this.drain.isDrained;
+    }
+
+    /** Closes the port and its connections as they fall quiet. */
+    public close(): void {
+        this.drain.start();
+    }
+
+    private handle(message: IncomingMessage, response: ServerResponse): void {
+        response.on("error", error =>
+            this.options.log.debug("writing the response to a forwarded request failed", {
+                reason: error.message,
+            }),
+        );
+        const table = this.options.table();
+        if (!this.isAuthentic(message)) {
+            this.options.log.warn("refused a forwarded request with another secret", {
+                peer: message.socket.remoteAddress,
+            });
+            this.reject(message, response, "the secret is not that of this process");
+            return;
+        }
+        if (table === undefined || this.openRequests >= maximumOpenRequests) {
+            this.reject(message, response, "this entry instance cannot take the request now");
+            return;
+        }
+        this.openRequests += 1;
+        response.once("close", () => (this.openRequests -= 1));
+        const maximumBytes = table.configuration.limits.bodyBytes + maximumDescriptionBytes;
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        message.on("data", (chunk: Buffer) => {
+            bytes += chunk.length;
+            if (bytes <= maximumBytes) {
+                chunks.push(chunk);
+            }
+        });
+        message.once("end", () => {
+            const now = this.options.clock.monotonicMilliseconds();
+            const admitted =
+                bytes <= maximumBytes ? decodeForwardedRequest(Buffer.concat(chunks), table, now) : undefined;
+            if (admitted === undefined) {
+                this.reject(message, response, "the forwarded request cannot be read");
+            } else if (table.findService(admitted.service) === undefined) {
+                this.reject(message, response, "the service is not known yet");
+            } else if (!this.options.canServe(admitted.service)) {
+                this.reject(message, response, "this entry instance cannot reach the replicas either");
+            } else {
+                this.options.serve(admitted, response);
+            }
+        });
+    }
+
+    private isAuthentic(message: IncomingMessage): boolean {
+        const stated = Buffer.from(message.headers.authorization ?? "");
+        const expected = Buffer.from(forwardAuthorization(this.options.secret));
+        return stated.length === expected.length && timingSafeEqual(stated, expected);
+    }
+
+    private reject(message: IncomingMessage, response: ServerResponse, reason: string): void {
+        message.resume();
+        const body = JSON.stringify({ error: { message: reason, outcome: "unavailable" } });
+        const length = ["Content-Length", String(Buffer.byteLength(body))];
+        response.writeHead(503, [...forwardReplyHeaders(503, "unavailable", 0), ...length]);
+        response.end(body);
+    }
+}
+
+/** Value of the header by which the sender of a forwarded request shows that it can read the receiver's registration. */
+export function forwardAuthorization(secret: string): string {
+    return `Bearer ${secret}`;
+}
--- /dev/null
+++ b/src/daemons/serving/request-forwarding.ts
@@ -0,0 +1,271 @@
+/** Follows the links of this process to the replicas, and forwards requests to other entry instances while they are lost. */
+import type { Clock } from "../../contracts/clocks.js";
+import type { PartLogger } from "../../links/logs.js";
+import type { UpstreamCall, UpstreamObserver, UpstreamRequest } from "../../links/upstream-pools.js";
+import { UpstreamPools } from "../../links/upstream-pools.js";
+import type { DispatchChoice } from "../../serving/dispatcher.js";
+import type { RequestForwarding } from "../../serving/exchange-context.js";
+import type { FleetInstance } from "../../serving/fleets.js";
+import type { ForwardingPeer } from "../../serving/forwarding-peers.js";
+import { ForwardingPeers } from "../../serving/forwarding-peers.js";
+import type { LinkResult } from "../../serving/group-orders.js";
+import type { PeerMessage } from "../../serving/peer-link.js";
+import type { LinkFailure, LinkState } from "../../serving/replica-reach.js";
+import { ReplicaReach } from "../../serving/replica-reach.js";
+import { forwardAuthorization } from "./forward-port.js";
+import type { Peer } from "./serving-follower.js";
+
+/** Maximum number of connections to one entry instance. */
+const maximumConnectionsPerPeer = 256;
+/** Time-out of a probe of a replica, in milliseconds. */
+const probeTimeoutMilliseconds = 250;
+/** Interval between two probes for other entry instances, in milliseconds. */
+const peerProbeIntervalMilliseconds = 500;
+/** Expected number of entry instances that probe for another one at the same time. */
+const peerProbers = 4;
+/** Missed announcements after which the statement of an entry instance expires, as a multiple of the peers' expiry. */
+const expiryFactor = 2;
+
+export interface ForwarderOptions {
+    /** Name of this entry instance. */
+    readonly name: string;
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly peerExpiryMilliseconds: () => number;
+    /** True if an idle connection to an instance is available. */
+    readonly isConnected: (instance: string) => boolean;
+    readonly instances: () => Iterable<FleetInstance>;
+    readonly probe: (instance: FleetInstance, deadline: number) => Promise<boolean>;
+    /** Called when the judgement of the links to a service has changed. */
+    readonly onChange: (service: string, state: LinkState) => void;
+    readonly log: PartLogger;
+}
+
+export class RequestForwarder implements RequestForwarding {
+    private readonly reach: ReplicaReach;
+    private readonly peers: ForwardingPeers;
+    private readonly pools: UpstreamPools;
+    /** Local monotonic milliseconds of the last probe for another entry instance. */
+    private lastPeerProbeAt = Number.NEGATIVE_INFINITY;
+    private readonly stateByService = new Map<string, LinkState>();
+
+    private constructor(private readonly options: ForwarderOptions) {
+        const { clock, random, peerExpiryMilliseconds } = options;
+        this.reach = ReplicaReach.create(random);
+        this.peers = ForwardingPeers.create({
+            random,
+            expiryMilliseconds: () => expiryFactor * peerExpiryMilliseconds(),
+        });
+        this.pools = UpstreamPools.create(clock, () => maximumConnectionsPerPeer);
+    }
+
+    public static create(options: ForwarderOptions): RequestForwarder {
+        return new RequestForwarder(options);
+    }
+
+    public get name(): string {
+        return this.options.name;
+    }
+
+    /** Number of replicas of each service from which responses arrived recently, for the other entry instances. */
+    public get reachedCounts(): ReadonlyMap<string, number> {
+        return this.reach.reachedCounts(this.now());
+    }
+
+    /** Services whose replicas this process cannot reach. */
+    public get unreachableServices(): readonly string[] {
+        return [...this.stateByService].filter(([, state]) => state !== "open").map(([service]) => service);
+    }
+
+    /** False while the links to any service are in doubt. */
+    public get areLinksSound(): boolean {
+        return [...this.stateByService.values()].every(state => state === "open");
+    }
+
+    /** True while nothing arrives from the replicas of a service that other entry instances reach. */
+    public get isAnyCutOff(): boolean {
+        const now = this.now();
+        return [...this.stateByService].some(
+            ([service, state]) => state === "cutOff" && this.peers.mostReached(service, now) > 0,
+        );
+    }
+
+    public choosePeer(
+        service: string,
+        triedPeers: ReadonlySet<string>,
+        choice: DispatchChoice | undefined,
+    ): ForwardingPeer | undefined {
+        const now = this.now();
+        const state = this.reach.stateOf(service, now);
+        const ask = (minimumReached: number): ForwardingPeer | undefined =>
+            this.peers.choose({ service, triedPeers, minimumReached }, now);
+        if (choice === undefined) {
+            return state === "cutOff" ? ask(1) : undefined;
+        }
+        if (choice.kind === "target") {
+            const { instance } = choice.target;
+            return this.isUnreachable(instance) ? ask(1) : undefined;
+        }
+        // Part of the replicas cannot be reached from here: another entry instance may reach more of them.
+        const own = this.reachedCounts.get(service) ?? 0;
+        return state === "open" && !this.reach.hasLost(service, now) ? undefined : ask(own + 1);
+    }
+
+    /** True while a request to an instance would need a connection that cannot be established, or the instance is lost. */
+    public isUnreachable(instance: FleetInstance): boolean {
+        const now = this.now();
+        const cannotConnect =
+            this.reach.isUnconnectable(instance, now) ||
+            this.reach.stateOf(instance.service, now) === "connectedOnly";
+        return cannotConnect && !this.options.isConnected(instance.id);
+    }
+
+    public isCutOff(service: string): boolean {
+        return this.reach.stateOf(service, this.now()) === "cutOff";
+    }
+
+    public send(
+        peer: ForwardingPeer,
+        { body, isRetryable }: Pick<UpstreamRequest, "body" | "isRetryable">,
+        observer: UpstreamObserver,
+    ): UpstreamCall {
+        this.peers.start(peer.name);
+        const outgoing = {
+            address: peer.address,
+            method: "POST",
+            target: "/forwarded-requests",
+            headers: [
+                "Host",
+                peer.address,
+                "Authorization",
+                forwardAuthorization(peer.secret),
+                "Content-Length",
+                String(body?.length ?? 0),
+            ],
+            body,
+            isRetryable,
+            needsNewConnection: false,
+            mayStart: () => true,
+        };
+        return this.pools.send(poolKeyOf(peer), outgoing, observer);
+    }
+
+    public release(peer: ForwardingPeer): void {
+        this.peers.end(peer.name);
+    }
+
+    public recordPeerFailure(peer: ForwardingPeer): void {
+        this.peers.recordFailure(peer.name, this.now());
+    }
+
+    public recordHeard(instance: FleetInstance): void {
+        this.reach.recordHeard(instance, this.now());
+    }
+
+    public recordConnected(): void {
+        this.reach.recordConnected();
+    }
+
+    public recordFailure(instance: FleetInstance, failure: LinkFailure): void {
+        this.reach.recordFailure(instance, failure, this.now());
+        this.judge(instance.service);
+    }
+
+    /** Records what a call to an engine showed. */
+    public recordLinkResult(instance: FleetInstance, result: LinkResult): void {
+        if (result === "heard") {
+            this.recordHeard(instance);
+        } else {
+            this.recordFailure(instance, result);
+        }
+    }
+
+    /**
+     * Records which replicas another entry instance reaches. Without requests, this process cannot tell whether it reaches
+     * those that the other one does not; it probes one of them then.
+     */
+    public recordPeerReach(
+        name: string,
+        { reachedCounts, unreachableServices }: Pick<PeerMessage, "reachedCounts" | "unreachableServices">,
+    ): void {
+        this.peers.recordReach(name, reachedCounts, this.now());
+        const own = unreachableServices.length === 0 ? new Map<string, number>() : this.reachedCounts;
+        for (const service of unreachableServices.filter(each => (own.get(each) ?? 0) === 0)) {
+            this.probeForPeer(service);
+        }
+    }
+
+    /** Sets the registered entry instances. */
+    public setRegistered(registered: readonly Peer[]): void {
+        const others = registered.flatMap(({ name, address, secret }) =>
+            name === this.options.name || secret === undefined ? [] : [{ name, address, secret }],
+        );
+        this.peers.setPeers(others);
+        this.pools.keepOnly(new Set(others.map(poolKeyOf)));
+    }
+
+    public retainReplicas(replicas: ReadonlySet<string>): void {
+        this.reach.retainReplicas(replicas);
+    }
+
+    /** Local monotonic milliseconds at which the next probes are due; Infinity while links are not in doubt. */
+    public get nextProbesAt(): number {
+        return this.areLinksSound ? Infinity : this.reach.nextProbesAt;
+    }
+
+    /** Judges the links again, and probes replicas while links are in doubt. */
+    public tick(): void {
+        [...this.stateByService.keys()].forEach(service => this.judge(service));
+        const now = this.now();
+        this.reach.takeProbes(this.options.instances(), now).forEach(instance => this.probe(instance));
+    }
+
+    private probe(instance: FleetInstance): void {
+        void this.options.probe(instance, this.now() + probeTimeoutMilliseconds).then(isReached => {
+            if (isReached) {
+                this.recordConnected();
+                this.recordHeard(instance);
+            } else {
+                this.recordFailure(instance, "connect");
+            }
+        });
+    }
+
+    /** Probes a replica for another entry instance; of many, only a few do so at the same time. */
+    private probeForPeer(service: string): void {
+        const now = this.now();
+        const { random, instances } = this.options;
+        const candidates = [...instances()].filter(each => each.service === service && !each.isLeaving);
+        const instance = candidates[Math.floor(random() * candidates.length)];
+        const isDue = now - this.lastPeerProbeAt >= peerProbeIntervalMilliseconds;
+        if (instance !== undefined && isDue && random() * this.peers.count < peerProbers) {
+            this.lastPeerProbeAt = now;
+            this.probe(instance);
+        }
+    }
+
+    private judge(service: string): void {
+        const state = this.reach.stateOf(service, this.now());
+        const before = this.stateByService.get(service) ?? "open";
+        this.stateByService.set(service, state);
+        if (state !== before) {
+            this.options.log.warn("judgement of the links to the replicas of a service has changed", {
+                service,
+                state,
+                before,
+                reachedHere: this.reachedCounts.get(service) ?? 0,
+                reachedElsewhere: this.peers.mostReached(service, this.now()),
+            });
+            this.options.onChange(service, state);
+        }
+    }
+
+    private now(): number {
+        return this.options.clock.monotonicMilliseconds();
+    }
+}
+
+/** Identifies the connections to one start of an entry instance. */
+function poolKeyOf({ name, secret }: ForwardingPeer): string {
+    return `${name} ${secret}`;
+}
--- a/src/daemons/serving/serving-follower.ts
+++ b/src/daemons/serving/serving-follower.ts
@@ -41,17 +41,19 @@
     /** Address at which the entry instance receives datagrams, as host:port. */
     readonly address: string;
     readonly failureDomain: string;
+    /** What a forwarded request must state to the entry instance; undefined if it takes none. */
+    readonly secret: string | undefined;
 }
 
 /** Formats the value with which an entry instance registers itself; the incarnation distinguishes its starts. */
 export function formatPeer(peer: Omit<Peer, "name">, incarnation: string): string {
-    return `${peer.address} ${peer.failureDomain} ${incarnation}`;
+    return [peer.address, peer.failureDomain, incarnation, peer.secret ?? ""].join(" ").trim();
 }
 
 function parsePeer(prefix: string, { key, value }: KeyValueEntry): Peer {
     const name = key.slice(prefix.length);
-    const [address = "", failureDomain = ""] = value.split(" ");
-    return { name, address, failureDomain };
+    const [address = "", failureDomain = "", , secret] = value.split(" ");
+    return { name, address, failureDomain, secret };
 }
 
 /** Keys of this system as they were last read from the store. */
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -22,7 +22,8 @@
 import type { GroupAnnouncement } from "../../serving/group-announcements.js";
 import type { FleetInstance } from "../../serving/fleets.js";
 import { InFlightRequests } from "../../serving/in-flight-requests.js";
-import type { GroupEngines } from "../../serving/group-orders.js";
+import type { GroupEngines, LinkResult } from "../../serving/group-orders.js";
+import type { LinkState } from "../../serving/replica-reach.js";
 import type { Suspicion } from "../../serving/stalled-group-detector.js";
 import { StalledGroupDetector } from "../../serving/stalled-group-detector.js";
 import { ReplicaRecords } from "../../serving/replica-records.js";
@@ -36,10 +37,12 @@
 import type { Peer } from "./serving-follower.js";
 import { ServingFollower, formatPeer } from "./serving-follower.js";
 import { AnnouncedGroups } from "./announced-groups.js";
+import { ForwardPort } from "./forward-port.js";
 import { GroupPlacer } from "./group-placer.js";
 import { HeldKey } from "./held-key.js";
 import { LeavingReports } from "./leaving-reports.js";
 import { QuarantineKeys } from "./quarantine-keys.js";
+import { RequestForwarder } from "./request-forwarding.js";
 import { RequestPermits } from "./request-permits.js";
 import { PauseDetector } from "./pause-detector.js";
 import { TickLoop } from "./tick-loop.js";
@@ -79,11 +82,15 @@
 export interface ServingPlatform {
     /** `timing` returns the current timing of store watches; the store records its era with each response. */
     readonly store: (clock: Clock, era: StoreEra, timing: () => FleetTiming) => KeyValueStore;
-    /** `onLeaving` is called for each response of an engine that states that it leaves. */
+    /**
+     * `onLeaving` is called for each response of an engine that states that it leaves, `onLinkResult` with what each call
+     * shows of the connections to its engine.
+     */
     readonly engines: (
         clock: Clock,
         upstreams: UpstreamPools,
         onLeaving: (instance: FleetInstance) => void,
+        onLinkResult: (instance: FleetInstance, result: LinkResult) => void,
     ) => GroupEngines;
     readonly wire: WireFormat;
     readonly readinessPath: string;
@@ -100,6 +107,8 @@
     readonly random: () => number;
     /** Identifies this start of the process. */
     readonly incarnation: string;
+    /** Proves to this process that the sender of a forwarded request can read its registration. */
+    readonly secret: string;
     readonly logs: Logs;
     /** Called once when a stopped process has finished its shutdown. */
     readonly onStopped: () => void;
@@ -113,6 +122,8 @@
     private readonly records = ReplicaRecords.create();
     private readonly backPressure: BackPressure;
     private readonly permits: RequestPermits;
+    private readonly forwarder: RequestForwarder;
+    private readonly forwardPort: ForwardPort;
     private readonly leaving: LeavingReports;
     private readonly retryBudgets: RetryBudgets;
     private readonly crashAttribution: CrashAttribution;
@@ -140,7 +151,11 @@
         const { settings, platform, clock, random, logs, incarnation } = options;
         this.log = logs("entry");
         this.pauseDetector = PauseDetector.create(clock.monotonicMilliseconds(), clock.wallMilliseconds());
-        this.upstreams = UpstreamPools.create(clock, replica => this.maximumConnectionsTo(replica));
+        this.upstreams = UpstreamPools.create(
+            clock,
+            replica => this.maximumConnectionsTo(replica),
+            () => this.forwarder.recordConnected(),
+        );
         this.crashAttribution = CrashAttribution.create({
             random,
             clearanceSpreadMilliseconds: () => this.peers.timing.probeSpreadMilliseconds,
@@ -166,6 +181,12 @@
             onOpenedGroups: (from, groups) => this.announcedGroups.apply(from, groups),
             limits: () => ({ isIssuing: this.permits.isIssuing, limits: this.permits.announcement }),
             onLimits: (from, isIssuing, limits) => this.permits.recordPeer(from, isIssuing, limits),
+            reach: () => ({
+                // Requests that arrived now might not be complete when this process ends.
+                reachedCounts: this.stoppingSince === undefined ? this.forwarder.reachedCounts : new Map(),
+                unreachableServices: this.forwarder.unreachableServices,
+            }),
+            onReach: (from, reach) => this.forwarder.recordPeerReach(from, reach),
             onPermitMessage: (from, message) => this.permits.handleMessage(from, message),
             log: logs("peer"),
         });
@@ -197,7 +218,23 @@
             log: this.log,
         });
         this.backPressure = BackPressure.create(random);
-        const engines = platform.engines(clock, this.upstreams, instance => this.leaving.record(instance));
+        const engines = platform.engines(
+            clock,
+            this.upstreams,
+            instance => this.leaving.record(instance),
+            (instance, result) => this.forwarder.recordLinkResult(instance, result),
+        );
+        this.forwarder = RequestForwarder.create({
+            name: settings.name,
+            clock,
+            random,
+            peerExpiryMilliseconds: () => this.peers.timing.peerExpiryMilliseconds,
+            isConnected: instance => this.upstreams.hasIdleConnection(instance),
+            instances: () => this.view.fleet.instances.values(),
+            probe: (instance, deadline) => engines.probe(instance, deadline),
+            onChange: (service, state) => this.handleLinkState(service, state),
+            log: this.log,
+        });
         this.era = this.createEra(settings.storeAddress, logs("store"));
         const store = platform.store(clock, this.era, () => this.peers.timing);
         this.suspicions = StalledGroupDetector.create({
@@ -207,6 +244,7 @@
             report: (instance, deadline) => engines.report(instance, deadline),
             probeSpreadMilliseconds: () => this.peers.timing.probeSpreadMilliseconds,
             random,
+            areLinksSound: () => this.forwarder.areLinksSound,
             onSuspect: suspicion => this.handleSuspicion(suspicion),
             onCleared: group => this.handleClearedSuspicion(group),
         });
@@ -221,6 +259,7 @@
             backPressure: this.backPressure,
             limits: this.permits,
             isConnected: instance => this.upstreams.hasIdleConnection(instance),
+            isUnreachable: instance => this.forwarder.isUnreachable(instance),
             mostOptions: () => this.peers.timing.maximumGroupOptions,
             admit: decideAdmission,
         });
@@ -234,6 +273,7 @@
             replicaRecords: this.records,
             backPressure: this.backPressure,
             permits: this.permits,
+            forwarding: this.forwarder,
             isDoubtful: group => this.suspicions.isSuspect(group) || !this.view.groups.has(group),
             crashAttribution: this.crashAttribution,
             isLeaving: instance => this.leaving.isLeaving(instance),
@@ -257,7 +297,11 @@
         this.registration = HeldKey.create({
             key: `${peerPrefix}${settings.name}`,
             holder: formatPeer(
-                { address: settings.peerAddress, failureDomain: settings.failureDomain },
+                {
+                    address: settings.peerAddress,
+                    failureDomain: settings.failureDomain,
+                    secret: options.secret,
+                },
                 incarnation,
             ),
             rank: () => 0,
@@ -314,6 +358,15 @@
             log: logs("caller"),
             metrics: this.metrics,
         });
+        this.forwardPort = ForwardPort.create({
+            address: settings.peerAddress,
+            secret: options.secret,
+            clock,
+            table: () => this.follower.table,
+            canServe: service => !this.forwarder.isCutOff(service) && !this.callerPort.isClosed,
+            serve: (admitted, response) => this.serve(admitted, response),
+            log: logs("peer"),
+        });
         this.auxiliaryServers = [
             serveReadiness(settings.readinessAddress, platform.readinessPath, () => this.isReady, this.log),
             serveMetrics(settings.metricsAddress, this.metrics, this.log),
@@ -323,7 +376,7 @@
             onTick: lateMilliseconds => this.tick(lateMilliseconds),
             facts: now => ({
                 isBusy: this.stoppingSince !== undefined || this.placers.some(placer => placer.isHolder),
-                nextCheckAt: this.suspicions.nextCheckAt(now),
+                nextCheckAt: Math.min(this.suspicions.nextCheckAt(now), this.forwarder.nextProbesAt),
                 nextMessageAt: this.peers.nextMessageAt,
             }),
         });
@@ -434,12 +487,14 @@
         this.records.retainReplicas(ids);
         this.backPressure.retainReplicas(ids);
         this.permits.retainReplicas(fleet.instances);
+        this.forwarder.retainReplicas(ids);
         this.flights.retainGroups(new Set(this.view.groups.keys()));
         this.view.countByModel().forEach((count, model) => this.metrics.servableGroups.set({ model }, count));
     }
 
     private handlePeers(peers: readonly Peer[]): void {
         this.peers.setRegistered(peers);
+        this.forwarder.setRegistered(peers);
         this.retryBudgets.applyEntryCount();
     }
 
@@ -449,6 +504,15 @@
         response.once("close", () => this.exchanges.delete(exchange));
     }
 
+    private handleLinkState(service: string, state: LinkState): void {
+        if (state === "cutOff") {
+            this.exchanges.forEach(exchange => exchange.handleLostLinks(service));
+        } else if (state === "open") {
+            this.suspicions.forgetSuspicions();
+        }
+        this.informPeers();
+    }
+
     private handleSuspicion(suspicion: Suspicion): void {
         this.metrics.suspectedGroups.inc();
         this.log.info("group is suspected to be stalled", {
@@ -521,6 +585,7 @@
         if (this.isStopped) {
             return;
         }
+        this.forwarder.tick();
         this.suspicions.tick();
         this.announcedGroups.tick();
         this.tickQuarantines(now);
@@ -530,6 +595,11 @@
 
     private tickPlacers(): void {
         const { failureDomains, failureDomain } = this.options.settings;
+        if (this.forwarder.isAnyCutOff) {
+            // Another entry instance can place the groups; this one would take all members for lost.
+            this.placers.filter(placer => placer.isHolder).forEach(placer => placer.release());
+            return;
+        }
         this.placers.forEach((placer, index) => {
             const domain = failureDomains[index]!;
             if (domain === failureDomain || placer.isHolder || this.peers.hasNoEntryInstances(domain)) {
@@ -558,7 +628,7 @@
         const step = decideShutdownStep({
             elapsedMilliseconds: now - stoppingSince,
             gracePeriodMilliseconds: this.options.settings.shutdownMilliseconds,
-            isDrained: this.callerPort.isDrained,
+            isDrained: this.callerPort.isDrained && this.forwardPort.isDrained,
         });
         if (step === "serve") {
             return;
@@ -566,6 +636,7 @@
         // The load balancer may continue to send callers when few processes are left; a request accepted now could not
         // finish.
         this.callerPort.close();
+        this.forwardPort.close();
         if (step === "finish") {
             return;
         }
--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -158,10 +158,16 @@
     private constructor(
         public readonly clock: Clock,
         private readonly maximumConnections: (replica: string) => number,
+        private readonly onConnected: () => void,
     ) {}
 
-    public static create(clock: Clock, maximumConnections: (replica: string) => number): UpstreamPools {
-        return new UpstreamPools(clock, maximumConnections);
+    /** `onConnected` is called when a new connection for a request is established. */
+    public static create(
+        clock: Clock,
+        maximumConnections: (replica: string) => number,
+        onConnected: () => void = () => undefined,
+    ): UpstreamPools {
+        return new UpstreamPools(clock, maximumConnections, onConnected);
     }
 
     /** Returns the connection pool of a replica for requests that do not come from a caller. */
@@ -209,7 +215,7 @@
         } else if (!outgoing.isRetryable) {
             agent.closeIdleConnections(maximumNonRetryableIdleMilliseconds);
         }
-        return sendRequest(agent, outgoing, observer, this.clock);
+        return sendRequest(agent, outgoing, observer, this.clock, this.onConnected);
     }
 }
 
@@ -218,6 +224,7 @@
     outgoing: UpstreamRequest,
     observer: UpstreamObserver,
     clock: Clock,
+    onNewConnection: () => void,
 ): UpstreamCall {
     const [host, port] = outgoing.address.split(":");
     const request = http.request({
@@ -280,6 +287,7 @@
             state.closedCleanly = false;
         };
         if (socket.connecting) {
+            socket.once("connect", onNewConnection);
             socket.once("connect", onConnected);
         } else if (!socket.destroyed) {
             // The pool keeps a closed connection until its "close" event.
@@ -293,6 +301,7 @@
         socket.on("error", onSocketError);
         // A pooled connection outlives its requests, so the listeners must be removed.
         request.once("close", () => {
+            socket.removeListener("connect", onNewConnection);
             socket.removeListener("connect", onConnected);
             socket.removeListener("end", onEnd);
             socket.removeListener("error", onSocketError);
--- a/src/serving/attempt-sequence.ts
+++ b/src/serving/attempt-sequence.ts
@@ -6,7 +6,8 @@
  */
 import type { AttemptFacts, AttemptOutcome } from "./attempt-decision.js";
 import { decideNextStep, mayTryElsewhere, resumeDelayMilliseconds } from "./attempt-decision.js";
-import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
+import type { AttemptChoice, AttemptTarget } from "./dispatcher.js";
+import { targetId } from "./dispatcher.js";
 import type { Refusal } from "./error-responses.js";
 import { refusalAfterAttempt, refusalWithoutTarget } from "./error-responses.js";
 
@@ -24,7 +25,7 @@
 export interface LiveAttempt {
     /** Number of the attempt within its request, from 1. */
     readonly number: number;
-    /** Id of the instance. */
+    /** Identifies the replica, or the entry instance that the request was forwarded to. */
     readonly instance: string;
     /** True if bytes of the request may have reached the replica. */
     readonly isWritten: boolean;
@@ -47,6 +48,8 @@
     readonly refusals: number;
     /** True if an attempt that has ended may have run the request. */
     readonly mayHaveRun: boolean;
+    /** True if an attempt that has ended may have reached a replica. */
+    readonly hasArrived: boolean;
 }
 
 export const noAttempts: AttemptSequence = {
@@ -56,6 +59,7 @@
     possibleRuns: 0,
     refusals: 0,
     mayHaveRun: false,
+    hasArrived: false,
 };
 
 /** What decisions depend on besides the attempts themselves. */
@@ -74,7 +78,7 @@
     | {
           readonly kind: "chosen";
           readonly purpose: ChoicePurpose;
-          readonly choice: DispatchChoice;
+          readonly choice: AttemptChoice;
           readonly hasBegunResponse: boolean;
       }
     | { readonly kind: "started"; readonly isBeside: boolean; readonly instance: string }
@@ -110,6 +114,10 @@
           readonly outcome: AttemptOutcome;
           readonly reason: string;
           readonly conditions: AttemptConditions;
+          /** Number of replicas that may have run the request in the attempt. */
+          readonly runs: number;
+          /** Time after which a retry can succeed, in milliseconds; undefined if it is not known. */
+          readonly retryAfterMilliseconds?: number;
       }
     /** All live attempts were cancelled; each of them may have run the request. */
     | { readonly kind: "cancelled" };
@@ -120,7 +128,7 @@
     /** Choose a replica for the next attempt after a delay. */
     | { readonly kind: "chooseNextAfter"; readonly milliseconds: number }
     /** Take a retry from the budget unless this is the first attempt, and start an attempt. */
-    | { readonly kind: "start"; readonly isBeside: boolean; readonly target: DispatchTarget }
+    | { readonly kind: "start"; readonly isBeside: boolean; readonly target: AttemptTarget }
     | { readonly kind: "checkSilence"; readonly attempt: number }
     | { readonly kind: "checkSilenceAfter"; readonly attempt: number; readonly milliseconds: number }
     /** Check the attempt for slowness when its attempt time-out has passed, counted from its sending. */
@@ -176,11 +184,17 @@
         case "cancelled": {
             const isLive = state.current !== undefined || state.silent !== undefined;
             const mayHaveRun = state.mayHaveRun || isLive;
-            return transition({ ...state, current: undefined, silent: undefined, mayHaveRun });
+            const hasArrived = state.hasArrived || isLive;
+            return transition({ ...state, current: undefined, silent: undefined, mayHaveRun, hasArrived });
         }
     }
 }
 
+/** True if another attempt would be a repetition to the replicas: an earlier one may have reached them. */
+export function isRepetition({ current, silent, hasArrived }: AttemptSequence): boolean {
+    return hasArrived || current !== undefined || silent !== undefined;
+}
+
 /** Number of replicas that may have run the request, including one that is silent. */
 export function countPossibleRuns({ possibleRuns, silent }: AttemptSequence): number {
     return possibleRuns + (silent === undefined ? 0 : 1);
@@ -271,7 +285,8 @@
     const next: AttemptSequence = {
         ...without(state, event.attempt),
         mayHaveRun: state.mayHaveRun || isCountedRun || event.outcome === "dropped",
-        possibleRuns: state.possibleRuns + (isCountedRun ? 1 : 0),
+        possibleRuns: state.possibleRuns + (isCountedRun ? event.runs : 0),
+        hasArrived: state.hasArrived || (event.outcome !== "notSent" && event.outcome !== "withheld"),
     };
     return next.current === undefined
         ? continueAfterAttempt(next, event)
@@ -281,7 +296,12 @@
 /** Takes the next step after an attempt without a complete response. */
 function continueAfterAttempt(
     state: AttemptSequence,
-    { outcome, reason, conditions }: Pick<EventOf<"ended">, "outcome" | "reason" | "conditions">,
+    {
+        outcome,
+        reason,
+        conditions,
+        retryAfterMilliseconds,
+    }: Pick<EventOf<"ended">, "outcome" | "reason" | "conditions" | "retryAfterMilliseconds">,
 ): AttemptTransition {
     const hasReached = outcome === "lost" || outcome === "failed" || outcome === "dropped";
     const refusals = hasReached ? 0 : state.refusals + 1;
@@ -307,7 +327,10 @@
         case "pass":
             return transition(next, { kind: "pass" });
         case "refuse":
-            return transition(next, { kind: "refuse", refusal: refusalAfterAttempt(reason) });
+            return transition(next, {
+                kind: "refuse",
+                refusal: refusalAfterAttempt(reason, retryAfterMilliseconds),
+            });
         case "unknown":
         case "cut":
             return transition(next, { kind: step, reason });
@@ -328,7 +351,12 @@
     // When the connection closes, a silent leader drops a stream that has not begun, and an unwritten request reaches none.
     const mayContinue = other.hasReceivedEvents || (other !== silent && other.isWritten);
     return transition(
-        { ...next, mayHaveRun: true, possibleRuns: state.possibleRuns + (mayContinue ? 1 : 0) },
+        {
+            ...next,
+            mayHaveRun: true,
+            hasArrived: true,
+            possibleRuns: state.possibleRuns + (mayContinue ? 1 : 0),
+        },
         ...commands,
         { kind: "supersede", attempt: other.number },
     );
@@ -403,8 +431,8 @@
 
 /** True if a choice is a replica other than that of an attempt. */
 function isOtherReplica(
-    choice: DispatchChoice,
+    choice: AttemptChoice,
     { instance }: LiveAttempt,
-): choice is Extract<DispatchChoice, { readonly kind: "target" }> {
-    return choice.kind === "target" && choice.target.instance.id !== instance;
+): choice is Extract<AttemptChoice, { readonly kind: "target" }> {
+    return choice.kind === "target" && targetId(choice.target) !== instance;
 }
--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -57,7 +57,7 @@
     private readonly server: http.Server;
     private readonly openRequests = new Map<ServerResponse, IncomingMessage>();
     private readonly drain: ServerDrain;
-    private isClosed = false;
+    private hasBeenClosed = false;
 
     private constructor(private readonly options: CallerPortOptions) {
         this.server = http.createServer(
@@ -80,6 +80,11 @@
         return port;
     }
 
+    /** True if new requests are rejected. */
+    public get isClosed(): boolean {
+        return this.hasBeenClosed;
+    }
+
     public get openRequestCount(): number {
         return this.openRequests.size;
     }
@@ -96,7 +101,7 @@
 
     /** Rejects new requests, and closes the port and its connections as they fall quiet. */
     public close(): void {
-        this.isClosed = true;
+        this.hasBeenClosed = true;
         this.drain.start();
     }
 
@@ -118,7 +123,7 @@
             this.options.log.debug("writing the response to the caller failed", { reason: error.message }),
         );
         const table = this.options.table();
-        if (this.isClosed) {
+        if (this.hasBeenClosed) {
             this.rejectUnread(message, this.options.wire.decodeRequest(message), response, endingRejection);
             return;
         }
--- a/src/serving/dispatcher.ts
+++ b/src/serving/dispatcher.ts
@@ -6,6 +6,7 @@
 import type { EngineLoad } from "./engine-model.js";
 import { estimateFirstEventMilliseconds } from "./engine-model.js";
 import { FirstEventOffsets } from "./first-event-offsets.js";
+import type { ForwardingPeer } from "./forwarding-peers.js";
 import type { FleetView, ServableGroup } from "./fleet-view.js";
 import type { Admission, AdmissionFacts } from "./group-admission.js";
 import type { GroupBacklog, InFlightRequests } from "./in-flight-requests.js";
@@ -17,6 +18,7 @@
 
 /** The replica that an attempt is sent to. */
 export interface DispatchTarget {
+    readonly peer?: undefined;
     readonly instance: FleetInstance;
     /** Key of the replica group; undefined for plain services. */
     readonly group: string | undefined;
@@ -32,6 +34,25 @@
     readonly permit?: PermitNeed;
 }
 
+/** The entry instance that a request is forwarded to, which makes the attempts at replicas. */
+export interface PeerTarget extends Pick<
+    DispatchTarget,
+    "expectedMilliseconds" | "fleetRevision" | "isDeferred"
+> {
+    readonly peer: ForwardingPeer;
+    readonly instance?: undefined;
+    readonly group: undefined;
+    readonly model: undefined;
+    readonly permit?: undefined;
+}
+
+export type AttemptTarget = DispatchTarget | PeerTarget;
+
+/** Returns what identifies the replica or the entry instance of a target. */
+export function targetId(target: AttemptTarget): string {
+    return target.peer === undefined ? target.instance.id : `entry ${target.peer.name}`;
+}
+
 /** The permit that a request needs before it is sent. */
 export interface PermitNeed {
     /** Expected time until the permit, in milliseconds. */
@@ -60,6 +81,11 @@
     /** No replica can take the request. */
     | { readonly kind: "none" };
 
+/** The choice of a replica, or of an entry instance that chooses one. */
+export type AttemptChoice =
+    | { readonly kind: "target"; readonly target: AttemptTarget }
+    | Exclude<DispatchChoice, { readonly kind: "target" }>;
+
 /** What the choice of a replica depends on. */
 export interface DispatchRequest {
     readonly service: string;
@@ -91,6 +117,8 @@
     readonly mostOptions: () => number;
     /** True if an idle keep-alive connection to the instance is available. */
     readonly isConnected: (instance: string) => boolean;
+    /** True while requests to the instance are likely to fail because of the links of this entry instance. */
+    readonly isUnreachable: (instance: FleetInstance) => boolean;
     /** Decides whether a replica group takes a request now. */
     readonly admit: (facts: AdmissionFacts) => Admission;
 }
@@ -151,7 +179,7 @@
     private chooseGroup(question: DispatchRequest, work: EngineWork): DispatchChoice {
         const now = this.dependencies.clock.monotonicMilliseconds();
         const { willing, choiceIfNone } = this.willingOf(
-            this.unsuspectedGroups(question, work),
+            this.reachableOf(this.unsuspectedGroups(question, work), ({ group }) => group.leader!),
             ({ group }) => group.leader!,
             now,
         );
@@ -164,6 +192,12 @@
             : preferWithinPatience(unlimitedChoice, limitedChoice, patienceOf(question, now));
     }
 
+    /** Returns the options whose replica can be reached; all of them if there are none. */
+    private reachableOf<T>(options: readonly T[], replicaOf: (option: T) => FleetInstance): readonly T[] {
+        const reachable = options.filter(option => !this.dependencies.isUnreachable(replicaOf(option)));
+        return reachable.length > 0 ? reachable : options;
+    }
+
     /** Separates the options whose replica limits its requests. */
     private partition<T>(
         options: readonly T[],
@@ -362,7 +396,7 @@
         const { clock, records, random, failureDomain, limits } = this.dependencies;
         const now = clock.monotonicMilliseconds();
         const { willing: instances, choiceIfNone } = this.willingOf(
-            this.dependencies.view().instancesOf(question.service),
+            this.reachableOf(this.dependencies.view().instancesOf(question.service), instance => instance),
             instance => instance,
             now,
         );
--- a/src/serving/error-responses.ts
+++ b/src/serving/error-responses.ts
@@ -3,7 +3,7 @@
  * being replaced: a caller learns whether its request may have run, and when a retry can succeed. The times vary at random,
  * so that callers that were refused together do not return together.
  */
-import type { DispatchChoice } from "./dispatcher.js";
+import type { AttemptChoice } from "./dispatcher.js";
 
 /** Default Retry-After of a refused request, in milliseconds, before it is varied at random. */
 const defaultRetryAfterMilliseconds = 400;
@@ -38,13 +38,17 @@
     readonly headers: readonly string[];
 }
 
-/** Refusal after the last attempt ended for `reason`. */
-export function refusalAfterAttempt(reason: string): Refusal {
-    return { reason, retryAfter: { milliseconds: defaultRetryAfterMilliseconds } };
+/** Refusal after the last attempt ended for `reason`; `milliseconds`: time after which a retry can succeed, if known. */
+export function refusalAfterAttempt(reason: string, milliseconds?: number): Refusal {
+    const retryAfter =
+        milliseconds === undefined
+            ? { milliseconds: defaultRetryAfterMilliseconds }
+            : { milliseconds, isEarliest: true };
+    return { reason, retryAfter };
 }
 
 /** Refusal of a request for which no replica was chosen. */
-export function refusalWithoutTarget(choice: Exclude<DispatchChoice, { readonly kind: "target" }>): Refusal {
+export function refusalWithoutTarget(choice: Exclude<AttemptChoice, { readonly kind: "target" }>): Refusal {
     switch (choice.kind) {
         case "overloaded":
             return {
--- a/src/serving/exchange-attempt.ts
+++ b/src/serving/exchange-attempt.ts
@@ -1,7 +1,9 @@
 /** One attempt of a request at a replica, with what has been received of the response. */
 import type { UpstreamCall } from "../links/upstream-pools.js";
+import type { AttemptOutcome } from "./attempt-decision.js";
 import type { CrashProgress } from "./crash-attribution.js";
-import type { DispatchTarget } from "./dispatcher.js";
+import type { AttemptTarget } from "./dispatcher.js";
+import type { ForwardReply } from "./forwarded-requests.js";
 import type { ReplicaResponse } from "./replica-response.js";
 import type { ResponseHead } from "./wire-format.js";
 
@@ -14,11 +16,13 @@
 export interface Attempt {
     /** Number of the attempt within its request, from 1. */
     readonly number: number;
-    readonly target: DispatchTarget;
+    readonly target: AttemptTarget;
     /** Local monotonic milliseconds. */
     readonly sentAt: number;
     /** Id among the requests in flight at the replica group; undefined at plain services. */
     readonly inFlightId: number | undefined;
+    /** Maximum number of replicas that may run the request in this attempt; more than one if it is forwarded. */
+    readonly maximumRuns: number;
     readonly response: ReplicaResponse;
     /** Head of the response; undefined before it has arrived. */
     readonly head: ResponseHead | undefined;
@@ -31,22 +35,17 @@
     /** True if the connection broke in a way that a request which crashes its replica could have caused. */
     hasCrashedReplica: boolean;
     slowAttemptTimer: NodeJS.Timeout | undefined;
+    /** What the entry instance states that the request was forwarded to; undefined before its response. */
+    forwardReply: ForwardReply | undefined;
 }
 
-/** Creates the state of an attempt; `inFlightId` is its id among the requests in flight at the replica group. */
+/** Creates the state of an attempt that begins. */
 export function createAttempt(
-    number: number,
-    target: DispatchTarget,
-    sentAt: number,
-    inFlightId: number | undefined,
-    response: ReplicaResponse,
+    facts: Pick<Attempt, "number" | "target" | "sentAt" | "inFlightId" | "maximumRuns" | "response">,
 ): Attempt {
+    const { response, sentAt } = facts;
     return {
-        number,
-        target,
-        sentAt,
-        inFlightId,
-        response,
+        ...facts,
         get head() {
             return response.head;
         },
@@ -56,9 +55,19 @@
         firstEventAt: undefined,
         hasCrashedReplica: false,
         slowAttemptTimer: undefined,
+        forwardReply: undefined,
     };
 }
 
+/**
+ * Returns the number of replicas that may have run the request in an attempt without a complete response. An entry instance
+ * that does not state it may have made all attempts before it began to respond.
+ */
+export function runsOf({ head, forwardReply, maximumRuns }: Attempt, outcome: AttemptOutcome): number {
+    const hasMadeAllAttempts = head === undefined || outcome === "failed";
+    return forwardReply?.runs ?? (hasMadeAllAttempts ? maximumRuns : 1);
+}
+
 /**
  * Returns how far an attempt had progressed whose connection has just broken; undefined if it is no evidence of a crash. An
  * idle connection that the replica had closed breaks at once. Later attempts of a stream are resumed, and a response that
--- a/src/serving/exchange-context.ts
+++ b/src/serving/exchange-context.ts
@@ -1,14 +1,21 @@
 /** Inputs of an exchange: the dependencies that all exchanges share, and the admitted request. */
 import type { Clock } from "../contracts/clocks.js";
 import type { PartLogger } from "../links/logs.js";
-import type { UpstreamPools } from "../links/upstream-pools.js";
+import type {
+    UpstreamCall,
+    UpstreamObserver,
+    UpstreamPools,
+    UpstreamRequest,
+} from "../links/upstream-pools.js";
 import type { Route, RouteTable } from "./serving-configuration.js";
 import type { CrashAttribution } from "./crash-attribution.js";
-import type { Dispatcher } from "./dispatcher.js";
+import type { DispatchChoice, Dispatcher } from "./dispatcher.js";
 import type { InFlightRequests } from "./in-flight-requests.js";
 import type { BackPressure } from "./back-pressure.js";
 import type { FleetInstance } from "./fleets.js";
 import type { ReplicaRecords } from "./replica-records.js";
+import type { ForwardingPeer } from "./forwarding-peers.js";
+import type { LinkFailure } from "./replica-reach.js";
 import type { LimitStatement } from "./rate-limits.js";
 import type { RequestIdentity } from "./request-identity.js";
 import type { RetryWindow } from "./retry-window.js";
@@ -27,6 +34,46 @@
     readonly recordResponse: (instance: FleetInstance, statement: LimitStatement) => void;
 }
 
+/** Entry instances that run requests instead of this one, and what is known of this one's links to the replicas. */
+export interface RequestForwarding {
+    /**
+     * Returns the entry instance that is to run a request whose replicas this one cannot reach; undefined if it can, or if
+     * no other one can. `choice`: the choice of this entry instance itself; undefined if it has not chosen yet.
+     */
+    readonly choosePeer: (
+        service: string,
+        triedPeers: ReadonlySet<string>,
+        choice: DispatchChoice | undefined,
+    ) => ForwardingPeer | undefined;
+    /** Sends an encoded request to an entry instance. */
+    readonly send: (
+        peer: ForwardingPeer,
+        request: Pick<UpstreamRequest, "body" | "isRetryable">,
+        observer: UpstreamObserver,
+    ) => UpstreamCall;
+    /** Records that a request to an entry instance has ended in any way. */
+    readonly release: (peer: ForwardingPeer) => void;
+    /** Records that an entry instance did not serve a request that it stated to be able to serve. */
+    readonly recordPeerFailure: (peer: ForwardingPeer) => void;
+    /** Records that bytes arrived from a replica. */
+    readonly recordHeard: (instance: FleetInstance) => void;
+    readonly recordFailure: (instance: FleetInstance, failure: LinkFailure) => void;
+    /** True while nothing arrives from the replicas of a service, though other entry instances receive responses. */
+    readonly isCutOff: (service: string) => boolean;
+    /** Name of this entry instance. */
+    readonly name: string;
+}
+
+/** Where a request comes from that another entry instance forwarded. */
+export interface ForwardingOrigin {
+    /** Name of the entry instance. */
+    readonly from: string;
+    /** Ids of the instances that it tried. */
+    readonly triedInstances: readonly string[];
+    /** True if the caller is already reading the response. */
+    readonly hasBegunResponse: boolean;
+}
+
 /** Dependencies that all exchanges of a process share. */
 export interface ExchangeContext {
     readonly clock: Clock;
@@ -38,6 +85,7 @@
     readonly replicaRecords: ReplicaRecords;
     readonly backPressure: BackPressure;
     readonly permits: RequestPermitSource;
+    readonly forwarding: RequestForwarding;
     /** True if a replica group is suspected to be stalled or is no longer in use. */
     readonly isDoubtful: (group: string) => boolean;
     readonly crashAttribution: CrashAttribution;
@@ -66,4 +114,6 @@
     readonly arrivedAt: number;
     /** Local monotonic milliseconds. */
     readonly deadline: number;
+    /** Present if another entry instance forwarded the request; it is forwarded no further. */
+    readonly forwarded?: ForwardingOrigin;
 }
--- a/src/serving/exchange-reporting.ts
+++ b/src/serving/exchange-reporting.ts
@@ -1,6 +1,6 @@
 /** Log lines and metrics of a request: one line for each attempt without a complete response, and one at the end. */
 import type { AttemptOutcome } from "./attempt-decision.js";
-import type { DispatchTarget } from "./dispatcher.js";
+import type { AttemptTarget } from "./dispatcher.js";
 import type { Attempt } from "./exchange-attempt.js";
 import type { AdmittedRequest, ExchangeContext } from "./exchange-context.js";
 
@@ -9,7 +9,7 @@
     readonly outcome: string;
     /** Further log fields that explain the outcome. */
     readonly fields: Readonly<Record<string, unknown>>;
-    readonly lastTarget: DispatchTarget | undefined;
+    readonly lastTarget: AttemptTarget | undefined;
     readonly attemptCount: number;
     readonly possibleRuns: number;
     /** Local monotonic milliseconds, as for all times in this module. */
@@ -49,7 +49,8 @@
     context.metrics.attempts.inc({ service: admitted.service, outcome: end.outcome });
     context.log.info("attempt ended", {
         ...describeRequest(admitted),
-        instance: target.instance.id,
+        instance: target.instance?.id,
+        peer: target.peer?.name,
         group: target.group,
         attempt: attempt.number,
         outcome: end.outcome,
@@ -87,7 +88,9 @@
         ...describeRequest(admitted),
         outcome,
         ...end.fields,
-        instance: lastTarget?.instance.id,
+        instance: lastTarget?.instance?.id,
+        peer: lastTarget?.peer?.name,
+        forwardedBy: admitted.forwarded?.from,
         group: lastTarget?.group,
         fleetRevision: lastTarget?.fleetRevision,
         sends: end.attemptCount,
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -3,20 +3,29 @@
  * and relays the replica's response unchanged. An event stream may be resumed at another replica within one response.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Delivery } from "../links/upstream-pools.js";
+import type { Delivery, UpstreamCall, UpstreamObserver } from "../links/upstream-pools.js";
 import type { AttemptOutcome } from "./attempt-decision.js";
 import type { AttemptCommand, AttemptConditions, AttemptEvent, ChoicePurpose } from "./attempt-sequence.js";
-import { advanceAttempts, countPossibleRuns, noAttempts } from "./attempt-sequence.js";
+import { advanceAttempts, countPossibleRuns, isRepetition, noAttempts } from "./attempt-sequence.js";
 import { CallerResponse } from "./caller-response.js";
 import { isRetryable } from "./serving-configuration.js";
 import type { CrashSubject } from "./crash-attribution.js";
 import { requestTrait, resourceTrait } from "./crash-causes.js";
-import type { DispatchChoice, DispatchTarget } from "./dispatcher.js";
+import type {
+    AttemptChoice,
+    AttemptTarget,
+    DispatchChoice,
+    DispatchTarget,
+    PeerTarget,
+} from "./dispatcher.js";
+import { targetId } from "./dispatcher.js";
 import type { ErrorResponse, Refusal } from "./error-responses.js";
 import { expiredResponse, quarantinedResponse, refusedResponse, unknownResponse } from "./error-responses.js";
+import type { FleetInstance } from "./fleets.js";
+import { encodeForwardedRequest, forwardReplyHeaders, readForwardReply } from "./forwarded-requests.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
-import { crashProgressOf, createAttempt } from "./exchange-attempt.js";
+import { crashProgressOf, createAttempt, runsOf } from "./exchange-attempt.js";
 import type { AdmittedRequest, ExchangeContext } from "./exchange-context.js";
 import { describeRequest, recordAttemptEnd, recordExchangeEnd } from "./exchange-reporting.js";
 import {
@@ -41,6 +50,8 @@
 };
 /** HTTP status of a replica that is not the intended recipient of the request (421 Misdirected Request). */
 const misdirectedStatus = 421;
+/** Maximum number of entry instances to which one request is forwarded, one after the other. */
+const maximumForwards = 3;
 /** Number of denied permits after which a request is refused. */
 const maximumDeniedPermits = 5;
 /** Minimum Retry-After of a request that was denied its permits, in milliseconds. */
@@ -55,7 +66,9 @@
     private readonly attempts = new Map<number, Attempt>();
     private readonly triedInstances = new Set<string>();
     private lastEventId: number | undefined;
-    private lastTarget: DispatchTarget | undefined;
+    private lastTarget: AttemptTarget | undefined;
+    /** Names of the entry instances that the request was forwarded to. */
+    private readonly triedPeers = new Set<string>();
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
     private isSettled = false;
     private isAwaitingPermit = false;
@@ -73,6 +86,7 @@
         response: ServerResponse,
     ) {
         this.lastEventId = admitted.request.lastEventId;
+        admitted.forwarded?.triedInstances.forEach(id => this.triedInstances.add(id));
         const remaining = Math.max(0, admitted.deadline - this.now());
         this.deadlineTimer = setTimeout(() => this.terminate("the deadline has passed"), remaining);
         response.once("close", () => this.handleCallerDisconnect());
@@ -91,7 +105,9 @@
             CallerResponse.create(response, context.isStopping),
             response,
         );
-        context.retryWindowOf(admitted.service).recordRequest(exchange.now());
+        if (admitted.forwarded === undefined) {
+            context.retryWindowOf(admitted.service).recordRequest(exchange.now());
+        }
         exchange.startNextAttempt();
         return exchange;
     }
@@ -112,6 +128,29 @@
         }
     }
 
+    /**
+     * Tries a request elsewhere whose links to replicas are lost. A request that another entry instance forwarded is
+     * returned to it.
+     */
+    public handleLostLinks(service: string): void {
+        const { attempt, admitted } = this;
+        if (this.isSettled || attempt?.target.peer !== undefined || admitted.service !== service) {
+            return;
+        }
+        if (admitted.forwarded !== undefined) {
+            this.returnToSender();
+        } else if (attempt !== undefined && admitted.route.repeatability === "stream") {
+            this.checkSilence(attempt);
+        } else if (attempt !== undefined) {
+            this.advance({
+                kind: "slow",
+                attempt: attempt.number,
+                extensionMilliseconds: 0,
+                conditions: this.conditions(),
+            });
+        }
+    }
+
     /** Ends the request; the response states whether a replica may have run it. */
     public terminate(reason: string): void {
         if (this.isSettled) {
@@ -140,6 +179,12 @@
         }
     }
 
+    private returnToSender(): void {
+        if (!this.liveAttempts.some(({ hasReceivedEvents }) => hasReceivedEvents)) {
+            this.terminate("the links to the replicas are lost");
+        }
+    }
+
     /** What may crash replicas in this request; the traits are calculated only while there are crashes. */
     private get crashSubject(): CrashSubject {
         const { identity, request } = this.admitted;
@@ -174,6 +219,10 @@
         return [...this.attempts.values()];
     }
 
+    private get isCutOff(): boolean {
+        return this.context.forwarding.isCutOff(this.admitted.service);
+    }
+
     private isLive(attempt: Attempt): boolean {
         return !this.isSettled && this.attempts.has(attempt.number);
     }
@@ -268,7 +317,7 @@
     }
 
     /** Ends the search for a replica whose permit comes in time after several denials. */
-    private withoutDeniedPermits(choice: DispatchChoice): DispatchChoice {
+    private withoutDeniedPermits(choice: AttemptChoice): AttemptChoice {
         const needsPermit = choice.kind === "target" && choice.target.permit !== undefined;
         if (!needsPermit || this.deniedPermits < maximumDeniedPermits) {
             this.deniedPermits = needsPermit ? this.deniedPermits : 0;
@@ -280,11 +329,16 @@
         return { kind: "paused", retryAfterMilliseconds };
     }
 
-    private chooseReplica(): DispatchChoice {
-        const { service, request, arrivedAt, route } = this.admitted;
+    private chooseReplica(): AttemptChoice {
+        const { service, request, arrivedAt, route, forwarded } = this.admitted;
+        const { dispatcher, forwarding } = this.context;
+        const peer = forwarded === undefined ? this.choosePeer(undefined) : undefined;
+        if (peer !== undefined) {
+            return peer;
+        }
         const isEngine = this.admitted.table.findService(service)?.engine !== undefined;
         const objective = route.objectiveMilliseconds;
-        return this.context.dispatcher.choose({
+        const choice = dispatcher.choose({
             service,
             work: isEngine ? request.work : undefined,
             triedInstances: this.triedInstances,
@@ -292,19 +346,51 @@
             firstEventDeadline:
                 arrivedAt +
                 Math.max(minimumFirstEventTimeoutMilliseconds, firstEventTimeoutObjectives * objective),
-            isResumed: this.callerResponse.hasBegun,
+            isResumed: this.isResumed,
         });
+        if (forwarded !== undefined) {
+            return forwarding.isCutOff(service) ? { kind: "none" } : choice;
+        }
+        return this.choosePeer(choice) ?? choice;
+    }
+
+    /** Chooses an entry instance that is to run the request, if this one cannot reach the replicas. */
+    private choosePeer(
+        choice: DispatchChoice | undefined,
+    ): Extract<AttemptChoice, { readonly kind: "target" }> | undefined {
+        if (this.triedPeers.size >= maximumForwards) {
+            return undefined;
+        }
+        const peer = this.context.forwarding.choosePeer(this.admitted.service, this.triedPeers, choice);
+        if (peer === undefined) {
+            return undefined;
+        }
+        const target: PeerTarget = {
+            peer,
+            group: undefined,
+            model: undefined,
+            expectedMilliseconds: this.admitted.route.objectiveMilliseconds,
+            fleetRevision: 0,
+            isDeferred: false,
+        };
+        return { kind: "target", target };
+    }
+
+    /** True if the caller is already reading the response. */
+    private get isResumed(): boolean {
+        return this.callerResponse.hasBegun || this.admitted.forwarded?.hasBegunResponse === true;
     }
 
     private checkSilence(attempt: Attempt): void {
         if (!this.isLive(attempt)) {
             return;
         }
-        const { group } = attempt.target;
+        const { group, peer } = attempt.target;
+        const isLinkLost = peer === undefined && this.isCutOff;
         this.advance({
             kind: "silenceChecked",
             attempt: attempt.number,
-            isDoubtful: group !== undefined && this.context.isDoubtful(group),
+            isDoubtful: isLinkLost || (group !== undefined && this.context.isDoubtful(group)),
             silentMilliseconds: this.now() - attempt.lastProgressAt,
             conditions: this.conditions(),
         });
@@ -327,7 +413,7 @@
     }
 
     /** Starts an attempt, after its permit if the replica limits its requests; without one, chooses again. */
-    private startPermitted(target: DispatchTarget, isBeside: boolean): void {
+    private startPermitted(target: AttemptTarget, isBeside: boolean): void {
         if (target.permit === undefined) {
             this.startAttempt(target, isBeside);
             return;
@@ -349,82 +435,113 @@
         this.context.permits.request(target.instance, target.permit.patienceMilliseconds, onEnd);
     }
 
-    private startAttempt(target: DispatchTarget, isBeside: boolean): void {
+    private startAttempt(target: AttemptTarget, isBeside: boolean): void {
         const { context, admitted } = this;
-        const { request, body } = admitted;
         const now = this.now();
         const number = this.sequence.attemptCount + 1;
-        if (number > 1 && !context.retryWindowOf(admitted.service).tryTakeRetry(now)) {
+        if (isRepetition(this.sequence) && !context.retryWindowOf(admitted.service).tryTakeRetry(now)) {
             this.advance({ kind: "retryDenied", isBeside, conditions: this.conditions() });
             return;
         }
         if (isBeside) {
             this.recordSilence(this.attempt!);
         }
-        const { instance, group } = target;
-        const tokens = request.work?.promptTokens ?? 0;
-        const inFlightId =
-            group === undefined
-                ? undefined
-                : context.inFlightRequests.start(group, tokens, now, target.isDeferred);
-        const response = ReplicaResponse.create({
-            requestId: request.id,
-            isStream: admitted.route.repeatability === "stream",
+        const { group } = target;
+        const tokens = admitted.request.work?.promptTokens ?? 0;
+        const remainingRuns = admitted.route.maximumAttempts - countPossibleRuns(this.sequence);
+        const attempt = createAttempt({
+            number,
+            target,
+            sentAt: now,
+            inFlightId:
+                group === undefined
+                    ? undefined
+                    : context.inFlightRequests.start(group, tokens, now, target.isDeferred),
+            maximumRuns: target.peer === undefined ? 1 : Math.max(1, remainingRuns - (isBeside ? 1 : 0)),
+            response: ReplicaResponse.create({
+                requestId: admitted.request.id,
+                isStream: admitted.route.repeatability === "stream",
+            }),
         });
-        const attempt = createAttempt(number, target, now, inFlightId, response);
         this.attempts.set(number, attempt);
-        this.advance({ kind: "started", isBeside, instance: instance.id });
+        this.advance({ kind: "started", isBeside, instance: targetId(target) });
+        context.log.debug("request sent to replica", {
+            ...describeRequest(admitted),
+            instance: target.instance?.id,
+            peer: target.peer?.name,
+            group,
+            attempt: attempt.number,
+        });
+        attempt.call =
+            target.peer === undefined ? this.sendToReplica(attempt, target) : this.forward(attempt, target);
+        this.armAttemptTimer(attempt);
+    }
+
+    private sendToReplica(attempt: Attempt, target: DispatchTarget): UpstreamCall {
+        const { context, admitted } = this;
+        const { request, body } = admitted;
+        const { instance } = target;
         this.triedInstances.add(instance.id);
         context.replicaRecords.startRequest(instance.id);
-        context.backPressure.recordSend(instance.id, now);
+        context.backPressure.recordSend(instance.id, attempt.sentAt);
         const headers = context.wire.encodeReplicaRequest(request, {
             instance: instance.id,
-            remainingMilliseconds: admitted.deadline - now,
+            remainingMilliseconds: admitted.deadline - attempt.sentAt,
             workspace: admitted.workspace,
             lastEventId: this.lastEventId,
             rank: this.rankFor(target),
             bodyBytes: body?.length,
         });
-        context.log.debug("request sent to replica", {
-            ...describeRequest(admitted),
-            instance: instance.id,
-            group,
-            attempt: attempt.number,
+        const outgoing = {
+            address: instance.address,
+            method: request.method,
+            target: request.target,
+            headers,
+            body,
+            isRetryable: isRetryable(admitted.route),
+            needsNewConnection: this.hasReceivedForeignResponse,
+            mayStart: () =>
+                !context.isLeaving(instance) && !context.backPressure.isPaused(instance, this.now()),
+        };
+        return context.upstreams.send(instance.id, outgoing, this.observe(attempt));
+    }
+
+    /** Forwards the request to another entry instance, which makes the attempts at replicas that are left. */
+    private forward(attempt: Attempt, { peer }: PeerTarget): UpstreamCall {
+        const { context, admitted } = this;
+        this.triedPeers.add(peer.name);
+        const body = encodeForwardedRequest(admitted, {
+            from: context.forwarding.name,
+            maximumRuns: attempt.maximumRuns,
+            lastEventId: this.lastEventId,
+            triedInstances: [...this.triedInstances],
+            hasBegunResponse: this.callerResponse.hasBegun,
+            now: attempt.sentAt,
         });
-        attempt.call = context.upstreams.send(
-            instance.id,
-            {
-                address: instance.address,
-                method: request.method,
-                target: request.target,
-                headers,
-                body,
-                isRetryable: isRetryable(admitted.route),
-                needsNewConnection: this.hasReceivedForeignResponse,
-                mayStart: () =>
-                    !context.isLeaving(instance) && !context.backPressure.isPaused(instance, this.now()),
-            },
-            {
-                onWritten: () => this.advance({ kind: "written", attempt: number }),
-                onHead: message => this.handleHead(attempt, message),
-                onData: chunk => this.handleData(attempt, chunk),
-                onEnd: () => this.handleEnd(attempt),
-                onFailure: (message, delivery) => {
-                    this.reportBrokenConnection(attempt, delivery !== "notSent");
-                    this.endAttempt(attempt, outcomeByDelivery[delivery], message);
-                },
-                onWithheld: () =>
-                    this.endAttempt(attempt, "withheld", "the replica wants no further requests"),
+        const outgoing = { body, isRetryable: isRetryable(admitted.route) };
+        return context.forwarding.send(peer, outgoing, this.observe(attempt));
+    }
+
+    private observe(attempt: Attempt): UpstreamObserver {
+        return {
+            onWritten: () => this.advance({ kind: "written", attempt: attempt.number }),
+            onHead: message => this.handleHead(attempt, message),
+            onData: chunk => this.handleData(attempt, chunk),
+            onEnd: () => this.handleEnd(attempt),
+            onFailure: (message, delivery) => {
+                this.reportBrokenConnection(attempt, delivery !== "notSent");
+                this.endAttempt(attempt, outcomeByDelivery[delivery], message);
             },
-        );
-        this.armAttemptTimer(attempt);
+            onWithheld: () => this.endAttempt(attempt, "withheld", "the replica wants no further requests"),
+        };
     }
 
     private recordSilence(attempt: Attempt): void {
         clearTimeout(attempt.slowAttemptTimer);
         this.context.log.info("replica is silent; trying another one meanwhile", {
             ...describeRequest(this.admitted),
-            instance: attempt.target.instance.id,
+            instance: attempt.target.instance?.id,
+            peer: attempt.target.peer?.name,
             group: attempt.target.group,
             attempt: attempt.number,
             lastEvent: this.lastEventId,
@@ -434,9 +551,11 @@
     private reportBrokenConnection(attempt: Attempt, mayHaveBeenSent: boolean): void {
         const now = this.now();
         const progress = mayHaveBeenSent ? crashProgressOf(attempt, now) : undefined;
-        attempt.hasCrashedReplica = progress !== undefined;
-        if (progress !== undefined) {
-            const { id, status } = attempt.target.instance;
+        attempt.hasCrashedReplica = progress !== undefined && attempt.target.peer === undefined;
+        const { instance } = attempt.target;
+        // The entry instance that a request was forwarded to reports its crashes, and lost links are no crashes.
+        if (progress !== undefined && instance !== undefined && !this.isCutOff) {
+            const { id, status } = instance;
             const start = `${id} ${status.incarnation ?? ""}`;
             this.context.crashAttribution.recordCrash(this.crashSubject, start, progress, now);
         }
@@ -447,7 +566,7 @@
      * last.
      */
     private rankFor({ isDeferred }: DispatchTarget): number {
-        if (this.callerResponse.hasBegun) {
+        if (this.isResumed) {
             return 0;
         }
         return isDeferred ? lowestRank : Math.min(lowestRank - 1, this.admitted.rank);
@@ -488,14 +607,23 @@
     }
 
     private handleHead(attempt: Attempt, message: IncomingMessage): void {
-        const head = this.context.wire.decodeResponse(message);
-        this.noteReplicaState(attempt, head);
+        const decoded = this.context.wire.decodeResponse(message);
+        if (attempt.target.peer === undefined) {
+            this.noteReplicaState(attempt, attempt.target.instance, decoded);
+            this.handleParts(attempt, attempt.response.readHead(decoded));
+            return;
+        }
+        attempt.forwardReply = readForwardReply(message.headers);
+        // The state of the replica concerns the entry instance that received the response from it.
+        const isStatedNotRun = attempt.forwardReply.outcome !== undefined;
+        const pauseMilliseconds = isStatedNotRun ? decoded.pauseMilliseconds : undefined;
+        const head = { ...decoded, isStatedNotRun, pauseMilliseconds };
         this.handleParts(attempt, attempt.response.readHead(head));
     }
 
-    private noteReplicaState({ target, sentAt }: Attempt, head: ResponseHead): void {
-        const { backPressure, onLeaving, permits } = this.context;
-        const { instance } = target;
+    private noteReplicaState({ sentAt }: Attempt, instance: FleetInstance, head: ResponseHead): void {
+        const { backPressure, onLeaving, permits, forwarding } = this.context;
+        forwarding.recordHeard(instance);
         permits.recordResponse(instance, { requestsPerSecond: head.requestsPerSecond, sentAt });
         if (head.pauseMilliseconds !== undefined) {
             backPressure.record(instance, head.pauseMilliseconds, this.now());
@@ -536,8 +664,12 @@
 
     private relayEvent(attempt: Attempt, head: ResponseHead, event: StreamEvent): void {
         const now = this.now();
-        const { group, instance } = attempt.target;
+        const { target } = attempt;
+        const { group, instance } = target;
         attempt.lastProgressAt = now;
+        if (instance !== undefined) {
+            this.context.forwarding.recordHeard(instance);
+        }
         if (group !== undefined && attempt.inFlightId !== undefined) {
             this.context.inFlightRequests.recordProgress(group, attempt.inFlightId, now);
         }
@@ -545,9 +677,9 @@
             attempt.hasReceivedEvents = true;
             attempt.firstEventAt = now;
             clearTimeout(attempt.slowAttemptTimer);
-            this.context.replicaRecords.recordSuccess(instance.id, now - attempt.sentAt);
-            if (!this.callerResponse.hasBegun) {
-                this.context.dispatcher.recordFirstEvent(attempt.target, now - attempt.sentAt);
+            this.recordSuccess(attempt);
+            if (!this.callerResponse.hasBegun && target.peer === undefined) {
+                this.context.dispatcher.recordFirstEvent(target, now - attempt.sentAt);
             }
         }
         const isNew = event.id === undefined || this.lastEventId === undefined || event.id > this.lastEventId;
@@ -579,12 +711,14 @@
             this.handleSuccessfulEnd(attempt, end.head, end.body);
             return;
         }
-        if (end.kind === "refused" && end.head.status === misdirectedStatus) {
-            this.context.replicaRecords.recordMisdirected(attempt.target.instance.id, this.now());
+        const { instance } = attempt.target;
+        if (end.kind === "refused" && end.head.status === misdirectedStatus && instance !== undefined) {
+            this.context.replicaRecords.recordMisdirected(instance.id, this.now());
         } else if (end.kind === "failed") {
             this.lastFailure = end;
         }
-        this.endAttempt(attempt, end.kind, end.reason);
+        const isUnavailable = attempt.forwardReply?.outcome === "unavailable";
+        this.endAttempt(attempt, isUnavailable ? "withheld" : end.kind, end.reason);
     }
 
     private handleSuccessfulEnd(attempt: Attempt, head: ResponseHead, body: Buffer): void {
@@ -592,7 +726,7 @@
         this.lastTarget = attempt.target;
         this.releaseAttempt(attempt);
         this.context.crashAttribution.recordSound(this.crashSubject, this.now());
-        this.context.replicaRecords.recordSuccess(attempt.target.instance.id, this.now() - attempt.sentAt);
+        this.recordSuccess(attempt);
         this.context.metrics.attempts.inc({ service: this.admitted.service, outcome: "served" });
         if (this.callerResponse.hasBegun) {
             this.settle("served", {});
@@ -602,6 +736,12 @@
         this.sendCompleteResponse(head, body, "served");
     }
 
+    private recordSuccess({ target, sentAt }: Attempt): void {
+        if (target.instance !== undefined) {
+            this.context.replicaRecords.recordSuccess(target.instance.id, this.now() - sentAt);
+        }
+    }
+
     private sendCompleteResponse(head: ResponseHead, body: Buffer, outcome: string): void {
         this.callerResponse.begin(head, body.length, this.now());
         this.settle(outcome, { status: head.status });
@@ -614,10 +754,8 @@
             return;
         }
         this.releaseAttempt(attempt);
-        const { instance } = attempt.target;
-        if (outcome === "notSent" || outcome === "dropped" || outcome === "lost") {
-            this.context.replicaRecords.recordFailure(instance.id, this.now());
-        }
+        const hasFailed = outcome === "notSent" || outcome === "dropped" || outcome === "lost";
+        this.recordLinkEnd(attempt, outcome, hasFailed);
         const mayCrashAnotherReplica = outcome === "lost" && this.mayCrashAnotherReplica(attempt);
         const commands = this.apply({
             kind: "ended",
@@ -625,11 +763,32 @@
             outcome,
             reason,
             conditions: { ...this.conditions(), mayCrashAnotherReplica },
+            runs: runsOf(attempt, outcome),
+            retryAfterMilliseconds:
+                attempt.target.peer === undefined ? undefined : attempt.head?.pauseMilliseconds,
         });
         this.recordAttemptEnd(attempt, outcome, reason);
         commands.forEach(command => this.execute(command));
     }
 
+    private recordLinkEnd({ target, head }: Attempt, outcome: AttemptOutcome, hasFailed: boolean): void {
+        const { forwarding, replicaRecords } = this.context;
+        if (target.peer !== undefined) {
+            if (hasFailed || outcome === "withheld") {
+                forwarding.recordPeerFailure(target.peer);
+            }
+            return;
+        }
+        if (hasFailed) {
+            replicaRecords.recordFailure(target.instance.id, this.now());
+        }
+        if (outcome === "notSent") {
+            forwarding.recordFailure(target.instance, "connect");
+        } else if (outcome === "lost" && head === undefined) {
+            forwarding.recordFailure(target.instance, "silence");
+        }
+    }
+
     private recordAttemptEnd(attempt: Attempt, outcome: AttemptOutcome | "superseded", reason: string): void {
         const { lastEventId } = this;
         const { possibleRuns } = this.sequence;
@@ -662,8 +821,13 @@
 
     private releaseAttempt(attempt: Attempt): void {
         clearTimeout(attempt.slowAttemptTimer);
-        const { instance, group } = attempt.target;
-        this.context.replicaRecords.endRequest(instance.id);
+        const { instance, group, peer } = attempt.target;
+        if (instance !== undefined) {
+            this.context.replicaRecords.endRequest(instance.id);
+        }
+        if (peer !== undefined) {
+            this.context.forwarding.release(peer);
+        }
         if (group !== undefined && attempt.inFlightId !== undefined) {
             this.context.inFlightRequests.end(group, attempt.inFlightId);
         }
@@ -692,7 +856,12 @@
         this.settle(outcome, { status, reason });
         const { id } = this.admitted.request;
         const idHeader = id === undefined ? [] : [this.context.wire.requestIdHeader, id];
-        this.callerResponse.sendError(status, { message: reason, outcome }, [...idHeader, ...headers]);
+        const forwardHeaders =
+            this.admitted.forwarded === undefined
+                ? []
+                : forwardReplyHeaders(status, outcome, this.sequence.possibleRuns);
+        const allHeaders = [...idHeader, ...headers, ...forwardHeaders];
+        this.callerResponse.sendError(status, { message: reason, outcome }, allHeaders);
     }
 
     private abortResponse(reason: string): void {
--- a/src/serving/peer-link.ts
+++ b/src/serving/peer-link.ts
@@ -48,6 +48,10 @@
     issues: z.boolean().default(false),
     /** Id and start of replicas, the requests per second that they take (-1: no limit any more), and age in milliseconds. */
     limits: z.array(z.tuple([z.string(), z.number().nullable(), z.number(), z.number()])).default([]),
+    /** Services, and the number of their replicas from which responses arrived recently. */
+    reached: z.array(z.tuple([z.string(), z.number()])).default([]),
+    /** Services whose replicas the sender cannot reach. */
+    unreachable: z.array(z.string()).default([]),
 });
 
 const permitQuestionSchema = z.object({
@@ -94,6 +98,10 @@
     /** True if the sender issues permits. */
     readonly isIssuing: boolean;
     readonly limits: readonly LimitAnnouncement[];
+    /** Number of replicas of each service from which responses arrived recently. */
+    readonly reachedCounts: ReadonlyMap<string, number>;
+    /** Services whose replicas the sender cannot reach. */
+    readonly unreachableServices: readonly string[];
 }
 
 export interface PeerLinkOptions {
@@ -153,6 +161,8 @@
             sound: state.crashEvidence.sound,
             quarantines: state.crashEvidence.quarantines,
             issues: state.isIssuing,
+            reached: [...state.reachedCounts],
+            unreachable: state.unreachableServices,
             limits: state.limits.map(({ id, incarnation, requestsPerSecond, age }) => [
                 id,
                 incarnation ?? null,
@@ -201,7 +211,7 @@
         }
         const { from, incarnation, sequence, loads, suspicions, groups, leaving, configuration } =
             parsed.data;
-        const { crashes, sound, quarantines, issues, limits } = parsed.data;
+        const { crashes, sound, quarantines, issues, limits, reached, unreachable } = parsed.data;
         const sender = `${from} ${incarnation}`;
         if (sequence <= (this.lastSequences.get(sender) ?? 0)) {
             return;
@@ -231,6 +241,8 @@
                 quarantines,
             },
             isIssuing: issues,
+            reachedCounts: new Map(reached),
+            unreachableServices: unreachable,
             limits: limits.map(([id, start, requestsPerSecond, age]) => ({
                 id,
                 incarnation: start ?? undefined,
--- /dev/null
+++ b/src/serving/replica-reach.ts
@@ -0,0 +1,203 @@
+/**
+ * Judges the links of this entry instance to replicas. Covers an entry instance that is cut off from the replicas while
+ * callers, the store and the other entry instances reach it: its connections hang or are reset, or live on while new ones
+ * fail. A replica that has ended looks the same on one link; several that fail with no response of any other in between do
+ * not, and other entry instances still receive responses from them.
+ */
+import { keepOnlyKeys } from "./collections.js";
+import type { FleetInstance } from "./fleets.js";
+
+/** Number of replicas that must have failed, with nothing received in between, to doubt the links instead of the replicas. */
+const minimumFailedReplicas = 2;
+/** Time for which a failure counts, in milliseconds. */
+const failureMemoryMilliseconds = 10_000;
+/** Age up to which a response counts as evidence that a replica can be reached, in milliseconds. */
+const reachedMilliseconds = 5_000;
+/** Half of the pause after the first failure to connect to a replica, in milliseconds; it doubles with each further one. */
+const reconnectStepMilliseconds = 250;
+const maximumReconnectPauseMilliseconds = 4_000;
+/** Interval between two rounds of probes while links are in doubt, in milliseconds. */
+const probeIntervalMilliseconds = 500;
+/** Number of replicas with failures that are probed in one round. */
+const probesPerRound = 2;
+
+/** "connect": no connection was established. "silence": a connection yielded no response, or was reset before it. */
+export type LinkFailure = "connect" | "silence";
+
+/**
+ * "open": no doubt. "connectedOnly": open connections serve, new ones fail. "cutOff": nothing arrives from the replicas of
+ * the service.
+ */
+export type LinkState = "open" | "connectedOnly" | "cutOff";
+
+interface HeardReplica {
+    readonly service: string;
+    /** Local monotonic milliseconds of the last bytes received. */
+    readonly at: number;
+}
+
+interface ConnectFailures {
+    /** Local monotonic milliseconds of the last one. */
+    readonly lastAt: number;
+    readonly count: number;
+    /** True if a connection to another replica was established meanwhile, so that only this replica is concerned. */
+    readonly isIsolated: boolean;
+}
+
+type LinkInstance = Pick<FleetInstance, "id" | "service">;
+
+export class ReplicaReach {
+    private readonly heard = new Map<string, HeardReplica>();
+    /** Local monotonic milliseconds of the last bytes from any replica of a service. */
+    private readonly lastHeardAt = new Map<string, number>();
+    /** Time of the first failure of each replica since bytes last arrived from it, by service and replica. */
+    private readonly failures = new Map<string, Map<string, number>>();
+    /** Replicas to which no connection could be established since bytes last arrived from them. */
+    private readonly connectFailures = new Map<string, ConnectFailures>();
+    private nextProbeAt = 0;
+
+    private constructor(private readonly random: () => number) {}
+
+    /** `random` returns a number in [0, 1). */
+    public static create(random: () => number): ReplicaReach {
+        return new ReplicaReach(random);
+    }
+
+    /** Records that bytes arrived from a replica. */
+    public recordHeard({ id, service }: LinkInstance, now: number): void {
+        this.heard.set(id, { service, at: now });
+        this.lastHeardAt.set(service, now);
+        this.failures.get(service)?.delete(id);
+        this.connectFailures.delete(id);
+    }
+
+    /** Records that a new connection to any replica was established. */
+    public recordConnected(): void {
+        for (const [id, failures] of this.connectFailures) {
+            if (!failures.isIsolated) {
+                this.connectFailures.set(id, { ...failures, isIsolated: true });
+            }
+        }
+    }
+
+    public recordFailure({ id, service }: LinkInstance, failure: LinkFailure, now: number): void {
+        const ofService = this.failures.get(service) ?? new Map<string, number>();
+        this.failures.set(service, ofService);
+        const before = ofService.get(id);
+        if (before === undefined || now - before >= failureMemoryMilliseconds) {
+            ofService.set(id, now);
+        }
+        if (failure === "connect") {
+            const earlier = this.connectFailures.get(id) ?? { count: 0, isIsolated: false };
+            this.connectFailures.set(id, { ...earlier, count: earlier.count + 1, lastAt: now });
+        }
+    }
+
+    /** Judges the links to the replicas of a service. */
+    public stateOf(service: string, now: number): LinkState {
+        const heardAt = this.lastHeardAt.get(service) ?? Number.NEGATIVE_INFINITY;
+        // A service with few requests shows nothing itself while the links to another one are cut.
+        const isCutOff = [...this.failures.keys()].some(each => {
+            const cutAt = this.cutOffSince(each, now);
+            return cutAt !== undefined && heardAt < cutAt;
+        });
+        if (isCutOff) {
+            return "cutOff";
+        }
+        const recent = [...this.connectFailures.values()].filter(
+            ({ isIsolated, lastAt }) => !isIsolated && now - lastAt < failureMemoryMilliseconds,
+        );
+        return recent.length >= minimumFailedReplicas ? "connectedOnly" : "open";
+    }
+
+    /** True if a request to a replica has failed, and nothing has arrived from it since. */
+    public isLost({ id, service }: LinkInstance, now: number): boolean {
+        const failedSince = this.failures.get(service)?.get(id);
+        return failedSince !== undefined && now - failedSince < failureMemoryMilliseconds;
+    }
+
+    /** True if any replica of a service is lost. */
+    public hasLost(service: string, now: number): boolean {
+        return this.recentFailures(service, now).length > 0;
+    }
+
+    /** True if no connection to a replica could be established, and nothing has arrived from it since. */
+    public isUnconnectable(instance: LinkInstance, now: number): boolean {
+        const failures = this.connectFailures.get(instance.id);
+        if (failures === undefined) {
+            return false;
+        }
+        const pause = Math.min(
+            maximumReconnectPauseMilliseconds,
+            2 ** failures.count * reconnectStepMilliseconds,
+        );
+        return now - failures.lastAt < pause;
+    }
+
+    /** Local monotonic milliseconds from which probes may be due again. */
+    public get nextProbesAt(): number {
+        return this.failures.size === 0 && this.connectFailures.size === 0 ? Infinity : this.nextProbeAt;
+    }
+
+    /** Returns the number of replicas of each service from which bytes arrived recently. */
+    public reachedCounts(now: number): ReadonlyMap<string, number> {
+        const counts = new Map<string, number>();
+        for (const [id, { service, at }] of this.heard) {
+            const isReached = now - at < reachedMilliseconds && !this.isLost({ id, service }, now);
+            counts.set(service, (counts.get(service) ?? 0) + (isReached ? 1 : 0));
+        }
+        return counts;
+    }
+
+    /**
+     * Returns the replicas to probe now: some of those with failures, and another one of each service, since those with
+     * failures may have ended.
+     */
+    public takeProbes<T extends LinkInstance>(instances: Iterable<T>, now: number): readonly T[] {
+        if (now < this.nextProbeAt) {
+            return [];
+        }
+        if (this.failures.size === 0 && this.connectFailures.size === 0) {
+            return [];
+        }
+        const all = [...instances];
+        const doubtful = new Set(
+            [...new Set(all.map(({ service }) => service))].filter(
+                service => this.stateOf(service, now) !== "open",
+            ),
+        );
+        if (doubtful.size === 0) {
+            return [];
+        }
+        this.nextProbeAt = now + probeIntervalMilliseconds;
+        const candidates = all
+            .filter(({ service }) => doubtful.has(service))
+            .map(instance => ({ instance, order: this.random() }))
+            .sort((left, right) => left.order - right.order)
+            .map(({ instance }) => instance);
+        const failed = candidates.filter(each => this.isLost(each, now)).slice(0, probesPerRound);
+        const others = [...doubtful].flatMap(
+            service => candidates.find(each => each.service === service && !this.isLost(each, now)) ?? [],
+        );
+        return [...failed, ...others];
+    }
+
+    public retainReplicas(replicas: ReadonlySet<string>): void {
+        keepOnlyKeys(this.heard, replicas);
+        keepOnlyKeys(this.connectFailures, replicas);
+        this.failures.forEach(ofService => keepOnlyKeys(ofService, replicas));
+    }
+
+    /** Returns the time of the first of several failures after which nothing arrived from the service; else undefined. */
+    private cutOffSince(service: string, now: number): number | undefined {
+        const recent = this.recentFailures(service, now);
+        const since = Math.min(...recent);
+        const heardAt = this.lastHeardAt.get(service) ?? Number.NEGATIVE_INFINITY;
+        return recent.length >= minimumFailedReplicas && heardAt < since ? since : undefined;
+    }
+
+    private recentFailures(service: string, now: number): readonly number[] {
+        const times = [...(this.failures.get(service)?.values() ?? [])];
+        return times.filter(failedSince => now - failedSince < failureMemoryMilliseconds);
+    }
+}
--- a/src/serving/stalled-group-detector.ts
+++ b/src/serving/stalled-group-detector.ts
@@ -60,6 +60,8 @@
     readonly probeSpreadMilliseconds: () => number;
     /** Returns a number in [0, 1). */
     readonly random: () => number;
+    /** False while the links of this process to the replicas are in doubt, so that silence says nothing about a group. */
+    readonly areLinksSound: () => boolean;
     /** Called with each new suspicion that this process has found itself. */
     readonly onSuspect: (suspicion: Suspicion) => void;
     readonly onCleared: (group: string) => void;
@@ -102,6 +104,9 @@
 
     /** Local monotonic milliseconds at which the next check is due; Infinity while no group is active. */
     public nextCheckAt(now: number): number {
+        if (!this.options.areLinksSound()) {
+            return Infinity;
+        }
         if (this.suspects.size > 0) {
             return now;
         }
@@ -114,6 +119,9 @@
         const now = this.options.clock.monotonicMilliseconds();
         const { groups } = this.options.view();
         this.forget(new Set(groups.keys()));
+        if (!this.options.areLinksSound()) {
+            return;
+        }
         for (const active of this.options.flights.activeGroups()) {
             if (now > this.checkAt(active, now) && !this.suspects.has(active.group)) {
                 this.check(active.group, undefined, now);
@@ -124,6 +132,12 @@
         }
     }
 
+    /** Drops what was concluded over links that turned out to be lost; silent groups are probed again. */
+    public forgetSuspicions(): void {
+        this.suspects.clear();
+        this.nextRoundAt.clear();
+    }
+
     /** Stops probing; covers second probes that would follow the end of the process. */
     public close(): void {
         this.isClosed = true;
@@ -131,7 +145,7 @@
 
     /** Probes the members that another process found silent. */
     public handleSuspicion({ group, instances }: Suspicion): void {
-        if (!this.suspects.has(group)) {
+        if (!this.suspects.has(group) && this.options.areLinksSound()) {
             this.check(group, instances, this.options.clock.monotonicMilliseconds());
         }
     }
@@ -200,6 +214,9 @@
             // This process was delayed itself, so responses may have arrived unread.
             return;
         }
+        if (!this.options.areLinksSound()) {
+            return;
+        }
         const silent = members.filter((_, index) => statuses[index] === undefined);
         this.noteSlowness(group.key, statuses);
         if (silent.length === 0) {
--- a/src/serving/tests/attempt-sequence.test.ts
+++ b/src/serving/tests/attempt-sequence.test.ts
@@ -1,3 +1,4 @@
+import { targetId } from "../dispatcher.js";
 import test from "ava";
 import * as fc from "fast-check";
 import type { AttemptOutcome } from "../attempt-decision.js";
@@ -46,7 +47,7 @@
 }
 
 function ended(attempt: number, outcome: AttemptOutcome, facts = conditions): AttemptEvent {
-    return { kind: "ended", attempt, outcome, reason: "broken", conditions: facts };
+    return { kind: "ended", attempt, outcome, reason: "broken", conditions: facts, runs: 1 };
 }
 
 function after(...events: readonly AttemptEvent[]): AttemptSequence {
@@ -283,7 +284,7 @@
                 this.apply(
                     isDenied
                         ? { kind: "retryDenied", isBeside, conditions: withoutBudget }
-                        : { kind: "started", isBeside, instance: command.target.instance.id },
+                        : { kind: "started", isBeside, instance: targetId(command.target) },
                 );
                 return;
             }
--- a/src/serving/tests/dispatcher.test.ts
+++ b/src/serving/tests/dispatcher.test.ts
@@ -26,6 +26,7 @@
     options: Pick<DispatcherDependencies, "clock" | "random" | "view" | "flights" | "mostOptions" | "admit">,
 ): Dispatcher {
     const suspicions = StalledGroupDetector.create({
+        areLinksSound: () => true,
         ...options,
         report: () => Promise.reject(new Error("the test expects no report request")),
         probeSpreadMilliseconds: () => 0,
@@ -40,6 +41,7 @@
         backPressure: BackPressure.create(options.random),
         limits: { isLimited: () => false, waitOf: () => 0 },
         isConnected: () => true,
+        isUnreachable: () => false,
     });
 }
 
--- a/src/serving/tests/exchange-silence.test.ts
+++ b/src/serving/tests/exchange-silence.test.ts
@@ -77,6 +77,12 @@
         replicaRecords: ReplicaRecords.create(),
         backPressure: BackPressure.create(() => 0),
         permits: { request: ignore, recordResponse: ignore },
+        forwarding: {
+            choosePeer: ignore,
+            isCutOff: () => false,
+            recordHeard: ignore,
+            recordFailure: ignore,
+        },
         isDoubtful: facts.isDoubtful,
         crashAttribution: {
             recordRequest: () => (facts.isQuarantined() ? now : undefined),
--- a/src/serving/tests/exchange.test.ts
+++ b/src/serving/tests/exchange.test.ts
@@ -96,6 +96,12 @@
         replicaRecords: records,
         backPressure: BackPressure.create(() => 0),
         permits: { request: ignore, recordResponse: ignore },
+        forwarding: {
+            choosePeer: ignore,
+            isCutOff: () => false,
+            recordHeard: ignore,
+            recordFailure: ignore,
+        },
         isDoubtful: () => false,
         crashAttribution: CrashAttribution.create({
             random: () => 0,
--- a/src/serving/tests/peer-link.test.ts
+++ b/src/serving/tests/peer-link.test.ts
@@ -35,6 +35,8 @@
 
 const emptyState = {
     isIssuing: false,
+    reachedCounts: new Map<string, number>(),
+    unreachableServices: [],
     limits: [],
     loads: [],
     suspicions: [],
--- a/src/serving/tests/stalled-group-detector.test.ts
+++ b/src/serving/tests/stalled-group-detector.test.ts
@@ -35,6 +35,7 @@
         return Promise.resolve(answers(instance.id) ? succeed(instance.status) : fail(silentFault));
     };
     const suspicions = StalledGroupDetector.create({
+        areLinksSound: () => true,
         clock: { monotonicMilliseconds: () => now, wallMilliseconds: () => now },
         view: () => view,
         flights,
