Count the grace period from before a standstill of the event loop in which the signal may have arrived

Cause: the period was counted from the handling of SIGTERM; a process that stands still handles it late, serves new requests for too long and is killed before they are complete. The tick loop now knows since when an event may have waited, and the shutdown counts from there.

--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -395,8 +395,12 @@
         if (this.stoppingSince !== undefined) {
             return;
         }
-        this.stoppingSince = this.now();
-        this.log.info("stopping", { openRequests: this.callerPort.openRequestCount });
+        // A signal that is handled late still ends the process in time: its grace period runs from the signal.
+        this.stoppingSince = this.ticks.promptSince;
+        this.log.info("stopping", {
+            openRequests: this.callerPort.openRequestCount,
+            handledLateMilliseconds: Math.round(this.now() - this.stoppingSince),
+        });
         this.placers.forEach(placer => placer.release());
         this.registration.release();
     }
--- a/src/daemons/serving/tick-loop.ts
+++ b/src/daemons/serving/tick-loop.ts
@@ -3,6 +3,9 @@
 import type { TickFacts } from "../../serving/tick-schedule.js";
 import { minimumTickMilliseconds, tickDelayMilliseconds } from "../../serving/tick-schedule.js";
 
+/** Lateness of a tick beyond which the event loop is taken to have stood still, in milliseconds. */
+const maximumLatenessMilliseconds = 50;
+
 export interface TickLoopOptions {
     readonly clock: Clock;
     /** Called at each tick with the time by which it came late, in milliseconds; the next tick follows even if it throws. */
@@ -15,8 +18,12 @@
     private timer: NodeJS.Timeout | undefined;
     /** Local monotonic milliseconds for which the next tick is scheduled. */
     private nextTickAt = 0;
+    /** Local monotonic milliseconds of the last tick that was not late. */
+    private lastPromptTickAt: number;
+    private wasLastTickLate = false;
 
     private constructor(private readonly options: TickLoopOptions) {
+        this.lastPromptTickAt = this.now();
         this.schedule(minimumTickMilliseconds);
     }
 
@@ -36,6 +43,16 @@
         this.timer = undefined;
     }
 
+    /**
+     * Local monotonic milliseconds since which an event may have waited to be handled: now, unless the event loop has just
+     * stood still.
+     */
+    public get promptSince(): number {
+        const now = this.now();
+        const isStandingStill = now - this.nextTickAt > maximumLatenessMilliseconds;
+        return this.wasLastTickLate || isStandingStill ? this.lastPromptTickAt : now;
+    }
+
     private schedule(delayMilliseconds: number): void {
         clearTimeout(this.timer);
         this.nextTickAt = this.now() + delayMilliseconds;
@@ -43,8 +60,11 @@
     }
 
     private run(): void {
+        const lateMilliseconds = Math.max(0, this.now() - this.nextTickAt);
+        this.wasLastTickLate = lateMilliseconds > maximumLatenessMilliseconds;
+        this.lastPromptTickAt = this.wasLastTickLate ? this.lastPromptTickAt : this.now();
         try {
-            this.options.onTick(Math.max(0, this.now() - this.nextTickAt));
+            this.options.onTick(lateMilliseconds);
         } finally {
             if (this.timer !== undefined) {
                 const now = this.now();
