--- a/src/daemons/serving/forward-port.ts
+++ b/src/daemons/serving/forward-port.ts
@@ -25,6 +25,8 @@
     readonly table: () => RouteTable | undefined;
     /** True if this process can serve requests for a service now. */
     readonly canServe: (service: string) => boolean;
+    /** Called with each request that is served. */
+    readonly onRequest: () => void;
     readonly serve: (admitted: AdmittedRequest, response: ServerResponse) => void;
     readonly log: PartLogger;
 }
@@ -104,6 +106,7 @@
             } else if (!this.options.canServe(admitted.service)) {
                 this.reject(message, response, "this entry instance cannot reach the replicas either");
             } else {
+                this.options.onRequest();
                 this.options.serve(admitted, response);
             }
         });
--- a/src/daemons/serving/request-permits.ts
+++ b/src/daemons/serving/request-permits.ts
@@ -25,6 +25,8 @@
     /** True while this process knows the other entry instances and does not shut down. */
     readonly isAvailable: () => boolean;
     readonly send: (peer: string, message: PermitMessage) => void;
+    /** Called with each reply of this process. */
+    readonly onReply: (reply: PermitReply) => void;
     readonly log: PartLogger;
 }
 
@@ -133,7 +135,10 @@
     private issue(question: PermitQuestion): PermitReply {
         const now = this.now();
         const role = this.members.roleFor(question.replica, now);
-        return role === undefined ? { kind: "unavailable" } : this.issuer.issue(question, role, now);
+        const reply: PermitReply =
+            role === undefined ? { kind: "unavailable" } : this.issuer.issue(question, role, now);
+        this.options.onReply(reply);
+        return reply;
     }
 
     private now(): number {
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -196,6 +196,7 @@
             peerExpiryMilliseconds: () => this.peers.timing.peerExpiryMilliseconds,
             isAvailable: () => this.peers.shares.isSettled && this.stoppingSince === undefined,
             send: (peer, message) => this.peers.sendPermitMessage(peer, message),
+            onReply: reply => this.metrics.permits.inc({ reply: reply.kind }),
             log: this.log,
         });
         this.announcedGroups = AnnouncedGroups.create({
@@ -363,6 +364,7 @@
             secret: options.secret,
             clock,
             table: () => this.follower.table,
+            onRequest: () => this.metrics.forwardedRequests.inc({ direction: "received" }),
             canServe: service => !this.forwarder.isCutOff(service) && !this.callerPort.isClosed,
             serve: (admitted, response) => this.serve(admitted, response),
             log: logs("peer"),
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -510,6 +510,7 @@
     private forward(attempt: Attempt, { peer }: PeerTarget): UpstreamCall {
         const { context, admitted } = this;
         this.triedPeers.add(peer.name);
+        context.metrics.forwardedRequests.inc({ direction: "sent" });
         const body = encodeForwardedRequest(admitted, {
             from: context.forwarding.name,
             maximumRuns: attempt.maximumRuns,
--- a/src/serving/serving-metrics.ts
+++ b/src/serving/serving-metrics.ts
@@ -13,6 +13,8 @@
     readonly suspectedGroups: Counter;
     readonly quarantines: Counter;
     readonly quarantineRefusals: Counter;
+    readonly forwardedRequests: Counter<"direction">;
+    readonly permits: Counter<"reply">;
     readonly orders: Counter<"order" | "reply">;
     readonly configurationVersion: Gauge;
     readonly servableGroups: Gauge<"model">;
@@ -72,6 +74,18 @@
         help: "Requests that were ended because of a quarantine",
         registers,
     });
+    const forwardedRequests = new Counter({
+        name: "chervil_forwarded_requests_total",
+        help: "Requests sent to other entry instances, or received from them, because links to replicas were lost",
+        labelNames: ["direction"] as const,
+        registers,
+    });
+    const permits = new Counter({
+        name: "chervil_permits_total",
+        help: "Replies of this process to questions for permits, by kind",
+        labelNames: ["reply"] as const,
+        registers,
+    });
     const orders = new Counter({
         name: "chervil_orders_total",
         help: "Orders to engines by kind and reply",
@@ -104,6 +118,8 @@
         suspectedGroups,
         quarantines,
         quarantineRefusals,
+        forwardedRequests,
+        permits,
         orders,
         configurationVersion,
         servableGroups,
