Keep new connections in doubt until one succeeds, and wait for what other entry instances report

What was seen: with links on which old connections live and new ones fail, callers got 503 in about one run of three of platform/tests/cut-off-entries.test.ts (refuseNew), most of them within 0.4 s after the first failure. Cause, from the log of the judgement: bytes on old connections cleared the failures to connect of their replica, so the state changed every few milliseconds; and where the other entry instances had no requests, they stated what they reach only after their next datagram, while six attempts were used up within 5 ms. Change: only a new connection clears them, for its replica; attempts at replicas that cannot be reached are 60 ms apart while links are in doubt; an entry instance that probes for another one states the result at once; messages about links are brought forward at most twice a second. Still seen: 1 failure in 4 runs side by side, where the other entry instances are idle.

--- a/src/daemons/serving/request-forwarding.ts
+++ b/src/daemons/serving/request-forwarding.ts
@@ -38,6 +38,8 @@
     readonly probe: (instance: FleetInstance, deadline: number) => Promise<boolean>;
     /** Called when the judgement of the links to a service has changed. */
     readonly onChange: (service: string, state: LinkState) => void;
+    /** Called when a replica responds that another entry instance cannot reach. */
+    readonly onReachedForPeer: () => void;
     readonly log: PartLogger;
 }
 
@@ -120,6 +122,10 @@
         return cannotConnect && !this.options.isConnected(instance.id);
     }
 
+    public isInDoubt(service: string): boolean {
+        return this.reach.stateOf(service, this.now()) !== "open";
+    }
+
     public isCutOff(service: string): boolean {
         return this.reach.stateOf(service, this.now()) === "cutOff";
     }
@@ -162,8 +168,9 @@
         this.reach.recordHeard(instance, this.now());
     }
 
-    public recordConnected(): void {
-        this.reach.recordConnected();
+    /** Records that a new connection to an instance was established. */
+    public recordConnected(instance: string): void {
+        this.reach.recordConnected(instance);
     }
 
     public recordFailure(instance: FleetInstance, failure: LinkFailure): void {
@@ -220,11 +227,12 @@
         this.reach.takeProbes(this.options.instances(), now).forEach(instance => this.probe(instance));
     }
 
-    private probe(instance: FleetInstance): void {
+    private probe(instance: FleetInstance, onReached: () => void = () => undefined): void {
         void this.options.probe(instance, this.now() + probeTimeoutMilliseconds).then(isReached => {
             if (isReached) {
-                this.recordConnected();
+                this.recordConnected(instance.id);
                 this.recordHeard(instance);
+                onReached();
             } else {
                 this.recordFailure(instance, "connect");
             }
@@ -240,7 +248,7 @@
         const isDue = now - this.lastPeerProbeAt >= peerProbeIntervalMilliseconds;
         if (instance !== undefined && isDue && random() * this.peers.count < peerProbers) {
             this.lastPeerProbeAt = now;
-            this.probe(instance);
+            this.probe(instance, this.options.onReachedForPeer);
         }
     }
 
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -66,6 +66,9 @@
 /** Rank of this process among those that compete for the placement lease of another failure domain. */
 const otherDomainRank = 2;
 
+/** Minimum interval at which changes of the links to replicas bring a message to the peers forward, in milliseconds. */
+const linkStateIntervalMilliseconds = 500;
+
 /** Connections to one replica that a process may always open. */
 const minimumConnections = 4;
 /** Fraction of a replica's connections that is shared out; the rest is for entry instances that are not known yet. */
@@ -144,6 +147,8 @@
     private readonly log: PartLogger;
     private view = FleetView.create(emptyFleet, undefined);
     private stoppingSince: number | undefined;
+    /** Local monotonic milliseconds at which the peers were last informed at once of a change of the links. */
+    private linkStateSentAt = Number.NEGATIVE_INFINITY;
     private isStopped = false;
     private readonly pauseDetector: PauseDetector;
 
@@ -154,7 +159,7 @@
         this.upstreams = UpstreamPools.create(
             clock,
             replica => this.maximumConnectionsTo(replica),
-            () => this.forwarder.recordConnected(),
+            replica => this.forwarder.recordConnected(replica),
         );
         this.crashAttribution = CrashAttribution.create({
             random,
@@ -234,6 +239,7 @@
             instances: () => this.view.fleet.instances.values(),
             probe: (instance, deadline) => engines.probe(instance, deadline),
             onChange: (service, state) => this.handleLinkState(service, state),
+            onReachedForPeer: () => this.informPeers(),
             log: this.log,
         });
         this.era = this.createEra(settings.storeAddress, logs("store"));
@@ -516,7 +522,10 @@
         } else if (state === "open") {
             this.suspicions.forgetSuspicions();
         }
-        this.informPeers();
+        if (this.now() - this.linkStateSentAt >= linkStateIntervalMilliseconds) {
+            this.linkStateSentAt = this.now();
+            this.informPeers();
+        }
     }
 
     private handleSuspicion(suspicion: Suspicion): void {
--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -158,14 +158,14 @@
     private constructor(
         public readonly clock: Clock,
         private readonly maximumConnections: (replica: string) => number,
-        private readonly onConnected: () => void,
+        private readonly onConnected: (replica: string) => void,
     ) {}
 
-    /** `onConnected` is called when a new connection for a request is established. */
+    /** `onConnected` is called with the replica when a new connection for a request is established. */
     public static create(
         clock: Clock,
         maximumConnections: (replica: string) => number,
-        onConnected: () => void = () => undefined,
+        onConnected: (replica: string) => void = () => undefined,
     ): UpstreamPools {
         return new UpstreamPools(clock, maximumConnections, onConnected);
     }
@@ -215,7 +215,7 @@
         } else if (!outgoing.isRetryable) {
             agent.closeIdleConnections(maximumNonRetryableIdleMilliseconds);
         }
-        return sendRequest(agent, outgoing, observer, this.clock, this.onConnected);
+        return sendRequest(agent, outgoing, observer, this.clock, () => this.onConnected(replica));
     }
 }
 
--- a/src/serving/attempt-sequence.ts
+++ b/src/serving/attempt-sequence.ts
@@ -118,6 +118,8 @@
           readonly runs: number;
           /** Time after which a retry can succeed, in milliseconds; undefined if it is not known. */
           readonly retryAfterMilliseconds?: number;
+          /** Delay before the next attempt of a request whose response has not begun, in milliseconds; undefined for none. */
+          readonly delayMilliseconds?: number;
       }
     /** All live attempts were cancelled; each of them may have run the request. */
     | { readonly kind: "cancelled" };
@@ -301,7 +303,11 @@
         reason,
         conditions,
         retryAfterMilliseconds,
-    }: Pick<EventOf<"ended">, "outcome" | "reason" | "conditions" | "retryAfterMilliseconds">,
+        delayMilliseconds,
+    }: Pick<
+        EventOf<"ended">,
+        "outcome" | "reason" | "conditions" | "retryAfterMilliseconds" | "delayMilliseconds"
+    >,
 ): AttemptTransition {
     const hasReached = outcome === "lost" || outcome === "failed" || outcome === "dropped";
     const refusals = hasReached ? 0 : state.refusals + 1;
@@ -309,7 +315,9 @@
     const step = decideNextStep(outcome, factsOf(next, conditions));
     switch (step) {
         case "retry": {
-            const milliseconds = conditions.hasBegunResponse ? resumeDelayMilliseconds(refusals) : 0;
+            const milliseconds = conditions.hasBegunResponse
+                ? resumeDelayMilliseconds(refusals)
+                : (delayMilliseconds ?? 0);
             return transition(
                 next,
                 milliseconds === 0
--- a/src/serving/exchange-context.ts
+++ b/src/serving/exchange-context.ts
@@ -58,6 +58,8 @@
     /** Records that bytes arrived from a replica. */
     readonly recordHeard: (instance: FleetInstance) => void;
     readonly recordFailure: (instance: FleetInstance, failure: LinkFailure) => void;
+    /** True while connections to the replicas of a service fail in a way that puts the links in doubt. */
+    readonly isInDoubt: (service: string) => boolean;
     /** True while nothing arrives from the replicas of a service, though other entry instances receive responses. */
     readonly isCutOff: (service: string) => boolean;
     /** Name of this entry instance. */
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -50,6 +50,8 @@
 };
 /** HTTP status of a replica that is not the intended recipient of the request (421 Misdirected Request). */
 const misdirectedStatus = 421;
+/** Delay between attempts at replicas that cannot be reached, in milliseconds. */
+const linkDoubtDelayMilliseconds = 60;
 /** Maximum number of entry instances to which one request is forwarded, one after the other. */
 const maximumForwards = 3;
 /** Number of denied permits after which a request is refused. */
@@ -765,6 +767,7 @@
             reason,
             conditions: { ...this.conditions(), mayCrashAnotherReplica },
             runs: runsOf(attempt, outcome),
+            delayMilliseconds: outcome === "notSent" ? this.delayWithoutLinks() : undefined,
             retryAfterMilliseconds:
                 attempt.target.peer === undefined ? undefined : attempt.head?.pauseMilliseconds,
         });
@@ -772,6 +775,13 @@
         commands.forEach(command => this.execute(command));
     }
 
+    /** Delay in which another entry instance may state that it reaches the replicas; undefined while links are sound. */
+    private delayWithoutLinks(): number | undefined {
+        const { admitted, context } = this;
+        const isInDoubt = admitted.forwarded === undefined && context.forwarding.isInDoubt(admitted.service);
+        return isInDoubt ? linkDoubtDelayMilliseconds : undefined;
+    }
+
     private recordLinkEnd({ target, head }: Attempt, outcome: AttemptOutcome, hasFailed: boolean): void {
         const { forwarding, replicaRecords } = this.context;
         if (target.peer !== undefined) {
--- a/src/serving/replica-reach.ts
+++ b/src/serving/replica-reach.ts
@@ -52,7 +52,7 @@
     private readonly lastHeardAt = new Map<string, number>();
     /** Time of the first failure of each replica since bytes last arrived from it, by service and replica. */
     private readonly failures = new Map<string, Map<string, number>>();
-    /** Replicas to which no connection could be established since bytes last arrived from them. */
+    /** Replicas to which no connection could be established since the last one; open connections may live on. */
     private readonly connectFailures = new Map<string, ConnectFailures>();
     private nextProbeAt = 0;
 
@@ -68,11 +68,11 @@
         this.heard.set(id, { service, at: now });
         this.lastHeardAt.set(service, now);
         this.failures.get(service)?.delete(id);
-        this.connectFailures.delete(id);
     }
 
-    /** Records that a new connection to any replica was established. */
-    public recordConnected(): void {
+    /** Records that a new connection to a replica was established. */
+    public recordConnected(connected: string): void {
+        this.connectFailures.delete(connected);
         for (const [id, failures] of this.connectFailures) {
             if (!failures.isIsolated) {
                 this.connectFailures.set(id, { ...failures, isIsolated: true });
@@ -121,7 +121,7 @@
         return this.recentFailures(service, now).length > 0;
     }
 
-    /** True if no connection to a replica could be established, and nothing has arrived from it since. */
+    /** True if no connection to a replica could be established, for a pause that grows with each failure. */
     public isUnconnectable(instance: LinkInstance, now: number): boolean {
         const failures = this.connectFailures.get(instance.id);
         if (failures === undefined) {
--- a/src/serving/tests/exchange-silence.test.ts
+++ b/src/serving/tests/exchange-silence.test.ts
@@ -80,6 +80,7 @@
         forwarding: {
             choosePeer: ignore,
             isCutOff: () => false,
+            isInDoubt: () => false,
             recordHeard: ignore,
             recordFailure: ignore,
         },
--- a/src/serving/tests/exchange.test.ts
+++ b/src/serving/tests/exchange.test.ts
@@ -99,6 +99,7 @@
         forwarding: {
             choosePeer: ignore,
             isCutOff: () => false,
+            isInDoubt: () => false,
             recordHeard: ignore,
             recordFailure: ignore,
         },
