Probe each service that another entry instance cannot reach, not only the first one

What was seen: platform/tests/cut-off-entries.test.ts (refuseNew) failed in 1 of 4 runs side by side with 503 for streams; the log shows that the idle entry instances had probed the plain service and then no other one for 0.5 s. Cause: the interval between probes for other entry instances was kept for all services together. Now it is kept for each.

--- a/src/daemons/serving/request-forwarding.ts
+++ b/src/daemons/serving/request-forwarding.ts
@@ -19,7 +19,7 @@
 const maximumConnectionsPerPeer = 256;
 /** Time-out of a probe of a replica, in milliseconds. */
 const probeTimeoutMilliseconds = 250;
-/** Interval between two probes for other entry instances, in milliseconds. */
+/** Interval between two probes of a service for other entry instances, in milliseconds. */
 const peerProbeIntervalMilliseconds = 500;
 /** Expected number of entry instances that probe for another one at the same time. */
 const peerProbers = 4;
@@ -47,8 +47,8 @@
     private readonly reach: ReplicaReach;
     private readonly peers: ForwardingPeers;
     private readonly pools: UpstreamPools;
-    /** Local monotonic milliseconds of the last probe for another entry instance. */
-    private lastPeerProbeAt = Number.NEGATIVE_INFINITY;
+    /** Local monotonic milliseconds of the last probe for other entry instances, by service. */
+    private readonly lastPeerProbeAt = new Map<string, number>();
     private readonly stateByService = new Map<string, LinkState>();
 
     private constructor(private readonly options: ForwarderOptions) {
@@ -245,9 +245,10 @@
         const { random, instances } = this.options;
         const candidates = [...instances()].filter(each => each.service === service && !each.isLeaving);
         const instance = candidates[Math.floor(random() * candidates.length)];
-        const isDue = now - this.lastPeerProbeAt >= peerProbeIntervalMilliseconds;
+        const lastAt = this.lastPeerProbeAt.get(service) ?? Number.NEGATIVE_INFINITY;
+        const isDue = now - lastAt >= peerProbeIntervalMilliseconds;
         if (instance !== undefined && isDue && random() * this.peers.count < peerProbers) {
-            this.lastPeerProbeAt = now;
+            this.lastPeerProbeAt.set(service, now);
             this.probe(instance, this.options.onReachedForPeer);
         }
     }
