Keep a cut for as long as probes fail

What was seen: in the log of a cut of more than 10 s, the judgement fell from cutOff to connectedOnly for about 0.2 s every 10 s; requests of that time wait for connections again. Cause: a failure was forgotten 10 s after the first one instead of after the last one. Test: src/serving/tests/replica-reach.test.ts, a cut of two minutes; it failed before.

--- a/src/serving/replica-reach.ts
+++ b/src/serving/replica-reach.ts
@@ -9,7 +9,7 @@
 
 /** Number of replicas that must have failed, with nothing received in between, to doubt the links instead of the replicas. */
 const minimumFailedReplicas = 2;
-/** Time for which a failure counts, in milliseconds. */
+/** Time for which a replica counts as lost after its last failure, in milliseconds. */
 const failureMemoryMilliseconds = 10_000;
 /** Age up to which a response counts as evidence that a replica can be reached, in milliseconds. */
 const reachedMilliseconds = 5_000;
@@ -36,6 +36,12 @@
     readonly at: number;
 }
 
+/** Local monotonic milliseconds of the first and the last failure. */
+interface LinkFailures {
+    readonly since: number;
+    readonly lastAt: number;
+}
+
 interface ConnectFailures {
     /** Local monotonic milliseconds of the last one. */
     readonly lastAt: number;
@@ -50,8 +56,8 @@
     private readonly heard = new Map<string, HeardReplica>();
     /** Local monotonic milliseconds of the last bytes from any replica of a service. */
     private readonly lastHeardAt = new Map<string, number>();
-    /** Time of the first failure of each replica since bytes last arrived from it, by service and replica. */
-    private readonly failures = new Map<string, Map<string, number>>();
+    /** Failures of each replica since bytes last arrived from it, by service and replica. */
+    private readonly failures = new Map<string, Map<string, LinkFailures>>();
     /** Replicas to which no connection could be established since the last one; open connections may live on. */
     private readonly connectFailures = new Map<string, ConnectFailures>();
     private nextProbeAt = 0;
@@ -81,12 +87,11 @@
     }
 
     public recordFailure({ id, service }: LinkInstance, failure: LinkFailure, now: number): void {
-        const ofService = this.failures.get(service) ?? new Map<string, number>();
+        const ofService = this.failures.get(service) ?? new Map<string, LinkFailures>();
         this.failures.set(service, ofService);
         const before = ofService.get(id);
-        if (before === undefined || now - before >= failureMemoryMilliseconds) {
-            ofService.set(id, now);
-        }
+        const since = before !== undefined && isRecent(before, now) ? before.since : now;
+        ofService.set(id, { since, lastAt: now });
         if (failure === "connect") {
             const earlier = this.connectFailures.get(id) ?? { count: 0, isIsolated: false };
             this.connectFailures.set(id, { ...earlier, count: earlier.count + 1, lastAt: now });
@@ -105,15 +110,15 @@
             return "cutOff";
         }
         const recent = [...this.connectFailures.values()].filter(
-            ({ isIsolated, lastAt }) => !isIsolated && now - lastAt < failureMemoryMilliseconds,
+            failures => !failures.isIsolated && isRecent(failures, now),
         );
         return recent.length >= minimumFailedReplicas ? "connectedOnly" : "open";
     }
 
     /** True if a request to a replica has failed, and nothing has arrived from it since. */
     public isLost({ id, service }: LinkInstance, now: number): boolean {
-        const failedSince = this.failures.get(service)?.get(id);
-        return failedSince !== undefined && now - failedSince < failureMemoryMilliseconds;
+        const failures = this.failures.get(service)?.get(id);
+        return failures !== undefined && isRecent(failures, now);
     }
 
     /** True if any replica of a service is lost. */
@@ -191,13 +196,17 @@
     /** Returns the time of the first of several failures after which nothing arrived from the service; else undefined. */
     private cutOffSince(service: string, now: number): number | undefined {
         const recent = this.recentFailures(service, now);
-        const since = Math.min(...recent);
+        const since = Math.min(...recent.map(failures => failures.since));
         const heardAt = this.lastHeardAt.get(service) ?? Number.NEGATIVE_INFINITY;
         return recent.length >= minimumFailedReplicas && heardAt < since ? since : undefined;
     }
 
-    private recentFailures(service: string, now: number): readonly number[] {
-        const times = [...(this.failures.get(service)?.values() ?? [])];
-        return times.filter(failedSince => now - failedSince < failureMemoryMilliseconds);
+    private recentFailures(service: string, now: number): readonly LinkFailures[] {
+        const all = [...(this.failures.get(service)?.values() ?? [])];
+        return all.filter(failures => isRecent(failures, now));
     }
 }
+
+function isRecent({ lastAt }: Pick<LinkFailures, "lastAt">, now: number): boolean {
+    return now - lastAt < failureMemoryMilliseconds;
+}
--- a/src/serving/tests/replica-reach.test.ts
+++ b/src/serving/tests/replica-reach.test.ts
@@ -75,3 +75,14 @@
     reach.recordHeard(first, 10_000);
     t.deepEqual(reach.takeProbes(all, 11_000), []);
 });
+
+test("a cut that lasts for minutes is not taken for healed while probes fail", t => {
+    const reach = createReach();
+    engines.forEach(each => reach.recordFailure(each, "connect", 100));
+    for (let now = 600; now < 120_000; now += 500) {
+        t.is(reach.stateOf("engines", now), "cutOff", `after ${now} ms`);
+        reach.takeProbes(engines, now).forEach(each => {
+            reach.recordFailure(each, "connect", now);
+        });
+    }
+});
