--- a/src/daemons/serving/request-forwarding.ts
+++ b/src/daemons/serving/request-forwarding.ts
@@ -113,7 +113,7 @@
         return state === "open" && !this.reach.hasLost(service, now) ? undefined : ask(own + 1);
     }
 
-    /** True while a request to an instance would need a connection that cannot be established, or the instance is lost. */
+    /** True while a request to an instance would need a new connection, and none can be established. */
     public isUnreachable(instance: FleetInstance): boolean {
         const now = this.now();
         const cannotConnect =
