Review: case 2, bodies without end in pieces of one byte take more memory than the machine has

ReplicaResponse limits a held-back answer to 256 KiB of data but not in the number of pieces, and each piece is a Buffer of its own: 262,144 pieces of one byte take 120 MB.

--- a/review/lib/case.ts
+++ b/review/lib/case.ts
@@ -31,6 +31,8 @@
     readonly hosts: readonly string[];
     /** Number of groups that are open before the case begins. */
     readonly openGroups: number;
+    /** Memory over which the platform kills a serving process; by default that of a small deployment. */
+    readonly memoryMegabytes?: number;
     /** Runs in each process that hosts replicas. */
     readonly host: () => Promise<unknown>;
     /** Plays the case and returns the exit code. */
@@ -43,8 +45,8 @@
         return;
     }
     const record = Record.create(process.env["CASE_FOLDER"] ?? ".");
-    const { zones, configuration } = options;
-    const deployment = await Deployment.create({ zones, configuration, record });
+    const { zones, configuration, memoryMegabytes } = options;
+    const deployment = await Deployment.create({ zones, configuration, record, memoryMegabytes });
     const hosts = new Map(
         options.hosts.map(name => [name, ReplicaHost.start(deployment.store, record, name)]),
     );
--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -13,8 +13,8 @@
 /** Ports of one entry instance: callers, readiness, and the range for the system's own traffic. */
 const portsPerEntry = 20;
 const heartbeatMilliseconds = 1_200;
-/** Memory over which the platform kills a process (`MemoryMb`), and the interval at which it looks. */
-export const memoryLimitMegabytes = 350;
+/** Memory over which the platform kills a process (`MemoryMb`) unless a case sets another, and how often it looks. */
+const usualMemoryMegabytes = 350;
 const memoryCheckMilliseconds = 100;
 /** Time from the end of a process until the platform starts it again. */
 const restartMilliseconds = 500;
@@ -45,6 +45,8 @@
     readonly zones: readonly string[];
     readonly configuration: unknown;
     readonly record: Record;
+    /** Memory over which the platform kills a process. */
+    readonly memoryMegabytes?: number | undefined;
 }
 
 export class Deployment {
@@ -90,15 +92,19 @@
         this.watch(entry);
     }
 
+    private get memoryMegabytes(): number {
+        return this.options.memoryMegabytes ?? usualMemoryMegabytes;
+    }
+
     /** Kills a process that uses more memory than its limit, as the platform does. */
     private checkMemory(): void {
         for (const entry of this.entries) {
             const used = this.residentMegabytesOf(entry);
             entry.largestMegabytes = Math.max(entry.largestMegabytes, used);
-            if (used > memoryLimitMegabytes && !entry.process.killed) {
+            if (used > this.memoryMegabytes && !entry.process.killed) {
                 entry.hasEndedByItself = true;
                 this.options.record.say(
-                    `${entry.name} uses ${Math.round(used)} MB of ${memoryLimitMegabytes} MB, so the platform kills it`,
+                    `${entry.name} uses ${Math.round(used)} MB of ${this.memoryMegabytes} MB, so the platform kills it`,
                 );
                 entry.process.kill("SIGKILL");
             }
@@ -143,7 +149,7 @@
             "[Limits]",
             "CpuShare = 0.675",
             "Cores = 1",
-            "MemoryMb = 350",
+            `MemoryMb = ${this.memoryMegabytes}`,
             "MaxFds = 4200",
             "LinkMbps = 1000.0",
             "DiskMb = 0",
