--- a/review/lib/caller.ts
+++ b/review/lib/caller.ts
@@ -12,8 +12,8 @@
     readonly deadlineMilliseconds: number;
     readonly body?: string;
     readonly headers?: Readonly<{ [name: string]: string }>;
-    /** Sends the body in chunks instead of with a length. */
-    readonly isChunked?: boolean;
+    /** Time without a further piece of the answer after which the client leaves. */
+    readonly patienceMilliseconds?: number;
 }
 
 /** One request of a client, with what has become of it. */
@@ -36,6 +36,12 @@
     isKept: boolean;
 }
 
+/**
+ * Clients abandon a stream after a gap of two seconds, four times the objective (500 ms) or eight times the longest pause
+ * (300 ms), whichever is longest.
+ */
+const streamPatienceMilliseconds = 2_400;
+
 const streamHeaders = {
     "Chervilrouter-Model": "daka510000",
     "Chervilrouter-Token-Counts": "100,30",
@@ -70,7 +76,9 @@
         this.record.line(`client sends ${id} (${call.method} ${call.path}) to ${entry.name}`);
         return new Promise(resolve => {
             let timer: NodeJS.Timeout | undefined = undefined;
+            let gapTimer: NodeJS.Timeout | undefined = undefined;
             const end = (what: string): void => {
+                clearTimeout(gapTimer);
                 if (timer !== undefined) {
                     clearTimeout(timer);
                     timer = undefined;
@@ -91,7 +99,7 @@
                         "Chervilrouter-Request-Id": id,
                         "Chervilrouter-Deadline-Ms": String(call.deadlineMilliseconds),
                         Authorization: `Bearer ${key}`,
-                        ...(call.method === "GET" || call.isChunked ? {} : { "Content-Length": length }),
+                        ...(call.method === "GET" ? {} : { "Content-Length": length }),
                         ...call.headers,
                     },
                 },
@@ -100,6 +108,7 @@
                     sent.headers = response.headers;
                     response.setEncoding("latin1");
                     response.on("data", (text: string) => {
+                        awaitPiece();
                         sent.body = sent.body.length < 200_000 ? sent.body + text : sent.body;
                     });
                     response.on("error", () => undefined);
@@ -116,11 +125,19 @@
                     });
                 },
             );
-            timer = setTimeout(() => {
+            const giveUp = (reason: string): void => {
                 sent.hasGivenUp = true;
-                end("given up at its time limit");
+                end(`given up ${reason}`);
                 request.destroy();
-            }, call.deadlineMilliseconds);
+            };
+            const awaitPiece = (): void => {
+                clearTimeout(gapTimer);
+                if (call.patienceMilliseconds !== undefined && timer !== undefined) {
+                    gapTimer = setTimeout(() => giveUp("after a gap"), call.patienceMilliseconds);
+                }
+            };
+            timer = setTimeout(() => giveUp("at its time limit"), call.deadlineMilliseconds);
+            awaitPiece();
             request.once("socket", () => (sent.isKept = request.reusedSocket));
             request.on("error", error => {
                 sent.brokenAt = Date.now();
@@ -157,6 +174,7 @@
                 "Chervilrouter-Prompt-Prefix": `5c1e07a2:40,${lastPrompt.toString(16)}:60`,
             },
             deadlineMilliseconds,
+            patienceMilliseconds: streamPatienceMilliseconds,
         });
     }
 
--- a/review/lib/case.ts
+++ b/review/lib/case.ts
@@ -51,6 +51,15 @@
         options.hosts.map(name => [name, ReplicaHost.start(deployment.store, record, name)]),
     );
     const callers = new Callers(record);
+    process.once("exit", () => {
+        hosts.forEach(host => host.close());
+        deployment.close();
+    });
+    process.once("SIGTERM", () => process.exit(couldNotRun));
+    process.once("uncaughtException", error => {
+        process.stdout.write(`the case failed: ${error.stack}\n`);
+        process.exit(couldNotRun);
+    });
     let code = couldNotRun;
     try {
         const countOpenGroups = (): number =>
@@ -62,8 +71,6 @@
         record.say(thrown instanceof Error ? (thrown.stack ?? thrown.message) : String(thrown));
     }
     callers.close();
-    hosts.forEach(host => host.close());
-    deployment.close();
     await record.close();
     process.exit(code);
 }
