Review: case 4, an assignment runs twice after an extra copy of a refusal

The fault of case 3 with more attempts: the second send of a request is running while its answer was taken for a refusal, and the request is sent a third time.

--- a/review/lib/replica.ts
+++ b/review/lib/replica.ts
@@ -64,6 +64,8 @@
     private running = 0;
     private readonly queue: (() => void)[] = [];
     private readonly sockets = new Set<Socket>();
+    /** Requests that wait on a connection for the answer to an earlier one. */
+    private readonly waitingBySocket = new WeakMap<Socket, (() => void)[]>();
     private readonly born = Date.now();
 
     private constructor(
@@ -145,7 +147,28 @@
         response.on("error", () => undefined);
         request.on("error", () => undefined);
         request.on("data", (piece: Buffer) => pieces.push(piece));
-        request.on("end", () => this.handle(request, response, Buffer.concat(pieces).toString("utf8")));
+        request.on("end", () => {
+            const handle = (): void => this.handle(request, response, Buffer.concat(pieces).toString("utf8"));
+            this.afterEarlierRequests(request.socket, response, handle);
+        });
+    }
+
+    /** Handles the requests of a connection one at a time: each begins when the answer to the one before it has ended. */
+    private afterEarlierRequests(socket: Socket, response: ServerResponse, handle: () => void): void {
+        const waiting = this.waitingBySocket.get(socket);
+        if (waiting !== undefined) {
+            waiting.push(() => this.afterEarlierRequests(socket, response, handle));
+            return;
+        }
+        const later: (() => void)[] = [];
+        this.waitingBySocket.set(socket, later);
+        response.once("close", () => {
+            this.waitingBySocket.delete(socket);
+            if (!socket.destroyed) {
+                later.splice(0).forEach(next => next());
+            }
+        });
+        handle();
     }
 
     private handle(request: IncomingMessage, response: ServerResponse, body: string): void {
