--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -1,5 +1,5 @@
 /** Counts the assignments that the replica ran more than once. */
-import { runExtraAnswers } from "../lib/extra-answers.js";
+import { runExtraAnswers } from "../extra-answers.js";
 
 await runExtraAnswers({
     maximumAttempts: 4,
--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -1,5 +1,5 @@
 /** Counts the assignments that were answered as not run and that the replica ran. */
-import { notRunStatuses, runExtraAnswers } from "../lib/extra-answers.js";
+import { notRunStatuses, runExtraAnswers } from "../extra-answers.js";
 
 await runExtraAnswers({
     maximumAttempts: 2,
--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -1,5 +1,5 @@
 /** One replica sends one answer that does not end: the head of a stream and an event whose bytes come in chunks of one byte. */
-import { runEndlessAnswer } from "../lib/endless-answers.js";
+import { runEndlessAnswer } from "../endless-answers.js";
 
 const bytesAtOnce = 4_096;
 
--- a/review/lib/deployment.ts
+++ b/review/deployment.ts
@@ -6,8 +6,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { parse } from "smol-toml";
-import { StandInStore } from "../../platform/stand-ins/store.js";
-import { findPorts } from "../../scripts/free-ports.js";
+import { StandInStore } from "../platform/stand-ins/store.js";
+import { findPorts } from "../scripts/free-ports.js";
 import type { Record } from "./record.js";
 
 /** Ports of one entry instance: callers, readiness, and the range for the system's own traffic. */
--- a/review/lib/endless-answers.ts
+++ b/review/endless-answers.ts
@@ -3,8 +3,8 @@
  * instance that are unanswered at the time-out of their route, and half a second later.
  */
 import type { Sent } from "./caller.js";
-import { couldNotRun, isTroubled, ruleBroken, ruleHeld, runCase } from "./case.js";
-import type { CaseContext } from "./case.js";
+import { couldNotRun, isTroubled, ruleBroken, ruleHeld, runCase } from "./run-case.js";
+import type { CaseContext } from "./run-case.js";
 import { configuration, poolService, trackerService, trackerTimeoutMilliseconds } from "./configuration.js";
 import { askReadiness, pause } from "./deployment.js";
 import type { Entry } from "./deployment.js";
--- a/review/lib/extra-answers.ts
+++ b/review/extra-answers.ts
@@ -4,8 +4,8 @@
  */
 import type { Socket } from "node:net";
 import type { Sent } from "./caller.js";
-import { isTroubled, ruleBroken, ruleHeld, runCase } from "./case.js";
-import type { CaseContext } from "./case.js";
+import { isTroubled, ruleBroken, ruleHeld, runCase } from "./run-case.js";
+import type { CaseContext } from "./run-case.js";
 import { configuration, trackerService } from "./configuration.js";
 import { pause } from "./deployment.js";
 import { hostReplicas, recordFromHost } from "./host.js";
--- a/review/lib/host.ts
+++ b/review/host.ts
@@ -1,7 +1,7 @@
 /** Hosts replicas in a process of their own, which a case starts from its own bundle. */
 import type { ChildProcess } from "node:child_process";
 import { fork } from "node:child_process";
-import type { StandInStore } from "../../platform/stand-ins/store.js";
+import type { StandInStore } from "../platform/stand-ins/store.js";
 import { bounds } from "./deployment.js";
 import type { Record } from "./record.js";
 import type { ReplicaOptions } from "./replica.js";
