Fix a serving process that stood still while it read an event in pieces of one byte

Cause: EventSplitter.push copied the list of all pieces of the incomplete event with each piece, and the limit of an event counts bytes and not pieces. Called alone, 65,536 pieces of one byte take over 30 s. On the same path each small event in a chunk searched the whole rest of the chunk for CR LF CR LF.

Ruled out: the HTTP parser (about 2 microseconds a piece).

Now each byte is looked at once, pieces are copied into shared blocks, and each piece counts with an overhead toward the limit.

--- /dev/null
+++ b/src/links/tests/byte-collector.test.ts
@@ -0,0 +1,29 @@
+import test from "ava";
+import fastCheck from "fast-check";
+import { ByteCollector, pieceOverheadBytes } from "../byte-collector.js";
+
+test("pieces of any sizes are returned in order, and a collector can be used again", t => {
+    fastCheck.assert(
+        fastCheck.property(fastCheck.array(fastCheck.integer({ min: 0, max: 20_000 })), sizes => {
+            const pieces = sizes.map((size, index) => Buffer.alloc(size, index + 1));
+            const collector = ByteCollector.create();
+            return [1, 2].every(() => {
+                pieces.forEach(piece => collector.add(piece));
+                const { length } = collector;
+                const all = collector.take();
+                return all.length === length && all.equals(Buffer.concat(pieces)) && collector.length === 0;
+            });
+        }),
+        { seed: 1 },
+    );
+    t.pass();
+});
+
+test("each piece is charged beside its bytes", t => {
+    const collector = ByteCollector.create();
+    collector.add(Buffer.from("ab"));
+    collector.add(Buffer.from("c"));
+    t.is(collector.chargedBytes, 3 + 2 * pieceOverheadBytes);
+    collector.take();
+    t.is(collector.chargedBytes, 0);
+});
--- a/src/serving/event-splitter.ts
+++ b/src/serving/event-splitter.ts
@@ -1,4 +1,5 @@
 /** Splits a server-sent event stream into complete events without changing their bytes. */
+import { ByteCollector } from "../links/byte-collector.js";
 
 /** A complete event with its original bytes. */
 export interface StreamEvent {
@@ -8,16 +9,18 @@
 }
 
 const idLinePattern = /^id: ?(\d+)\s*$/m;
+const lineFeed = 0x0a;
+const carriageReturn = 0x0d;
 
-/** Longest blank line that ends an event, in bytes: CR LF CR LF. */
-const longestEndBytes = 4;
+/** What the data so far contains of the current line. */
+type LineContent =
+    /** No line has ended since the event began. */
+    "first" | "nothing" | "carriageReturn" | "text";
 
 export class EventSplitter {
-    /** Chunks of the incomplete event at the end of the data so far. */
-    private chunks: Buffer[] = [];
-    private chunkBytes = 0;
-    /** Last bytes of the incomplete event, which may contain the beginning of a blank line. */
-    private tail: Buffer = Buffer.alloc(0);
+    /** The incomplete event at the end of the data so far. */
+    private readonly partialEvent = ByteCollector.create();
+    private line: LineContent = "first";
 
     private constructor() {}
 
@@ -27,54 +30,54 @@
 
     /** True if the data so far ends inside an event. */
     public get hasPartialEvent(): boolean {
-        return this.chunkBytes > 0;
+        return this.partialEvent.length > 0;
     }
 
-    /** Size of the incomplete event at the end of the data so far, in bytes. */
+    /** Size of the incomplete event at the end of the data so far, in bytes; each of its pieces counts with its overhead. */
     public get partialEventBytes(): number {
-        return this.chunkBytes;
+        return this.partialEvent.chargedBytes;
     }
 
-    /** Returns the events that `chunk` completes. */
+    /** Returns the events that `chunk` completes. Each byte is looked at once, whatever the sizes of the chunks. */
     public push(chunk: Buffer): readonly StreamEvent[] {
-        const seam = Buffer.concat([this.tail, chunk.subarray(0, longestEndBytes - 1)]);
-        const isCompleted = findEventEnd(seam) !== undefined || findEventEnd(chunk) !== undefined;
-        if (!isCompleted) {
-            // Without the end of an event, chunks are only collected: joining them each time would copy them again.
-            this.keep([...this.chunks, chunk], this.chunkBytes + chunk.length);
-            return [];
-        }
-        let buffer = this.chunks.length === 0 ? chunk : Buffer.concat([...this.chunks, chunk]);
         const events: StreamEvent[] = [];
-        for (let end = findEventEnd(buffer); end !== undefined; end = findEventEnd(buffer)) {
-            const bytes = buffer.subarray(0, end);
-            events.push({ id: parseEventId(bytes), bytes });
-            buffer = buffer.subarray(end);
+        let start = 0;
+        for (let index = 0; index < chunk.length; index += 1) {
+            if (this.endsEvent(chunk[index]!)) {
+                events.push(this.completeEvent(chunk.subarray(start, index + 1)));
+                start = index + 1;
+            }
+        }
+        if (start < chunk.length) {
+            this.partialEvent.add(chunk.subarray(start));
         }
-        this.keep(buffer.length === 0 ? [] : [buffer], buffer.length);
         return events;
     }
 
-    private keep(chunks: Buffer[], bytes: number): void {
-        this.chunks = chunks;
-        this.chunkBytes = bytes;
-        const last = chunks.at(-1) ?? Buffer.alloc(0);
-        const tail = last.length >= longestEndBytes ? last : Buffer.concat([this.tail, last]);
-        this.tail = bytes === 0 ? last : tail.subarray(-(longestEndBytes - 1));
+    /** Advances by one byte; true if it ends a blank line, and with it the event. */
+    private endsEvent(byte: number): boolean {
+        if (byte === lineFeed) {
+            const isBlank = this.line === "nothing" || this.line === "carriageReturn";
+            this.line = isBlank ? "first" : "nothing";
+            return isBlank;
+        }
+        if (this.line !== "first") {
+            this.line = byte === carriageReturn && this.line === "nothing" ? "carriageReturn" : "text";
+        }
+        return false;
     }
-}
 
-/** Returns the offset after the blank line that ends the first event. */
-function findEventEnd(buffer: Buffer): number | undefined {
-    const lfEnd = buffer.indexOf("\n\n");
-    const crlfEnd = buffer.indexOf("\r\n\r\n");
-    if (lfEnd === -1 && crlfEnd === -1) {
-        return undefined;
+    private completeEvent(end: Buffer): StreamEvent {
+        let bytes = end;
+        if (this.partialEvent.length > 0) {
+            this.partialEvent.add(end);
+            bytes = this.partialEvent.take();
+        }
+        return { id: parseEventId(bytes), bytes };
     }
-    return crlfEnd === -1 || (lfEnd !== -1 && lfEnd < crlfEnd) ? lfEnd + 2 : crlfEnd + 4;
 }
 
 function parseEventId(bytes: Buffer): number | undefined {
     const id = idLinePattern.exec(bytes.toString("latin1"))?.[1];
-    return id === undefined ? undefined : Number(id);
+    return Number.isSafeInteger(Number(id)) ? Number(id) : undefined;
 }
--- a/src/serving/tests/event-splitter.test.ts
+++ b/src/serving/tests/event-splitter.test.ts
@@ -32,3 +32,34 @@
     t.is(splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda")).length, 1);
     t.true(splitter.hasPartialEvent);
 });
+
+/** Time in which a serving process must answer something, in milliseconds. */
+const responseMilliseconds = 1_000;
+
+// An event in pieces of one byte kept the process from answering any request: each piece copied the list of all earlier ones.
+test("an event in pieces of one byte takes time in proportion to its bytes", t => {
+    const splitter = EventSplitter.create();
+    const piece = Buffer.from("x");
+    const startedAt = performance.now();
+    for (let count = 0; count < 65_536 && performance.now() - startedAt < responseMilliseconds; count += 1) {
+        splitter.push(piece);
+    }
+    t.true(performance.now() - startedAt < responseMilliseconds);
+});
+
+// Each of many small events in a chunk searched the whole rest of the chunk for the longer form of a blank line.
+test("many small events in one chunk take time in proportion to its bytes", t => {
+    const splitter = EventSplitter.create();
+    const chunk = Buffer.from(":\n\n".repeat(300_000));
+    const startedAt = performance.now();
+    t.is(splitter.push(chunk).length, 300_000);
+    t.true(performance.now() - startedAt < responseMilliseconds);
+});
+
+test("an event without end is noticed by its pieces before its bytes", t => {
+    const splitter = EventSplitter.create();
+    for (let count = 0; count < 4_096; count += 1) {
+        splitter.push(Buffer.from("x"));
+    }
+    t.true(splitter.partialEventBytes > 256 * 1024);
+});
