Fix a repeated refusal that was taken for the response to a later send

Cause: all sends of a request have the same id, which is what told responses apart. A retry over the connection of the refused send found the copy of the refusal where its own response was expected. It got that connection when it waited for one, or as an idle one.

What proves that a refusal belongs to this send: the connection. It carries the sends of one request at most once, and is not reused after a response that names no request. The rule is kept where connections are handed out, so it holds for forwarded requests, too. Idle connections that have carried the request are only hidden from its next send; a new one is opened if no other is to be had.

Ruled out: a decision error in attempt-decision.ts (right for what it was told); ids of our own for each send (replicas run only callers' ids); a new connection for each retry (priced).

--- a/src/daemons/serving/request-forwarding.ts
+++ b/src/daemons/serving/request-forwarding.ts
@@ -132,7 +132,11 @@
 
     public send(
         peer: ForwardingPeer,
-        { body, isRetryable }: Pick<UpstreamRequest, "body" | "isRetryable">,
+        {
+            body,
+            isRetryable,
+            usedConnections,
+        }: Pick<UpstreamRequest, "body" | "isRetryable" | "usedConnections">,
         observer: UpstreamObserver,
     ): UpstreamCall {
         this.peers.start(peer.name);
@@ -151,6 +155,9 @@
             body,
             isRetryable,
             needsNewConnection: false,
+            usedConnections,
+            // The ports of entry instances repeat no response.
+            namesRequest: () => true,
             mayStart: () => true,
         };
         return this.pools.send(poolKeyOf(peer), outgoing, observer);
--- a/src/links/http-client.ts
+++ b/src/links/http-client.ts
@@ -42,6 +42,8 @@
     readonly agent?: http.Agent;
     /** Maximum length of a response body, in bytes; longer bodies fail the request. */
     readonly maximumBodyLength: number;
+    /** True if the connection of a response may be reused; by default, of every complete response. */
+    readonly isReusable?: (response: http.IncomingMessage) => boolean;
 }
 
 /** A request that has been opened and not yet been ended. */
@@ -103,6 +105,9 @@
             );
         });
         request.on("response", response => {
+            if (client.isReusable?.(response) === false) {
+                request.shouldKeepAlive = false;
+            }
             readMessageBody(response, client.maximumBodyLength).then(
                 body =>
                     settle({
--- a/src/links/tests/upstream-pools.test.ts
+++ b/src/links/tests/upstream-pools.test.ts
@@ -19,6 +19,8 @@
         body: undefined,
         isRetryable: true,
         needsNewConnection: false,
+        usedConnections: new WeakSet(),
+        namesRequest: () => true,
         mayStart: () => true,
     };
 }
@@ -59,6 +61,93 @@
     idle!.forEach(socket => socket.destroy());
 });
 
+/** A replica that refuses every request, and tells on which connection it arrived. */
+async function startRefusingReplica(
+    refusal: string,
+    onRequest: (connection: number, socket: Socket) => void,
+): Promise<{ readonly port: number; readonly close: () => void }> {
+    const sockets = new Set<Socket>();
+    let connections = 0;
+    const server = createSocketServer(socket => {
+        connections += 1;
+        const connection = connections;
+        sockets.add(socket);
+        socket.on("error", ignore);
+        socket.on("data", () => {
+            onRequest(connection, socket);
+            socket.write(refusal);
+        });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const close = (): void => {
+        server.close();
+        sockets.forEach(socket => socket.destroy());
+    };
+    return { port: (server.address() as AddressInfo).port, close };
+}
+
+function sendWith(pools: UpstreamPools, outgoing: UpstreamRequest): Promise<Delivery | undefined> {
+    return new Promise(resolve => {
+        pools.send(replica, outgoing, {
+            onWritten: ignore,
+            onHead: ignore,
+            onData: ignore,
+            onEnd: () => resolve(undefined),
+            onFailure: (_, delivery) => resolve(delivery),
+            onWithheld: ignore,
+        });
+    });
+}
+
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
+// A repeated refusal was taken for the response to a later send of the same request over the same connection.
+for (const maximumConnections of [1, 4]) {
+    test(`a request is sent over each connection at most once (limit ${maximumConnections})`, async t => {
+        const arrivals: number[] = [];
+        const server = await startRefusingReplica(refusal, connection => arrivals.push(connection));
+        t.teardown(server.close);
+        const pools = UpstreamPools.create(systemClock, () => maximumConnections);
+        const outgoing = requestTo(server.port);
+        for (let count = 0; count < 3; count += 1) {
+            // The next send starts before the connection of the last one has returned to the pool.
+            t.is(await sendWith(pools, outgoing), undefined);
+        }
+        t.deepEqual(arrivals, [1, 2, 3]);
+        await new Promise(resolve => setImmediate(resolve));
+        t.is(await sendWith(pools, outgoing), undefined);
+        t.is(await sendWith(pools, requestTo(server.port)), undefined);
+        t.is(arrivals[3], 4);
+        t.true(arrivals[4]! <= 4, "another request reuses a connection");
+    });
+}
+
+test("a send that waits for a connection is not given the one that has carried its request", async t => {
+    const arrivals: number[] = [];
+    const server = await startRefusingReplica(refusal, connection => arrivals.push(connection));
+    t.teardown(server.close);
+    const pools = UpstreamPools.create(systemClock, () => 1);
+    const outgoing = requestTo(server.port);
+    const ends = [sendWith(pools, outgoing), sendWith(pools, outgoing), sendWith(pools, outgoing)];
+    t.deepEqual(await Promise.all(ends), [undefined, undefined, undefined]);
+    t.deepEqual(arrivals, [1, 2, 3]);
+});
+
+// A copy of such a response could not be told from the response to another request.
+test("a connection is not reused after a response that names no request", async t => {
+    const arrivals: number[] = [];
+    const server = await startRefusingReplica(refusal, connection => arrivals.push(connection));
+    t.teardown(server.close);
+    const pools = UpstreamPools.create(systemClock, () => 4);
+    const unnamed = { ...requestTo(server.port), namesRequest: () => false };
+    const waiting = { ...requestTo(server.port), namesRequest: () => true };
+    t.is(await sendWith(pools, unnamed), undefined);
+    await new Promise(resolve => setImmediate(resolve));
+    t.is(await sendWith(pools, waiting), undefined);
+    t.deepEqual(arrivals, [1, 2]);
+});
+
 /** Bytes of each half of a response, and the time for which its reader pauses between the halves, in milliseconds. */
 const halfBytes = 8_000;
 const pauseMilliseconds = 200;
--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -1,6 +1,10 @@
 /**
  * Requests to replicas over pooled keep-alive connections of Node's `http`. A connection carries one request at a time.
  * An idle connection that receives bytes is closed, since its next response could belong to another request.
+ *
+ * Each response is attributable to one send, also when a faulty replica repeats an earlier response: a connection carries the
+ * sends of one request at most once, so a response that names the request answers that send; and a connection is not reused
+ * after a response that names no request, so such a response is no copy of another one.
  */
 import * as http from "node:http";
 import type { Socket } from "node:net";
@@ -27,8 +31,12 @@
     readonly isRetryable: boolean;
     /** True if no idle connection may be reused, since it may carry bytes of another response. */
     readonly needsNewConnection: boolean;
+    /** Connections that have carried the request; a further send takes none of them, and adds its own. */
+    readonly usedConnections: WeakSet<Socket>;
     /** Checked when a connection is available, right before the request is written to it. */
     readonly mayStart: () => boolean;
+    /** True if the head of a response names the request that it answers. */
+    readonly namesRequest: (message: http.IncomingMessage) => boolean;
 }
 
 /** How far a request got that has no complete response. */
@@ -82,6 +90,29 @@
         return Object.values(this.freeSockets).some(sockets => (sockets?.length ?? 0) > 0);
     }
 
+    /**
+     * Runs `send` while the idle connections in `connections` are out of reach. If a new connection would exceed the limit,
+     * one of them is closed.
+     */
+    public runWithout<Result>(connections: WeakSet<Socket>, send: () => Result): Result {
+        const idleByName = this.freeSockets as NodeJS.Dict<Socket[]>;
+        for (const [name, sockets = []] of Object.entries(idleByName)) {
+            const hidden = sockets.filter(socket => connections.has(socket));
+            if (hidden.length > 0) {
+                const shown = sockets.filter(socket => !connections.has(socket));
+                const openCount = sockets.length + (this.sockets[name]?.length ?? 0);
+                if (shown.length === 0 && openCount >= this.maxSockets) {
+                    hidden.shift()!.destroy();
+                }
+                idleByName[name] = shown;
+                const result = send();
+                idleByName[name] = [...hidden, ...(idleByName[name] ?? [])];
+                return result;
+            }
+        }
+        return send();
+    }
+
     /** Closes the connections that have been idle for longer than `milliseconds`. */
     public closeIdleConnections(milliseconds: number): void {
         const idleBefore = this.clock.monotonicMilliseconds() - milliseconds;
@@ -215,16 +246,37 @@
         } else if (!outgoing.isRetryable) {
             agent.closeIdleConnections(maximumNonRetryableIdleMilliseconds);
         }
-        return sendRequest(agent, outgoing, observer, this.clock, () => this.onConnected(replica));
+        let call: UpstreamCall;
+        const start = (): void => {
+            call = agent.runWithout(outgoing.usedConnections, () =>
+                sendRequest(agent, outgoing, observer, this.clock, {
+                    onNewConnection: () => this.onConnected(replica),
+                    onUsedConnection: start,
+                }),
+            );
+        };
+        start();
+        return {
+            cancel: () => call.cancel(),
+            pause: () => call.pause(),
+            resume: () => call.resume(),
+        };
     }
 }
 
+/** Callbacks of a send to its pool. */
+interface ConnectionObserver {
+    readonly onNewConnection: () => void;
+    /** Called if the only connection to be had has carried the request before. It is closed, and nothing was sent. */
+    readonly onUsedConnection: () => void;
+}
+
 function sendRequest(
     agent: http.Agent,
     outgoing: UpstreamRequest,
     observer: UpstreamObserver,
     clock: Clock,
-    onNewConnection: () => void,
+    { onNewConnection, onUsedConnection }: ConnectionObserver,
 ): UpstreamCall {
     const [host, port] = outgoing.address.split(":");
     const request = http.request({
@@ -252,8 +304,9 @@
             notify();
         }
     };
-    const onConnected = (): void => {
+    const onConnected = (socket: Socket): void => {
         if (checkStart()) {
+            outgoing.usedConnections.add(socket);
             state.writtenAt = clock.monotonicMilliseconds();
             observer.onWritten();
             clearTimeout(connectTimer);
@@ -278,6 +331,11 @@
         return mayStart;
     };
     request.once("socket", socket => {
+        if (outgoing.usedConnections.has(socket) && !state.settled) {
+            request.destroy();
+            settle(onUsedConnection);
+            return;
+        }
         const onEnd = (): void => {
             detectReset(socket, isReset => {
                 state.closedCleanly = !isReset;
@@ -286,12 +344,15 @@
         const onSocketError = (): void => {
             state.closedCleanly = false;
         };
+        const onEstablished = (): void => {
+            onNewConnection();
+            onConnected(socket);
+        };
         if (socket.connecting) {
-            socket.once("connect", onNewConnection);
-            socket.once("connect", onConnected);
+            socket.once("connect", onEstablished);
         } else if (!socket.destroyed) {
             // The pool keeps a closed connection until its "close" event.
-            onConnected();
+            onConnected(socket);
         }
         if (state.settled || request.destroyed) {
             return;
@@ -301,8 +362,7 @@
         socket.on("error", onSocketError);
         // A pooled connection outlives its requests, so the listeners must be removed.
         request.once("close", () => {
-            socket.removeListener("connect", onNewConnection);
-            socket.removeListener("connect", onConnected);
+            socket.removeListener("connect", onEstablished);
             socket.removeListener("end", onEnd);
             socket.removeListener("error", onSocketError);
         });
@@ -316,6 +376,9 @@
     });
     request.once("response", response => {
         state.response = response;
+        if (!outgoing.namesRequest(response)) {
+            request.shouldKeepAlive = false;
+        }
         if (state.settled) {
             response.destroy();
             return;
--- a/src/serving/exchange-context.ts
+++ b/src/serving/exchange-context.ts
@@ -48,7 +48,7 @@
     /** Sends an encoded request to an entry instance. */
     readonly send: (
         peer: ForwardingPeer,
-        request: Pick<UpstreamRequest, "body" | "isRetryable">,
+        request: Pick<UpstreamRequest, "body" | "isRetryable" | "usedConnections">,
         observer: UpstreamObserver,
     ) => UpstreamCall;
     /** Records that a request to an entry instance has ended in any way. */
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -3,6 +3,7 @@
  * and relays the replica's response unchanged. An event stream may be resumed at another replica within one response.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Delivery, UpstreamCall, UpstreamObserver } from "../links/upstream-pools.js";
 import type { AttemptOutcome } from "./attempt-decision.js";
 import type { AttemptCommand, AttemptConditions, AttemptEvent, ChoicePurpose } from "./attempt-sequence.js";
@@ -78,6 +79,8 @@
     private deniedPermits = 0;
     /** True if a connection that was reused for this request carried a late response to another request. */
     private hasReceivedForeignResponse = false;
+    /** Connections that have carried this request to replicas and to other entry instances. */
+    private readonly usedConnections = new WeakSet<Socket>();
     private readonly deadlineTimer: NodeJS.Timeout;
     private waitTimer: NodeJS.Timeout | undefined;
 
@@ -483,6 +486,7 @@
         const { context, admitted } = this;
         const { request, body } = admitted;
         const { instance } = target;
+        const requestIdHeader = context.wire.requestIdHeader.toLowerCase();
         this.triedInstances.add(instance.id);
         context.replicaRecords.startRequest(instance.id);
         context.backPressure.recordSend(instance.id, attempt.sentAt);
@@ -502,6 +506,8 @@
             body,
             isRetryable: isRetryable(admitted.route),
             needsNewConnection: this.hasReceivedForeignResponse,
+            usedConnections: this.usedConnections,
+            namesRequest: ({ headers: { [requestIdHeader]: id } }: IncomingMessage) => id !== undefined,
             mayStart: () =>
                 !context.isLeaving(instance) && !context.backPressure.isPaused(instance, this.now()),
         };
@@ -521,7 +527,8 @@
             hasBegunResponse: this.callerResponse.hasBegun,
             now: attempt.sentAt,
         });
-        const outgoing = { body, isRetryable: isRetryable(admitted.route) };
+        const { usedConnections } = this;
+        const outgoing = { body, isRetryable: isRetryable(admitted.route), usedConnections };
         return context.forwarding.send(peer, outgoing, this.observe(attempt));
     }
 
