Fix bodies in pieces of one byte that exceeded the memory of the machine

Cause: what is held back until it is complete was limited in bytes and kept as a list of pieces; a piece of one byte takes some 450 bytes. The same code stood in the bodies of reports, of the store, of peers and of callers, also in the product's own interface.

Ruled out: bytes that wait unread (the process reads at full speed), responses that outlive their limit.

Pieces are copied into shared blocks now, and count with an overhead toward our own limits.

--- a/src/daemons/serving/forward-port.ts
+++ b/src/daemons/serving/forward-port.ts
@@ -3,6 +3,7 @@
 import * as http from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../../contracts/clocks.js";
+import { ByteCollector } from "../../links/byte-collector.js";
 import type { PartLogger } from "../../links/logs.js";
 import { ServerDrain } from "../../links/server-drain.js";
 import type { AdmittedRequest } from "../../serving/exchange-context.js";
@@ -87,18 +88,18 @@
         this.openRequests += 1;
         response.once("close", () => (this.openRequests -= 1));
         const maximumBytes = table.configuration.limits.bodyBytes + maximumDescriptionBytes;
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const bytes = ByteCollector.create();
         message.on("data", (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (bytes <= maximumBytes) {
-                chunks.push(chunk);
+            if (bytes.chargedBytes <= maximumBytes) {
+                bytes.add(chunk);
             }
         });
         message.once("end", () => {
             const now = this.options.clock.monotonicMilliseconds();
             const admitted =
-                bytes <= maximumBytes ? decodeForwardedRequest(Buffer.concat(chunks), table, now) : undefined;
+                bytes.chargedBytes <= maximumBytes
+                    ? decodeForwardedRequest(bytes.take(), table, now)
+                    : undefined;
             if (admitted === undefined) {
                 this.reject(message, response, "the forwarded request cannot be read");
             } else if (table.findService(admitted.service) === undefined) {
--- a/src/links/caller-server.ts
+++ b/src/links/caller-server.ts
@@ -10,6 +10,7 @@
 import { fail, succeed } from "../core/errors.js";
 import type { ListeningServer } from "./admin-server.js";
 import { listenOn } from "./admin-server.js";
+import { ByteCollector } from "./byte-collector.js";
 
 const maximumHeaderBytes = 16_384;
 /** Interval of the check for connections that exceed their time-outs. */
@@ -100,17 +101,17 @@
         return Promise.resolve(fail(createTooLargeFault(maximumBytes)));
     }
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const body = ByteCollector.create();
         request.on("data", (chunk: Buffer) => {
-            length += chunk.length;
-            if (length > maximumBytes) {
-                resolve(fail(createTooLargeFault(maximumBytes)));
+            if (body.length > maximumBytes) {
                 return;
             }
-            chunks.push(chunk);
+            body.add(chunk);
+            if (body.length > maximumBytes) {
+                resolve(fail(createTooLargeFault(maximumBytes)));
+            }
         });
-        request.on("end", () => resolve(succeed(Buffer.concat(chunks).toString("utf8"))));
+        request.on("end", () => resolve(succeed(body.take().toString("utf8"))));
         const disconnected: Fault = {
             code: "cancelled",
             message: "the caller went away",
--- a/src/links/http-client.ts
+++ b/src/links/http-client.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import type { Clock } from "../contracts/clocks.js";
+import { ByteCollector } from "./byte-collector.js";
 
 /** One outgoing HTTP request. */
 export interface HttpRequest {
@@ -40,7 +41,7 @@
     readonly clock: Clock;
     /** Connection pool; if undefined, each request opens a connection of its own. */
     readonly agent?: http.Agent;
-    /** Maximum length of a response body, in bytes; longer bodies fail the request. */
+    /** Maximum length of a response body, in bytes; longer bodies fail the request. Each piece counts with its overhead. */
     readonly maximumBodyLength: number;
     /** True if the connection of a response may be reused; by default, of every complete response. */
     readonly isReusable?: (response: http.IncomingMessage) => boolean;
@@ -125,22 +126,25 @@
     });
 }
 
-/** Reads a whole message body as UTF-8; rejects if it exceeds `maximumLength` bytes or ends early. */
+/**
+ * Reads a whole message body as UTF-8; rejects if it exceeds `maximumLength` bytes, where each piece counts with its overhead, or
+ * ends early.
+ */
 export function readMessageBody(message: http.IncomingMessage, maximumLength: number): Promise<string> {
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const body = ByteCollector.create();
         message.on("data", (chunk: Buffer) => {
-            length += chunk.length;
-            if (length > maximumLength) {
-                reject(new Error(`the body is longer than ${maximumLength} bytes`));
+            if (body.chargedBytes > maximumLength) {
                 return;
             }
-            chunks.push(chunk);
+            body.add(chunk);
+            if (body.chargedBytes > maximumLength) {
+                reject(new Error(`the body is longer than ${maximumLength} bytes`));
+            }
         });
         message.on("end", () => {
             if (message.complete) {
-                resolve(Buffer.concat(chunks).toString("utf8"));
+                resolve(body.take().toString("utf8"));
                 return;
             }
             reject(new Error("the connection ended before the body was complete"));
--- a/src/links/key-value-calls.ts
+++ b/src/links/key-value-calls.ts
@@ -2,11 +2,12 @@
 import { Agent, request } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Clock } from "../contracts/clocks.js";
+import { ByteCollector } from "./byte-collector.js";
 
 /** Header that identifies the calling process to the service. */
 export const processHeader = "x-chervil-process";
 
-/** Maximum size of a response body. */
+/** Maximum size of a response body, in bytes; each piece counts with its overhead. */
 const maximumResponseBytes = 64 * 1024 * 1024;
 
 /** Addresses of the service and identity of the calling process. */
@@ -101,17 +102,15 @@
     onError: (error: Error) => void,
     onText: (text: string) => void,
 ): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = ByteCollector.create();
     response.on("data", (chunk: Buffer) => {
-        bytes += chunk.length;
-        chunks.push(chunk);
-        if (bytes > maximumResponseBytes) {
+        body.add(chunk);
+        if (body.chargedBytes > maximumResponseBytes) {
             response.destroy(new Error("the response exceeds the maximum size"));
         }
     });
     response.once("error", onError);
-    response.once("end", () => onText(Buffer.concat(chunks).toString("utf8")));
+    response.once("end", () => onText(body.take().toString("utf8")));
     response.once("close", () => onError(new Error("the response ended early")));
 }
 
--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../contracts/clocks.js";
+import { ByteCollector } from "../links/byte-collector.js";
 import type { PartLogger } from "../links/logs.js";
 import { ServerDrain } from "../links/server-drain.js";
 import type { CallerLimits, RouteTable } from "./serving-configuration.js";
@@ -151,14 +152,14 @@
             });
             return;
         }
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const bytes = ByteCollector.create();
         message.on("data", (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (bytes <= limits.bodyBytes) {
-                chunks.push(chunk);
-            } else if (!response.headersSent) {
-                chunks.length = 0;
+            if (response.headersSent) {
+                return;
+            }
+            bytes.add(chunk);
+            if (bytes.length > limits.bodyBytes) {
+                bytes.take();
                 this.rejectUnread(message, request, response, {
                     status: 413,
                     reason: "the request body exceeds the configured limit",
@@ -167,7 +168,7 @@
         });
         message.once("end", () => {
             if (!response.headersSent) {
-                const body = bytes === 0 ? undefined : Buffer.concat(chunks);
+                const body = bytes.length === 0 ? undefined : bytes.take();
                 this.admitRequest(request, response, this.options.table() ?? table, body, arrivedAt);
             }
         });
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -658,7 +658,7 @@
                     this.relayEvent(attempt, part.head, part.event);
                     break;
                 case "bytes":
-                    this.relayBytes(attempt, part.head, part.chunks);
+                    this.relayBytes(attempt, part.head, part.bytes);
                     break;
                 case "foreign":
                     this.hasReceivedForeignResponse = true;
@@ -704,10 +704,9 @@
         }
     }
 
-    private relayBytes(attempt: Attempt, head: ResponseHead, chunks: readonly Buffer[]): void {
+    private relayBytes(attempt: Attempt, head: ResponseHead, bytes: Buffer): void {
         this.callerResponse.begin(head, undefined, this.now());
-        const areTaken = chunks.map(chunk => this.callerResponse.write(chunk));
-        if (areTaken.at(-1) === false) {
+        if (!this.callerResponse.write(bytes)) {
             attempt.call?.pause();
         }
     }
--- a/src/serving/replica-response.ts
+++ b/src/serving/replica-response.ts
@@ -2,6 +2,7 @@
  * Reads a replica's response to one attempt: decides which bytes are relayed, which are held back until the response is
  * complete, and how the attempt ended. Covers replicas that respond to another request, break off, or send bytes without end.
  */
+import { ByteCollector } from "../links/byte-collector.js";
 import type { AttemptOutcome } from "./attempt-decision.js";
 import type { StreamEvent } from "./event-splitter.js";
 import { EventSplitter } from "./event-splitter.js";
@@ -9,10 +10,10 @@
 
 /**
  * Maximum size of a response that is buffered until it is complete, in bytes; longer responses are relayed as they
- * arrive.
+ * arrive. Each piece in which a response arrives counts with its overhead.
  */
 export const maximumBufferedResponseBytes = 256 * 1024;
-/** Maximum size of one event of a stream, in bytes. */
+/** Maximum size of one event of a stream, in bytes; each piece counts with its overhead. */
 export const maximumEventBytes = 256 * 1024;
 
 /** What follows from a part of a response. */
@@ -20,7 +21,7 @@
     /** A complete event of a trusted stream. */
     | { readonly kind: "event"; readonly head: ResponseHead; readonly event: StreamEvent }
     /** Bytes of a trusted response that is too long to be buffered. */
-    | { readonly kind: "bytes"; readonly head: ResponseHead; readonly chunks: readonly Buffer[] }
+    | { readonly kind: "bytes"; readonly head: ResponseHead; readonly bytes: Buffer }
     /** The response names another request, so the connection carries what belongs to that one. */
     | { readonly kind: "foreign"; readonly reason: string }
     /** The rest of the response is of no use; only closing the connection ends it. */
@@ -54,8 +55,8 @@
 export class ReplicaResponse {
     private receivedHead: ResponseHead | undefined;
     private readonly splitter = EventSplitter.create();
-    private bufferedChunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    private readonly buffer = ByteCollector.create();
+    private isRelayed = false;
 
     private constructor(private readonly options: ReplicaResponseOptions) {}
 
@@ -80,18 +81,19 @@
         if (this.options.isStream && trustedHead !== undefined) {
             return this.readEvents(trustedHead, chunk);
         }
-        this.bufferedBytes += chunk.length;
-        if (this.bufferedBytes <= maximumBufferedResponseBytes) {
-            this.bufferedChunks.push(chunk);
+        if (this.isRelayed) {
+            return [{ kind: "bytes", head: trustedHead!, bytes: chunk }];
+        }
+        this.buffer.add(chunk);
+        if (this.buffer.chargedBytes <= maximumBufferedResponseBytes) {
             return [];
         }
         if (trustedHead === undefined) {
             const reason = `a response with status ${head?.status} exceeds ${maximumBufferedResponseBytes} bytes`;
             return [{ kind: "unusable", reason }];
         }
-        const chunks = [...this.bufferedChunks, chunk];
-        this.bufferedChunks = [];
-        return [{ kind: "bytes", head: trustedHead, chunks }];
+        this.isRelayed = true;
+        return [{ kind: "bytes", head: trustedHead, bytes: this.buffer.take() }];
     }
 
     public readEnd(): ResponseEnd {
@@ -106,11 +108,11 @@
         if (isTrustedSuccess(head)) {
             return this.options.isStream && this.splitter.hasPartialEvent
                 ? { kind: "lost", reason: "the stream ended inside an event" }
-                : { kind: "complete", head, body: this.bufferedBody() };
+                : { kind: "complete", head, body: this.buffer.take() };
         }
         if (head.isSigned && head.status >= 300) {
             const reason = `the replica failed with status ${head.status}`;
-            return { kind: "failed", head, body: this.bufferedBody(), reason };
+            return { kind: "failed", head, body: this.buffer.take(), reason };
         }
         const reason = `the response with status ${head.status} is not signed by the replica`;
         return { kind: "lost", reason };
@@ -123,10 +125,6 @@
             ? [...parts, { kind: "unusable", reason: `an event exceeds ${maximumEventBytes} bytes` }]
             : parts;
     }
-
-    private bufferedBody(): Buffer {
-        return Buffer.concat(this.bufferedChunks);
-    }
 }
 
 /** True for a successful response that the replica has signed and that the caller can read. */
--- a/src/serving/tests/replica-response.test.ts
+++ b/src/serving/tests/replica-response.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { pieceOverheadBytes } from "../../links/byte-collector.js";
 import { ReplicaResponse, maximumBufferedResponseBytes, maximumEventBytes } from "../replica-response.js";
 import type { ResponseHead } from "../wire-format.js";
 
@@ -31,11 +32,12 @@
 
 test("a response that exceeds the buffer is relayed from its first byte, each byte once", t => {
     const response = responseWith(success);
-    const first = Buffer.alloc(maximumBufferedResponseBytes);
+    const first = Buffer.alloc(maximumBufferedResponseBytes - pieceOverheadBytes);
     const [second, third] = [Buffer.from("a"), Buffer.from("b")];
     t.deepEqual(response.readData(first), []);
-    t.deepEqual(response.readData(second), [{ kind: "bytes", head: success, chunks: [first, second] }]);
-    t.deepEqual(response.readData(third), [{ kind: "bytes", head: success, chunks: [third] }]);
+    const bytes = Buffer.concat([first, second]);
+    t.deepEqual(response.readData(second), [{ kind: "bytes", head: success, bytes }]);
+    t.deepEqual(response.readData(third), [{ kind: "bytes", head: success, bytes: third }]);
     t.deepEqual(response.readEnd(), { kind: "complete", head: success, body: Buffer.alloc(0) });
 });
 
@@ -49,13 +51,33 @@
     for (const head of untrusted) {
         for (const isStream of [false, true]) {
             const response = responseWith(head, isStream);
-            t.deepEqual(response.readData(Buffer.alloc(maximumBufferedResponseBytes)), []);
+            const longest = Buffer.alloc(maximumBufferedResponseBytes - pieceOverheadBytes);
+            t.deepEqual(response.readData(longest), []);
             const [part] = response.readData(Buffer.from("a"));
             t.is(part?.kind, "unusable");
         }
     }
 });
 
+// The pieces of such a response took far more memory than its bytes, which alone were limited.
+test("a response in pieces of one byte is limited by the number of its pieces", t => {
+    for (const [head, kind] of [
+        [error, "unusable"],
+        [success, "bytes"],
+    ] as const) {
+        const response = responseWith(head);
+        const maximumPieces = maximumBufferedResponseBytes / pieceOverheadBytes;
+        const kinds = Array.from(
+            { length: maximumPieces },
+            () => response.readData(Buffer.from("x"))[0]?.kind,
+        );
+        t.deepEqual(
+            kinds.find(each => each !== undefined),
+            kind,
+        );
+    }
+});
+
 test("events are relayed as they are complete, and an event without end is abandoned", t => {
     const response = responseWith(success, true);
     const bytes = Buffer.from("id: 1\ndata: a\n\n");
