Fix text of watches and token streams that was searched again with each piece

Nobody reported it.

Test: delimited-text.test.ts, 'text without a delimiter in pieces of one character takes time in proportion to its length'. Not run against the old code, whose loop was part of the two readers.

--- a/src/links/key-value-watch.ts
+++ b/src/links/key-value-watch.ts
@@ -4,11 +4,12 @@
 import type { Subscriber } from "rxjs";
 import type { WatchEvent } from "../contracts/key-value-stores.js";
 import type { Fault } from "../core/errors.js";
+import { DelimitedText } from "./delimited-text.js";
 import type { StoreConnection } from "./key-value-calls.js";
 import { openPost } from "./key-value-calls.js";
 import * as messages from "./key-value-messages.js";
 
-/** Maximum length of an incomplete line, in characters. */
+/** Maximum length of an incomplete line, in characters; each of its pieces counts with its overhead. */
 const maximumLineLength = 16 * 1024 * 1024;
 
 /** Options of one watch. */
@@ -36,7 +37,7 @@
     private readonly subscriber: Subscriber<WatchEvent>;
     private outgoing: ClientRequest | undefined;
     private silenceTimer: NodeJS.Timeout | undefined;
-    private incompleteLine = "";
+    private readonly text = DelimitedText.create("\n");
     private ended = false;
 
     public constructor(options: WatchOptions, subscriber: Subscriber<WatchEvent>) {
@@ -86,9 +87,8 @@
 
     private receiveChunk(chunk: string): void {
         this.restartSilenceTimer();
-        const lines = (this.incompleteLine + chunk).split("\n");
-        this.incompleteLine = lines.pop() ?? "";
-        if (this.incompleteLine.length > maximumLineLength) {
+        const lines = this.text.push(chunk);
+        if (this.text.chargedLength > maximumLineLength) {
             this.end("a line of the watch exceeds the maximum length");
         }
         for (const line of lines) {
--- a/src/links/server-sent-event-parser.ts
+++ b/src/links/server-sent-event-parser.ts
@@ -1,4 +1,5 @@
 /** Incremental parser of server-sent events. */
+import { DelimitedText } from "./delimited-text.js";
 
 /** The fields of one event. */
 export interface ServerSentEvent {
@@ -9,21 +10,19 @@
 
 /** Splits a text stream into server-sent events. */
 export class ServerSentEventParser {
-    private incompleteEvent = "";
+    private readonly text = DelimitedText.create("\n\n");
 
     private constructor(private readonly maximumLength: number) {}
 
-    /** `maximumLength` is the maximum length of one incomplete event, in characters. */
+    /** `maximumLength`: of one incomplete event, in characters; each of its pieces counts with its overhead. */
     public static create(maximumLength: number): ServerSentEventParser {
         return new ServerSentEventParser(maximumLength);
     }
 
     /** Returns the events that `chunk` completes; throws an Error if an incomplete event is too long. */
     public push(chunk: string): readonly ServerSentEvent[] {
-        this.incompleteEvent += chunk;
-        const blocks = this.incompleteEvent.split("\n\n");
-        this.incompleteEvent = blocks.pop() ?? "";
-        if (this.incompleteEvent.length > this.maximumLength) {
+        const blocks = this.text.push(chunk);
+        if (this.text.chargedLength > this.maximumLength) {
             throw new Error(`a server-sent event is longer than ${this.maximumLength} characters`);
         }
         return blocks.map(parseBlock).filter(event => event.data !== "");
