Fix heads without a final status that were read without end

Callers saw: slow responses of the whole process while a server sent interim responses without end, and their own request answered only at its deadline.

Cause: interim responses were not counted; the parser's limit on a head begins again with each.

Test: interim-responses.test.ts; 'a server that sends interim responses without end is given up' failed before (3 s, its deadline).

--- a/src/links/http-client.ts
+++ b/src/links/http-client.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import type { Clock } from "../contracts/clocks.js";
 import { ByteCollector } from "./byte-collector.js";
+import { limitInterimResponses } from "./interim-responses.js";
 
 /** One outgoing HTTP request. */
 export interface HttpRequest {
@@ -67,6 +68,7 @@
         headers: { ...outgoing.headers, ...length },
         agent: client.agent ?? false,
     });
+    limitInterimResponses(request);
     let connected = false;
     request.on("socket", socket => {
         const recordConnected = (): void => {
--- a/src/links/key-value-calls.ts
+++ b/src/links/key-value-calls.ts
@@ -3,6 +3,7 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Clock } from "../contracts/clocks.js";
 import { ByteCollector } from "./byte-collector.js";
+import { limitInterimResponses } from "./interim-responses.js";
 
 /** Header that identifies the calling process to the service. */
 export const processHeader = "x-chervil-process";
@@ -54,6 +55,7 @@
             [processHeader]: connection.process,
         },
     });
+    limitInterimResponses(outgoing);
     outgoing.once("socket", socket => {
         if (socket.connecting) {
             socket.once("connect", onWritable);
--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "../contracts/clocks.js";
 import { detectReset } from "./connection-end.js";
 import { IdleLimits } from "./idle-limits.js";
+import { limitInterimResponses } from "./interim-responses.js";
 
 /** Time-out for establishing a connection: several round trips of the longest link. */
 const connectTimeoutMilliseconds = 250;
@@ -287,6 +288,7 @@
         headers: outgoing.headers as unknown as http.OutgoingHttpHeaders,
         agent,
     });
+    limitInterimResponses(request);
     const state = {
         settled: false,
         /** Local monotonic milliseconds at which the request was written; undefined before. */
