Fix repeated events and other pieces without end that left a serving process no time for others

The same with a body in tiny pieces that the caller reads, with comments, and with failures and refusals in tiny pieces.

Cause: dropped events were not counted, and nothing limited how fast pieces are read: up to 32 reads of 64 KiB are handled in one turn of the event loop. Beside it, pausing a response let its pieces pile up in Node's HTTP classes, and each relayed piece took several parts of the caller's send buffer.

Why this works: repeats end the attempt, so the stream goes on elsewhere; read-pace.ts (pure) gives each message pieces of its own and a share of a common pace, so usual streams never wait; read-hold.ts stops the connection and not the message, so nothing piles up; what is relayed in a turn is sent as one part.

Ruled out: the parser (2 microseconds a piece); a limit on the number of events (sound streams are long).

--- a/src/daemons/serving/auxiliary-servers.ts
+++ b/src/daemons/serving/auxiliary-servers.ts
@@ -42,7 +42,11 @@
     log: PartLogger,
     handle: (target: string, response: ServerResponse) => void,
 ): Server {
-    const server = createServer((message, response) => handle(message.url ?? "/", response));
+    const server = createServer((message, response) => {
+        // No request has a body; the rest of one is not read.
+        response.once("finish", () => message.complete || message.destroy());
+        handle(message.url ?? "/", response);
+    });
     server.on("error", error => log.error("HTTP server failed", { address, reason: error.message }));
     const [host, port] = address.split(":");
     server.listen(Number(port), host);
--- a/src/daemons/serving/forward-port.ts
+++ b/src/daemons/serving/forward-port.ts
@@ -78,6 +78,7 @@
             this.options.log.warn("refused a forwarded request with another secret", {
                 peer: message.socket.remoteAddress,
             });
+            response.once("finish", () => message.complete || message.destroy());
             this.reject(message, response, "the secret is not that of this process");
             return;
         }
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -27,6 +27,7 @@
 import type { Suspicion } from "../../serving/stalled-group-detector.js";
 import { StalledGroupDetector } from "../../serving/stalled-group-detector.js";
 import { ReplicaRecords } from "../../serving/replica-records.js";
+import { SharedReadPace } from "../../serving/read-pace.js";
 import { RetryBudgets } from "../../serving/retry-budgets.js";
 import type { ServingMetrics } from "../../serving/serving-metrics.js";
 import { createServingMetrics } from "../../serving/serving-metrics.js";
@@ -129,6 +130,7 @@
     private readonly forwardPort: ForwardPort;
     private readonly leaving: LeavingReports;
     private readonly retryBudgets: RetryBudgets;
+    private readonly readPace: SharedReadPace;
     private readonly crashAttribution: CrashAttribution;
     private readonly quarantineKeys: QuarantineKeys;
     /** True if a quarantine has started since the last tick. */
@@ -212,6 +214,7 @@
             onOwnChange: () => this.informPeers(),
             log: this.log,
         });
+        this.readPace = SharedReadPace.create(clock.monotonicMilliseconds());
         this.retryBudgets = RetryBudgets.create(
             settings.retries,
             this.peers.shares,
@@ -285,6 +288,7 @@
             crashAttribution: this.crashAttribution,
             isLeaving: instance => this.leaving.isLeaving(instance),
             onLeaving: instance => this.leaving.record(instance),
+            readPace: this.readPace,
             retryWindowOf: service => this.retryBudgets.windowOf(service),
             log: logs("caller"),
             metrics: this.metrics,
@@ -359,6 +363,7 @@
             clock,
             random,
             wire: platform.wire,
+            readPace: this.readPace,
             table: () => this.follower.table,
             isStopping: () => this.stoppingSince !== undefined,
             serve: (admitted, response) => this.serve(admitted, response),
--- a/src/links/tests/upstream-pools.test.ts
+++ b/src/links/tests/upstream-pools.test.ts
@@ -149,7 +149,7 @@
 });
 
 /** Bytes of each half of a response, and the time for which its reader pauses between the halves, in milliseconds. */
-const halfBytes = 8_000;
+const halfBytes = 200_000;
 const pauseMilliseconds = 200;
 const halves = ["a", "b"].map(each => each.repeat(halfBytes));
 const chunks = halves.map(half => `${halfBytes.toString(16)}\r\n${half}\r\n`).join("");
--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -12,6 +12,7 @@
 import { detectReset } from "./connection-end.js";
 import { IdleLimits } from "./idle-limits.js";
 import { limitInterimResponses } from "./interim-responses.js";
+import { ReadHold } from "./read-hold.js";
 
 /** Time-out for establishing a connection: several round trips of the longest link. */
 const connectTimeoutMilliseconds = 250;
@@ -66,8 +67,11 @@
 export interface UpstreamCall {
     /** Aborts the request and closes its connection; no callback follows. */
     readonly cancel: () => void;
+    /** Stops reading the response while there is no room for more; what has been read already still arrives. */
     readonly pause: () => void;
     readonly resume: () => void;
+    /** Defers reading the response as long as `remaining` returns more than 0 milliseconds, after which it is asked again. */
+    readonly deferWhile: (remaining: () => number) => void;
 }
 
 interface PooledSocket extends Socket {
@@ -261,6 +265,7 @@
             cancel: () => call.cancel(),
             pause: () => call.pause(),
             resume: () => call.resume(),
+            deferWhile: remaining => call.deferWhile(remaining),
         };
     }
 }
@@ -295,6 +300,7 @@
         writtenAt: undefined as number | undefined,
         closedCleanly: false,
         response: undefined as http.IncomingMessage | undefined,
+        hold: undefined as ReadHold | undefined,
     };
     const connectTimer = setTimeout(() => {
         request.destroy(new Error(`no connection was established within ${connectTimeoutMilliseconds} ms`));
@@ -303,6 +309,7 @@
         if (!state.settled) {
             state.settled = true;
             clearTimeout(connectTimer);
+            state.hold?.clear();
             notify();
         }
     };
@@ -378,6 +385,7 @@
     });
     request.once("response", response => {
         state.response = response;
+        state.hold = ReadHold.of(response.socket);
         if (!outgoing.namesRequest(response)) {
             request.shouldKeepAlive = false;
         }
@@ -417,8 +425,9 @@
             settle(() => {
                 request.destroy();
             }),
-        pause: () => state.response?.pause(),
-        resume: () => state.response?.resume(),
+        pause: () => state.hold?.pause(),
+        resume: () => state.hold?.resume(),
+        deferWhile: remaining => state.hold?.deferWhile(remaining),
     };
 }
 
--- a/src/serving/caller-port.ts
+++ b/src/serving/caller-port.ts
@@ -8,10 +8,13 @@
 import type { Clock } from "../contracts/clocks.js";
 import { ByteCollector } from "../links/byte-collector.js";
 import type { PartLogger } from "../links/logs.js";
+import { ReadHold } from "../links/read-hold.js";
 import { ServerDrain } from "../links/server-drain.js";
 import type { CallerLimits, RouteTable } from "./serving-configuration.js";
 import { pickService } from "./serving-configuration.js";
 import type { AdmittedRequest } from "./exchange-context.js";
+import { ReadPace } from "./read-pace.js";
+import type { SharedReadPace } from "./read-pace.js";
 import { RequestIdentity } from "./request-identity.js";
 import type { ServingMetrics } from "./serving-metrics.js";
 import type { CallerRequest, WireFormat } from "./wire-format.js";
@@ -33,6 +36,8 @@
     readonly clock: Clock;
     readonly random: () => number;
     readonly wire: WireFormat;
+    /** Shared by all messages that this process reads. */
+    readonly readPace: SharedReadPace;
     readonly table: () => RouteTable | undefined;
     readonly isStopping: () => boolean;
     readonly serve: (admitted: AdmittedRequest, response: ServerResponse) => void;
@@ -123,6 +128,7 @@
         response.on("error", error =>
             this.options.log.debug("writing the response to the caller failed", { reason: error.message }),
         );
+        this.limitPace(message);
         const table = this.options.table();
         if (this.hasBeenClosed) {
             this.rejectUnread(message, this.options.wire.decodeRequest(message), response, endingRejection);
@@ -136,6 +142,23 @@
         this.readRequest(message, response, table, arrivedAt);
     }
 
+    /** Limits the pace at which the body is read, also one that is discarded. */
+    private limitPace(message: IncomingMessage): void {
+        const { clock, readPace } = this.options;
+        const now = (): number => clock.monotonicMilliseconds();
+        const pace = ReadPace.create(readPace, now());
+        const remaining = (): number => pace.deferralMilliseconds(now());
+        let hold: ReadHold | undefined;
+        message.on("data", () => {
+            pace.record(1);
+            if (hold !== undefined || remaining() > 0) {
+                hold ??= ReadHold.of(message.socket);
+                hold.deferWhile(remaining);
+            }
+        });
+        message.once("close", () => hold?.clear());
+    }
+
     private readRequest(
         message: IncomingMessage,
         response: ServerResponse,
--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -1,6 +1,7 @@
 /** The response to one caller: either a replica's, relayed unchanged, or one that this process generates. */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { ByteCollector } from "../links/byte-collector.js";
 import type { ResponseHead } from "./wire-format.js";
 
 /** Body of an error response that this process generates. */
@@ -12,15 +13,25 @@
 export class CallerResponse {
     private isCloseDelimited = false;
     private begunAt: number | undefined;
+    /** Bytes that were relayed in the current turn of the event loop. */
+    private readonly unsent = ByteCollector.create();
 
     private constructor(
         private readonly response: ServerResponse,
         private readonly isStopping: () => boolean,
+        private readonly onBlocked: () => void,
     ) {}
 
-    /** `isStopping`: returns true while the process shuts down and connections must not be reused. */
-    public static create(response: ServerResponse, isStopping: () => boolean): CallerResponse {
-        return new CallerResponse(response, isStopping);
+    /**
+     * `isStopping`: returns true while the process shuts down and connections must not be reused. `onBlocked`: called when the
+     * caller reads more slowly than data arrives (backpressure); the response's "drain" event ends it.
+     */
+    public static create(
+        response: ServerResponse,
+        isStopping: () => boolean,
+        onBlocked: () => void,
+    ): CallerResponse {
+        return new CallerResponse(response, isStopping, onBlocked);
     }
 
     public get hasBegun(): boolean {
@@ -53,12 +64,16 @@
         this.response.writeHead(head.status, headers);
     }
 
-    /** Returns false if the caller reads more slowly than data arrives (backpressure). */
-    public write(bytes: Buffer): boolean {
-        return this.response.write(bytes);
+    /** Relays bytes. Those of one turn of the event loop are sent together, since each part that is sent costs memory. */
+    public write(bytes: Buffer): void {
+        if (this.unsent.length === 0) {
+            process.nextTick(() => this.flush());
+        }
+        this.unsent.add(bytes);
     }
 
     public end(bytes?: Buffer): void {
+        this.flush();
         this.response.end(bytes);
     }
 
@@ -79,6 +94,7 @@
 
     /** Aborts the caller's connection so that the response does not look complete. */
     public abort(): void {
+        this.flush();
         const socket = this.response.socket as Socket | undefined;
         if (this.isCloseDelimited && socket) {
             // A normal close would look like the end of a response delimited by it, so the connection is reset.
@@ -87,4 +103,14 @@
             this.response.destroy();
         }
     }
+
+    private flush(): void {
+        if (this.unsent.length === 0) {
+            return;
+        }
+        const bytes = this.unsent.take();
+        if (!this.response.destroyed && !this.response.write(bytes)) {
+            this.onBlocked();
+        }
+    }
 }
--- a/src/serving/exchange-attempt.ts
+++ b/src/serving/exchange-attempt.ts
@@ -4,6 +4,7 @@
 import type { CrashProgress } from "./crash-attribution.js";
 import type { AttemptTarget } from "./dispatcher.js";
 import type { ForwardReply } from "./forwarded-requests.js";
+import type { ReadPace } from "./read-pace.js";
 import type { ReplicaResponse } from "./replica-response.js";
 import type { ResponseHead } from "./wire-format.js";
 
@@ -24,10 +25,15 @@
     /** Maximum number of replicas that may run the request in this attempt; more than one if it is forwarded. */
     readonly maximumRuns: number;
     readonly response: ReplicaResponse;
+    readonly pace: ReadPace;
     /** Head of the response; undefined before it has arrived. */
     readonly head: ResponseHead | undefined;
     call: UpstreamCall | undefined;
     hasReceivedEvents: boolean;
+    /** Number of events that the caller had received when the first one of this attempt arrived; undefined before. */
+    eventsBefore: number | undefined;
+    /** Number of events of this attempt that the caller had received before. */
+    repeatedEvents: number;
     /** Local monotonic milliseconds of the last event, or of the sending. */
     lastProgressAt: number;
     /** Local monotonic milliseconds of the first event; undefined before. */
@@ -41,7 +47,7 @@
 
 /** Creates the state of an attempt that begins. */
 export function createAttempt(
-    facts: Pick<Attempt, "number" | "target" | "sentAt" | "inFlightId" | "maximumRuns" | "response">,
+    facts: Pick<Attempt, "number" | "target" | "sentAt" | "inFlightId" | "maximumRuns" | "response" | "pace">,
 ): Attempt {
     const { response, sentAt } = facts;
     return {
@@ -51,6 +57,8 @@
         },
         call: undefined,
         hasReceivedEvents: false,
+        eventsBefore: undefined,
+        repeatedEvents: 0,
         lastProgressAt: sentAt,
         firstEventAt: undefined,
         hasCrashedReplica: false,
--- a/src/serving/exchange-context.ts
+++ b/src/serving/exchange-context.ts
@@ -13,6 +13,7 @@
 import type { InFlightRequests } from "./in-flight-requests.js";
 import type { BackPressure } from "./back-pressure.js";
 import type { FleetInstance } from "./fleets.js";
+import type { SharedReadPace } from "./read-pace.js";
 import type { ReplicaRecords } from "./replica-records.js";
 import type { ForwardingPeer } from "./forwarding-peers.js";
 import type { LinkFailure } from "./replica-reach.js";
@@ -95,6 +96,8 @@
     readonly isLeaving: (instance: FleetInstance) => boolean;
     /** Called when an instance states that it leaves. */
     readonly onLeaving: (instance: FleetInstance) => void;
+    /** Shared by all messages that this process reads. */
+    readonly readPace: SharedReadPace;
     readonly retryWindowOf: (service: string) => RetryWindow;
     readonly log: PartLogger;
     readonly metrics: ServingMetrics;
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -34,6 +34,7 @@
     attemptExtensionMilliseconds,
     recentProgressMilliseconds,
 } from "./attempt-timeouts.js";
+import { ReadPace } from "./read-pace.js";
 import type { ResponsePart } from "./replica-response.js";
 import { ReplicaResponse } from "./replica-response.js";
 import type { ResponseHead } from "./wire-format.js";
@@ -59,6 +60,8 @@
 const maximumDeniedPermits = 5;
 /** Minimum Retry-After of a request that was denied its permits, in milliseconds. */
 const minimumPermitRetryAfterMilliseconds = 100;
+/** Maximum number of events that a response may repeat, beside those that the caller received before it. */
+const maximumRepeatedEvents = 64;
 /** Rank of the requests that a replica handles last. */
 const lowestRank = 9;
 
@@ -81,15 +84,20 @@
     private hasReceivedForeignResponse = false;
     /** Connections that have carried this request to replicas and to other entry instances. */
     private readonly usedConnections = new WeakSet<Socket>();
+    private readonly callerResponse: CallerResponse;
+    /** Number of events that the caller has received. */
+    private relayedEvents = 0;
     private readonly deadlineTimer: NodeJS.Timeout;
     private waitTimer: NodeJS.Timeout | undefined;
 
     private constructor(
         private readonly context: ExchangeContext,
         private readonly admitted: AdmittedRequest,
-        private readonly callerResponse: CallerResponse,
         response: ServerResponse,
     ) {
+        this.callerResponse = CallerResponse.create(response, context.isStopping, () =>
+            this.liveAttempts.forEach(({ call }) => call?.pause()),
+        );
         this.lastEventId = admitted.request.lastEventId;
         admitted.forwarded?.triedInstances.forEach(id => this.triedInstances.add(id));
         const remaining = Math.max(0, admitted.deadline - this.now());
@@ -104,12 +112,7 @@
         admitted: AdmittedRequest,
         response: ServerResponse,
     ): Exchange {
-        const exchange = new Exchange(
-            context,
-            admitted,
-            CallerResponse.create(response, context.isStopping),
-            response,
-        );
+        const exchange = new Exchange(context, admitted, response);
         if (admitted.forwarded === undefined) {
             context.retryWindowOf(admitted.service).recordRequest(exchange.now());
         }
@@ -467,6 +470,7 @@
                 requestId: admitted.request.id,
                 isStream: admitted.route.repeatability === "stream",
             }),
+            pace: ReadPace.create(context.readPace, now),
         });
         this.attempts.set(number, attempt);
         this.advance({ kind: "started", isBeside, instance: targetId(target) });
@@ -646,33 +650,40 @@
     }
 
     private handleData(attempt: Attempt, chunk: Buffer): void {
-        if (this.isLive(attempt)) {
-            this.handleParts(attempt, attempt.response.readData(chunk));
+        if (!this.isLive(attempt)) {
+            return;
         }
+        attempt.pace.record(1);
+        this.handleParts(attempt, attempt.response.readData(chunk));
+        attempt.call?.deferWhile(() => attempt.pace.deferralMilliseconds(this.now()));
     }
 
     private handleParts(attempt: Attempt, parts: readonly ResponsePart[]): void {
         for (const part of parts) {
             switch (part.kind) {
-                case "event":
-                    this.relayEvent(attempt, part.head, part.event);
+                case "events":
+                    this.relayEvents(attempt, part.head, part.events);
                     break;
                 case "bytes":
-                    this.relayBytes(attempt, part.head, part.bytes);
+                    this.relayBytes(part.head, part.bytes);
                     break;
                 case "foreign":
                     this.hasReceivedForeignResponse = true;
-                    attempt.call?.cancel();
-                    this.endAttempt(attempt, "lost", part.reason);
+                    this.abandon(attempt, part.reason);
                     break;
                 case "unusable":
-                    attempt.call?.cancel();
-                    this.endAttempt(attempt, "lost", part.reason);
+                    this.abandon(attempt, part.reason);
             }
         }
     }
 
-    private relayEvent(attempt: Attempt, head: ResponseHead, event: StreamEvent): void {
+    /** Ends an attempt whose response is of no use any more. */
+    private abandon(attempt: Attempt, reason: string): void {
+        attempt.call?.cancel();
+        this.endAttempt(attempt, "lost", reason);
+    }
+
+    private relayEvents(attempt: Attempt, head: ResponseHead, events: readonly StreamEvent[]): void {
         const now = this.now();
         const { target } = attempt;
         const { group, instance } = target;
@@ -692,23 +703,33 @@
                 this.context.dispatcher.recordFirstEvent(target, now - attempt.sentAt);
             }
         }
-        const isNew = event.id === undefined || this.lastEventId === undefined || event.id > this.lastEventId;
-        this.advance({ kind: "eventReceived", attempt: attempt.number, isNew });
-        if (!isNew) {
-            return;
+        attempt.pace.record(events.length);
+        const relayedBefore = this.relayedEvents;
+        const newEvents = events.filter(({ id }) => this.advancesTo(id));
+        this.advance({ kind: "eventReceived", attempt: attempt.number, isNew: newEvents.length > 0 });
+        if (newEvents.length > 0) {
+            this.callerResponse.begin(head, undefined, now);
+            newEvents.forEach(({ bytes }) => this.callerResponse.write(bytes));
+            this.relayedEvents += newEvents.length;
         }
-        this.lastEventId = event.id ?? this.lastEventId;
-        this.callerResponse.begin(head, undefined, now);
-        if (!this.callerResponse.write(event.bytes)) {
-            attempt.call?.pause();
+        attempt.eventsBefore ??= relayedBefore;
+        attempt.repeatedEvents += events.length - newEvents.length;
+        // A resumed stream may begin again from its first event.
+        if (attempt.repeatedEvents > attempt.eventsBefore + maximumRepeatedEvents) {
+            this.abandon(attempt, "the response repeats events that it has sent before");
         }
     }
 
-    private relayBytes(attempt: Attempt, head: ResponseHead, bytes: Buffer): void {
+    /** True if the caller has not received an event with the id; it counts as received from then on. */
+    private advancesTo(id: number | undefined): boolean {
+        const isNew = id === undefined || this.lastEventId === undefined || id > this.lastEventId;
+        this.lastEventId = isNew ? (id ?? this.lastEventId) : this.lastEventId;
+        return isNew;
+    }
+
+    private relayBytes(head: ResponseHead, bytes: Buffer): void {
         this.callerResponse.begin(head, undefined, this.now());
-        if (!this.callerResponse.write(bytes)) {
-            attempt.call?.pause();
-        }
+        this.callerResponse.write(bytes);
     }
 
     private handleEnd(attempt: Attempt): void {
--- a/src/serving/replica-response.ts
+++ b/src/serving/replica-response.ts
@@ -18,8 +18,8 @@
 
 /** What follows from a part of a response. */
 export type ResponsePart =
-    /** A complete event of a trusted stream. */
-    | { readonly kind: "event"; readonly head: ResponseHead; readonly event: StreamEvent }
+    /** Complete events of a trusted stream, at least one. */
+    | { readonly kind: "events"; readonly head: ResponseHead; readonly events: readonly StreamEvent[] }
     /** Bytes of a trusted response that is too long to be buffered. */
     | { readonly kind: "bytes"; readonly head: ResponseHead; readonly bytes: Buffer }
     /** The response names another request, so the connection carries what belongs to that one. */
@@ -120,7 +120,7 @@
 
     private readEvents(head: ResponseHead, chunk: Buffer): readonly ResponsePart[] {
         const events = this.splitter.push(chunk);
-        const parts = events.map(event => ({ kind: "event", head, event }) as const);
+        const parts = events.length === 0 ? [] : [{ kind: "events", head, events } as const];
         return this.splitter.partialEventBytes > maximumEventBytes
             ? [...parts, { kind: "unusable", reason: `an event exceeds ${maximumEventBytes} bytes` }]
             : parts;
--- a/src/serving/tests/exchange-silence.test.ts
+++ b/src/serving/tests/exchange-silence.test.ts
@@ -8,6 +8,7 @@
 import type { AdmittedRequest, ExchangeContext } from "../exchange-context.js";
 import { Exchange } from "../exchange.js";
 import { InFlightRequests } from "../in-flight-requests.js";
+import { SharedReadPace } from "../read-pace.js";
 import { ReplicaRecords } from "../replica-records.js";
 import { RetryWindow } from "../retry-window.js";
 import { RouteTable } from "../serving-configuration.js";
@@ -89,6 +90,7 @@
             recordRequest: () => (facts.isQuarantined() ? now : undefined),
             isSuspect: () => false,
         },
+        readPace: SharedReadPace.create(0),
         retryWindowOf: () => retries,
         log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
         metrics: createServingMetrics(),
--- a/src/serving/tests/exchange.test.ts
+++ b/src/serving/tests/exchange.test.ts
@@ -10,6 +10,7 @@
 import type { DispatchChoice, DispatchTarget } from "../dispatcher.js";
 import { Exchange } from "../exchange.js";
 import type { AdmittedRequest, ExchangeContext } from "../exchange-context.js";
+import { SharedReadPace } from "../read-pace.js";
 import { ReplicaRecords } from "../replica-records.js";
 import { RetryWindow } from "../retry-window.js";
 import { createServingMetrics } from "../serving-metrics.js";
@@ -113,6 +114,7 @@
         }),
         isLeaving: () => true,
         onLeaving: ignore,
+        readPace: SharedReadPace.create(0),
         retryWindowOf: () => retries,
         log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
         metrics: createServingMetrics(),
--- a/src/serving/tests/replica-response.test.ts
+++ b/src/serving/tests/replica-response.test.ts
@@ -83,12 +83,12 @@
     const bytes = Buffer.from("id: 1\ndata: a\n\n");
     t.deepEqual(response.readData(bytes.subarray(0, 5)), []);
     t.deepEqual(response.readData(bytes.subarray(5)), [
-        { kind: "event", head: success, event: { id: 1, bytes } },
+        { kind: "events", head: success, events: [{ id: 1, bytes }] },
     ]);
     const endless = Buffer.concat([bytes, Buffer.alloc(maximumEventBytes + 1, "a")]);
     t.deepEqual(
         response.readData(endless).map(({ kind }) => kind),
-        ["event", "unusable"],
+        ["events", "unusable"],
     );
 });
 
