Fix entries of other writers that got requests of callers

Callers saw: 502 for requests that were sent to an address that another writer had put among the replicas', and no answer before the deadline where its port was out of range.

Cause: a registration was checked only in the fields that are used, and without ranges; and Node.js refuses a port by an exception, after which the attempt had no end.

Ruled out: deep nesting and large numbers ending the process (JSON.parse and the schemas take 100,000 levels).

--- a/src/links/http-client.ts
+++ b/src/links/http-client.ts
@@ -89,7 +89,15 @@
         return Promise.resolve({ kind: "notSent", message: "the deadline has passed" });
     }
     return new Promise(resolve => {
-        const { request, mayHaveBeenSent } = openHttpRequest(client, outgoing);
+        let opened: OpenedHttpRequest;
+        try {
+            opened = openHttpRequest(client, outgoing);
+        } catch (thrown) {
+            // Node throws for an address, method or header that it cannot send.
+            resolve({ kind: "notSent", message: `the request cannot be sent: ${String(thrown)}` });
+            return;
+        }
+        const { request, mayHaveBeenSent } = opened;
         let hasEnded = false;
         const timer = setTimeout(() => {
             hasEnded = true;
--- a/src/links/tests/upstream-pools.test.ts
+++ b/src/links/tests/upstream-pools.test.ts
@@ -100,6 +100,13 @@
     });
 }
 
+// The exception left the caller waiting until its deadline.
+test("a request that cannot be sent fails at once", async t => {
+    const pools = UpstreamPools.create(systemClock, () => 4);
+    t.is(await sendWith(pools, { ...requestTo(80), address: "127.0.0.1:99999" }), "notSent");
+    t.is(await sendWith(pools, { ...requestTo(80), headers: ["Name", "a\nb"] }), "notSent");
+});
+
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 
 // A repeated refusal was taken for the response to a later send of the same request over the same connection.
--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -253,12 +253,17 @@
         }
         let call: UpstreamCall;
         const start = (): void => {
-            call = agent.runWithout(outgoing.usedConnections, () =>
-                sendRequest(agent, outgoing, observer, this.clock, {
-                    onNewConnection: () => this.onConnected(replica),
-                    onUsedConnection: start,
-                }),
-            );
+            try {
+                call = agent.runWithout(outgoing.usedConnections, () =>
+                    sendRequest(agent, outgoing, observer, this.clock, {
+                        onNewConnection: () => this.onConnected(replica),
+                        onUsedConnection: start,
+                    }),
+                );
+            } catch (thrown) {
+                // Node throws for an address, method or header that it cannot send.
+                call = failLater(observer, `the request cannot be sent: ${String(thrown)}`);
+            }
         };
         start();
         return {
@@ -270,6 +275,13 @@
     }
 }
 
+/** A call that fails without having been sent. */
+function failLater(observer: UpstreamObserver, message: string): UpstreamCall {
+    const timer = setImmediate(() => observer.onFailure(message, "notSent"));
+    const ignore = (): void => undefined;
+    return { cancel: () => clearImmediate(timer), pause: ignore, resume: ignore, deferWhile: ignore };
+}
+
 /** Callbacks of a send to its pool. */
 interface ConnectionObserver {
     readonly onNewConnection: () => void;
--- a/tests/soak/soak-replica.ts
+++ b/tests/soak/soak-replica.ts
@@ -134,8 +134,10 @@
             Service: this.options.service,
             Address: address,
             Zone: "zone-a",
+            Version: "v1",
             Slots: 16,
             State: this.isLeaving ? "draining" : "ready",
+            ColdRemainingMs: 0,
             Sequence: this.heartbeat,
             ...this.createReport(),
         };
