Fix streams that were continued with a success of another kind

Callers could see: the text of an error in the middle of their stream, or a stream that ended as complete before its last event, when a stream broke off and the next replica answered its resumption with a signed success that is no event stream.

Cause: a resumption was judged as if it were the first response of the request.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -85,6 +85,8 @@
     /** Connections that have carried this request to replicas and to other entry instances. */
     private readonly usedConnections = new WeakSet<Socket>();
     private readonly callerResponse: CallerResponse;
+    /** Head of the replica's response that the caller has begun to receive. */
+    private begunHead: ResponseHead | undefined;
     /** Number of events that the caller has received. */
     private relayedEvents = 0;
     private readonly deadlineTimer: NodeJS.Timeout;
@@ -704,11 +706,15 @@
             }
         }
         attempt.pace.record(events.length);
+        if (!this.continuesResponse(head)) {
+            this.abandon(attempt, "the response does not continue the stream that has begun");
+            return;
+        }
         const relayedBefore = this.relayedEvents;
         const newEvents = events.filter(({ id }) => this.advancesTo(id));
         this.advance({ kind: "eventReceived", attempt: attempt.number, isNew: newEvents.length > 0 });
         if (newEvents.length > 0) {
-            this.callerResponse.begin(head, undefined, now);
+            this.begin(head, undefined);
             newEvents.forEach(({ bytes }) => this.callerResponse.write(bytes));
             this.relayedEvents += newEvents.length;
         }
@@ -720,6 +726,17 @@
         }
     }
 
+    /** True if a success may follow what the caller has received: another kind of success is no rest of the same stream. */
+    private continuesResponse({ status, mediaType }: ResponseHead): boolean {
+        const { begunHead } = this;
+        return begunHead === undefined || (begunHead.status === status && begunHead.mediaType === mediaType);
+    }
+
+    private begin(head: ResponseHead, length: number | undefined): void {
+        this.begunHead ??= head;
+        this.callerResponse.begin(head, length, this.now());
+    }
+
     /** True if the caller has not received an event with the id; it counts as received from then on. */
     private advancesTo(id: number | undefined): boolean {
         const isNew = id === undefined || this.lastEventId === undefined || id > this.lastEventId;
@@ -728,7 +745,7 @@
     }
 
     private relayBytes(head: ResponseHead, bytes: Buffer): void {
-        this.callerResponse.begin(head, undefined, this.now());
+        this.begin(head, undefined);
         this.callerResponse.write(bytes);
     }
 
@@ -737,6 +754,10 @@
             return;
         }
         const end = attempt.response.readEnd();
+        if (end.kind === "complete" && !this.continuesResponse(end.head)) {
+            this.endAttempt(attempt, "lost", "the response does not continue the stream that has begun");
+            return;
+        }
         if (end.kind === "complete") {
             this.handleSuccessfulEnd(attempt, end.head, end.body);
             return;
@@ -773,7 +794,7 @@
     }
 
     private sendCompleteResponse(head: ResponseHead, body: Buffer, outcome: string): void {
-        this.callerResponse.begin(head, body.length, this.now());
+        this.begin(head, body.length);
         this.settle(outcome, { status: head.status });
         this.callerResponse.end(body);
     }
--- a/src/serving/wire-format.ts
+++ b/src/serving/wire-format.ts
@@ -57,6 +57,8 @@
     readonly pauseMilliseconds: number | undefined;
     /** Requests per second that the replica takes from all entry instances together; undefined without a limit. */
     readonly requestsPerSecond: number | undefined;
+    /** Media type in lower case, without parameters; undefined if the response states none. */
+    readonly mediaType: string | undefined;
     /** True if the message states where it ends; otherwise it ends with its connection. */
     readonly isFramed: boolean;
     /** True if the body has a content encoding that no caller requested. */
