--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -13,6 +13,7 @@
     readonly entries: number;
     readonly engines: number;
     readonly together: number;
+    readonly earlier?: string;
 }
 
 async function run(options: SoakCommandOptions): Promise<void> {
@@ -28,6 +29,7 @@
                 entries,
                 engines,
                 program,
+                earlierProgram: options.earlier,
             });
             failed += report.violations.length > 0 ? 1 : 0;
             const line = { seed, violations: report.violations.slice(0, 10), counts: report.counts };
@@ -48,6 +50,7 @@
     .option("--seconds <seconds>", "Length of each in seconds of traffic", { default: 15 })
     .option("--entries <count>", "Serving processes", { default: 3 })
     .option("--engines <count>", "Engines", { default: 6 })
+    .option("--earlier <path>", "Program of an earlier version that runs beside this one")
     .option("--together <count>", "Seeds played at the same time", { default: 1 })
     .action((options: SoakCommandOptions) => run(options));
 commands.help();
--- a/tests/soak/soak-entry.ts
+++ b/tests/soak/soak-entry.ts
@@ -26,6 +26,8 @@
     readonly heartbeatMilliseconds: number;
     /** Program file of the serving process. */
     readonly program: string;
+    /** Program of an earlier version, which each entry instance runs at its first start and at every second one after it. */
+    readonly earlierProgram?: string;
     /** Directory of the settings and the log of the process. */
     readonly directory: string;
     /** Called when a process ends that was not killed; `code` is undefined if a signal ended it. */
@@ -87,10 +89,15 @@
     }
 
     public start(): void {
-        const { name, program, directory } = this.options;
-        const child = spawn(process.execPath, [program, "--settings", join(directory, `${name}.toml`)], {
-            stdio: ["ignore", "pipe", "pipe"],
-        });
+        const { name, program, earlierProgram, directory } = this.options;
+        const isEarlier = earlierProgram !== undefined && this.starts % 2 === 0;
+        const child = spawn(
+            process.execPath,
+            [isEarlier ? earlierProgram : program, "--settings", join(directory, `${name}.toml`)],
+            {
+                stdio: ["ignore", "pipe", "pipe"],
+            },
+        );
         this.starts += 1;
         const currentProcess: EntryProcess = {
             child,
--- a/tests/soak/soak-run.ts
+++ b/tests/soak/soak-run.ts
@@ -69,6 +69,8 @@
     readonly engines: number;
     /** Program file of the serving process. */
     readonly program: string;
+    /** Program of an earlier version, which each entry instance runs at its first start and at every second one after it. */
+    readonly earlierProgram?: string;
 }
 
 export interface SoakReport {
@@ -203,6 +205,7 @@
                 storeAddress: storeLink.address,
                 heartbeatMilliseconds,
                 program: this.options.program,
+                earlierProgram: this.options.earlierProgram,
                 directory: this.directory,
                 onExit: (name, code, wasTold) => this.handleExit(name, code, wasTold),
             });
