--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -629,7 +629,7 @@
             this.handleParts(attempt, attempt.response.readHead(decoded));
             return;
         }
-        attempt.forwardReply = readForwardReply(message.headers);
+        attempt.forwardReply = readForwardReply(message.headers, decoded.isSigned);
         // The state of the replica concerns the entry instance that received the response from it.
         const isStatedNotRun = attempt.forwardReply.outcome !== undefined;
         const pauseMilliseconds = isStatedNotRun ? decoded.pauseMilliseconds : undefined;
--- a/src/serving/forwarded-requests.ts
+++ b/src/serving/forwarded-requests.ts
@@ -37,7 +37,11 @@
     return [forwardOutcomeHeader, outcome === "refused" ? "refused" : "unavailable"];
 }
 
-export function readForwardReply(headers: IncomingHttpHeaders): ForwardReply {
+/** A response that a replica has signed is relayed with all its headers, so these are no statement of the entry instance. */
+export function readForwardReply(headers: IncomingHttpHeaders, isSigned: boolean): ForwardReply {
+    if (isSigned) {
+        return { outcome: undefined, runs: undefined };
+    }
     const outcome = headers[forwardOutcomeHeader];
     const runs = headers[forwardRunsHeader];
     return {
--- a/tests/compatibility/messages.test.ts
+++ b/tests/compatibility/messages.test.ts
@@ -92,7 +92,7 @@
     t.deepEqual(decoded.forwarded, { from: "entry-1", triedInstances: ["i1"], hasBegunResponse: true });
     const read = (name: string): ReturnType<typeof readForwardReply> => {
         const [header, value] = JSON.parse(earlierMessages[name]!) as [string, string];
-        return readForwardReply({ [header]: value });
+        return readForwardReply({ [header]: value }, false);
     };
     t.deepEqual(read("refusal"), { outcome: "refused", runs: undefined });
     t.deepEqual(read("unavailable"), { outcome: "unavailable", runs: undefined });
