--- a/src/links/upstream-pools.ts
+++ b/src/links/upstream-pools.ts
@@ -110,9 +110,11 @@
                     hidden.shift()!.destroy();
                 }
                 idleByName[name] = shown;
-                const result = send();
-                idleByName[name] = [...hidden, ...(idleByName[name] ?? [])];
-                return result;
+                try {
+                    return send();
+                } finally {
+                    idleByName[name] = [...hidden, ...(idleByName[name] ?? [])];
+                }
             }
         }
         return send();
