Fix a resumption from the first event that counted as repetition

Events count as repeated now if the same response has sent them before; their ids increase within a response.

Test: resumption-errors.test.ts, 'a stream that begins again from its first event is continued where its caller is'; failed before. endless-bytes (repeatedEvent) passes as before.

--- a/src/serving/exchange-attempt.ts
+++ b/src/serving/exchange-attempt.ts
@@ -3,6 +3,7 @@
 import type { AttemptOutcome } from "./attempt-decision.js";
 import type { CrashProgress } from "./crash-attribution.js";
 import type { AttemptTarget } from "./dispatcher.js";
+import type { StreamEvent } from "./event-splitter.js";
 import type { ForwardReply } from "./forwarded-requests.js";
 import type { ReadPace } from "./read-pace.js";
 import type { ReplicaResponse } from "./replica-response.js";
@@ -30,9 +31,9 @@
     readonly head: ResponseHead | undefined;
     call: UpstreamCall | undefined;
     hasReceivedEvents: boolean;
-    /** Number of events that the caller had received when the first one of this attempt arrived; undefined before. */
-    eventsBefore: number | undefined;
-    /** Number of events of this attempt that the caller had received before. */
+    /** Highest id of an event of this attempt. */
+    highestEventId: number;
+    /** Number of events whose ids this attempt had reached before. */
     repeatedEvents: number;
     /** Local monotonic milliseconds of the last event, or of the sending. */
     lastProgressAt: number;
@@ -57,7 +58,7 @@
         },
         call: undefined,
         hasReceivedEvents: false,
-        eventsBefore: undefined,
+        highestEventId: Number.NEGATIVE_INFINITY,
         repeatedEvents: 0,
         lastProgressAt: sentAt,
         firstEventAt: undefined,
@@ -67,6 +68,17 @@
     };
 }
 
+/** Records the events of an attempt, whose ids are to increase. */
+export function recordEventIds(attempt: Attempt, events: readonly StreamEvent[]): void {
+    for (const { id } of events) {
+        if (id !== undefined && id <= attempt.highestEventId) {
+            attempt.repeatedEvents += 1;
+        } else {
+            attempt.highestEventId = id ?? attempt.highestEventId;
+        }
+    }
+}
+
 /**
  * Returns the number of replicas that may have run the request in an attempt without a complete response. An entry instance
  * that does not state it may have made all attempts before it began to respond.
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -26,7 +26,7 @@
 import { encodeForwardedRequest, forwardReplyHeaders, readForwardReply } from "./forwarded-requests.js";
 import type { StreamEvent } from "./event-splitter.js";
 import type { Attempt } from "./exchange-attempt.js";
-import { crashProgressOf, createAttempt, runsOf } from "./exchange-attempt.js";
+import { crashProgressOf, createAttempt, recordEventIds, runsOf } from "./exchange-attempt.js";
 import type { AdmittedRequest, ExchangeContext } from "./exchange-context.js";
 import { describeRequest, recordAttemptEnd, recordExchangeEnd } from "./exchange-reporting.js";
 import {
@@ -60,7 +60,7 @@
 const maximumDeniedPermits = 5;
 /** Minimum Retry-After of a request that was denied its permits, in milliseconds. */
 const minimumPermitRetryAfterMilliseconds = 100;
-/** Maximum number of events that a response may repeat, beside those that the caller received before it. */
+/** Maximum number of events that a response may send again. A resumed stream may begin again from its first event. */
 const maximumRepeatedEvents = 64;
 /** Rank of the requests that a replica handles last. */
 const lowestRank = 9;
@@ -87,8 +87,6 @@
     private readonly callerResponse: CallerResponse;
     /** Head of the replica's response that the caller has begun to receive. */
     private begunHead: ResponseHead | undefined;
-    /** Number of events that the caller has received. */
-    private relayedEvents = 0;
     private readonly deadlineTimer: NodeJS.Timeout;
     private waitTimer: NodeJS.Timeout | undefined;
 
@@ -710,18 +708,14 @@
             this.abandon(attempt, "the response does not continue the stream that has begun");
             return;
         }
-        const relayedBefore = this.relayedEvents;
         const newEvents = events.filter(({ id }) => this.advancesTo(id));
         this.advance({ kind: "eventReceived", attempt: attempt.number, isNew: newEvents.length > 0 });
         if (newEvents.length > 0) {
             this.begin(head, undefined);
             newEvents.forEach(({ bytes }) => this.callerResponse.write(bytes));
-            this.relayedEvents += newEvents.length;
         }
-        attempt.eventsBefore ??= relayedBefore;
-        attempt.repeatedEvents += events.length - newEvents.length;
-        // A resumed stream may begin again from its first event.
-        if (attempt.repeatedEvents > attempt.eventsBefore + maximumRepeatedEvents) {
+        recordEventIds(attempt, events);
+        if (attempt.repeatedEvents > maximumRepeatedEvents) {
             this.abandon(attempt, "the response repeats events that it has sent before");
         }
     }
