--- a/src/links/tests/upstream-pools.test.ts
+++ b/src/links/tests/upstream-pools.test.ts
@@ -25,10 +25,10 @@
     };
 }
 
-/** Sends one request; resolves with how far it got, or undefined if its response is complete. */
-function send(pools: UpstreamPools, port: number): Promise<Delivery | undefined> {
+/** Sends a request; resolves with how far it got, or undefined if its response is complete. */
+function sendWith(pools: UpstreamPools, outgoing: UpstreamRequest): Promise<Delivery | undefined> {
     return new Promise(resolve => {
-        pools.send(replica, requestTo(port), {
+        pools.send(replica, outgoing, {
             onWritten: ignore,
             onHead: ignore,
             onData: ignore,
@@ -39,6 +39,10 @@
     });
 }
 
+function send(pools: UpstreamPools, port: number): Promise<Delivery | undefined> {
+    return sendWith(pools, requestTo(port));
+}
+
 test("a request that gets a pooled connection which is closed already does not count as sent", async t => {
     let received = 0;
     const server = createServer((_, response) => {
@@ -87,19 +91,6 @@
     return { port: (server.address() as AddressInfo).port, close };
 }
 
-function sendWith(pools: UpstreamPools, outgoing: UpstreamRequest): Promise<Delivery | undefined> {
-    return new Promise(resolve => {
-        pools.send(replica, outgoing, {
-            onWritten: ignore,
-            onHead: ignore,
-            onData: ignore,
-            onEnd: () => resolve(undefined),
-            onFailure: (_, delivery) => resolve(delivery),
-            onWithheld: ignore,
-        });
-    });
-}
-
 // The exception left the caller waiting until its deadline.
 test("a request that cannot be sent fails at once", async t => {
     const pools = UpstreamPools.create(systemClock, () => 4);
