Log how a configuration reached a process, and how old the followed state was

A report says that a version was in force too late. The log could not tell a state that relays confirmed although it was old from a call of the process itself that took long: the line "configuration in force" had neither the way by which the version came nor the age of the state.

Events of a watch state whether a relay passed them on, so one expectation in change-relay.test.ts has that field as well. No decision changes.

--- a/src/contracts/key-value-stores.ts
+++ b/src/contracts/key-value-stores.ts
@@ -64,6 +64,8 @@
           readonly revision: number;
           readonly puts: readonly KeyValueEntry[];
           readonly deletes: readonly string[];
+          /** True if another process read the changes from the store. */
+          readonly isRelayed?: boolean;
       }
     | { readonly kind: "progress"; readonly revision: number }
     | { readonly kind: "gap"; readonly fault: Fault };
--- a/src/daemons/serving/relayed-watch-feed.ts
+++ b/src/daemons/serving/relayed-watch-feed.ts
@@ -1,7 +1,7 @@
 /** Paces the watch of the store by a change relay, and passes the store's responses on to other entry instances. */
 import type { Clock } from "../../contracts/clocks.js";
 import type { StorePosition } from "../../contracts/key-value-stores.js";
-import type { RelayedChanges } from "../../serving/store-relay/change-relay.js";
+import type { RelayedChanges, StateAge } from "../../serving/store-relay/change-relay.js";
 import { ChangeRelay } from "../../serving/store-relay/change-relay.js";
 import type { ChangeRelayOptions } from "../../serving/store-relay/change-relay.js";
 import type { FeedStep, ProgressEvent, WatchFeed } from "../../serving/store-relay/watch-feed.js";
@@ -60,6 +60,10 @@
         return this.relay.followsRelays(this.now());
     }
 
+    public get stateAge(): StateAge {
+        return this.relay.stateAge(this.now());
+    }
+
     /** Records an entry instance of the same failure domain that accepts relayed changes. */
     public recordPeer(name: string): void {
         this.relay.recordPeer(name, this.now());
--- a/src/daemons/serving/serving-follower.ts
+++ b/src/daemons/serving/serving-follower.ts
@@ -17,6 +17,7 @@
 import type { FleetChange, ParseRegistration } from "../../serving/fleet-follower.js";
 import { FleetFollower, storeRecoveryMilliseconds } from "../../serving/fleet-follower.js";
 import type { ServingMetrics } from "../../serving/serving-metrics.js";
+import type { StateAge } from "../../serving/store-relay/change-relay.js";
 import { PrefixFollower } from "../prefix-follower.js";
 
 /**
@@ -45,6 +46,9 @@
     readonly secret: string | undefined;
 }
 
+/** How a configuration reached this process: a read of all keys, its own watch, a relay, or a version that a peer has. */
+type ConfigurationSource = "read" | "watch" | "relay" | "announcement";
+
 /** Formats the value with which an entry instance registers itself; the incarnation distinguishes its starts. */
 export function formatPeer(peer: Omit<Peer, "name">, incarnation: string): string {
     return [peer.address, peer.failureDomain, incarnation, peer.secret ?? ""].join(" ").trim();
@@ -82,6 +86,8 @@
     readonly configurationReadDelayMilliseconds: () => number;
     /** False while each of these checks has to read the store itself because the watch may be behind. */
     readonly arePeersSettled: () => boolean;
+    /** Age of the followed state, for the log. */
+    readonly stateAge: () => StateAge;
     readonly onConfiguration: (table: RouteTable) => void;
     readonly onFleet: () => void;
     readonly onPeers: (peers: readonly Peer[]) => void;
@@ -146,7 +152,7 @@
         const deadline = now + followerTimes.listTimeoutMilliseconds;
         void store.get(configurationKey, { deadline, priority: "configuration" }).then(response => {
             if (response.success) {
-                this.applyConfiguration(findValue(response.data.entries, configurationKey));
+                this.applyConfiguration(findValue(response.data.entries, configurationKey), "announcement");
             }
         });
     }
@@ -188,7 +194,7 @@
                 this.recordStoreState(allKeysPrefix, undefined);
                 this.evacuationEntries.clear();
                 this.changeEvacuations(response, response.entries, []);
-                this.applyConfiguration(findValue(response.entries, configurationKey));
+                this.applyConfiguration(findValue(response.entries, configurationKey), "read");
                 const instances = selectEntries(response.entries, instancePrefix);
                 this.applyFleet(this.fleet.applyRead({ ...response, entries: instances }, this.now()));
                 const isRestored = this.position !== undefined && this.position.era !== response.era;
@@ -215,7 +221,8 @@
             this.changeEvacuations(position, puts, deletes);
         }
         if (event.kind === "changes") {
-            this.applyConfiguration(findValue(event.puts, configurationKey));
+            const source = event.isRelayed === true ? "relay" : "watch";
+            this.applyConfiguration(findValue(event.puts, configurationKey), source);
             event.deletes.forEach(key => this.peers.delete(key));
             this.addPeers(selectEntries(event.puts, peerPrefix));
             event.deletes.forEach(key => this.placementEntries.delete(key));
@@ -296,17 +303,18 @@
     /**
      * Applies only a version above the current one; after an unreadable configuration the previous one stays in force.
      */
-    private applyConfiguration(text: string | undefined): void {
+    private applyConfiguration(text: string | undefined, source: ConfigurationSource): void {
         if (text === undefined) {
             return;
         }
-        const { log, metrics } = this.options;
+        const { log, metrics, stateAge } = this.options;
         const parsed = this.options.parseConfiguration(text);
         const before = this.routes?.configuration.version;
         if (!parsed.success) {
             log.error("configuration cannot be parsed; keeping the version in force", {
                 fault: parsed.fault,
                 inForce: before,
+                source,
             });
             return;
         }
@@ -316,7 +324,16 @@
         }
         this.routes = RouteTable.create(parsed.data);
         metrics.configurationVersion.set(version);
-        log.info("configuration in force", { version, before, routes: parsed.data.routes.length });
+        const { now, before: ageBefore, sinceCall } = stateAge();
+        log.info("configuration in force", {
+            version,
+            before,
+            routes: parsed.data.routes.length,
+            source,
+            ageMilliseconds: Math.round(now),
+            ageBeforeMilliseconds: Math.round(ageBefore),
+            sinceCallMilliseconds: Math.round(sinceCall),
+        });
         this.options.onConfiguration(this.routes);
     }
 
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -619,6 +619,7 @@
             configurationReadDelayMilliseconds: () =>
                 this.peers.timing.isRelayed ? this.peers.timing.relayPauseMilliseconds : 0,
             arePeersSettled: () => this.peers.shares.isSettled,
+            stateAge: () => this.watchFeed.stateAge,
             onConfiguration: table => this.handleConfiguration(table),
             onFleet: () => this.rebuildView(),
             onPeers: peers => this.handlePeers(peers),
@@ -779,6 +780,7 @@
         this.tickQuarantines(now);
         this.permits.tick();
         this.metrics.coldReplicas.set(this.permits.coldCount);
+        this.metrics.stateAgeSeconds.set(this.watchFeed.stateAge.now / 1_000);
         this.peers.tick();
     }
 
--- a/src/daemons/serving/tests/serving-follower.test.ts
+++ b/src/daemons/serving/tests/serving-follower.test.ts
@@ -56,6 +56,7 @@
         placementPrefix: "placement/",
         quarantinePrefix: "chervil/quarantines/",
         evacuationPrefix: "evacuated/",
+        stateAge: () => ({ now: 0, before: 0, sinceCall: 0 }),
         onEvacuations: ignore,
         onQuarantines: () => undefined,
         peerReadIntervalMilliseconds: () => 60_000,
--- a/src/serving/serving-metrics.ts
+++ b/src/serving/serving-metrics.ts
@@ -15,6 +15,7 @@
     readonly storeFaults: Counter<"code">;
     /** Steps of the watch of the store: calls, and changes that a relay passed on. */
     readonly watchSteps: Counter<"step">;
+    readonly stateAgeSeconds: Gauge;
     readonly suspectedGroups: Counter;
     readonly quarantines: Counter;
     readonly quarantineRefusals: Counter;
@@ -82,6 +83,11 @@
         labelNames: ["step"] as const,
         registers,
     });
+    const stateAgeSeconds = new Gauge({
+        name: "chervil_store_state_age_seconds",
+        help: "Time since the state of this process was known to be the newest one of the store",
+        registers,
+    });
     const suspectedGroups = new Counter({
         name: "chervil_suspected_groups_total",
         help: "Replica groups found standing still with a silent member",
@@ -208,6 +214,7 @@
         responseSeconds: answerSeconds,
         storeFaults,
         watchSteps,
+        stateAgeSeconds,
         suspectedGroups,
         quarantines,
         quarantineRefusals,
--- a/src/serving/store-relay/change-relay.ts
+++ b/src/serving/store-relay/change-relay.ts
@@ -42,6 +42,15 @@
     | { readonly kind: "poll" }
     | { readonly kind: "event"; readonly event: ProgressEvent };
 
+/** How long ago the state of a process was known to be the store's newest one, in milliseconds. */
+export interface StateAge {
+    readonly now: number;
+    /** Age just before the last confirmation. */
+    readonly before: number;
+    /** Time since the store last answered this process itself. */
+    readonly sinceCall: number;
+}
+
 /** Pause after a failed call of a relay, in milliseconds. */
 const retryMilliseconds = 300;
 /** Age up to which faults are passed on, in milliseconds; longer than registrations count as missing for a fault. */
@@ -62,6 +71,9 @@
     private readonly recent = RecentChanges.create();
     /** Time at which the present position was last known to be the store's newest one. */
     private confirmedAt = Number.NEGATIVE_INFINITY;
+    private ageBefore = 0;
+    /** Time of the last response of the store to this process. */
+    private respondedAt = Number.NEGATIVE_INFINITY;
     /** Time of the next call of a process that watches the store itself, and the earliest one of the others. */
     private nextPollAt = Number.NEGATIVE_INFINITY;
     private faultAt = Number.NEGATIVE_INFINITY;
@@ -74,6 +86,10 @@
         return new ChangeRelay(options);
     }
 
+    public stateAge(now: number): StateAge {
+        return { now: now - this.confirmedAt, before: this.ageBefore, sinceCall: now - this.respondedAt };
+    }
+
     /** Records an entry instance of the same failure domain that accepts relayed changes. */
     public recordPeer(name: string, now: number): void {
         this.heardAt.set(name, now);
@@ -87,7 +103,8 @@
     /** Begins a watch at a position that was just read from the store. */
     public begin(now: number): void {
         this.recent.clear();
-        this.confirmedAt = now;
+        this.confirm(now, now);
+        this.respondedAt = now;
         this.nextPollAt = now;
     }
 
@@ -109,7 +126,8 @@
         const { isRelayed, watchPauseMilliseconds, relayPauseMilliseconds } = this.options.timing();
         const isWaitOver = isRelayed && event.kind === "progress";
         const pause = isRelayed ? relayPauseMilliseconds : watchPauseMilliseconds;
-        this.confirmedAt = now;
+        this.confirm(now, now);
+        this.respondedAt = now;
         this.nextPollAt = isWaitOver ? now : now + pause;
         const faultAge = now - this.faultAt;
         return {
@@ -125,7 +143,7 @@
         this.nextPollAt = Math.max(this.nextPollAt, at + retryMilliseconds);
         if (this.followsRelays(at)) {
             // The next call is due when the state is too old again, or a message shows that changes are missing.
-            this.confirmedAt = Math.max(this.confirmedAt, this.relayedAt);
+            this.confirm(this.relayedAt, at);
         }
     }
 
@@ -146,7 +164,7 @@
             // Both relays announce what no datagram can hold; one call covers it.
             return isOlder || now < this.nextPollAt ? { kind: "ignored" } : { kind: "poll" };
         }
-        this.confirmedAt = now;
+        this.confirm(now, now);
         this.relayedAt = now;
         const { revision, deletes } = changes;
         if (revision <= position.revision) {
@@ -154,7 +172,12 @@
         }
         // Messages overlap; parsing known entries again would take processor time for each message of each relay.
         const puts = changes.puts.filter(({ modRevision }) => modRevision > position.revision);
-        return { kind: "event", event: { kind: "changes", revision, puts, deletes } };
+        return { kind: "event", event: { kind: "changes", revision, puts, deletes, isRelayed: true } };
+    }
+
+    private confirm(at: number, now: number): void {
+        this.ageBefore = Math.max(0, now - this.confirmedAt);
+        this.confirmedAt = Math.max(this.confirmedAt, at);
     }
 
     /** True if this process is among the first live entry instances of its failure domain in the order of relays. */
--- a/src/serving/store-relay/tests/change-relay.test.ts
+++ b/src/serving/store-relay/tests/change-relay.test.ts
@@ -195,7 +195,7 @@
     t.is(follower.apply({ ...changes, era: 0 }, { era, revision: 11 }, 10).kind, "ignored");
     t.deepEqual(follower.apply(changes, { era, revision: 11 }, 10), {
         kind: "event",
-        event: { kind: "changes", revision: 12, puts: [], deletes: ["key"] },
+        event: { kind: "changes", revision: 12, puts: [], deletes: ["key"], isRelayed: true },
     });
     t.deepEqual(follower.apply(changes, { era, revision: 15 }, 10), {
         kind: "event",
