--- a/src/serving/store-relay/tests/change-relay.test.ts
+++ b/src/serving/store-relay/tests/change-relay.test.ts
@@ -23,8 +23,16 @@
     calls: number;
 }
 
+interface Sent {
+    readonly to: readonly string[];
+    readonly changes: RelayedChanges;
+}
+
 class SimulatedEntry {
     public isDead = false;
+    /** Time after which a response is handled; the other calls wait meanwhile. */
+    public lateMilliseconds = 0;
+    private pending: { readonly at: number; readonly finish: (now: number) => Sent } | undefined;
     public readonly known = new Map<string, number>();
     public position = 0;
     private readonly relay: ChangeRelay;
@@ -43,9 +51,15 @@
     }
 
     /** Calls the store if a call is due; returns what this process passes on, and to whom. */
-    public step(
-        now: number,
-    ): { readonly to: readonly string[]; readonly changes: RelayedChanges } | undefined {
+    public step(now: number): Sent | undefined {
+        const { pending } = this;
+        if (pending !== undefined) {
+            if (this.isDead || now < pending.at) {
+                return undefined;
+            }
+            this.pending = undefined;
+            return pending.finish(now);
+        }
         if (this.isDead || now < this.relay.pollDueAt(now)) {
             return undefined;
         }
@@ -63,9 +77,21 @@
             puts.length === 0
                 ? { kind: "progress", revision }
                 : { kind: "changes", revision, puts, deletes: [] };
-        const changes = this.relay.recordResponse({ era, revision: this.position }, event, now);
-        this.applyEvent(event);
-        return { to: this.relay.receivers(now), changes };
+        const after = { era, revision: this.position };
+        const finish = (at: number): Sent => {
+            const changes = this.relay.recordResponse(after, event, at);
+            this.applyEvent(event);
+            return { to: this.relay.receivers(at), changes };
+        };
+        if (this.lateMilliseconds === 0) {
+            return finish(now);
+        }
+        this.pending = { at: now + this.lateMilliseconds, finish };
+        return undefined;
+    }
+
+    public isRelay(now: number): boolean {
+        return this.relay.receivers(now).length > 0;
     }
 
     public receive(changes: RelayedChanges, now: number): void {
@@ -127,7 +153,8 @@
                     queue.push({ at: now + networkMilliseconds, to, changes: sent!.changes });
                 }
             }
-            const oldestMissed = store.isDown ? undefined : writtenAt[entry.position + 1];
+            const isDisturbed = store.isDown || entry.lateMilliseconds > 0;
+            const oldestMissed = isDisturbed ? undefined : writtenAt[entry.position + 1];
             worstAge = Math.max(worstAge, oldestMissed === undefined ? 0 : now - oldestMissed);
         }
     }
@@ -157,6 +184,23 @@
     t.true(worstAge <= timing.maximumStateAgeMilliseconds + toleranceMilliseconds, `${worstAge} ms`);
 });
 
+test("responses that relays handle late confirm no state older than the bound", t => {
+    for (const lateMilliseconds of [600, 1_200, 2_400]) {
+        const delayRelays = (entries: readonly SimulatedEntry[], _: Simulation, now: number): void => {
+            if (now === 2_000) {
+                entries
+                    .filter(each => each.isRelay(now))
+                    .forEach(each => (each.lateMilliseconds = lateMilliseconds));
+            }
+        };
+        const { worstAge } = run({ entries: 23, until: 20_000, onStep: delayRelays });
+        t.true(
+            worstAge <= timing.maximumStateAgeMilliseconds + toleranceMilliseconds,
+            `${worstAge} ms old with responses handled ${lateMilliseconds} ms late`,
+        );
+    }
+});
+
 test("after an outage of the store every process catches up within the bound", t => {
     const downUntil = 12_000;
     let positionsAtReturn: readonly number[] = [];
