Apply relayed changes while a process waits for the store, and keep its position while the store does not answer

Callers of a process could be served by an old configuration although its relays had the new one: while the process waited for its own call to the store (up to 0.6 of the tolerance, and 0.4 s until the call counts as lost), it discarded the messages of relays. After a call without an answer the watch ended, unless a relay had been heard within the maximum age just before, and the messages were discarded until a read of all keys succeeded.

A watch now takes relayed changes at any time, and a response that they cover only confirms the position. In deployments with relays, a call without an answer is repeated from the same position, and recorded as a fault of the store as before; a response that states a gap still leads to a read. A relay that cannot reach the store follows the other one.

--- a/src/contracts/key-value-stores.ts
+++ b/src/contracts/key-value-stores.ts
@@ -67,7 +67,7 @@
           /** True if another process read the changes from the store. */
           readonly isRelayed?: boolean;
       }
-    | { readonly kind: "progress"; readonly revision: number }
+    | { readonly kind: "progress"; readonly revision: number; readonly isRelayed?: boolean }
     | { readonly kind: "gap"; readonly fault: Fault };
 
 /** Priority of a call for the client-side rate budget, from the highest to the lowest. */
--- a/src/daemons/serving/relayed-watch-feed.ts
+++ b/src/daemons/serving/relayed-watch-feed.ts
@@ -1,28 +1,28 @@
 /** Paces the watch of the store by a change relay, and passes the store's responses on to other entry instances. */
 import type { Clock } from "../../contracts/clocks.js";
 import type { StorePosition } from "../../contracts/key-value-stores.js";
+import type { Fault } from "../../core/errors.js";
 import type { RelayedChanges, StateAge } from "../../serving/store-relay/change-relay.js";
 import { ChangeRelay } from "../../serving/store-relay/change-relay.js";
 import type { ChangeRelayOptions } from "../../serving/store-relay/change-relay.js";
-import type { FeedStep, ProgressEvent, WatchFeed } from "../../serving/store-relay/watch-feed.js";
+import type { FedWatch, ProgressEvent, WatchFeed } from "../../serving/store-relay/watch-feed.js";
 
 export interface RelayedWatchFeedOptions extends ChangeRelayOptions {
     readonly clock: Clock;
     readonly send: (receivers: readonly string[], changes: RelayedChanges) => void;
+    /** Called when a call of this process failed after which its watch keeps its position. */
+    readonly onFault: (fault: Fault) => void;
     /** Called when a relay states that it could not reach the store at `at`, in local monotonic milliseconds. */
     readonly onRelayFault: (at: number) => void;
     /** Called with each step of the watch. */
-    readonly onStep: (step: FeedStep["kind"]) => void;
-}
-
-interface WaitingWatch {
-    readonly position: StorePosition;
-    readonly resolve: (step: FeedStep) => void;
+    readonly onStep: (step: "poll" | "relayed") => void;
 }
 
 export class RelayedWatchFeed implements WatchFeed {
     private readonly relay: ChangeRelay;
-    private waiting: WaitingWatch | undefined;
+    private watch: FedWatch | undefined;
+    /** Starts the next call of the watch; undefined while the store has not answered the latest one. */
+    private startCall: ((waitMilliseconds: number) => void) | undefined;
     private timer: NodeJS.Timeout | undefined;
 
     private constructor(private readonly options: RelayedWatchFeedOptions) {
@@ -33,12 +33,22 @@
         return new RelayedWatchFeed(options);
     }
 
-    public next(position: StorePosition, isNew: boolean): Promise<FeedStep> {
-        if (isNew) {
-            this.relay.begin(this.now());
-        }
+    public begin(watch: FedWatch): () => void {
+        this.relay.begin(this.now());
+        this.watch = watch;
+        this.startCall = undefined;
+        return () => {
+            if (this.watch === watch) {
+                this.watch = undefined;
+                this.startCall = undefined;
+                clearTimeout(this.timer);
+            }
+        };
+    }
+
+    public nextCall(): Promise<number> {
         return new Promise(resolve => {
-            this.waiting = { position, resolve };
+            this.startCall = resolve;
             this.schedule();
         });
     }
@@ -52,12 +62,13 @@
         }
     }
 
-    public recordFault(): void {
+    public recordFault(fault: Fault, isUnanswered: boolean): boolean {
         this.relay.recordFault(this.now());
-    }
-
-    public get continuesAfterFault(): boolean {
-        return this.relay.followsRelays(this.now());
+        const isKept = isUnanswered && this.options.timing().isRelayed;
+        if (isKept) {
+            this.options.onFault(fault);
+        }
+        return isKept;
     }
 
     public get stateAge(): StateAge {
@@ -74,38 +85,39 @@
         if (changes.faultAge !== undefined) {
             this.options.onRelayFault(now - changes.faultAge);
         }
-        const { waiting } = this;
-        if (waiting === undefined) {
+        const { watch } = this;
+        if (watch === undefined) {
             return;
         }
-        const outcome = this.relay.apply(changes, waiting.position, now);
+        const outcome = this.relay.apply(changes, watch.position(), now);
         if (outcome.kind === "poll") {
-            this.finish({ kind: "poll", waitMilliseconds: this.relay.pollWaitMilliseconds(now) });
+            this.call();
         } else if (outcome.kind === "event") {
-            this.finish({ kind: "relayed", event: outcome.event });
+            this.options.onStep("relayed");
+            watch.onRelayed(outcome.event);
         }
     }
 
-    /** Ends the wait of the watch at the time of its next call, which relayed changes put off. */
+    /** Makes the next call when it is due; relayed changes put it off meanwhile. */
     private schedule(): void {
         clearTimeout(this.timer);
         const now = this.now();
         const remaining = this.relay.pollDueAt(now) - now;
         if (remaining <= 0) {
-            this.finish({ kind: "poll", waitMilliseconds: this.relay.pollWaitMilliseconds(now) });
+            this.call();
             return;
         }
         this.timer = setTimeout(() => this.schedule(), remaining);
         this.timer.unref();
     }
 
-    private finish(step: FeedStep): void {
-        clearTimeout(this.timer);
-        const { waiting } = this;
-        this.waiting = undefined;
-        if (waiting !== undefined) {
-            this.options.onStep(step.kind);
-            waiting.resolve(step);
+    private call(): void {
+        const { startCall } = this;
+        if (startCall !== undefined) {
+            clearTimeout(this.timer);
+            this.startCall = undefined;
+            this.options.onStep("poll");
+            startCall(this.relay.pollWaitMilliseconds(this.now()));
         }
     }
 
--- a/src/daemons/serving/serving-follower.ts
+++ b/src/daemons/serving/serving-follower.ts
@@ -176,6 +176,12 @@
         }
     }
 
+    /** Records that a call to the store failed after which its watch keeps the position. */
+    public recordFault(fault: Fault): void {
+        this.recordStoreState(allKeysPrefix, fault);
+        this.fleet.recordFault(this.now());
+    }
+
     public close(): void {
         this.prefixFollower.close();
     }
@@ -206,15 +212,15 @@
                 this.position = { era: response.era, revision: response.revision };
             },
             onWatch: event => this.applyWatch(event),
-            onFault: fault => {
-                this.recordStoreState(allKeysPrefix, fault);
-                this.fleet.recordFault(this.now());
-            },
+            onFault: fault => this.recordFault(fault),
         });
     }
 
     private applyWatch(event: WatchEvent): void {
         const { configurationKey, instancePrefix, peerPrefix } = this.options;
+        if (event.kind !== "gap" && event.isRelayed !== true) {
+            this.recordStoreState(allKeysPrefix, undefined);
+        }
         if (event.kind !== "gap") {
             const { puts, deletes } = event.kind === "changes" ? event : { puts: [], deletes: [] };
             const position = { era: this.position?.era, revision: event.revision };
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -337,6 +337,7 @@
             clock,
             timing: () => this.peers.timing,
             send: (receivers, changes) => this.peers.sendChanges(receivers, changes),
+            onFault: fault => this.follower.recordFault(fault),
             onRelayFault: at => this.follower.fleetFollower.recordFault(at),
             onStep: step => this.metrics.watchSteps.inc({ step }),
         });
--- a/src/serving/store-relay/change-relay.ts
+++ b/src/serving/store-relay/change-relay.ts
@@ -77,8 +77,6 @@
     /** Time of the next call of a process that watches the store itself, and the earliest one of the others. */
     private nextPollAt = Number.NEGATIVE_INFINITY;
     private faultAt = Number.NEGATIVE_INFINITY;
-    /** Time of the last message from a relay that confirmed the position. */
-    private relayedAt = Number.NEGATIVE_INFINITY;
 
     private constructor(private readonly options: ChangeRelayOptions) {}
 
@@ -112,7 +110,9 @@
     public pollDueAt(now: number): number {
         const { isRelayed, maximumStateAgeMilliseconds } = this.options.timing();
         const watchesItself = !isRelayed || this.isRelay(now);
-        return watchesItself ? this.nextPollAt : this.confirmedAt + maximumStateAgeMilliseconds;
+        return watchesItself
+            ? this.nextPollAt
+            : Math.max(this.nextPollAt, this.confirmedAt + maximumStateAgeMilliseconds);
     }
 
     /** Returns for how long the next call to the store may wait for changes, in milliseconds. */
@@ -141,21 +141,13 @@
     public recordFault(at: number): void {
         this.faultAt = Math.max(this.faultAt, at);
         this.nextPollAt = Math.max(this.nextPollAt, at + retryMilliseconds);
-        if (this.followsRelays(at)) {
-            // The next call is due when the state is too old again, or a message shows that changes are missing.
-            this.confirm(this.relayedAt, at);
-        }
-    }
-
-    /** True if a relay has confirmed the position so recently that a failed call to the store does not matter. */
-    public followsRelays(now: number): boolean {
-        const { isRelayed, maximumStateAgeMilliseconds } = this.options.timing();
-        return isRelayed && !this.isRelay(now) && now - this.relayedAt < maximumStateAgeMilliseconds;
     }
 
     /** Applies changes from a relay to a watch that knows all changes up to `position`. */
     public apply(changes: RelayedChanges, position: StorePosition, now: number): RelayedOutcome {
-        if (!this.options.timing().isRelayed || this.isRelay(now)) {
+        // A relay follows the other one while it cannot reach the store.
+        const hasOwnResponse = this.isRelay(now) && this.faultAt <= this.respondedAt;
+        if (!this.options.timing().isRelayed || hasOwnResponse) {
             return { kind: "ignored" };
         }
         const isOtherEra = changes.era !== position.era;
@@ -165,10 +157,12 @@
             return isOlder || now < this.nextPollAt ? { kind: "ignored" } : { kind: "poll" };
         }
         this.confirm(now, now);
-        this.relayedAt = now;
         const { revision, deletes } = changes;
         if (revision <= position.revision) {
-            return { kind: "event", event: { kind: "progress", revision: position.revision } };
+            return {
+                kind: "event",
+                event: { kind: "progress", revision: position.revision, isRelayed: true },
+            };
         }
         // Messages overlap; parsing known entries again would take processor time for each message of each relay.
         const puts = changes.puts.filter(({ modRevision }) => modRevision > position.revision);
--- a/src/serving/store-relay/watch-feed.ts
+++ b/src/serving/store-relay/watch-feed.ts
@@ -1,25 +1,31 @@
 /** When a watch of the store makes its next call, and changes that another process has read from the store instead. */
+import type { Fault } from "../../core/errors.js";
 import type { StorePosition, WatchEvent } from "../../contracts/key-value-stores.js";
 
 /** An event of a watch that leaves its position intact. */
 export type ProgressEvent = Exclude<WatchEvent, { readonly kind: "gap" }>;
 
-export type FeedStep =
-    /** Call the store, which may wait for changes for the given time. */
-    | { readonly kind: "poll"; readonly waitMilliseconds: number }
-    /** The event continues from the watch's position. */
-    | { readonly kind: "relayed"; readonly event: ProgressEvent };
+/** A watch as its feed sees it. */
+export interface FedWatch {
+    /** Position up to which the watch knows all changes. */
+    readonly position: () => StorePosition;
+    /** Called with an event that continues from the position, also while the watch waits for the store. */
+    readonly onRelayed: (event: ProgressEvent) => void;
+}
 
-/** Paces one watch at a time; the latest one that called `next` is the current one. */
+/** Paces one watch at a time. */
 export interface WatchFeed {
-    /** Resolves to the next step of a watch that knows all changes up to `position`; `isNew` for its first step. */
-    readonly next: (position: StorePosition, isNew: boolean) => Promise<FeedStep>;
-    /** Records the response to a call that continued from `after`. */
+    /** Begins to feed a watch, in the place of the one before; returns a function that ends it. */
+    readonly begin: (watch: FedWatch) => () => void;
+    /** Resolves when the watch is to call the store; the value is how long the store may wait for changes, in milliseconds. */
+    readonly nextCall: () => Promise<number>;
+    /** Records the response to the latest call, which continued from `after`. */
     readonly recordResponse: (after: StorePosition, event: ProgressEvent) => void;
-    /** Records a failed call. */
-    readonly recordFault: () => void;
-    /** True if the watch keeps its position after a call that the store did not answer, since relays confirm it. */
-    readonly continuesAfterFault: boolean;
+    /**
+     * Records that the latest call failed. Returns true if the watch is to keep its position; `isUnanswered` if the store may
+     * still have the history that follows it.
+     */
+    readonly recordFault: (fault: Fault, isUnanswered: boolean) => boolean;
 }
 
 /** A feed without relayed changes: a call at once, then one after each pause. */
@@ -27,18 +33,23 @@
     pauseMilliseconds: () => number,
     waitMilliseconds: () => number,
 ): WatchFeed {
+    let isNew = true;
     return {
-        next: (_, isNew) =>
+        begin: () => {
+            isNew = true;
+            return () => undefined;
+        },
+        nextCall: () =>
             new Promise(resolve => {
-                const poll = (): void => resolve({ kind: "poll", waitMilliseconds: waitMilliseconds() });
+                const call = (): void => resolve(waitMilliseconds());
                 if (isNew) {
-                    poll();
+                    isNew = false;
+                    call();
                 } else {
-                    setTimeout(poll, pauseMilliseconds()).unref();
+                    setTimeout(call, pauseMilliseconds()).unref();
                 }
             }),
         recordResponse: () => undefined,
-        recordFault: () => undefined,
-        continuesAfterFault: false,
+        recordFault: () => false,
     };
 }
