Count the age of relayed state from what its receiver had sent before the call

Cause: a process counted the age of its state from the arrival of a relay's message. A read of all keys counted from its end in the same way.

Change: a message names the last datagram of its receiver that had arrived before the relay called the store, and the receiver counts from the time at which it sent it, by its own clock. Whatever stands still, is suspended or holds a message up makes the proved time older, never newer. Receivers answer each message with a short datagram, so that the next one proves a recent time. Calls of relays and their followers no longer wait at the store, since a response to a call that waits proves no more than its start; relays call as often as before. A process calls once after a read of all keys. Earlier versions ignore the field; their messages bring changes and prove no time.

In change-relay.test.ts the simulation sends marks and hands over the proved time; the tests of apply, and the one of a process that is turned away, state it as well.

--- a/src/daemons/serving/entry-peers.ts
+++ b/src/daemons/serving/entry-peers.ts
@@ -13,7 +13,7 @@
 import type { GroupLoad, InFlightRequests } from "../../serving/in-flight-requests.js";
 import type { LeavingInstance } from "../../serving/leaving-instances.js";
 import type { Suspicion } from "../../serving/stalled-group-detector.js";
-import type { LoadNewsMessage, PeerMessage, PermitMessage } from "../../serving/peer-link.js";
+import type { ChangesMessage, LoadNewsMessage, PeerMessage, PermitMessage } from "../../serving/peer-link.js";
 import { PeerLink } from "../../serving/peer-link.js";
 import type { WorkAnnouncement } from "../../serving/placement/arrived-work.js";
 import type { RunningConversion } from "../../serving/placement/conversion-plan.js";
@@ -23,7 +23,7 @@
 import type { LoadChange } from "../../serving/routing/load-news.js";
 import { LoadNews } from "../../serving/routing/load-news.js";
 import type { ServingSettings } from "../../serving/serving-settings.js";
-import type { RelayedChanges } from "../../serving/store-relay/change-relay.js";
+import type { ReceivedMark, RelayedChanges } from "../../serving/store-relay/change-relay.js";
 import type { Peer } from "./serving-follower.js";
 
 /** Random variation of the interval between datagrams, as a fraction of the interval. */
@@ -104,9 +104,10 @@
         expiresAt: number,
     ) => void;
     readonly onPermitMessage: (from: string, message: PermitMessage) => void;
-    /** Called with each entry instance of the own failure domain that accepts relayed changes of the store. */
-    readonly onReceiver: (name: string) => void;
-    readonly onChanges: (changes: RelayedChanges) => void;
+    /** Called with each datagram of an entry instance of the own failure domain that accepts relayed changes of the store. */
+    readonly onReceiver: (name: string, mark: ReceivedMark) => void;
+    /** `knownAt`: local monotonic milliseconds up to which the changes hold all changes; undefined if that is not known. */
+    readonly onChanges: (changes: RelayedChanges, knownAt: number | undefined) => void;
     /** Called with the number of datagrams that news of loads took. */
     readonly onNewsSent: (datagrams: number) => void;
     readonly log: PartLogger;
@@ -141,13 +142,15 @@
         this.startedAt = clock.monotonicMilliseconds();
         this.shares = EntryShares.create(settings.name);
         this.link = PeerLink.create({
+            clock,
             address: settings.peerAddress,
             name: settings.name,
             incarnation,
             onMessage: message => this.handle(message),
             onNews: (from, loads) => this.handleNews(from, loads),
             onPermitMessage: (from, message) => this.handlePermitMessage(from, message),
-            onChanges: (from, changes) => this.handleChanges(from, changes),
+            onMark: (from, mark) => this.handleReceiver(from, mark),
+            onChanges: (from, message) => this.handleChanges(from, message),
             log,
         });
     }
@@ -390,23 +393,38 @@
             message.sharing,
             this.now() + this.timing.peerExpiryMilliseconds,
         );
-        if (message.acceptsChanges && this.isNear(from)) {
-            this.options.onReceiver(from);
+        if (message.acceptsChanges) {
+            this.handleReceiver(from, message);
         }
     }
 
-    /** Passes changes of the store on to entry instances of the own failure domain. */
-    public sendChanges(names: readonly string[], changes: RelayedChanges): void {
+    private handleReceiver(from: string, { incarnation, sequence }: ReceivedMark): void {
+        if (this.isNear(from)) {
+            this.options.onReceiver(from, { incarnation, sequence });
+        }
+    }
+
+    /** Passes changes of the store on to entry instances of the own failure domain, each with its latest mark. */
+    public sendChanges(
+        names: readonly string[],
+        changes: RelayedChanges,
+        marks: ReadonlyMap<string, ReceivedMark>,
+    ): void {
         const receivers = this.registered.filter(peer => names.includes(peer.name));
         this.link.sendChanges(
-            receivers.map(peer => peer.address),
+            receivers.map(({ name, address }) => ({ address, mark: marks.get(name) })),
             changes,
         );
     }
 
-    private handleChanges(from: string, changes: RelayedChanges): void {
-        if (this.isNear(from)) {
-            this.options.onChanges(changes);
+    private handleChanges(from: string, { changes, knownAt, readsMarks }: ChangesMessage): void {
+        const sender = this.registered.find(peer => peer.name === from && this.isInOwnDomain(peer));
+        if (sender === undefined) {
+            return;
+        }
+        this.options.onChanges(changes, knownAt);
+        if (readsMarks) {
+            this.link.sendMark(sender.address);
         }
     }
 
--- a/src/daemons/serving/relayed-watch-feed.ts
+++ b/src/daemons/serving/relayed-watch-feed.ts
@@ -2,14 +2,18 @@
 import type { Clock } from "../../contracts/clocks.js";
 import type { StorePosition } from "../../contracts/key-value-stores.js";
 import type { Fault } from "../../core/errors.js";
-import type { RelayedChanges, StateAge } from "../../serving/store-relay/change-relay.js";
+import type { ReceivedMark, RelayedChanges, StateAge } from "../../serving/store-relay/change-relay.js";
 import { ChangeRelay } from "../../serving/store-relay/change-relay.js";
 import type { ChangeRelayOptions } from "../../serving/store-relay/change-relay.js";
 import type { FedWatch, ProgressEvent, WatchFeed } from "../../serving/store-relay/watch-feed.js";
 
 export interface RelayedWatchFeedOptions extends ChangeRelayOptions {
     readonly clock: Clock;
-    readonly send: (receivers: readonly string[], changes: RelayedChanges) => void;
+    readonly send: (
+        receivers: readonly string[],
+        changes: RelayedChanges,
+        marks: ReadonlyMap<string, ReceivedMark>,
+    ) => void;
     /** Called when a call of this process failed after which its watch keeps its position. */
     readonly onFault: (fault: Fault) => void;
     /** Called when a relay states that it could not reach the store at `at`, in local monotonic milliseconds. */
@@ -55,10 +59,10 @@
 
     public recordResponse(after: StorePosition, event: ProgressEvent): void {
         const now = this.now();
-        const changes = this.relay.recordResponse(after, event, now);
+        const { changes, marks } = this.relay.recordResponse(after, event, now);
         const receivers = this.relay.receivers(now);
         if (receivers.length > 0) {
-            this.options.send(receivers, changes);
+            this.options.send(receivers, changes, marks);
         }
     }
 
@@ -75,12 +79,16 @@
         return this.relay.stateAge(this.now());
     }
 
-    /** Records an entry instance of the same failure domain that accepts relayed changes. */
-    public recordPeer(name: string): void {
-        this.relay.recordPeer(name, this.now());
+    /** Records an entry instance of the same failure domain that accepts relayed changes, and its latest datagram. */
+    public recordPeer(name: string, mark: ReceivedMark): void {
+        this.relay.recordPeer(name, mark, this.now());
     }
 
-    public handleChanges(changes: RelayedChanges): void {
+    /**
+     * Applies changes from a relay. `knownAt`: a time, in local monotonic milliseconds, up to which they hold all changes;
+     * undefined if none is proved.
+     */
+    public handleChanges(changes: RelayedChanges, knownAt: number | undefined): void {
         const now = this.now();
         if (changes.faultAge !== undefined) {
             this.options.onRelayFault(now - changes.faultAge);
@@ -89,7 +97,7 @@
         if (watch === undefined) {
             return;
         }
-        const outcome = this.relay.apply(changes, watch.position(), now);
+        const outcome = this.relay.apply(changes, knownAt, watch.position(), now);
         if (outcome.kind === "poll") {
             this.call();
         } else if (outcome.kind === "event") {
@@ -117,7 +125,7 @@
             clearTimeout(this.timer);
             this.startCall = undefined;
             this.options.onStep("poll");
-            startCall(this.relay.pollWaitMilliseconds(this.now()));
+            startCall(this.relay.beginCall(this.now()));
         }
     }
 
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -261,8 +261,8 @@
             onConversions: (from, conversions, expiresAt) =>
                 this.announcedConversions.apply(from, conversions, expiresAt),
             onPermitMessage: (from, message) => this.permits.handleMessage(from, message),
-            onReceiver: peer => this.watchFeed.recordPeer(peer),
-            onChanges: changes => this.watchFeed.handleChanges(changes),
+            onReceiver: (peer, mark) => this.watchFeed.recordPeer(peer, mark),
+            onChanges: (changes, knownAt) => this.watchFeed.handleChanges(changes, knownAt),
             onNewsSent: datagrams => this.metrics.loadNews.inc(datagrams),
             log: logs("peer"),
         });
@@ -336,7 +336,7 @@
             name: settings.name,
             clock,
             timing: () => this.peers.timing,
-            send: (receivers, changes) => this.peers.sendChanges(receivers, changes),
+            send: (receivers, changes, marks) => this.peers.sendChanges(receivers, changes, marks),
             onFault: fault => this.follower.recordFault(fault),
             onRelayFault: at => this.follower.fleetFollower.recordFault(at),
             onStep: step => this.metrics.watchSteps.inc({ step }),
--- a/src/serving/peer-link.ts
+++ b/src/serving/peer-link.ts
@@ -11,6 +11,7 @@
 import type { PartLogger } from "../links/logs.js";
 import type { ColdAnnouncement } from "./availability/cold-replicas.js";
 import type { EvacuationStatement } from "./availability/evacuations.js";
+import type { Clock } from "../contracts/clocks.js";
 import { systemClock } from "../links/system-clock.js";
 import type { CrashEvidence } from "./crash-attribution.js";
 import type { EngineLoad } from "./engine-model.js";
@@ -23,8 +24,14 @@
 import type { LimitAnnouncement } from "./rate-limits.js";
 import type { LeavingInstance } from "./leaving-instances.js";
 import type { Suspicion } from "./stalled-group-detector.js";
-import type { RelayedChanges } from "./store-relay/change-relay.js";
-import { decodeChanges, encodeChanges, relayDatagramSchema } from "./store-relay/relay-datagram.js";
+import type { ReceivedMark, RelayedChanges } from "./store-relay/change-relay.js";
+import {
+    decodeChanges,
+    encodeChanges,
+    markDatagramSchema,
+    relayDatagramSchema,
+} from "./store-relay/relay-datagram.js";
+import { SentMarks } from "./store-relay/sent-marks.js";
 
 /** Senders whose last sequence is known; the one heard of first is forgotten for a further one. */
 const maximumSenders = 4_096;
@@ -132,6 +139,7 @@
 export interface PeerMessage {
     readonly from: string;
     readonly incarnation: string;
+    readonly sequence: number;
     readonly loads: readonly GroupLoad[];
     readonly suspicions: readonly Suspicion[];
     readonly groups: readonly GroupAnnouncement[];
@@ -168,15 +176,38 @@
     readonly plain: readonly (readonly [string, number])[];
 }
 
+/** Changes of the store that an entry instance passes on. */
+export interface ChangesMessage {
+    readonly changes: RelayedChanges;
+    /**
+     * Local monotonic milliseconds at which this process sent its latest datagram that had reached the sender before it called
+     * the store; undefined if that is not known.
+     */
+    readonly knownAt: number | undefined;
+    /** True if the sender reads marks. */
+    readonly readsMarks: boolean;
+}
+
+/** Receiver of changes of the store. */
+export interface ChangesReceiver {
+    /** Host and port. */
+    readonly address: string;
+    /** Its latest datagram that had arrived before the call to the store. */
+    readonly mark: ReceivedMark | undefined;
+}
+
 export interface PeerLinkOptions {
+    readonly clock: Clock;
     readonly address: string;
     readonly name: string;
     readonly incarnation: string;
     readonly onMessage: (message: PeerMessage) => void;
     readonly onNews: (from: string, news: LoadNewsMessage) => void;
     readonly onPermitMessage: (from: string, message: PermitMessage) => void;
+    /** Called with a datagram that only states that its sender is there. */
+    readonly onMark: (from: string, mark: ReceivedMark) => void;
     /** Called with changes of the store that an entry instance passes on. */
-    readonly onChanges: (from: string, changes: RelayedChanges) => void;
+    readonly onChanges: (from: string, message: ChangesMessage) => void;
     readonly log: PartLogger;
 }
 
@@ -185,6 +216,7 @@
     private near: readonly string[] = [];
     private far: readonly string[] = [];
     private sequence = 0;
+    private readonly sentMarks = SentMarks.create();
     private readonly lastSequences = new Map<string, number>();
     private readonly limit = DatagramLimit.create(systemClock.monotonicMilliseconds());
 
@@ -208,8 +240,12 @@
         this.far = far;
     }
 
-    public send(state: Omit<PeerMessage, "from" | "incarnation" | "readsNews">, alsoFar: boolean): void {
+    public send(
+        state: Omit<PeerMessage, "from" | "incarnation" | "sequence" | "readsNews">,
+        alsoFar: boolean,
+    ): void {
         this.sequence += 1;
+        this.sentMarks.record(this.sequence, this.options.clock.monotonicMilliseconds());
         const text = JSON.stringify({
             from: this.options.name,
             incarnation: this.options.incarnation,
@@ -286,10 +322,22 @@
         this.sendText(address, JSON.stringify({ from: this.options.name, permit }));
     }
 
-    /** Passes changes of the store on to the entry instances at the given addresses (host and port). */
-    public sendChanges(addresses: readonly string[], changes: RelayedChanges): void {
-        const text = JSON.stringify({ from: this.options.name, changes: encodeChanges(changes) });
-        addresses.forEach(address => this.sendText(address, text));
+    /** Passes changes of the store on to other entry instances. */
+    public sendChanges(receivers: readonly ChangesReceiver[], changes: RelayedChanges): void {
+        const from = JSON.stringify(this.options.name);
+        const encoded = JSON.stringify(encodeChanges(changes));
+        for (const { address, mark } of receivers) {
+            const heard = JSON.stringify(mark === undefined ? null : [mark.incarnation, mark.sequence]);
+            this.sendText(address, `{"from":${from},"heard":${heard},"changes":${encoded}}`);
+        }
+    }
+
+    /** Sends a datagram to a relay for it to name in its next message. */
+    public sendMark(address: string): void {
+        this.sequence += 1;
+        const { clock, name: from, incarnation } = this.options;
+        this.sentMarks.record(this.sequence, clock.monotonicMilliseconds());
+        this.sendText(address, JSON.stringify({ from, incarnation, sequence: this.sequence, mark: true }));
     }
 
     private sendText(peer: string, text: string): void {
@@ -325,6 +373,10 @@
             this.receiveNews(json);
             return;
         }
+        if (typeof json === "object" && json !== null && "mark" in json) {
+            this.receiveMark(json);
+            return;
+        }
         const parsed = messageSchema.safeParse(json);
         if (!parsed.success) {
             this.logUnreadable("dropped an unreadable datagram from a peer", parsed.error);
@@ -340,6 +392,7 @@
         this.options.onMessage({
             from,
             incarnation,
+            sequence: parsed.data.sequence,
             loads: loads.map(([group, urgent, all]) => {
                 const [, urgentOutput, allOutput] = outputsByGroup.get(group) ?? [group, noOutput, noOutput];
                 return {
@@ -397,7 +450,12 @@
     private receiveChanges(json: object): void {
         const parsed = relayDatagramSchema.safeParse(json);
         if (parsed.success) {
-            this.options.onChanges(parsed.data.from, decodeChanges(parsed.data.changes));
+            const { from, changes, heard } = parsed.data;
+            this.options.onChanges(from, {
+                changes: decodeChanges(changes),
+                knownAt: this.timeOfMark(heard ?? undefined),
+                readsMarks: heard !== undefined,
+            });
         } else {
             this.options.log.warn("dropped unreadable changes of the store from a peer", {
                 reason: parsed.error.issues[0]?.message,
@@ -405,6 +463,21 @@
         }
     }
 
+    private timeOfMark(heard: readonly [string, number] | undefined): number | undefined {
+        const isOfThisStart = heard !== undefined && heard[0] === this.options.incarnation;
+        return isOfThisStart ? this.sentMarks.timeOf(heard[1]) : undefined;
+    }
+
+    private receiveMark(json: object): void {
+        const parsed = markDatagramSchema.safeParse(json);
+        if (!parsed.success) {
+            this.logUnreadable("dropped an unreadable datagram of a receiver of changes", parsed.error);
+        } else if (this.isNewest(parsed.data)) {
+            const { from, incarnation, sequence } = parsed.data;
+            this.options.onMark(from, { incarnation, sequence });
+        }
+    }
+
     private receiveNews(json: object): void {
         const parsed = newsSchema.safeParse(json);
         if (!parsed.success) {
--- a/src/serving/store-relay/change-relay.ts
+++ b/src/serving/store-relay/change-relay.ts
@@ -1,8 +1,12 @@
 /**
  * Decides which entry instances of a failure domain watch the store, and how the others follow what these read. Covers
  * deployments of many entry instances, whose watches would make up most of the calls to the store: two relays for each
- * failure domain watch it and pass each response on. A process that hears of no relay, or of one that has missed changes or
+ * failure domain call it and pass each response on. A process that hears of no relay, or of one that has missed changes or
  * knows another era of the store, calls the store itself, so that its state is never older than with a watch of its own.
+ *
+ * A relay, or the network, may delay a message by any time, and clocks of different processes cannot be compared. A message
+ * therefore names the latest datagram of its receiver that had reached the relay before it called the store: the response
+ * holds all changes up to the time at which the receiver sent that datagram, by the receiver's own clock.
  */
 import type { StorePosition } from "../../contracts/key-value-stores.js";
 import { hashIdentity } from "../../core/identity-hashes.js";
@@ -19,9 +23,9 @@
     readonly isRelayed: boolean;
     /** Pause between two watch calls of a process that does not follow a relay. */
     readonly watchPauseMilliseconds: number;
-    /** Maximum wait of one watch call at the store, without relays. */
+    /** Maximum wait of one watch call at the store, without relays; with relays, calls do not wait. */
     readonly watchTimeoutMilliseconds: number;
-    /** Pause between two watch calls of a relay, and the maximum wait of each. */
+    /** Time between two calls of a relay. */
     readonly relayPauseMilliseconds: number;
     /** Maximum age of the state of a process that follows relays. */
     readonly maximumStateAgeMilliseconds: number;
@@ -36,6 +40,19 @@
     readonly faultAge: number | undefined;
 }
 
+/** A datagram of an entry instance that has arrived, by the start of its sender and its number there. */
+export interface ReceivedMark {
+    readonly incarnation: string;
+    readonly sequence: number;
+}
+
+/** A response of the store as a relay passes it on. */
+export interface RelayedResponse {
+    readonly changes: RelayedChanges;
+    /** The latest datagram of each entry instance that had arrived before the call. */
+    readonly marks: ReadonlyMap<string, ReceivedMark>;
+}
+
 /** What a process does with relayed changes. "poll": only the store can tell what follows. */
 export type RelayedOutcome =
     | { readonly kind: "ignored" }
@@ -69,7 +86,13 @@
     /** Position of each entry instance among the relays, as a hash of its name. */
     private readonly orders = new Map<string, string>();
     private readonly recent = RecentChanges.create();
-    /** Time at which the present position was last known to be the store's newest one. */
+    /** Latest datagram of each of them. */
+    private readonly marks = new Map<string, ReceivedMark>();
+    private latestCall: { readonly startedAt: number; readonly marks: ReadonlyMap<string, ReceivedMark> } = {
+        startedAt: Number.NEGATIVE_INFINITY,
+        marks: new Map(),
+    };
+    /** Latest time up to which the present position is known to hold all changes of the store. */
     private confirmedAt = Number.NEGATIVE_INFINITY;
     private ageBefore = 0;
     /** Time of the last response of the store to this process. */
@@ -89,8 +112,9 @@
     }
 
     /** Records an entry instance of the same failure domain that accepts relayed changes. */
-    public recordPeer(name: string, now: number): void {
+    public recordPeer(name: string, mark: ReceivedMark, now: number): void {
         this.heardAt.set(name, now);
+        this.marks.set(name, mark);
     }
 
     /** Names of the entry instances to which this process passes changes on; none unless it is a relay. */
@@ -98,14 +122,21 @@
         return this.options.timing().isRelayed && this.isRelay(now) ? this.livePeers(now) : [];
     }
 
-    /** Begins a watch at a position that was just read from the store. */
+    /** Begins a watch at a position whose age is not known, and calls the store at once. */
     public begin(now: number): void {
         this.recent.clear();
-        this.confirm(now, now);
-        this.respondedAt = now;
+        this.confirmedAt = Number.NEGATIVE_INFINITY;
         this.nextPollAt = now;
     }
 
+    /** Records that a call to the store begins; returns for how long it may wait for changes, in milliseconds. */
+    public beginCall(now: number): number {
+        const { isRelayed, watchTimeoutMilliseconds } = this.options.timing();
+        this.latestCall = { startedAt: now, marks: new Map(this.marks) };
+        // The response to a call that waits may be as old as the call, however late it arrives.
+        return isRelayed ? 0 : watchTimeoutMilliseconds;
+    }
+
     /** Returns the time of the next call to the store. */
     public pollDueAt(now: number): number {
         const { isRelayed, maximumStateAgeMilliseconds } = this.options.timing();
@@ -115,26 +146,20 @@
             : Math.max(this.nextPollAt, this.confirmedAt + maximumStateAgeMilliseconds);
     }
 
-    /** Returns for how long the next call to the store may wait for changes, in milliseconds. */
-    public pollWaitMilliseconds(now: number): number {
-        const { isRelayed, relayPauseMilliseconds, watchTimeoutMilliseconds } = this.options.timing();
-        return isRelayed && this.isRelay(now) ? relayPauseMilliseconds : watchTimeoutMilliseconds;
-    }
-
-    /** Records a response of the store to a call that continued from `after`; returns what a relay passes on. */
-    public recordResponse(after: StorePosition, event: ProgressEvent, now: number): RelayedChanges {
+    /** Records the response to the latest call, which continued from `after`; returns what a relay passes on. */
+    public recordResponse(after: StorePosition, event: ProgressEvent, now: number): RelayedResponse {
         const { isRelayed, watchPauseMilliseconds, relayPauseMilliseconds } = this.options.timing();
-        const isWaitOver = isRelayed && event.kind === "progress";
-        const pause = isRelayed ? relayPauseMilliseconds : watchPauseMilliseconds;
-        this.confirm(now, now);
+        const { startedAt, marks } = this.latestCall;
+        this.confirm(startedAt, now);
         this.respondedAt = now;
-        this.nextPollAt = isWaitOver ? now : now + pause;
+        this.nextPollAt = isRelayed ? startedAt + relayPauseMilliseconds : now + watchPauseMilliseconds;
         const faultAge = now - this.faultAt;
-        return {
+        const changes = {
             ...this.recent.add(after.revision, event),
             era: after.era,
             faultAge: faultAge < announcedFaultMilliseconds ? faultAge : undefined,
         };
+        return { changes, marks };
     }
 
     /** Records that a call of this process to the store failed. */
@@ -143,8 +168,16 @@
         this.nextPollAt = Math.max(this.nextPollAt, at + retryMilliseconds);
     }
 
-    /** Applies changes from a relay to a watch that knows all changes up to `position`. */
-    public apply(changes: RelayedChanges, position: StorePosition, now: number): RelayedOutcome {
+    /**
+     * Applies changes from a relay to a watch that knows all changes up to `position`. `knownAt`: a time up to which they hold
+     * all changes; undefined if none is proved.
+     */
+    public apply(
+        changes: RelayedChanges,
+        knownAt: number | undefined,
+        position: StorePosition,
+        now: number,
+    ): RelayedOutcome {
         // A relay follows the other one while it cannot reach the store.
         const hasOwnResponse = this.isRelay(now) && this.faultAt <= this.respondedAt;
         if (!this.options.timing().isRelayed || hasOwnResponse) {
@@ -156,7 +189,7 @@
             // Both relays announce what no datagram can hold; one call covers it.
             return isOlder || now < this.nextPollAt ? { kind: "ignored" } : { kind: "poll" };
         }
-        this.confirm(now, now);
+        this.confirm(knownAt ?? Number.NEGATIVE_INFINITY, now);
         const { revision, deletes } = changes;
         if (revision <= position.revision) {
             return {
--- a/src/serving/store-relay/relay-datagram.ts
+++ b/src/serving/store-relay/relay-datagram.ts
@@ -12,7 +12,23 @@
     faultAge: z.number().nullable().default(null),
 });
 
-export const relayDatagramSchema = z.object({ from: z.string(), changes: changesSchema });
+export const relayDatagramSchema = z.object({
+    from: z.string(),
+    changes: changesSchema,
+    /**
+     * Start and number of the receiver's latest datagram that had arrived before the relay called the store; null if there was
+     * none, absent in messages of earlier versions.
+     */
+    heard: z.tuple([z.string(), z.number()]).nullable().optional(),
+});
+
+/** Datagram with which a receiver of changes states that it is there, for the relay to name in its next message. */
+export const markDatagramSchema = z.object({
+    from: z.string(),
+    incarnation: z.string(),
+    sequence: z.number(),
+    mark: z.literal(true),
+});
 
 export function encodeChanges(changes: RelayedChanges): z.infer<typeof changesSchema> {
     const { era, after, revision, puts, deletes, faultAge } = changes;
--- a/src/serving/store-relay/tests/change-relay.test.ts
+++ b/src/serving/store-relay/tests/change-relay.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import type { ProgressEvent } from "../watch-feed.js";
-import type { RelayedChanges, RelayTiming } from "../change-relay.js";
+import type { ReceivedMark, RelayedChanges, RelayedResponse, RelayTiming } from "../change-relay.js";
 import { ChangeRelay } from "../change-relay.js";
 
 const era = 1;
@@ -12,9 +12,12 @@
     maximumStateAgeMilliseconds: 1_950,
     peerExpiryMilliseconds: 1_500,
 };
+const mark: ReceivedMark = { incarnation: "start", sequence: 1 };
 /** Pause after a call that failed. */
 const retryMilliseconds = 300;
 const networkMilliseconds = 2;
+/** Interval of the datagrams that each entry instance sends in any case. */
+const peerIntervalMilliseconds = 330;
 const stepMilliseconds = 10;
 
 /** A key-value store whose revision rises by one with each write of a key, and entry instances that follow it. */
@@ -25,15 +28,16 @@
     calls: number;
 }
 
-interface Sent {
+interface Sent extends RelayedResponse {
     readonly to: readonly string[];
-    readonly changes: RelayedChanges;
 }
 
 class SimulatedEntry {
     public isDead = false;
     /** Time after which a response is handled; the other calls wait meanwhile. */
     public lateMilliseconds = 0;
+    /** Time of the latest datagram to the others, which is also its number. */
+    private markedAt = 0;
     private pending: { readonly at: number; readonly finish: (now: number) => Sent } | undefined;
     public readonly known = new Map<string, number>();
     public position = 0;
@@ -48,8 +52,15 @@
         this.relay.begin(0);
     }
 
-    public hear(names: readonly string[], now: number): void {
-        names.filter(name => name !== this.name).forEach(name => this.relay.recordPeer(name, now));
+    public hear(peers: readonly SimulatedEntry[], now: number): void {
+        peers
+            .filter(peer => peer !== this)
+            .forEach(peer => this.relay.recordPeer(peer.name, peer.latestMark(now), now));
+    }
+
+    public latestMark(now: number): ReceivedMark {
+        this.markedAt = Math.max(this.markedAt, now - (now % peerIntervalMilliseconds));
+        return { incarnation: this.name, sequence: this.markedAt };
     }
 
     /** Calls the store if a call is due; returns what this process passes on, and to whom. */
@@ -66,6 +77,7 @@
             return undefined;
         }
         this.store.calls += 1;
+        this.relay.beginCall(now);
         if (this.store.isDown) {
             this.relay.recordFault(now);
             this.relay.begin(now + 300);
@@ -81,9 +93,9 @@
                 : { kind: "changes", revision, puts, deletes: [] };
         const after = { era, revision: this.position };
         const finish = (at: number): Sent => {
-            const changes = this.relay.recordResponse(after, event, at);
+            const response = this.relay.recordResponse(after, event, at);
             this.applyEvent(event);
-            return { to: this.relay.receivers(at), changes };
+            return { to: this.relay.receivers(at), ...response };
         };
         if (this.lateMilliseconds === 0) {
             return finish(now);
@@ -96,8 +108,9 @@
         return this.relay.receivers(now).length > 0;
     }
 
-    public receive(changes: RelayedChanges, now: number): void {
-        const outcome = this.relay.apply(changes, { era, revision: this.position }, now);
+    public receive(changes: RelayedChanges, mark: ReceivedMark | undefined, now: number): void {
+        const outcome = this.relay.apply(changes, mark?.sequence, { era, revision: this.position }, now);
+        this.markedAt = now;
         if (outcome.kind === "event" && !this.isDead) {
             this.applyEvent(outcome.event);
         }
@@ -126,7 +139,7 @@
         (_, index) => new SimulatedEntry(`entry-${index}`, store, options),
     );
     const writtenAt: number[] = [0];
-    const queue: { readonly at: number; readonly to: string; readonly changes: RelayedChanges }[] = [];
+    const queue: { readonly at: number; readonly to: string; readonly response: RelayedResponse }[] = [];
     let random = 1;
     let worstAge = 0;
     for (let now = 0; now < options.until; now += stepMilliseconds) {
@@ -137,22 +150,17 @@
         }
         options.onStep?.(entries, store, now);
         const live = entries.filter(each => !each.isDead);
-        live.forEach(each =>
-            each.hear(
-                live.map(({ name }) => name),
-                now,
-            ),
-        );
+        live.forEach(each => each.hear(live, now));
         while (queue[0] !== undefined && queue[0].at <= now) {
-            const { to, changes } = queue.shift()!;
-            entries.find(each => each.name === to)!.receive(changes, now);
+            const { to, response } = queue.shift()!;
+            entries.find(each => each.name === to)!.receive(response.changes, response.marks.get(to), now);
         }
         for (const entry of live) {
             const sent = entry.step(now);
             for (const to of sent?.to ?? []) {
                 random = (random * 48_271) % 2_147_483_647;
                 if (random / 2_147_483_647 >= (options.loss ?? 0)) {
-                    queue.push({ at: now + networkMilliseconds, to, changes: sent!.changes });
+                    queue.push({ at: now + networkMilliseconds, to, response: sent! });
                 }
             }
             const isDisturbed = store.isDown || entry.lateMilliseconds > 0;
@@ -203,6 +211,23 @@
     }
 });
 
+test("a message confirms what its receiver had sent before the call, however late it arrives, and nothing without it", t => {
+    const names = Array.from({ length: 7 }, (_, index) => `entry-${index}`);
+    const relays = names.map(name => ChangeRelay.create({ name, timing: () => timing }));
+    relays.forEach(each => names.forEach(name => each.recordPeer(name, mark, 0)));
+    const follower = relays.find(each => each.receivers(0).length === 0)!;
+    follower.beginCall(0);
+    follower.recordResponse({ era, revision: 20 }, { kind: "progress", revision: 20 }, 4);
+    const older = { era, after: 10, revision: 12, puts: [], deletes: [], faultAge: undefined };
+    const position = { era, revision: 20 };
+    follower.apply(older, undefined, position, 1_000);
+    t.is(follower.pollDueAt(1_000), timing.maximumStateAgeMilliseconds);
+    follower.apply(older, 300, position, 1_100);
+    t.is(follower.pollDueAt(1_100), 300 + timing.maximumStateAgeMilliseconds);
+    follower.apply(older, 200, position, 1_200);
+    t.is(follower.pollDueAt(1_200), 300 + timing.maximumStateAgeMilliseconds);
+});
+
 test("after an outage of the store every process catches up within the bound", t => {
     const downUntil = 12_000;
     let positionsAtReturn: readonly number[] = [];
@@ -225,25 +250,25 @@
 
 test("changes that begin later than the known ones, or are of a newer era, lead to a call, and older eras to nothing", t => {
     const relay = ChangeRelay.create({ name: "entry-0", timing: () => timing });
-    Array.from({ length: 6 }, (_, index) => relay.recordPeer(`entry-${index + 1}`, 0));
+    Array.from({ length: 6 }, (_, index) => relay.recordPeer(`entry-${index + 1}`, mark, 0));
     const followers = Array.from({ length: 7 }, (_, index) => `entry-${index}`);
     const follower = followers
         .map(name => {
             const each = ChangeRelay.create({ name, timing: () => timing });
-            followers.filter(other => other !== name).forEach(other => each.recordPeer(other, 0));
+            followers.filter(other => other !== name).forEach(other => each.recordPeer(other, mark, 0));
             return each;
         })
         .find(each => each.receivers(0).length === 0)!;
     const changes = { era, after: 10, revision: 12, puts: [], deletes: ["key"], faultAge: undefined };
     follower.begin(0);
-    t.is(follower.apply(changes, { era, revision: 9 }, 10).kind, "poll");
-    t.is(follower.apply({ ...changes, era: 2 }, { era, revision: 11 }, 10).kind, "poll");
-    t.is(follower.apply({ ...changes, era: 0 }, { era, revision: 11 }, 10).kind, "ignored");
-    t.deepEqual(follower.apply(changes, { era, revision: 11 }, 10), {
+    t.is(follower.apply(changes, 5, { era, revision: 9 }, 10).kind, "poll");
+    t.is(follower.apply({ ...changes, era: 2 }, 5, { era, revision: 11 }, 10).kind, "poll");
+    t.is(follower.apply({ ...changes, era: 0 }, 5, { era, revision: 11 }, 10).kind, "ignored");
+    t.deepEqual(follower.apply(changes, 5, { era, revision: 11 }, 10), {
         kind: "event",
         event: { kind: "changes", revision: 12, puts: [], deletes: ["key"], isRelayed: true },
     });
-    t.deepEqual(follower.apply(changes, { era, revision: 15 }, 10), {
+    t.deepEqual(follower.apply(changes, 5, { era, revision: 15 }, 10), {
         kind: "event",
         event: { kind: "progress", revision: 15, isRelayed: true },
     });
@@ -252,17 +277,17 @@
 test("a follower keeps its position when the store turns it away, as long as relays confirm it", t => {
     const names = Array.from({ length: 7 }, (_, index) => `entry-${index}`);
     const relays = names.map(name => ChangeRelay.create({ name, timing: () => timing }));
-    relays.forEach(each => names.forEach(name => each.recordPeer(name, 1_000)));
+    relays.forEach(each => names.forEach(name => each.recordPeer(name, mark, 1_000)));
     const follower = relays.find(each => each.receivers(1_000).length === 0)!;
     follower.begin(0);
-    follower.recordFault(1_800);
-    t.is(follower.pollDueAt(1_800), 1_800 + retryMilliseconds);
+    follower.recordFault(900);
+    t.is(follower.pollDueAt(900), 900 + retryMilliseconds);
     const changes = { era, after: 5, revision: 10, puts: [], deletes: [], faultAge: undefined };
-    follower.apply(changes, { era, revision: 10 }, 1_900);
-    follower.recordFault(2_200);
-    t.is(follower.pollDueAt(2_200), 1_900 + timing.maximumStateAgeMilliseconds);
-    follower.recordFault(3_800);
-    t.is(follower.pollDueAt(3_800), 3_800 + retryMilliseconds);
+    follower.apply(changes, 1_000, { era, revision: 10 }, 1_100);
+    follower.recordFault(1_400);
+    t.is(follower.pollDueAt(1_400), 1_000 + timing.maximumStateAgeMilliseconds);
+    follower.recordFault(2_900);
+    t.is(follower.pollDueAt(2_900), 2_900 + retryMilliseconds);
 });
 
 test("a value that no datagram can hold is left out of the messages that follow it", t => {
@@ -270,11 +295,8 @@
     relay.begin(0);
     const respond = (after: number, revision: number, value: string): RelayedChanges => {
         const puts = [{ key: `key-${revision}`, value, modRevision: revision }];
-        return relay.recordResponse(
-            { era, revision: after },
-            { kind: "changes", revision, puts, deletes: [] },
-            0,
-        );
+        const event: ProgressEvent = { kind: "changes", revision, puts, deletes: [] };
+        return relay.recordResponse({ era, revision: after }, event, 0).changes;
     };
     t.is(respond(0, 1, "a").after, 0);
     const large = respond(1, 2, "b".repeat(100_000));
--- a/src/serving/tests/peer-link.test.ts
+++ b/src/serving/tests/peer-link.test.ts
@@ -7,15 +7,23 @@
 import type { CrashEvidence } from "../crash-attribution.js";
 import { noWork } from "../placement/arrived-work.js";
 import { encodeSharing, noSharing } from "../fairness/sharing-datagram.js";
-import type { LoadNewsMessage, PeerMessage } from "../peer-link.js";
+import type { ChangesMessage, LoadNewsMessage, PeerMessage } from "../peer-link.js";
 import { PeerLink } from "../peer-link.js";
-import type { RelayedChanges } from "../store-relay/change-relay.js";
+import { systemClock } from "../../links/system-clock.js";
+import type { ReceivedMark, RelayedChanges } from "../store-relay/change-relay.js";
 
 const log = createLogs("test", "error", { write: () => undefined })("peer");
 
-type HandleChanges = (from: string, changes: RelayedChanges) => void;
+interface RelayObserver {
+    readonly onChanges: (from: string, message: ChangesMessage) => void;
+    readonly onMark: (from: string, mark: ReceivedMark) => void;
+    /** Time of both links. */
+    readonly now?: () => number;
+}
 
-async function createLinks(onChanges: HandleChanges = () => undefined): Promise<{
+async function createLinks(
+    { onChanges, onMark, now }: RelayObserver = { onChanges: () => undefined, onMark: () => undefined },
+): Promise<{
     readonly port: number;
     readonly sender: PeerLink;
     readonly receiver: PeerLink;
@@ -26,9 +34,11 @@
     const resolvers: ((message: PeerMessage) => void)[] = [];
     const received = new Promise<PeerMessage>(resolve => resolvers.push(resolve));
     const options = {
+        clock: now === undefined ? systemClock : { monotonicMilliseconds: now, wallMilliseconds: now },
         incarnation: "1",
         log,
         onPermitMessage: () => undefined,
+        onMark,
         onChanges,
         onNews: () => undefined,
     };
@@ -60,20 +70,65 @@
     conversions: [],
 };
 
-test.serial("relayed changes of the store arrive at a peer unchanged", async t => {
-    const changes: RelayedChanges = {
-        era: 2,
-        after: 10,
-        revision: 12,
-        puts: [{ key: "a", value: "1", modRevision: 12, createRevision: undefined }],
-        deletes: ["b"],
-        faultAge: 40,
-    };
-    const arrived: ((received: RelayedChanges) => void)[] = [];
-    const received = new Promise<RelayedChanges>(resolve => arrived.push(resolve));
-    const { port, sender, receiver } = await createLinks((_, each) => arrived[0]?.(each));
-    sender.sendChanges([`127.0.0.1:${port}`], changes);
-    t.deepEqual(await received, changes);
+test.serial(
+    "relayed changes of the store arrive at a peer unchanged, with the time of its latest mark",
+    async t => {
+        const changes: RelayedChanges = {
+            era: 2,
+            after: 10,
+            revision: 12,
+            puts: [{ key: "a", value: "1", modRevision: 12, createRevision: undefined }],
+            deletes: ["b"],
+            faultAge: 40,
+        };
+        const messages: ChangesMessage[] = [];
+        const marks: ReceivedMark[] = [];
+        let now = 100;
+        const { port, sender, receiver } = await createLinks({
+            onChanges: (_, message) => messages.push(message),
+            onMark: (_, mark) => marks.push(mark),
+            now: () => now,
+        });
+        const until = async (isOver: () => boolean): Promise<void> => {
+            while (!isOver()) {
+                await new Promise(resolve => setTimeout(resolve, 5));
+            }
+        };
+        const address = `127.0.0.1:${port}`;
+        sender.sendChanges([{ address, mark: undefined }], changes);
+        await until(() => messages.length === 1);
+        t.deepEqual(messages[0], { changes, knownAt: undefined, readsMarks: true });
+        receiver.sendMark(`127.0.0.1:${port + 1}`);
+        await until(() => marks.length === 1);
+        now = 900;
+        sender.sendChanges([{ address, mark: marks[0] }], changes);
+        sender.sendChanges([{ address, mark: { ...marks[0]!, incarnation: "earlier start" } }], changes);
+        await until(() => messages.length === 3);
+        t.deepEqual(
+            messages.slice(1).map(({ knownAt }) => knownAt),
+            [100, undefined],
+        );
+        sender.close();
+        receiver.close();
+    },
+);
+
+test.serial("changes of an earlier version prove no time up to which they hold all changes", async t => {
+    const messages: ChangesMessage[] = [];
+    const { port, sender, receiver } = await createLinks({
+        onChanges: (_, message) => messages.push(message),
+        onMark: () => undefined,
+    });
+    const socket = createSocket("udp4");
+    const changes = { era: 1, after: 3, revision: 4, puts: [], deletes: [] };
+    socket.send(JSON.stringify({ from: "sender", changes }), port, "127.0.0.1");
+    while (messages.length === 0) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+    t.deepEqual(messages, [
+        { changes: { ...changes, faultAge: undefined }, knownAt: undefined, readsMarks: false },
+    ]);
+    socket.close();
     sender.close();
     receiver.close();
 });
@@ -153,9 +208,11 @@
     const news: LoadNewsMessage[] = [];
     const states: PeerMessage[] = [];
     const receiver = PeerLink.create({
+        clock: systemClock,
         address,
         name: "receiver",
         incarnation: "1",
+        onMark: () => undefined,
         onMessage: message => states.push(message),
         onNews: (_, message) => news.push(message),
         onPermitMessage: () => undefined,
@@ -171,9 +228,11 @@
         },
     ];
     const sender = PeerLink.create({
+        clock: systemClock,
         address: `127.0.0.1:${port + 1}`,
         name: "sender",
         incarnation: "1",
+        onMark: () => undefined,
         onMessage: () => undefined,
         onNews: () => undefined,
         onPermitMessage: () => undefined,
--- a/tests/compatibility/messages.test.ts
+++ b/tests/compatibility/messages.test.ts
@@ -3,6 +3,7 @@
 import test from "ava";
 import { findPorts } from "../../scripts/free-ports.js";
 import { createLogs } from "../../src/links/logs.js";
+import { systemClock } from "../../src/links/system-clock.js";
 import { decodeForwardedRequest, readForwardReply } from "../../src/serving/forwarded-requests.js";
 import type { PeerMessage, PermitMessage } from "../../src/serving/peer-link.js";
 import { PeerLink } from "../../src/serving/peer-link.js";
@@ -57,6 +58,8 @@
     const permits: PermitMessage[] = [];
     const datagrams = Object.entries(earlierMessages).filter(([, text]) => text.startsWith("{"));
     const receiver = PeerLink.create({
+        clock: systemClock,
+        onMark: () => undefined,
         address: `127.0.0.1:${port}`,
         name: "entry-2",
         incarnation: "1",
@@ -76,7 +79,13 @@
     }
     sender.close();
     receiver.close();
-    t.deepEqual(states[0], { ...sampleState, from: "entry-1", incarnation: "1", readsNews: false });
+    t.deepEqual(states[0], {
+        ...sampleState,
+        from: "entry-1",
+        incarnation: "1",
+        sequence: 1,
+        readsNews: false,
+    });
     const key = (message: PermitMessage): string => JSON.stringify(message);
     t.deepEqual([...new Set(permits.map(key))].sort(), samplePermits.map(key).sort());
 });
--- a/tests/compatibility/messages.ts
+++ b/tests/compatibility/messages.ts
@@ -2,6 +2,7 @@
 import { createSocket } from "node:dgram";
 import { findPorts } from "../../scripts/free-ports.js";
 import { createLogs } from "../../src/links/logs.js";
+import { systemClock } from "../../src/links/system-clock.js";
 import { formatPeer } from "../../src/daemons/serving/serving-follower.js";
 import type { AdmittedRequest } from "../../src/serving/exchange-context.js";
 import { noSharing } from "../../src/serving/fairness/sharing-datagram.js";
@@ -11,7 +12,7 @@
 import { PeerLink } from "../../src/serving/peer-link.js";
 import { RequestIdentity } from "../../src/serving/request-identity.js";
 
-export const sampleState: Omit<PeerMessage, "from" | "incarnation" | "readsNews"> = {
+export const sampleState: Omit<PeerMessage, "from" | "incarnation" | "sequence" | "readsNews"> = {
     loads: [
         {
             group: "g1@3",
@@ -114,6 +115,8 @@
     await new Promise<void>(resolve => receiver.bind(port, "127.0.0.1", resolve));
     const address = `127.0.0.1:${port}`;
     const link = PeerLink.create({
+        clock: systemClock,
+        onMark: () => undefined,
         address: `127.0.0.1:${port + 1}`,
         name: "entry-1",
         incarnation: "1",
