Relay changes of the store through entry instances that it serves

One relay of zone c was itself turned away.

Cause: an entry instance counted as a relay as long as its datagrams came, also while the store failed its calls. If both relays of a failure domain were turned away, the others that the store did not serve heard of no change.

Change: datagrams state whether the store answered the sender's latest call; those of which it did not are no relays, and follow the next ones in order. Earlier versions ignore the field and are taken for served.

The new test failed before: with both relays and a third process turned away, 14.3 s without a change (until its end); now all of them stay within the maximum age and the time until a peer counts as lost.

--- a/src/daemons/serving/entry-peers.ts
+++ b/src/daemons/serving/entry-peers.ts
@@ -106,6 +106,10 @@
     readonly onPermitMessage: (from: string, message: PermitMessage) => void;
     /** Called with each datagram of an entry instance of the own failure domain that accepts relayed changes of the store. */
     readonly onReceiver: (name: string, mark: ReceivedMark) => void;
+    /** True unless the store failed the latest call of this process. */
+    readonly isServed: () => boolean;
+    /** Called with whether the store answered the latest call of an entry instance of the own failure domain. */
+    readonly onServed: (name: string, isServed: boolean) => void;
     /** `knownAt`: local monotonic milliseconds up to which the changes hold all changes; undefined if that is not known. */
     readonly onChanges: (changes: RelayedChanges, knownAt: number | undefined) => void;
     /** Called with the number of datagrams that news of loads took. */
@@ -245,6 +249,7 @@
             sharing,
             conversions,
             coldReplicas,
+            isServed,
         } = this.options;
         this.link.send(
             {
@@ -257,6 +262,7 @@
                 ...limits(),
                 ...reach(),
                 acceptsChanges: true,
+                isServed: isServed(),
                 evacuations: evacuations(),
                 work: work(),
                 sharing: sharing(),
@@ -396,6 +402,9 @@
         if (message.acceptsChanges) {
             this.handleReceiver(from, message);
         }
+        if (this.isNear(from)) {
+            this.options.onServed(from, message.isServed);
+        }
     }
 
     private handleReceiver(from: string, { incarnation, sequence }: ReceivedMark): void {
--- a/src/daemons/serving/relayed-watch-feed.ts
+++ b/src/daemons/serving/relayed-watch-feed.ts
@@ -84,6 +84,16 @@
         this.relay.recordPeer(name, mark, this.now());
     }
 
+    /** Records whether the store answered the latest call of another entry instance. */
+    public recordServed(name: string, isServed: boolean): void {
+        this.relay.recordServed(name, isServed);
+    }
+
+    /** False if the latest call of this process to the store failed. */
+    public get isServed(): boolean {
+        return this.relay.isServed;
+    }
+
     /**
      * Applies changes from a relay. `knownAt`: a time, in local monotonic milliseconds, up to which they hold all changes;
      * undefined if none is proved.
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -262,6 +262,8 @@
                 this.announcedConversions.apply(from, conversions, expiresAt),
             onPermitMessage: (from, message) => this.permits.handleMessage(from, message),
             onReceiver: (peer, mark) => this.watchFeed.recordPeer(peer, mark),
+            isServed: () => this.watchFeed.isServed,
+            onServed: (peer, isServed) => this.watchFeed.recordServed(peer, isServed),
             onChanges: (changes, knownAt) => this.watchFeed.handleChanges(changes, knownAt),
             onNewsSent: datagrams => this.metrics.loadNews.inc(datagrams),
             log: logs("peer"),
--- a/src/serving/peer-link.ts
+++ b/src/serving/peer-link.ts
@@ -78,6 +78,8 @@
     unreachable: z.array(z.string()).default([]),
     /** True if the sender accepts changes of the store from the entry instances of its failure domain. */
     relayed: z.boolean().default(false),
+    /** False if the store did not answer the sender's latest call. */
+    served: z.boolean().default(true),
     /** Ids of the replicas that the sender found to be cold, and the remaining milliseconds; absent without any. */
     cold: z.array(z.tuple([z.string(), z.number().nonnegative()])).optional(),
     /** Era and revision of the store at which these failure domains are evacuated; absent if the sender knows of none. */
@@ -156,6 +158,8 @@
     readonly unreachableServices: readonly string[];
     /** True if the sender accepts relayed changes of the store. */
     readonly acceptsChanges: boolean;
+    /** False if the store did not answer the sender's latest call. */
+    readonly isServed: boolean;
     /** Replicas that the sender found to be cold; undefined without any. */
     readonly coldReplicas?: readonly ColdAnnouncement[] | undefined;
     /** Undefined if the sender knows of no evacuation. */
@@ -271,6 +275,7 @@
             reached: [...state.reachedCounts],
             unreachable: state.unreachableServices,
             relayed: state.acceptsChanges,
+            served: state.isServed,
             cold: state.coldReplicas?.map(({ id, remainingMilliseconds }) => [id, remainingMilliseconds]),
             evacuated: state.evacuations && encodeEvacuations(state.evacuations),
             work: state.work.counters.map(({ model, arrivedMilliseconds, refusedMilliseconds }) => [
@@ -384,7 +389,7 @@
         }
         const { from, incarnation, loads, suspicions, groups, leaving, configuration } = parsed.data;
         const { crashes, sound, quarantines, issues, limits, reached, unreachable } = parsed.data;
-        const { relayed, evacuated, cold, work, refusedSamples, conversions } = parsed.data;
+        const { relayed, served, evacuated, cold, work, refusedSamples, conversions } = parsed.data;
         if (!this.isNewest(parsed.data)) {
             return;
         }
@@ -420,6 +425,7 @@
             reachedCounts: new Map(reached),
             unreachableServices: unreachable,
             acceptsChanges: relayed,
+            isServed: served,
             coldReplicas: cold?.map(([id, remainingMilliseconds]) => ({ id, remainingMilliseconds })),
             evacuations: evacuated && decodeEvacuations(evacuated),
             work: {
--- a/src/serving/store-relay/change-relay.ts
+++ b/src/serving/store-relay/change-relay.ts
@@ -2,7 +2,8 @@
  * Decides which entry instances of a failure domain watch the store, and how the others follow what these read. Covers
  * deployments of many entry instances, whose watches would make up most of the calls to the store: two relays for each
  * failure domain call it and pass each response on. A process that hears of no relay, or of one that has missed changes or
- * knows another era of the store, calls the store itself, so that its state is never older than with a watch of its own.
+ * knows another era of the store, calls the store itself, so that its state is never older than with a watch of its own. While
+ * the store fails the calls of some processes, others are the relays.
  *
  * A relay, or the network, may delay a message by any time, and clocks of different processes cannot be compared. A message
  * therefore names the latest datagram of its receiver that had reached the relay before it called the store: the response
@@ -86,7 +87,9 @@
     /** Position of each entry instance among the relays, as a hash of its name. */
     private readonly orders = new Map<string, string>();
     private readonly recent = RecentChanges.create();
-    /** Latest datagram of each of them. */
+    /** Those whose latest call to the store failed. */
+    private readonly unserved = new Set<string>();
+    /** Latest datagram of each entry instance that accepts relayed changes. */
     private readonly marks = new Map<string, ReceivedMark>();
     private latestCall: { readonly startedAt: number; readonly marks: ReadonlyMap<string, ReceivedMark> } = {
         startedAt: Number.NEGATIVE_INFINITY,
@@ -117,6 +120,20 @@
         this.marks.set(name, mark);
     }
 
+    /** Records whether the store answered the latest call of another entry instance, which is no relay otherwise. */
+    public recordServed(name: string, isServed: boolean): void {
+        if (isServed) {
+            this.unserved.delete(name);
+        } else {
+            this.unserved.add(name);
+        }
+    }
+
+    /** False if the latest call of this process to the store failed. */
+    public get isServed(): boolean {
+        return this.faultAt <= this.respondedAt || this.faultAt === Number.NEGATIVE_INFINITY;
+    }
+
     /** Names of the entry instances to which this process passes changes on; none unless it is a relay. */
     public receivers(now: number): readonly string[] {
         return this.options.timing().isRelayed && this.isRelay(now) ? this.livePeers(now) : [];
@@ -178,9 +195,7 @@
         position: StorePosition,
         now: number,
     ): RelayedOutcome {
-        // A relay follows the other one while it cannot reach the store.
-        const hasOwnResponse = this.isRelay(now) && this.faultAt <= this.respondedAt;
-        if (!this.options.timing().isRelayed || hasOwnResponse) {
+        if (!this.options.timing().isRelayed || this.isRelay(now)) {
             return { kind: "ignored" };
         }
         const isOtherEra = changes.era !== position.era;
@@ -207,11 +222,11 @@
         this.confirmedAt = Math.max(this.confirmedAt, at);
     }
 
-    /** True if this process is among the first live entry instances of its failure domain in the order of relays. */
+    /** True if this process is among the first live entry instances of its failure domain that the store serves. */
     private isRelay(now: number): boolean {
         const own = this.orderOf(this.options.name);
-        const earlier = this.livePeers(now).filter(name => this.orderOf(name) < own);
-        return earlier.length < relaysPerDomain;
+        const served = this.livePeers(now).filter(name => !this.unserved.has(name));
+        return this.isServed && served.filter(name => this.orderOf(name) < own).length < relaysPerDomain;
     }
 
     private orderOf(name: string): string {
--- a/src/serving/store-relay/tests/change-relay.test.ts
+++ b/src/serving/store-relay/tests/change-relay.test.ts
@@ -34,6 +34,8 @@
 
 class SimulatedEntry {
     public isDead = false;
+    /** True while the store fails the calls of this process. */
+    public isTurnedAway = false;
     /** Time after which a response is handled; the other calls wait meanwhile. */
     public lateMilliseconds = 0;
     /** Time of the latest datagram to the others, which is also its number. */
@@ -55,7 +57,14 @@
     public hear(peers: readonly SimulatedEntry[], now: number): void {
         peers
             .filter(peer => peer !== this)
-            .forEach(peer => this.relay.recordPeer(peer.name, peer.latestMark(now), now));
+            .forEach(peer => {
+                this.relay.recordPeer(peer.name, peer.latestMark(now), now);
+                this.relay.recordServed(peer.name, peer.isServed);
+            });
+    }
+
+    public get isServed(): boolean {
+        return this.relay.isServed;
     }
 
     public latestMark(now: number): ReceivedMark {
@@ -83,6 +92,10 @@
             this.relay.begin(now + 300);
             return undefined;
         }
+        if (this.isTurnedAway) {
+            this.relay.recordFault(now);
+            return undefined;
+        }
         const puts = [...this.store.revisions]
             .filter(([, revision]) => revision > this.position)
             .map(([key, modRevision]) => ({ key, value: key, modRevision }));
@@ -211,6 +224,22 @@
     }
 });
 
+test("processes that the store turns away follow one that it serves, also if both relays are turned away", t => {
+    const { worstAge } = run({
+        entries: 12,
+        until: 16_000,
+        onStep: (entries, _, now) => {
+            if (now === 2_000) {
+                const relays = entries.filter(each => each.isRelay(now));
+                const follower = entries.find(each => !relays.includes(each))!;
+                [...relays, follower].forEach(each => (each.isTurnedAway = true));
+            }
+        },
+    });
+    const allowed = timing.maximumStateAgeMilliseconds + timing.peerExpiryMilliseconds;
+    t.true(worstAge <= allowed + toleranceMilliseconds, `${worstAge} ms`);
+});
+
 test("a message confirms what its receiver had sent before the call, however late it arrives, and nothing without it", t => {
     const names = Array.from({ length: 7 }, (_, index) => `entry-${index}`);
     const relays = names.map(name => ChangeRelay.create({ name, timing: () => timing }));
--- a/src/serving/tests/peer-link.test.ts
+++ b/src/serving/tests/peer-link.test.ts
@@ -65,6 +65,7 @@
     leaving: [],
     configurationVersion: 0,
     acceptsChanges: false,
+    isServed: true,
     work: noWork,
     sharing: noSharing,
     conversions: [],
--- a/tests/compatibility/messages.ts
+++ b/tests/compatibility/messages.ts
@@ -36,6 +36,7 @@
     reachedCounts: new Map([["plain", 2]]),
     unreachableServices: ["pool"],
     acceptsChanges: false,
+    isServed: true,
     evacuations: undefined,
     coldReplicas: undefined,
     limits: [
