Let calls of relays wait for changes between fixed starts

Calls that do not wait learn of a change half an interval later on average. A call's response proves no more than its start, but calls that begin at fixed intervals and wait until 50 ms before the next start keep the proved age within two intervals, as marks that answer the last message arrive before the next call; and the first change in an interval is passed on at once. Calls per second are the same.

--- a/src/serving/store-relay/change-relay.ts
+++ b/src/serving/store-relay/change-relay.ts
@@ -24,9 +24,9 @@
     readonly isRelayed: boolean;
     /** Pause between two watch calls of a process that does not follow a relay. */
     readonly watchPauseMilliseconds: number;
-    /** Maximum wait of one watch call at the store, without relays; with relays, calls do not wait. */
+    /** Maximum wait of one watch call at the store, without relays; with relays, only their calls wait. */
     readonly watchTimeoutMilliseconds: number;
-    /** Time between two calls of a relay. */
+    /** Time between the starts of two calls of a relay, which wait for changes for most of it. */
     readonly relayPauseMilliseconds: number;
     /** Maximum age of the state of a process that follows relays. */
     readonly maximumStateAgeMilliseconds: number;
@@ -69,6 +69,8 @@
     readonly sinceCall: number;
 }
 
+/** Time before the next call of a relay within which marks that answer its message arrive, in milliseconds. */
+const markReturnMilliseconds = 50;
 /** Pause after a failed call of a relay, in milliseconds. */
 const retryMilliseconds = 300;
 /** Age up to which faults are passed on, in milliseconds; longer than registrations count as missing for a fault. */
@@ -148,10 +150,13 @@
 
     /** Records that a call to the store begins; returns for how long it may wait for changes, in milliseconds. */
     public beginCall(now: number): number {
-        const { isRelayed, watchTimeoutMilliseconds } = this.options.timing();
+        const { isRelayed, watchTimeoutMilliseconds, relayPauseMilliseconds } = this.options.timing();
         this.latestCall = { startedAt: now, marks: new Map(this.marks) };
-        // The response to a call that waits may be as old as the call, however late it arrives.
-        return isRelayed ? 0 : watchTimeoutMilliseconds;
+        if (!isRelayed) {
+            return watchTimeoutMilliseconds;
+        }
+        // The response proves no more than the start of the call, so one that only confirms the state must not wait.
+        return this.isRelay(now) ? Math.max(0, relayPauseMilliseconds - markReturnMilliseconds) : 0;
     }
 
     /** Returns the time of the next call to the store. */
