Read a version that some peers announce although others do not have it yet

A process reads the configuration itself when a peer has had a newer version for 0.8 s (with relays). Each datagram of a peer without that version restarted the wait, so the read never came while one of them was left: exactly when the relays of a failure domain are late for all its processes, which is what the read is for.

Each newer version now keeps the time at which it was learned until it is in force. The new test failed before: version 2 was never read while one peer announced it and another did not.

--- a/src/daemons/serving/serving-follower.ts
+++ b/src/daemons/serving/serving-follower.ts
@@ -111,8 +111,8 @@
     private readonly evacuationEntries = new Map<string, KeyValueEntry>();
     private position: StorePosition | undefined;
     private nextConfigurationReadAt = 0;
-    /** Local monotonic milliseconds at which a peer first had a newer configuration than the one in force. */
-    private newerVersionLearnedAt: number | undefined;
+    /** Versions above the one in force that peers have, with the local monotonic milliseconds at which each was learned. */
+    private readonly newerVersions = new Map<number, number>();
     private readonly isFailingByPrefix = new Map<string, boolean>();
     private readonly unreadable = new Set<string>();
     private lastPeerReadAt = -Infinity;
@@ -139,12 +139,14 @@
         const { store, configurationKey } = this.options;
         const now = this.now();
         const known = this.routes?.configuration.version ?? Infinity;
-        if (version <= known) {
-            this.newerVersionLearnedAt = undefined;
-            return;
+        if (version > known && !this.newerVersions.has(version)) {
+            this.newerVersions.set(version, now);
         }
-        this.newerVersionLearnedAt ??= now;
-        const readAt = this.newerVersionLearnedAt + this.options.configurationReadDelayMilliseconds();
+        [...this.newerVersions.keys()]
+            .filter(each => each <= known)
+            .forEach(each => this.newerVersions.delete(each));
+        const learnedAt = Math.min(...this.newerVersions.values());
+        const readAt = learnedAt + this.options.configurationReadDelayMilliseconds();
         if (now < Math.max(readAt, this.nextConfigurationReadAt)) {
             return;
         }
--- a/src/daemons/serving/tests/serving-follower.test.ts
+++ b/src/daemons/serving/tests/serving-follower.test.ts
@@ -31,15 +31,17 @@
     return { store, reads: () => reads };
 }
 
-test("a version that a peer announces is read before the watch shows it, and older ones are not read", async t => {
-    let now = 0;
-    let version = 1;
+/** Starts to follow a store; `versions`: those that took effect. */
+function createFollower(
+    store: KeyValueStore,
+    now: () => number,
+    configurationReadDelayMilliseconds: number,
+): { readonly follower: ServingFollower; readonly versions: readonly number[] } {
     const versions: number[] = [];
-    const { store, reads } = createStore(() => version);
     const ignore = (): void => undefined;
     const follower = ServingFollower.create({
         store,
-        clock: { monotonicMilliseconds: () => now, wallMilliseconds: () => now },
+        clock: { monotonicMilliseconds: now, wallMilliseconds: now },
         random: () => 0.5,
         configurationKey: "configuration",
         parseConfiguration: text =>
@@ -60,7 +62,7 @@
         onEvacuations: ignore,
         onQuarantines: () => undefined,
         peerReadIntervalMilliseconds: () => 60_000,
-        configurationReadDelayMilliseconds: () => 0,
+        configurationReadDelayMilliseconds: () => configurationReadDelayMilliseconds,
         arePeersSettled: () => true,
         onConfiguration: table => versions.push(table.configuration.version),
         onFleet: ignore,
@@ -68,7 +70,16 @@
         log: { debug: ignore, info: ignore, warn: ignore, error: ignore },
         metrics: createServingMetrics(),
     });
-    const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+    return { follower, versions };
+}
+
+const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+
+test("a version that a peer announces is read before the watch shows it, and older ones are not read", async t => {
+    let now = 0;
+    let version = 1;
+    const { store, reads } = createStore(() => version);
+    const { follower, versions } = createFollower(store, () => now, 0);
     follower.tick();
     await settle();
     t.deepEqual(versions, [1]);
@@ -83,3 +94,20 @@
     t.is(reads(), 1);
     follower.close();
 });
+
+test("peers that do not have a newer version yet do not put off the read of one that others announce", async t => {
+    let now = 0;
+    let version = 1;
+    const { store } = createStore(() => version);
+    const { follower, versions } = createFollower(store, () => now, 800);
+    follower.tick();
+    await settle();
+    version = 2;
+    for (now = 100; now <= 1_000; now += 100) {
+        follower.learnVersion(2);
+        follower.learnVersion(1);
+    }
+    await settle();
+    t.deepEqual(versions, [1, 2]);
+    follower.close();
+});
