Send datagrams to peers no faster than the link takes them

Cause: a relay sent each message to all receivers at once. A configuration of some 15 KB for 17 to 20 receivers is more than the queue of a link of 14 Mbit/s holds, and what comes last is dropped: in zones a, b and c, whose relays are small machines, the same four to six receivers got each version by relay, the others none; in zone d, with one relay on a large machine, all did. The others read each version themselves when their state reached the maximum age (every 1.98 s, source watch), so the fault stayed hidden until the store turned them away. Each message also repeated the changes of the last three responses to receivers that had them.

Marks state the receiver's position, and messages leave out what it knows.

--- a/src/daemons/serving/entry-peers.ts
+++ b/src/daemons/serving/entry-peers.ts
@@ -1,5 +1,6 @@
 /** Exchanges loads, suspicions and opened groups with the other registered entry instances by datagrams. */
 import type { Clock } from "../../contracts/clocks.js";
+import type { StorePosition } from "../../contracts/key-value-stores.js";
 import type { PartLogger } from "../../links/logs.js";
 import type { ColdAnnouncement } from "../../serving/availability/cold-replicas.js";
 import type { EvacuationStatement } from "../../serving/availability/evacuations.js";
@@ -106,6 +107,8 @@
     readonly onPermitMessage: (from: string, message: PermitMessage) => void;
     /** Called with each datagram of an entry instance of the own failure domain that accepts relayed changes of the store. */
     readonly onReceiver: (name: string, mark: ReceivedMark) => void;
+    /** Position up to which this process knows all changes; undefined while it reads the store. */
+    readonly position: () => StorePosition | undefined;
     /** True unless the store failed the latest call of this process. */
     readonly isServed: () => boolean;
     /** Called with whether the store answered the latest call of an entry instance of the own failure domain. */
@@ -150,6 +153,7 @@
             address: settings.peerAddress,
             name: settings.name,
             incarnation,
+            linkMegabits: settings.machine?.linkMegabits,
             onMessage: message => this.handle(message),
             onNews: (from, loads) => this.handleNews(from, loads),
             onPermitMessage: (from, message) => this.handlePermitMessage(from, message),
@@ -400,16 +404,16 @@
             this.now() + this.timing.peerExpiryMilliseconds,
         );
         if (message.acceptsChanges) {
-            this.handleReceiver(from, message);
+            this.handleReceiver(from, { incarnation: message.incarnation, sequence: message.sequence });
         }
         if (this.isNear(from)) {
             this.options.onServed(from, message.isServed);
         }
     }
 
-    private handleReceiver(from: string, { incarnation, sequence }: ReceivedMark): void {
+    private handleReceiver(from: string, { incarnation, sequence, position }: ReceivedMark): void {
         if (this.isNear(from)) {
-            this.options.onReceiver(from, { incarnation, sequence });
+            this.options.onReceiver(from, { incarnation, sequence, position });
         }
     }
 
@@ -433,7 +437,7 @@
         }
         this.options.onChanges(changes, knownAt);
         if (readsMarks) {
-            this.link.sendMark(sender.address);
+            this.link.sendMark(sender.address, this.options.position());
         }
     }
 
--- a/src/daemons/serving/relayed-watch-feed.ts
+++ b/src/daemons/serving/relayed-watch-feed.ts
@@ -75,6 +75,11 @@
         return isKept;
     }
 
+    /** Position of the watch; undefined while there is none. */
+    public get position(): StorePosition | undefined {
+        return this.watch?.position();
+    }
+
     public get stateAge(): StateAge {
         return this.relay.stateAge(this.now());
     }
--- a/src/daemons/serving/serving-process.ts
+++ b/src/daemons/serving/serving-process.ts
@@ -262,6 +262,7 @@
                 this.announcedConversions.apply(from, conversions, expiresAt),
             onPermitMessage: (from, message) => this.permits.handleMessage(from, message),
             onReceiver: (peer, mark) => this.watchFeed.recordPeer(peer, mark),
+            position: () => this.watchFeed.position,
             isServed: () => this.watchFeed.isServed,
             onServed: (peer, isServed) => this.watchFeed.recordServed(peer, isServed),
             onChanges: (changes, knownAt) => this.watchFeed.handleChanges(changes, knownAt),
--- a/src/serving/memory/process-limits.ts
+++ b/src/serving/memory/process-limits.ts
@@ -2,6 +2,8 @@
 
 /** What the settings state of the machine. */
 export interface MachineLimits {
+    /** Rate of the machine's link in Mbit per second. */
+    readonly linkMegabits?: number | undefined;
     readonly memoryMegabytes: number | undefined;
     readonly descriptors: number | undefined;
 }
--- a/src/serving/peer-link.ts
+++ b/src/serving/peer-link.ts
@@ -12,6 +12,7 @@
 import type { ColdAnnouncement } from "./availability/cold-replicas.js";
 import type { EvacuationStatement } from "./availability/evacuations.js";
 import type { Clock } from "../contracts/clocks.js";
+import type { StorePosition } from "../contracts/key-value-stores.js";
 import { systemClock } from "../links/system-clock.js";
 import type { CrashEvidence } from "./crash-attribution.js";
 import type { EngineLoad } from "./engine-model.js";
@@ -25,6 +26,7 @@
 import type { LeavingInstance } from "./leaving-instances.js";
 import type { Suspicion } from "./stalled-group-detector.js";
 import type { ReceivedMark, RelayedChanges } from "./store-relay/change-relay.js";
+import { omitKnownChanges } from "./store-relay/change-relay.js";
 import {
     decodeChanges,
     encodeChanges,
@@ -32,10 +34,20 @@
     relayDatagramSchema,
 } from "./store-relay/relay-datagram.js";
 import { SentMarks } from "./store-relay/sent-marks.js";
+import { DatagramPacer } from "./datagram-pacer.js";
 
 /** Senders whose last sequence is known; the one heard of first is forgotten for a further one. */
 const maximumSenders = 4_096;
 
+/** Rate of a link that the settings do not state, in Mbit per second. */
+const defaultLinkMegabits = 100;
+/** Part of the link that datagrams to peers may take; the rest is for callers. */
+const linkFraction = 0.5;
+/** Bytes that are sent at once; the queue of a link holds more. */
+const maximumBurstBytes = 32 * 1024;
+const bitsPerMegabit = 1_000_000;
+const bitsPerByte = 8;
+
 /** Stated instead of a rate when the limit of a replica has ended. */
 const noLimit = -1;
 
@@ -205,6 +217,8 @@
     readonly address: string;
     readonly name: string;
     readonly incarnation: string;
+    /** Rate of the machine's link in Mbit per second; undefined if it is not known. */
+    readonly linkMegabits?: number | undefined;
     readonly onMessage: (message: PeerMessage) => void;
     readonly onNews: (from: string, news: LoadNewsMessage) => void;
     readonly onPermitMessage: (from: string, message: PermitMessage) => void;
@@ -221,10 +235,16 @@
     private far: readonly string[] = [];
     private sequence = 0;
     private readonly sentMarks = SentMarks.create();
+    private readonly pacer: DatagramPacer;
+    private paceTimer: NodeJS.Timeout | undefined;
     private readonly lastSequences = new Map<string, number>();
     private readonly limit = DatagramLimit.create(systemClock.monotonicMilliseconds());
 
     private constructor(private readonly options: PeerLinkOptions) {
+        const { linkMegabits = defaultLinkMegabits, clock } = options;
+        const bytesPerMillisecond = (linkFraction * linkMegabits * bitsPerMegabit) / bitsPerByte / 1_000;
+        const pace = { bytesPerMillisecond, burstBytes: maximumBurstBytes };
+        this.pacer = DatagramPacer.create(pace, clock.monotonicMilliseconds());
         this.socket = createSocket("udp4");
         this.socket.on("message", bytes => this.receive(bytes));
         this.socket.on("error", error =>
@@ -300,8 +320,9 @@
             readsNews: true,
         });
         for (const peer of alsoFar ? [...this.near, ...this.far] : this.near) {
-            this.sendText(peer, text);
+            this.pacer.add("state", { address: peer, text }, false);
         }
+        this.sendPaced();
     }
 
     /** Sends changed loads to an entry instance that reads news, at its address (host and port). */
@@ -330,22 +351,46 @@
     /** Passes changes of the store on to other entry instances. */
     public sendChanges(receivers: readonly ChangesReceiver[], changes: RelayedChanges): void {
         const from = JSON.stringify(this.options.name);
-        const encoded = JSON.stringify(encodeChanges(changes));
+        const encodedByStart = new Map<number, string>();
         for (const { address, mark } of receivers) {
+            const lacking = omitKnownChanges(changes, mark?.position);
+            const encoded = encodedByStart.get(lacking.after) ?? JSON.stringify(encodeChanges(lacking));
+            encodedByStart.set(lacking.after, encoded);
             const heard = JSON.stringify(mark === undefined ? null : [mark.incarnation, mark.sequence]);
-            this.sendText(address, `{"from":${from},"heard":${heard},"changes":${encoded}}`);
+            const text = `{"from":${from},"heard":${heard},"changes":${encoded}}`;
+            this.pacer.add("changes", { address, text }, true);
         }
+        this.sendPaced();
     }
 
     /** Sends a datagram to a relay for it to name in its next message. */
-    public sendMark(address: string): void {
+    public sendMark(address: string, position: StorePosition | undefined): void {
         this.sequence += 1;
         const { clock, name: from, incarnation } = this.options;
         this.sentMarks.record(this.sequence, clock.monotonicMilliseconds());
-        this.sendText(address, JSON.stringify({ from, incarnation, sequence: this.sequence, mark: true }));
+        const known = position === undefined ? null : [position.era ?? null, position.revision];
+        const mark = { from, incarnation, sequence: this.sequence, mark: true, position: known };
+        this.sendText(address, JSON.stringify(mark));
+    }
+
+    /** Sends the waiting datagrams for which the link has room, and the others later. */
+    private sendPaced(): void {
+        clearTimeout(this.paceTimer);
+        const now = this.options.clock.monotonicMilliseconds();
+        this.pacer.take(now).forEach(({ address, text }) => this.sendNow(address, text));
+        const remaining = this.pacer.nextAt(now) - now;
+        if (remaining !== Number.POSITIVE_INFINITY) {
+            this.paceTimer = setTimeout(() => this.sendPaced(), remaining);
+            this.paceTimer.unref();
+        }
     }
 
     private sendText(peer: string, text: string): void {
+        this.pacer.recordSent(Buffer.byteLength(text), this.options.clock.monotonicMilliseconds());
+        this.sendNow(peer, text);
+    }
+
+    private sendNow(peer: string, text: string): void {
         const [host, port] = peer.split(":");
         this.socket.send(text, Number(port), host, error => {
             if (error) {
@@ -358,6 +403,7 @@
     }
 
     public close(): void {
+        clearTimeout(this.paceTimer);
         this.socket.close();
     }
 
@@ -479,8 +525,10 @@
         if (!parsed.success) {
             this.logUnreadable("dropped an unreadable datagram of a receiver of changes", parsed.error);
         } else if (this.isNewest(parsed.data)) {
-            const { from, incarnation, sequence } = parsed.data;
-            this.options.onMark(from, { incarnation, sequence });
+            const { from, incarnation, sequence, position } = parsed.data;
+            const known =
+                position === null ? undefined : { era: position[0] ?? undefined, revision: position[1] };
+            this.options.onMark(from, { incarnation, sequence, position: known });
         }
     }
 
--- a/src/serving/store-relay/change-relay.ts
+++ b/src/serving/store-relay/change-relay.ts
@@ -45,6 +45,8 @@
 export interface ReceivedMark {
     readonly incarnation: string;
     readonly sequence: number;
+    /** Position up to which the sender knew all changes; undefined if it did not state it. */
+    readonly position?: StorePosition | undefined;
 }
 
 /** A response of the store as a relay passes it on. */
@@ -76,6 +78,19 @@
 /** Age up to which faults are passed on, in milliseconds; longer than registrations count as missing for a fault. */
 const announcedFaultMilliseconds = 3_000;
 
+/** Returns the part of relayed changes that a receiver with the given position lacks. */
+export function omitKnownChanges(
+    changes: RelayedChanges,
+    position: StorePosition | undefined,
+): RelayedChanges {
+    if (position === undefined || position.era !== changes.era || position.revision <= changes.after) {
+        return changes;
+    }
+    const after = Math.min(position.revision, changes.revision);
+    const puts = changes.puts.filter(({ modRevision }) => modRevision > after);
+    return { ...changes, after, puts, deletes: after === changes.revision ? [] : changes.deletes };
+}
+
 export interface ChangeRelayOptions {
     /** Name of this entry instance. */
     readonly name: string;
@@ -119,7 +134,10 @@
     /** Records an entry instance of the same failure domain that accepts relayed changes. */
     public recordPeer(name: string, mark: ReceivedMark, now: number): void {
         this.heardAt.set(name, now);
-        this.marks.set(name, mark);
+        const before = this.marks.get(name);
+        const position =
+            mark.position ?? (before?.incarnation === mark.incarnation ? before.position : undefined);
+        this.marks.set(name, { ...mark, position });
     }
 
     /** Records whether the store answered the latest call of another entry instance, which is no relay otherwise. */
--- a/src/serving/store-relay/relay-datagram.ts
+++ b/src/serving/store-relay/relay-datagram.ts
@@ -28,6 +28,8 @@
     incarnation: z.string(),
     sequence: z.number(),
     mark: z.literal(true),
+    /** Era and revision up to which the sender knows all changes; null if it is reading the store. */
+    position: z.tuple([z.number().nullable(), z.number()]).nullable(),
 });
 
 export function encodeChanges(changes: RelayedChanges): z.infer<typeof changesSchema> {
--- a/src/serving/store-relay/tests/change-relay.test.ts
+++ b/src/serving/store-relay/tests/change-relay.test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
+import type { KeyValueEntry } from "../../../contracts/key-value-stores.js";
 import type { ProgressEvent } from "../watch-feed.js";
 import type { ReceivedMark, RelayedChanges, RelayedResponse, RelayTiming } from "../change-relay.js";
-import { ChangeRelay } from "../change-relay.js";
+import { ChangeRelay, omitKnownChanges } from "../change-relay.js";
 
 const era = 1;
 const timing: RelayTiming = {
@@ -333,3 +334,26 @@
     const next = respond(2, 3, "c");
     t.deepEqual([next.after, next.revision, next.puts.length], [2, 3, 1]);
 });
+
+test("a receiver gets only the changes that it lacks", t => {
+    const put = (modRevision: number): KeyValueEntry => ({
+        key: `key-${modRevision}`,
+        value: "",
+        modRevision,
+    });
+    const changes = {
+        era,
+        after: 10,
+        revision: 20,
+        puts: [put(12), put(18)],
+        deletes: ["gone"],
+        faultAge: undefined,
+    };
+    t.is(omitKnownChanges(changes, undefined), changes);
+    t.is(omitKnownChanges(changes, { era, revision: 9 }), changes);
+    t.is(omitKnownChanges(changes, { era: 2, revision: 15 }), changes);
+    t.deepEqual(omitKnownChanges(changes, { era, revision: 15 }), { ...changes, after: 15, puts: [put(18)] });
+    const nothing = { ...changes, after: 20, puts: [], deletes: [] };
+    t.deepEqual(omitKnownChanges(changes, { era, revision: 20 }), nothing);
+    t.deepEqual(omitKnownChanges(changes, { era, revision: 25 }), nothing);
+});
--- a/src/serving/tests/peer-link.test.ts
+++ b/src/serving/tests/peer-link.test.ts
@@ -99,8 +99,9 @@
         sender.sendChanges([{ address, mark: undefined }], changes);
         await until(() => messages.length === 1);
         t.deepEqual(messages[0], { changes, knownAt: undefined, readsMarks: true });
-        receiver.sendMark(`127.0.0.1:${port + 1}`);
+        receiver.sendMark(`127.0.0.1:${port + 1}`, { era: 2, revision: 11 });
         await until(() => marks.length === 1);
+        t.deepEqual(marks[0]?.position, { era: 2, revision: 11 });
         now = 900;
         sender.sendChanges([{ address, mark: marks[0] }], changes);
         sender.sendChanges([{ address, mark: { ...marks[0]!, incarnation: "earlier start" } }], changes);
@@ -109,6 +110,7 @@
             messages.slice(1).map(({ knownAt }) => knownAt),
             [100, undefined],
         );
+        t.deepEqual(messages[1]?.changes, { ...changes, after: 11 });
         sender.close();
         receiver.close();
     },
