Serve new requests for half of a short grace period at most

With the grace period of 8 s that all deployments state this does not happen: new requests are served for 2.8 s, and what is open 0.4 s before the end is answered 504. With 3 s, requests were taken until 0.4 s before the end, ran at a replica, and were answered 504 at once, though those that may not be repeated could have gone elsewhere.

New requests are now served until 2.8 s or half of the grace period, whichever comes first.

--- a/src/serving/shutdown-step.ts
+++ b/src/serving/shutdown-step.ts
@@ -9,6 +9,8 @@
  * not be complete when the grace period ends.
  */
 const servingMilliseconds = 2_800;
+/** Part of the grace period for which new requests are served at most. */
+const servingFraction = 0.5;
 /** Time before the process is killed at which open requests are ended, in milliseconds. */
 const requestEndMarginMilliseconds = 400;
 /**
@@ -36,7 +38,8 @@
     const { elapsedMilliseconds, gracePeriodMilliseconds, isDrained } = facts;
     const remainingMilliseconds = gracePeriodMilliseconds - elapsedMilliseconds;
     const canStillServe = remainingMilliseconds > requestEndMarginMilliseconds;
-    if (elapsedMilliseconds < servingMilliseconds && canStillServe) {
+    const servingEnd = Math.min(servingMilliseconds, servingFraction * gracePeriodMilliseconds);
+    if (elapsedMilliseconds < servingEnd && canStillServe) {
         return "serve";
     }
     if (isDrained || remainingMilliseconds <= exitMarginMilliseconds) {
--- a/src/serving/tests/shutdown-step.test.ts
+++ b/src/serving/tests/shutdown-step.test.ts
@@ -33,3 +33,8 @@
     t.is(decide(7_600), "end");
     t.is(decide(1_700, { gracePeriodMilliseconds: 2_000 }), "end");
 });
+
+test("requests are not taken so late in a short grace period that they cannot run", t => {
+    t.is(decide(1_400, { gracePeriodMilliseconds: 3_000 }), "serve");
+    t.is(decide(1_600, { gracePeriodMilliseconds: 3_000 }), "finish");
+});
