--- a/tests/soak/history.ts
+++ b/tests/soak/history.ts
@@ -44,6 +44,8 @@
     /** When the request that showed the version was sent. */
     readonly at: number;
     readonly version: number;
+    /** Status of the response that showed the version. */
+    readonly status?: number;
 }
 
 /** One configuration version that the store accepted from the operator. */
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -14,6 +14,7 @@
     readonly engines: number;
     readonly together: number;
     readonly earlier?: string;
+    readonly relays: boolean;
 }
 
 async function run(options: SoakCommandOptions): Promise<void> {
@@ -30,6 +31,7 @@
                 engines,
                 program,
                 earlierProgram: options.earlier,
+                slowsRelays: options.relays,
             });
             failed += report.violations.length > 0 ? 1 : 0;
             const line = { seed, violations: report.violations.slice(0, 10), counts: report.counts };
@@ -51,6 +53,9 @@
     .option("--entries <count>", "Serving processes", { default: 3 })
     .option("--engines <count>", "Engines", { default: 6 })
     .option("--earlier <path>", "Program of an earlier version that runs beside this one")
+    .option("--relays", "Slow the relays of the store only; needs more than ten serving processes", {
+        default: false,
+    })
     .option("--together <count>", "Seeds played at the same time", { default: 1 })
     .action((options: SoakCommandOptions) => run(options));
 commands.help();
--- a/tests/soak/soak-entry.ts
+++ b/tests/soak/soak-entry.ts
@@ -3,6 +3,7 @@
 import { spawn } from "node:child_process";
 import { createWriteStream, writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
 
 /** Number of ports that one entry instance uses. */
 export const portsPerEntry = 4;
@@ -18,6 +19,10 @@
 /** Retry budget of all entry instances together. */
 export const entryRetryBudget = { windowMilliseconds: 10_000, fraction: 0.2, allowance: 60 };
 
+/** Times for which a slowed process stands still and runs by turns, in milliseconds. */
+const slowStopMilliseconds = 850;
+const slowRunMilliseconds = 60;
+
 export interface EntryOptions {
     readonly name: string;
     /** First of the instance's ports on the loopback address. */
@@ -138,6 +143,19 @@
         this.signal("SIGSTOP", { isPaused: true });
     }
 
+    /** Stops the process and lets it run by turns, until `isOver`. */
+    public async slowDown(isOver: () => boolean): Promise<void> {
+        const { currentProcess } = this;
+        this.pause();
+        while (!isOver() && currentProcess?.isRunning === true) {
+            await delay(slowStopMilliseconds);
+            currentProcess.child.kill("SIGCONT");
+            await delay(slowRunMilliseconds);
+            currentProcess.child.kill("SIGSTOP");
+        }
+        this.resume();
+    }
+
     public resume(): void {
         this.signal("SIGCONT", { isPaused: false, resumedAt: performance.now() });
     }
