--- a/src/serving/store-relay/change-relay.ts
+++ b/src/serving/store-relay/change-relay.ts
@@ -73,8 +73,9 @@
 
 /** Time before the next call of a relay within which marks that answer its message arrive, in milliseconds. */
 const markReturnMilliseconds = 50;
-/** Pause after a failed call of a relay, in milliseconds. */
+/** Pause after a failed call, which doubles with each further one up to the maximum, in milliseconds. */
 const retryMilliseconds = 300;
+const maximumRetryMilliseconds = 1_200;
 /** Age up to which faults are passed on, in milliseconds; longer than registrations count as missing for a fault. */
 const announcedFaultMilliseconds = 3_000;
 
@@ -120,6 +121,8 @@
     /** Time of the next call of a process that watches the store itself, and the earliest one of the others. */
     private nextPollAt = Number.NEGATIVE_INFINITY;
     private faultAt = Number.NEGATIVE_INFINITY;
+    /** Failed calls since the last response. */
+    private failures = 0;
 
     private constructor(private readonly options: ChangeRelayOptions) {}
 
@@ -192,6 +195,7 @@
         const { startedAt, marks } = this.latestCall;
         this.confirm(startedAt, now);
         this.respondedAt = now;
+        this.failures = 0;
         this.nextPollAt = isRelayed ? startedAt + relayPauseMilliseconds : now + watchPauseMilliseconds;
         const faultAge = now - this.faultAt;
         const changes = {
@@ -205,7 +209,9 @@
     /** Records that a call of this process to the store failed. */
     public recordFault(at: number): void {
         this.faultAt = Math.max(this.faultAt, at);
-        this.nextPollAt = Math.max(this.nextPollAt, at + retryMilliseconds);
+        const pause = Math.min(maximumRetryMilliseconds, retryMilliseconds * 2 ** this.failures);
+        this.failures += 1;
+        this.nextPollAt = Math.max(this.nextPollAt, at + pause);
     }
 
     /**
