Pace only relayed changes, and rotate the order of states to peers

States leave at once again and count for the pace of the changes; the order of the peers is rotated, so that a full queue does not drop the datagrams to the same peers each time. Not measured apart.

--- a/src/serving/datagram-pacer.ts
+++ b/src/serving/datagram-pacer.ts
@@ -1,7 +1,7 @@
 /**
- * Spreads the datagrams of an entry instance over time. Covers machines with slow links in large deployments: a state or a
- * large configuration that goes to all peers at once overruns the queue of the link, which drops what comes last, the
- * datagrams to the same peers each time.
+ * Spreads large datagrams to many peers over time. Covers machines with slow links in large deployments: a configuration that
+ * goes to all of them at once overruns the queue of the link, which drops what comes last, the datagrams to the same peers
+ * each time.
  */
 
 export interface Datagram {
@@ -24,9 +24,8 @@
 /** Times are local monotonic milliseconds. */
 export class DatagramPacer {
     private availableBytes: number;
-    /** Waiting datagrams by what they replace, the one whose place was served last at the end; the urgent ones leave first. */
-    private readonly urgent = new Map<string, Datagram | undefined>();
-    private readonly others = new Map<string, Datagram | undefined>();
+    /** Waiting datagram of each address; the address that was served last is at the end. */
+    private readonly places = new Map<string, Datagram | undefined>();
 
     private constructor(
         private readonly options: PaceOptions,
@@ -39,13 +38,12 @@
         return new DatagramPacer(options, now);
     }
 
-    /** Adds a datagram. It takes the place of a waiting one to the same address of the same kind, which it makes obsolete. */
-    public add(kind: string, datagram: Datagram, isUrgent: boolean): void {
-        const places = isUrgent ? this.urgent : this.others;
-        places.set(`${kind} ${datagram.address}`, datagram);
-        if (places.size > maximumPlaces) {
-            const free = [...places].filter(([, waiting]) => waiting === undefined);
-            free.forEach(([key]) => places.delete(key));
+    /** Adds a datagram. It takes the place of a waiting one to the same address, which it makes obsolete. */
+    public add(datagram: Datagram): void {
+        this.places.set(datagram.address, datagram);
+        if (this.places.size > maximumPlaces) {
+            const free = [...this.places].filter(([, waiting]) => waiting === undefined);
+            free.forEach(([address]) => this.places.delete(address));
         }
     }
 
@@ -59,16 +57,13 @@
     public take(now: number): readonly Datagram[] {
         this.fill(now);
         const taken: Datagram[] = [];
-        for (const places of [this.urgent, this.others]) {
-            for (const [key, datagram] of [...places]) {
-                if (datagram === undefined) {
-                    continue;
-                }
-                if (this.availableBytes <= 0) {
-                    return taken;
-                }
-                places.delete(key);
-                places.set(key, undefined);
+        for (const [address, datagram] of [...this.places]) {
+            if (this.availableBytes <= 0) {
+                break;
+            }
+            if (datagram !== undefined) {
+                this.places.delete(address);
+                this.places.set(address, undefined);
                 taken.push(datagram);
                 this.availableBytes -= Buffer.byteLength(datagram.text);
             }
@@ -78,10 +73,7 @@
 
     /** Time at which further datagrams may be sent; Infinity if none waits. */
     public nextAt(now: number): number {
-        const isWaiting = [this.urgent, this.others].some(places =>
-            [...places.values()].some(datagram => datagram !== undefined),
-        );
-        if (!isWaiting) {
+        if ([...this.places.values()].every(datagram => datagram === undefined)) {
             return Number.POSITIVE_INFINITY;
         }
         const missingBytes = Math.max(0, -this.availableBytes);
--- a/src/serving/peer-link.ts
+++ b/src/serving/peer-link.ts
@@ -41,7 +41,9 @@
 
 /** Rate of a link that the settings do not state, in Mbit per second. */
 const defaultLinkMegabits = 100;
-/** Part of the link that datagrams to peers may take; the rest is for callers. */
+/** Peers by which the order of the next datagrams is rotated. */
+const peerRotation = 7;
+/** Part of the link that paced datagrams may take; the rest is for callers. */
 const linkFraction = 0.5;
 /** Bytes that are sent at once; the queue of a link holds more. */
 const maximumBurstBytes = 32 * 1024;
@@ -319,10 +321,10 @@
             ]),
             readsNews: true,
         });
-        for (const peer of alsoFar ? [...this.near, ...this.far] : this.near) {
-            this.pacer.add("state", { address: peer, text }, false);
-        }
-        this.sendPaced();
+        // States leave at once, since later news makes a waiting one obsolete; each time, other peers are the last ones.
+        const peers = alsoFar ? [...this.near, ...this.far] : this.near;
+        const start = peers.length === 0 ? 0 : (this.sequence * peerRotation) % peers.length;
+        [...peers.slice(start), ...peers.slice(0, start)].forEach(peer => this.sendText(peer, text));
     }
 
     /** Sends changed loads to an entry instance that reads news, at its address (host and port). */
@@ -358,7 +360,7 @@
             encodedByStart.set(lacking.after, encoded);
             const heard = JSON.stringify(mark === undefined ? null : [mark.incarnation, mark.sequence]);
             const text = `{"from":${from},"heard":${heard},"changes":${encoded}}`;
-            this.pacer.add("changes", { address, text }, true);
+            this.pacer.add({ address, text });
         }
         this.sendPaced();
     }
