Let a burst of states delay relayed changes no longer than the queue of a link holds them

A state of 5 KB to 225 peers of other failure domains would have delayed the changes by 1.3 s on a link of 14 Mbit/s (calculated); a queue drops most of it and is empty sooner.

--- a/src/serving/datagram-pacer.ts
+++ b/src/serving/datagram-pacer.ts
@@ -16,6 +16,8 @@
     readonly burstBytes: number;
 }
 
+/** Bytes that the queue of a link may still hold; what was sent beyond them has been dropped and delays nothing. */
+const maximumQueuedBytes = 128 * 1024;
 /** Places beyond which those without a waiting datagram are forgotten. */
 const maximumPlaces = 2_048;
 /** Minimum time between two departures, in milliseconds. */
@@ -50,7 +52,7 @@
     /** Counts a datagram that was sent without waiting. */
     public recordSent(bytes: number, now: number): void {
         this.fill(now);
-        this.availableBytes -= bytes;
+        this.availableBytes = Math.max(-maximumQueuedBytes, this.availableBytes - bytes);
     }
 
     /** Removes and returns the datagrams that may be sent now. */
--- a/src/serving/tests/datagram-pacer.test.ts
+++ b/src/serving/tests/datagram-pacer.test.ts
@@ -65,4 +65,7 @@
     t.is(pacer.nextAt(0), 30);
     t.deepEqual(pacer.take(31), [{ address: "a:1", text: "changes" }]);
     t.is(pacer.nextAt(31), Number.POSITIVE_INFINITY);
+    pacer.add({ address: "a:1", text: "changes" });
+    pacer.recordSent(10_000_000, 31);
+    t.is(pacer.nextAt(31), 31 + 128 * 1024);
 });
