--- a/scripts/configuration-page.ts
+++ b/scripts/configuration-page.ts
@@ -27,8 +27,8 @@
 one of its path in force. A path that is not set, or is deleted, has its defaults. A team exists as soon as one of its
 paths is set; without \`models\` and \`services\` it may use none.
 
-The settings file of a serving process states the memory and the descriptors of its machine (\`Limits.MemoryMb\` and
-\`Limits.MaxFds\`); [operations](OPERATIONS.md#memory-and-connections) covers them.
+The settings file of a serving process states the memory, the descriptors and the link of its machine (\`Limits.MemoryMb\`,
+\`Limits.MaxFds\` and \`Limits.LinkMbps\`); [operations](OPERATIONS.md#memory-and-connections) covers them.
 `;
 
 function typeOf(schema: JsonSchema): string {
