--- a/src/daemons/serving/serving-follower.ts
+++ b/src/daemons/serving/serving-follower.ts
@@ -314,7 +314,7 @@
      * Applies only a version above the current one; after an unreadable configuration the previous one stays in force.
      */
     private applyConfiguration(text: string | undefined, source: ConfigurationSource): void {
-        // Several sources bring the same text, and parsing a large one takes a slow machine a second.
+        // Several sources may bring the same text, and a large one is slow to parse.
         if (text === undefined || text === this.parsedText) {
             return;
         }
