Relay changes of large values as edits of the earlier ones

What callers saw: with a configuration beyond 24 KB (about 120 routes), a process that the store does not serve kept the old version for as long as that lasted: added routes 404, new keys 401. Processes that it serves read every version of it themselves, all at the same time.

Cause: a relay left out values that no datagram can hold, and its message only announced their revision.

Evidence: the new test of the store's adapter fails before (the process without the store learns none of three versions).

Change: each process keeps the last versions of the large values that it read. Relays state a value that does not fit as edits of the version that their receivers have, with a hash of the result. A receiver that lacks the earlier version, and a build that does not know the field, reads the store as before.

--- a/src/daemons/serving/relayed-watch-feed.ts
+++ b/src/daemons/serving/relayed-watch-feed.ts
@@ -1,6 +1,6 @@
 /** Paces the watch of the store by a change relay, and passes the store's responses on to other entry instances. */
 import type { Clock } from "../../contracts/clocks.js";
-import type { StorePosition } from "../../contracts/key-value-stores.js";
+import type { KeyValueEntry, StorePosition } from "../../contracts/key-value-stores.js";
 import type { Fault } from "../../core/errors.js";
 import type { ReceivedMark, RelayedChanges, StateAge } from "../../serving/store-relay/change-relay.js";
 import { ChangeRelay } from "../../serving/store-relay/change-relay.js";
@@ -57,12 +57,16 @@
         });
     }
 
+    public recordEntries(era: number | undefined, entries: readonly KeyValueEntry[]): void {
+        this.relay.recordEntries(era, entries);
+    }
+
     public recordResponse(after: StorePosition, event: ProgressEvent): void {
         const now = this.now();
-        const { changes, marks } = this.relay.recordResponse(after, event, now);
+        const response = this.relay.recordResponse(after, event, now);
         const receivers = this.relay.receivers(now);
-        if (receivers.length > 0) {
-            this.options.send(receivers, changes, marks);
+        if (response !== undefined && receivers.length > 0) {
+            this.options.send(receivers, response.changes, response.marks);
         }
     }
 
--- a/src/serving/peer-link.ts
+++ b/src/serving/peer-link.ts
@@ -26,7 +26,7 @@
 import type { LeavingInstance } from "./leaving-instances.js";
 import type { Suspicion } from "./stalled-group-detector.js";
 import type { ReceivedMark, RelayedChanges } from "./store-relay/change-relay.js";
-import { omitKnownChanges } from "./store-relay/change-relay.js";
+import { firstRevision, omitKnownChanges } from "./store-relay/change-relay.js";
 import {
     decodeChanges,
     encodeChanges,
@@ -356,8 +356,9 @@
         const encodedByStart = new Map<number, string>();
         for (const { address, mark } of receivers) {
             const lacking = omitKnownChanges(changes, mark?.position);
-            const encoded = encodedByStart.get(lacking.after) ?? JSON.stringify(encodeChanges(lacking));
-            encodedByStart.set(lacking.after, encoded);
+            const start = firstRevision(lacking);
+            const encoded = encodedByStart.get(start) ?? JSON.stringify(encodeChanges(lacking));
+            encodedByStart.set(start, encoded);
             const heard = JSON.stringify(mark === undefined ? null : [mark.incarnation, mark.sequence]);
             const text = `{"from":${from},"heard":${heard},"changes":${encoded}}`;
             this.pacer.add({ address, text });
--- a/src/serving/store-relay/change-relay.ts
+++ b/src/serving/store-relay/change-relay.ts
@@ -9,10 +9,11 @@
  * therefore names the latest datagram of its receiver that had reached the relay before it called the store: the response
  * holds all changes up to the time at which the receiver sent that datagram, by the receiver's own clock.
  */
-import type { StorePosition } from "../../contracts/key-value-stores.js";
+import type { KeyValueEntry, StorePosition } from "../../contracts/key-value-stores.js";
 import { hashIdentity } from "../../core/identity-hashes.js";
-import type { ChangeRange } from "./recent-changes.js";
-import { RecentChanges } from "./recent-changes.js";
+import type { RecentRange } from "./recent-changes.js";
+import { RecentChanges, restoreEntry } from "./recent-changes.js";
+import { ValueHistory } from "./value-history.js";
 import type { ProgressEvent } from "./watch-feed.js";
 
 /** Relays of one failure domain; the second one covers the time until the loss of the first one is noticed. */
@@ -35,7 +36,7 @@
 }
 
 /** Changes that one entry instance passes on to those of its failure domain. */
-export interface RelayedChanges extends ChangeRange {
+export interface RelayedChanges extends RecentRange {
     readonly era: number | undefined;
     /** Time since the relay last failed to call the store, in milliseconds; undefined if that was long ago. */
     readonly faultAge: number | undefined;
@@ -84,12 +85,38 @@
     changes: RelayedChanges,
     position: StorePosition | undefined,
 ): RelayedChanges {
-    if (position === undefined || position.era !== changes.era || position.revision <= changes.after) {
+    if (
+        position === undefined ||
+        position.era !== changes.era ||
+        position.revision <= firstRevision(changes)
+    ) {
         return changes;
     }
-    const after = Math.min(position.revision, changes.revision);
-    const puts = changes.puts.filter(({ modRevision }) => modRevision > after);
-    return { ...changes, after, puts, deletes: after === changes.revision ? [] : changes.deletes };
+    const { byEdits, ...whole } = changes;
+    if (position.revision >= changes.revision) {
+        return { ...whole, after: changes.revision, puts: [], deletes: [] };
+    }
+    const lacks = ({ modRevision }: { readonly modRevision: number }): boolean =>
+        modRevision > position.revision;
+    const lacking = {
+        ...whole,
+        after: Math.max(changes.after, position.revision),
+        puts: changes.puts.filter(lacks),
+    };
+    if (byEdits === undefined) {
+        return lacking;
+    }
+    const { puts, edited } = byEdits;
+    const after = position.revision;
+    return {
+        ...lacking,
+        byEdits: { ...byEdits, after, puts: puts.filter(lacks), edited: edited.filter(lacks) },
+    };
+}
+
+/** Returns the revision after which relayed changes begin, for a receiver that knows the base of each edit. */
+export function firstRevision({ after, byEdits }: RelayedChanges): number {
+    return byEdits?.after ?? after;
 }
 
 export interface ChangeRelayOptions {
@@ -104,7 +131,8 @@
     private readonly heardAt = new Map<string, number>();
     /** Position of each entry instance among the relays, as a hash of its name. */
     private readonly orders = new Map<string, string>();
-    private readonly recent = RecentChanges.create();
+    private readonly history = ValueHistory.create();
+    private readonly recent = RecentChanges.create(this.history);
     /** Those whose latest call to the store failed. */
     private readonly unserved = new Set<string>();
     /** Latest datagram of each entry instance that accepts relayed changes. */
@@ -157,6 +185,11 @@
         return this.faultAt <= this.respondedAt || this.faultAt === Number.NEGATIVE_INFINITY;
     }
 
+    /** Records entries that this process has read from the store, which edits may refer to. */
+    public recordEntries(era: number | undefined, entries: readonly KeyValueEntry[]): void {
+        this.history.record(era, entries);
+    }
+
     /** Names of the entry instances to which this process passes changes on; none unless it is a relay. */
     public receivers(now: number): readonly string[] {
         return this.options.timing().isRelayed && this.isRelay(now) ? this.livePeers(now) : [];
@@ -189,17 +222,26 @@
             : Math.max(this.nextPollAt, this.confirmedAt + maximumStateAgeMilliseconds);
     }
 
-    /** Records the response to the latest call, which continued from `after`; returns what a relay passes on. */
-    public recordResponse(after: StorePosition, event: ProgressEvent, now: number): RelayedResponse {
+    /** Records the response to the latest call, which continued from `after`; returns what this process passes on as a relay. */
+    public recordResponse(
+        after: StorePosition,
+        event: ProgressEvent,
+        now: number,
+    ): RelayedResponse | undefined {
         const { isRelayed, watchPauseMilliseconds, relayPauseMilliseconds } = this.options.timing();
         const { startedAt, marks } = this.latestCall;
         this.confirm(startedAt, now);
         this.respondedAt = now;
         this.failures = 0;
         this.nextPollAt = isRelayed ? startedAt + relayPauseMilliseconds : now + watchPauseMilliseconds;
+        this.recordEntries(after.era, event.kind === "changes" ? event.puts : []);
+        this.recent.add(after.revision, event);
+        if (!isRelayed || !this.isRelay(now)) {
+            return undefined;
+        }
         const faultAge = now - this.faultAt;
         const changes = {
-            ...this.recent.add(after.revision, event),
+            ...this.recent.newestWithinDatagram(),
             era: after.era,
             faultAge: faultAge < announcedFaultMilliseconds ? faultAge : undefined,
         };
@@ -219,7 +261,7 @@
      * all changes; undefined if none is proved.
      */
     public apply(
-        changes: RelayedChanges,
+        message: RelayedChanges,
         knownAt: number | undefined,
         position: StorePosition,
         now: number,
@@ -227,6 +269,7 @@
         if (!this.options.timing().isRelayed || this.isRelay(now)) {
             return { kind: "ignored" };
         }
+        const changes = this.restore(message, position);
         const isOtherEra = changes.era !== position.era;
         if (isOtherEra || changes.after > position.revision) {
             const isOlder = isOtherEra && (changes.era ?? 0) < (position.era ?? 0);
@@ -234,7 +277,7 @@
             return isOlder || now < this.nextPollAt ? { kind: "ignored" } : { kind: "poll" };
         }
         this.confirm(knownAt ?? Number.NEGATIVE_INFINITY, now);
-        const { revision, deletes } = changes;
+        const { era, revision, deletes } = changes;
         if (revision <= position.revision) {
             return {
                 kind: "event",
@@ -243,9 +286,25 @@
         }
         // Messages overlap; parsing known entries again would take processor time for each message of each relay.
         const puts = changes.puts.filter(({ modRevision }) => modRevision > position.revision);
+        this.recordEntries(era, puts);
         return { kind: "event", event: { kind: "changes", revision, puts, deletes, isRelayed: true } };
     }
 
+    /** Applies the edits of a message to the values that this process has; returns the message if it lacks one of them. */
+    private restore(message: RelayedChanges, position: StorePosition): RelayedChanges {
+        const { byEdits, era, revision } = message;
+        const isNeeded = position.era === era && position.revision < revision;
+        if (byEdits === undefined || !isNeeded || position.revision < byEdits.after) {
+            return message;
+        }
+        const { after, deletes } = byEdits;
+        const edited = byEdits.edited.filter(({ modRevision }) => modRevision > position.revision);
+        const restored = edited.flatMap(entry => restoreEntry(entry, this.history) ?? []);
+        return restored.length === edited.length
+            ? { ...message, after, deletes, puts: [...byEdits.puts, ...restored], byEdits: undefined }
+            : message;
+    }
+
     private confirm(at: number, now: number): void {
         this.ageBefore = Math.max(0, now - this.confirmedAt);
         this.confirmedAt = Math.max(this.confirmedAt, at);
--- a/src/serving/store-relay/relay-datagram.ts
+++ b/src/serving/store-relay/relay-datagram.ts
@@ -1,14 +1,33 @@
 /** Datagram with which a relay passes changes of the store on. Fields may be added as optional ones only. */
 import * as z from "zod";
+import type { KeyValueEntry } from "../../contracts/key-value-stores.js";
 import type { RelayedChanges } from "./change-relay.js";
+import type { EditedChanges } from "./recent-changes.js";
+
+/** Key, value, revision of the last change and of the creation. */
+const putSchema = z.tuple([z.string(), z.string(), z.number(), z.number().nullable()]);
+/** Index, number of removed characters, inserted text. */
+const editSchema = z.tuple([z.int().nonnegative(), z.int().nonnegative(), z.string()]);
+
+/** The changes from an earlier revision, with large values as edits; earlier versions read the store for them. */
+const editedChangesSchema = z.object({
+    after: z.number(),
+    puts: z.array(putSchema),
+    deletes: z.array(z.string()),
+    /** As a put, with the hash of the value in its place; then the revision of the base, and the edits. */
+    edited: z.array(
+        z.tuple([z.string(), z.string(), z.number(), z.number().nullable(), z.number(), z.array(editSchema)]),
+    ),
+});
 
 const changesSchema = z.object({
     era: z.number().nullable(),
     after: z.number(),
     revision: z.number(),
-    /** Key, value, revision of the last change and of the creation. */
-    puts: z.array(z.tuple([z.string(), z.string(), z.number(), z.number().nullable()])),
+    puts: z.array(putSchema),
     deletes: z.array(z.string()),
+    /** The changes from an earlier revision, with large values as edits; earlier versions read the store for them. */
+    byEdits: editedChangesSchema.optional(),
     faultAge: z.number().nullable().default(null),
 });
 
@@ -33,27 +52,60 @@
 });
 
 export function encodeChanges(changes: RelayedChanges): z.infer<typeof changesSchema> {
-    const { era, after, revision, puts, deletes, faultAge } = changes;
+    const { era, after, revision, puts, deletes, faultAge, byEdits } = changes;
     return {
         era: era ?? null,
         after,
         revision,
-        puts: puts.map(put => [put.key, put.value, put.modRevision, put.createRevision ?? null]),
+        puts: puts.map(encodePut),
         deletes: [...deletes],
+        byEdits: byEdits && encodeByEdits(byEdits),
         faultAge: faultAge ?? null,
     };
 }
 
-export function decodeChanges(wire: z.infer<typeof changesSchema>): RelayedChanges {
+export function decodeChanges({ byEdits, ...wire }: z.infer<typeof changesSchema>): RelayedChanges {
     return {
         ...wire,
         era: wire.era ?? undefined,
-        puts: wire.puts.map(([key, value, modRevision, createRevision]) => ({
+        puts: wire.puts.map(decodePut),
+        ...(byEdits && { byEdits: decodeByEdits(byEdits) }),
+        faultAge: wire.faultAge ?? undefined,
+    };
+}
+
+function encodeByEdits({ after, puts, deletes, edited }: EditedChanges): z.infer<typeof editedChangesSchema> {
+    return {
+        after,
+        puts: puts.map(encodePut),
+        deletes: [...deletes],
+        edited: edited.map(({ digest, baseRevision, edits, ...entry }) => [
+            ...encodePut({ ...entry, value: digest }),
+            baseRevision,
+            edits.map(({ at, removed, inserted }) => [at, removed, inserted]),
+        ]),
+    };
+}
+
+function decodeByEdits({ edited, puts, ...wire }: z.infer<typeof editedChangesSchema>): EditedChanges {
+    return {
+        ...wire,
+        puts: puts.map(decodePut),
+        edited: edited.map(([key, digest, modRevision, createRevision, baseRevision, edits]) => ({
             key,
-            value,
+            digest,
             modRevision,
             createRevision: createRevision ?? undefined,
+            baseRevision,
+            edits: edits.map(([at, removed, inserted]) => ({ at, removed, inserted })),
         })),
-        faultAge: wire.faultAge ?? undefined,
     };
 }
+
+function encodePut({ key, value, modRevision, createRevision }: KeyValueEntry): z.infer<typeof putSchema> {
+    return [key, value, modRevision, createRevision ?? null];
+}
+
+function decodePut([key, value, modRevision, createRevision]: z.infer<typeof putSchema>): KeyValueEntry {
+    return { key, value, modRevision, createRevision: createRevision ?? undefined };
+}
--- a/src/serving/store-relay/tests/change-relay.test.ts
+++ b/src/serving/store-relay/tests/change-relay.test.ts
@@ -41,7 +41,7 @@
     public lateMilliseconds = 0;
     /** Time of the latest datagram to the others, which is also its number. */
     private markedAt = 0;
-    private pending: { readonly at: number; readonly finish: (now: number) => Sent } | undefined;
+    private pending: { readonly at: number; readonly finish: (now: number) => Sent | undefined } | undefined;
     public readonly known = new Map<string, number>();
     public position = 0;
     private readonly relay: ChangeRelay;
@@ -106,10 +106,10 @@
                 ? { kind: "progress", revision }
                 : { kind: "changes", revision, puts, deletes: [] };
         const after = { era, revision: this.position };
-        const finish = (at: number): Sent => {
+        const finish = (at: number): Sent | undefined => {
             const response = this.relay.recordResponse(after, event, at);
             this.applyEvent(event);
-            return { to: this.relay.receivers(at), ...response };
+            return response && { to: this.relay.receivers(at), ...response };
         };
         if (this.lateMilliseconds === 0) {
             return finish(now);
@@ -329,7 +329,7 @@
     const respond = (after: number, revision: number, value: string): RelayedChanges => {
         const puts = [{ key: `key-${revision}`, value, modRevision: revision }];
         const event: ProgressEvent = { kind: "changes", revision, puts, deletes: [] };
-        return relay.recordResponse({ era, revision: after }, event, 0).changes;
+        return relay.recordResponse({ era, revision: after }, event, 0)!.changes;
     };
     t.is(respond(0, 1, "a").after, 0);
     const large = respond(1, 2, "b".repeat(100_000));
@@ -360,3 +360,55 @@
     t.deepEqual(omitKnownChanges(changes, { era, revision: 20 }), nothing);
     t.deepEqual(omitKnownChanges(changes, { era, revision: 25 }), nothing);
 });
+
+test("changes of a large value are restored from edits by those who know their base; the others call the store", t => {
+    const routes = Array.from({ length: 300 }, (_, index) => ({
+        name: `route-${index}`,
+        prefix: "/".repeat(90),
+    }));
+    const version = (number: number): KeyValueEntry => ({
+        key: "configuration",
+        value: JSON.stringify({ number, routes: routes.filter((_, index) => index !== number) }),
+        modRevision: 10 * number,
+    });
+    const names = Array.from({ length: 7 }, (_, index) => `entry-${index}`);
+    const relays = names.map(name => ChangeRelay.create({ name, timing: () => timing }));
+    relays.forEach(each => names.forEach(name => each.recordPeer(name, mark, 0)));
+    const relay = relays.find(each => each.receivers(0).length > 0)!;
+    const respond = (from: number, to: number): RelayedChanges => {
+        const event: ProgressEvent = { kind: "changes", revision: 10 * to, puts: [version(to)], deletes: [] };
+        return relay.recordResponse({ era, revision: 10 * from }, event, 0)!.changes;
+    };
+    relay.recordEntries(era, [version(1)]);
+    respond(1, 2);
+    const changes = respond(2, 3);
+    // Without the edits, the message only announces its revision.
+    t.deepEqual([changes.after, changes.revision, changes.puts], [30, 30, []]);
+    t.true(JSON.stringify(changes).length < 2_000);
+    const createFollower = (known: readonly KeyValueEntry[]): ChangeRelay => {
+        const name = names[relays.findIndex(each => each.receivers(0).length === 0)]!;
+        const follower = ChangeRelay.create({ name, timing: () => timing });
+        names.forEach(each => follower.recordPeer(each, mark, 0));
+        follower.recordEntries(era, known);
+        return follower;
+    };
+    const restored = {
+        kind: "event",
+        event: { kind: "changes", revision: 30, puts: [version(3)], deletes: [], isRelayed: true },
+    };
+    t.deepEqual(createFollower([version(1)]).apply(changes, 0, { era, revision: 10 }, 1), restored);
+    t.deepEqual(
+        createFollower([version(1), version(2)]).apply(changes, 0, { era, revision: 25 }, 1),
+        restored,
+    );
+    const lacking = omitKnownChanges(changes, { era, revision: 20 });
+    t.deepEqual(
+        createFollower([version(1), version(2)]).apply(lacking, 0, { era, revision: 20 }, 1),
+        restored,
+    );
+    t.is(createFollower([version(1)]).apply(changes, 0, { era, revision: 9 }, 1).kind, "poll");
+    t.is(createFollower([version(2)]).apply(changes, 0, { era, revision: 20 }, 1).kind, "poll");
+    const other = { ...version(1), value: version(2).value };
+    t.is(createFollower([other]).apply(changes, 0, { era, revision: 10 }, 1).kind, "poll");
+    t.deepEqual(omitKnownChanges(changes, { era, revision: 30 }).byEdits, undefined);
+});
--- a/src/serving/store-relay/watch-feed.ts
+++ b/src/serving/store-relay/watch-feed.ts
@@ -1,6 +1,6 @@
 /** When a watch of the store makes its next call, and changes that another process has read from the store instead. */
 import type { Fault } from "../../core/errors.js";
-import type { StorePosition, WatchEvent } from "../../contracts/key-value-stores.js";
+import type { KeyValueEntry, StorePosition, WatchEvent } from "../../contracts/key-value-stores.js";
 
 /** An event of a watch that leaves its position intact. */
 export type ProgressEvent = Exclude<WatchEvent, { readonly kind: "gap" }>;
@@ -19,6 +19,8 @@
     readonly begin: (watch: FedWatch) => () => void;
     /** Resolves when the watch is to call the store; the value is how long the store may wait for changes, in milliseconds. */
     readonly nextCall: () => Promise<number>;
+    /** Records entries that were read apart from the watch. */
+    readonly recordEntries: (era: number | undefined, entries: readonly KeyValueEntry[]) => void;
     /** Records the response to the latest call, which continued from `after`. */
     readonly recordResponse: (after: StorePosition, event: ProgressEvent) => void;
     /**
@@ -49,6 +51,7 @@
                     setTimeout(call, pauseMilliseconds()).unref();
                 }
             }),
+        recordEntries: () => undefined,
         recordResponse: () => undefined,
         recordFault: () => false,
     };
--- a/src/serving/tests/peer-link.test.ts
+++ b/src/serving/tests/peer-link.test.ts
@@ -80,6 +80,21 @@
             revision: 12,
             puts: [{ key: "a", value: "1", modRevision: 12, createRevision: undefined }],
             deletes: ["b"],
+            byEdits: {
+                after: 8,
+                puts: [{ key: "c", value: "3", modRevision: 9, createRevision: 9 }],
+                deletes: ["b"],
+                edited: [
+                    {
+                        key: "a",
+                        modRevision: 12,
+                        createRevision: undefined,
+                        baseRevision: 7,
+                        digest: "d1",
+                        edits: [{ at: 1, removed: 2, inserted: "1" }],
+                    },
+                ],
+            },
             faultAge: 40,
         };
         const messages: ChangesMessage[] = [];
@@ -110,7 +125,8 @@
             messages.slice(1).map(({ knownAt }) => knownAt),
             [100, undefined],
         );
-        t.deepEqual(messages[1]?.changes, { ...changes, after: 11 });
+        const byEdits = { ...changes.byEdits, after: 11, puts: [] };
+        t.deepEqual(messages[1]?.changes, { ...changes, after: 11, byEdits });
         sender.close();
         receiver.close();
     },
