Give reads of the store time for a large response once it has begun

What callers would see: a process that starts or has lost the history of its watch does not become ready as long as the store takes more than 0.6 s to send all keys, and does not read a version that its peers announce.

Cause: a read counted as lost after 0.6 s, also while its response was arriving.

Change: a response has to begin within 0.6 s and to end within 2.6 s, so a silent store is noticed as early as before. One read of an announced version at a time.

Evidence: the new test of the follower fails before (no version in 2.5 s with responses that take 2 s).

--- a/src/contracts/key-value-stores.ts
+++ b/src/contracts/key-value-stores.ts
@@ -76,6 +76,8 @@
 /** Options of one call. */
 export interface StoreCallOptions {
     readonly deadline: number;
+    /** Time by which the response must have begun, in local monotonic milliseconds; the deadline if undefined. */
+    readonly responseDeadline?: number | undefined;
     readonly priority: StorePriority;
 }
 
--- a/src/core/store-follower.ts
+++ b/src/core/store-follower.ts
@@ -23,6 +23,8 @@
 /** Time-outs and delays that vary between deployments, in milliseconds. */
 export interface FollowerTimes {
     readonly listTimeoutMilliseconds: number;
+    /** Time after which a read whose response has not begun counts as lost; that of the whole read if undefined. */
+    readonly responseTimeoutMilliseconds?: number;
     readonly watchSilenceTimeoutMilliseconds: number;
     readonly minimumBackoffMilliseconds: number;
     readonly maximumBackoffMilliseconds: number;
--- a/src/daemons/prefix-follower.ts
+++ b/src/daemons/prefix-follower.ts
@@ -97,9 +97,10 @@
     }
 
     private async list(attempt: number, deadline: number): Promise<void> {
-        const { store, prefix, priority } = this.options;
+        const { store, prefix, priority, times } = this.options;
         this.listStartedAt = this.now();
-        const response = await store.list(prefix, { deadline, priority });
+        const responseDeadline = this.listStartedAt + (times?.responseTimeoutMilliseconds ?? Infinity);
+        const response = await store.list(prefix, { deadline, responseDeadline, priority });
         if (this.isClosed) {
             return;
         }
--- a/src/daemons/serving/serving-follower.ts
+++ b/src/daemons/serving/serving-follower.ts
@@ -6,6 +6,7 @@
 import type {
     KeyValueEntry,
     KeyValueStore,
+    StoreCallOptions,
     StorePosition,
     WatchEvent,
 } from "../../contracts/key-value-stores.js";
@@ -21,15 +22,16 @@
 import { PrefixFollower } from "../prefix-follower.js";
 
 /**
- * Time limits of following the store. Watch calls have their own deadlines; the limit on watch silence is a second
+ * Time limits of following the store: a large configuration takes long to arrive on a slow link. Watch calls have their own deadlines; the limit on watch silence is a second
  * safeguard.
  */
-const followerTimes: FollowerTimes = {
-    listTimeoutMilliseconds: 600,
+const followerTimes = {
+    listTimeoutMilliseconds: 2_600,
+    responseTimeoutMilliseconds: 600,
     watchSilenceTimeoutMilliseconds: 6_000,
     minimumBackoffMilliseconds: 150,
     maximumBackoffMilliseconds: 1_000,
-};
+} as const satisfies FollowerTimes;
 
 /** Minimum interval between reads of the configuration that peers suggest, in milliseconds. */
 const configurationReadIntervalMilliseconds = 500;
@@ -113,6 +115,7 @@
     private readonly evacuationEntries = new Map<string, KeyValueEntry>();
     private position: StorePosition | undefined;
     private nextConfigurationReadAt = 0;
+    private isReadingConfiguration = false;
     /** Versions above the one in force that peers have, with the local monotonic milliseconds at which each was learned. */
     private readonly newerVersions = new Map<number, number>();
     private readonly isFailingByPrefix = new Map<string, boolean>();
@@ -149,12 +152,14 @@
             .forEach(each => this.newerVersions.delete(each));
         const learnedAt = Math.min(...this.newerVersions.values());
         const readAt = learnedAt + this.options.configurationReadDelayMilliseconds();
-        if (now < Math.max(readAt, this.nextConfigurationReadAt)) {
+        if (this.isReadingConfiguration || now < Math.max(readAt, this.nextConfigurationReadAt)) {
             return;
         }
+        this.isReadingConfiguration = true;
         this.nextConfigurationReadAt = now + configurationReadIntervalMilliseconds;
-        const deadline = now + followerTimes.listTimeoutMilliseconds;
-        void store.get(configurationKey, { deadline, priority: "configuration" }).then(response => {
+        const deadlines = readDeadlines(now);
+        void store.get(configurationKey, { ...deadlines, priority: "configuration" }).then(response => {
+            this.isReadingConfiguration = false;
             if (response.success) {
                 this.applyConfiguration(findValue(response.data.entries, configurationKey), "announcement");
             }
@@ -351,8 +356,7 @@
 
     private async readPeers(): Promise<void> {
         const { store, peerPrefix, onPeers } = this.options;
-        const deadline = this.now() + followerTimes.listTimeoutMilliseconds;
-        const response = await store.list(peerPrefix, { deadline, priority: "other" });
+        const response = await store.list(peerPrefix, { ...readDeadlines(this.now()), priority: "other" });
         if (!response.success) {
             this.recordStoreState(peerPrefix, response.fault);
             return;
@@ -386,6 +390,14 @@
     }
 }
 
+/** Deadlines of a read that begins at `now`, in local monotonic milliseconds. */
+function readDeadlines(now: number): Pick<StoreCallOptions, "deadline" | "responseDeadline"> {
+    return {
+        deadline: now + followerTimes.listTimeoutMilliseconds,
+        responseDeadline: now + followerTimes.responseTimeoutMilliseconds,
+    };
+}
+
 /** Returns the value of the newest entry with the given key. */
 function findValue(entries: readonly KeyValueEntry[], key: string): string | undefined {
     return entries.findLast(entry => entry.key === key)?.value;
--- a/src/daemons/serving/tests/serving-follower.test.ts
+++ b/src/daemons/serving/tests/serving-follower.test.ts
@@ -1,13 +1,16 @@
 import test from "ava";
 import { NEVER } from "rxjs";
 import type { KeyValueStore } from "../../../contracts/key-value-stores.js";
-import { succeed } from "../../../core/errors.js";
+import type { Fault, Result } from "../../../core/errors.js";
+import { fail, succeed } from "../../../core/errors.js";
 import type { ServingConfiguration } from "../../../serving/serving-configuration.js";
 import { createServingMetrics } from "../../../serving/serving-metrics.js";
 import { ServingFollower } from "../serving-follower.js";
 
 const limits = { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 };
 
+const lost: Fault = { code: "storeUnavailable", message: "lost", step: "store", notRun: false };
+
 function unused(): never {
     throw new Error("the test expects no such call");
 }
@@ -136,3 +139,39 @@
     t.is(parsedCount(), 2);
     follower.close();
 });
+
+test("a configuration that takes two seconds to arrive is read, at the start and when peers announce it", async t => {
+    let now = 0;
+    let calls = 0;
+    let underWay: { readonly at: number; readonly respond: () => void }[] = [];
+    const { store } = createStore(() => 1);
+    const delay = async <T>(deadline: number, response: Promise<Result<T>>): Promise<Result<T>> => {
+        calls += 1;
+        await new Promise<void>(respond => underWay.push({ at: now + 2_000, respond }));
+        return now > deadline ? fail(lost) : response;
+    };
+    const slowStore: KeyValueStore = {
+        ...store,
+        list: (prefix, options) => delay(options.deadline, store.list(prefix, options)),
+        get: (_, options) => {
+            const entries = [{ key: "configuration", value: "2", modRevision: 2 }];
+            return delay(options.deadline, Promise.resolve(succeed({ revision: 2, entries })));
+        },
+    };
+    const { follower, versions } = createFollower(slowStore, () => now, 0);
+    const runUntil = async (end: number, act: () => void): Promise<void> => {
+        for (; now < end; now += 100) {
+            act();
+            underWay.filter(({ at }) => at <= now).forEach(({ respond }) => respond());
+            underWay = underWay.filter(({ at }) => at > now);
+            await settle();
+        }
+    };
+    await runUntil(2_500, () => follower.tick());
+    t.deepEqual(versions, [1]);
+    await runUntil(5_000, () => follower.learnVersion(2));
+    t.deepEqual(versions, [1, 2]);
+    // Several reads of a large configuration at a time would slow each other down.
+    t.is(calls, 2);
+    follower.close();
+});
--- a/src/links/http-client.ts
+++ b/src/links/http-client.ts
@@ -17,6 +17,8 @@
     readonly body?: string;
     /** Local monotonic milliseconds. */
     readonly deadline: number;
+    /** Time by which the head of the response must have arrived, in local monotonic milliseconds; the deadline if undefined. */
+    readonly responseDeadline?: number | undefined;
 }
 
 /** A completely received HTTP response. */
@@ -84,7 +86,9 @@
 
 /** Sends one request and reads its whole response; never rejects. */
 export function sendHttpRequest(client: HttpClient, outgoing: HttpRequest): Promise<HttpOutcome> {
-    const remaining = outgoing.deadline - client.clock.monotonicMilliseconds();
+    const { deadline, responseDeadline = deadline } = outgoing;
+    const remainingUntil = (time: number): number => time - client.clock.monotonicMilliseconds();
+    const remaining = remainingUntil(Math.min(deadline, responseDeadline));
     if (remaining <= 0) {
         return Promise.resolve({ kind: "notSent", message: "the deadline has passed" });
     }
@@ -99,10 +103,11 @@
         }
         const { request, mayHaveBeenSent } = opened;
         let hasEnded = false;
-        const timer = setTimeout(() => {
+        const end = (): void => {
             hasEnded = true;
             request.destroy(new Error("the deadline has passed"));
-        }, remaining);
+        };
+        let timer = setTimeout(end, remaining);
         const settle = (outcome: HttpOutcome): void => {
             clearTimeout(timer);
             resolve(outcome);
@@ -116,6 +121,8 @@
             );
         });
         request.on("response", response => {
+            clearTimeout(timer);
+            timer = setTimeout(end, remainingUntil(deadline));
             if (client.isReusable?.(response) === false) {
                 request.shouldKeepAlive = false;
             }
