Compress large values that relays pass on

Cause: 240 KB of inserted text fit into no datagram.

Change: what does not fit is deflated; a value that differs too much from the earlier one is stated whole, so its receivers need no earlier one. The test of a value that no datagram can hold takes one that cannot be compressed.

--- a/src/serving/store-relay/change-relay.ts
+++ b/src/serving/store-relay/change-relay.ts
@@ -92,7 +92,7 @@
     ) {
         return changes;
     }
-    const { byEdits, ...whole } = changes;
+    const { compact, ...whole } = changes;
     if (position.revision >= changes.revision) {
         return { ...whole, after: changes.revision, puts: [], deletes: [] };
     }
@@ -103,20 +103,20 @@
         after: Math.max(changes.after, position.revision),
         puts: changes.puts.filter(lacks),
     };
-    if (byEdits === undefined) {
+    if (compact === undefined) {
         return lacking;
     }
-    const { puts, edited } = byEdits;
+    const { puts, edited } = compact;
     const after = position.revision;
     return {
         ...lacking,
-        byEdits: { ...byEdits, after, puts: puts.filter(lacks), edited: edited.filter(lacks) },
+        compact: { ...compact, after, puts: puts.filter(lacks), edited: edited.filter(lacks) },
     };
 }
 
 /** Returns the revision after which relayed changes begin, for a receiver that knows the base of each edit. */
-export function firstRevision({ after, byEdits }: RelayedChanges): number {
-    return byEdits?.after ?? after;
+export function firstRevision({ after, compact }: RelayedChanges): number {
+    return compact?.after ?? after;
 }
 
 export interface ChangeRelayOptions {
@@ -292,16 +292,16 @@
 
     /** Applies the edits of a message to the values that this process has; returns the message if it lacks one of them. */
     private restore(message: RelayedChanges, position: StorePosition): RelayedChanges {
-        const { byEdits, era, revision } = message;
+        const { compact, era, revision } = message;
         const isNeeded = position.era === era && position.revision < revision;
-        if (byEdits === undefined || !isNeeded || position.revision < byEdits.after) {
+        if (compact === undefined || !isNeeded || position.revision < compact.after) {
             return message;
         }
-        const { after, deletes } = byEdits;
-        const edited = byEdits.edited.filter(({ modRevision }) => modRevision > position.revision);
+        const { after, deletes } = compact;
+        const edited = compact.edited.filter(({ modRevision }) => modRevision > position.revision);
         const restored = edited.flatMap(entry => restoreEntry(entry, this.history) ?? []);
         return restored.length === edited.length
-            ? { ...message, after, deletes, puts: [...byEdits.puts, ...restored], byEdits: undefined }
+            ? { ...message, after, deletes, puts: [...compact.puts, ...restored], compact: undefined }
             : message;
     }
 
--- a/src/serving/store-relay/recent-changes.ts
+++ b/src/serving/store-relay/recent-changes.ts
@@ -1,8 +1,9 @@
 /**
  * The changes of the last responses of a watch, as one statement of the final state of each changed key. Covers receivers
  * that missed a message or follow another relay: a message overlaps with the ones before it, and applying a final state
- * again does no harm. Large values are stated as edits of the version that the receivers have.
+ * again does no harm. Large values are compressed, and stated as edits of the version that the receivers have.
  */
+import { deflateRawSync } from "node:zlib";
 import type { KeyValueEntry } from "../../contracts/key-value-stores.js";
 import { hashIdentity } from "../../core/identity-hashes.js";
 import type { ValueEdit } from "./value-edits.js";
@@ -14,10 +15,10 @@
 const coveredResponses = 3;
 /** Maximum size of the values in one message, in bytes; a datagram of 64 KB also holds keys and escapes. */
 const maximumValueBytes = 24 * 1024;
-/** Size of an edit in a datagram beside the inserted text, in bytes. */
-const editOverheadBytes = 24;
-/** Number of comparisons of two versions that are kept for the next messages. */
-const keptComparisons = 8;
+/** Maximum size of the compressed values in one message, in bytes; they are sent in base64. */
+const maximumCompressedBytes = 32 * 1024;
+/** Number of values of which the compact form is kept for the next messages. */
+const keptForms = 8;
 
 /** All changes after one revision of the store up to another one. */
 export interface ChangeRange {
@@ -35,20 +36,27 @@
     readonly digest: string;
 }
 
-/** All changes after one revision, with large values as edits. */
-export interface EditedChanges extends Omit<ChangeRange, "revision"> {
+/** All changes after one revision, with large values as edits where that is shorter. */
+export interface CompactChanges extends Omit<ChangeRange, "revision"> {
     readonly edited: readonly EditedEntry[];
 }
 
-/** The same changes twice: for any receiver, and for those that know the base of each edit, which may begin earlier. */
+/** What has changed, for any receiver. */
 export interface RecentRange extends ChangeRange {
-    readonly byEdits?: EditedChanges | undefined;
+    /** The same from an earlier revision, for receivers that can decode it and know the base of each edit. */
+    readonly compact?: CompactChanges | undefined;
+}
+
+/** The shortest statement of a value, and its compressed size in bytes. */
+interface CompactForm {
+    /** Undefined if the value itself is to be stated. */
+    readonly edited: EditedEntry | undefined;
+    readonly compressedBytes: number;
 }
 
 export class RecentChanges {
     private ranges: readonly ChangeRange[] = [];
-    /** Results of comparing two versions of a value; undefined if they differ too much. */
-    private readonly comparisons = new Map<string, EditedEntry | undefined>();
+    private readonly compactForms = new Map<string, CompactForm>();
 
     private constructor(private readonly history: ValueHistory) {}
 
@@ -67,7 +75,7 @@
 
     public clear(): void {
         this.ranges = [];
-        this.comparisons.clear();
+        this.compactForms.clear();
     }
 
     /** Merges as many of the last responses as one datagram can hold; receivers read the store for what it cannot hold. */
@@ -78,53 +86,60 @@
             if (sumValueBytes(merged.puts) <= maximumValueBytes) {
                 return merged;
             }
-            const byEdits = this.edit(merged);
-            if (byEdits !== undefined) {
-                return { after: revision, revision, puts: [], deletes: [], byEdits };
+            const compact = this.compact(merged);
+            if (compact !== undefined) {
+                return { after: revision, revision, puts: [], deletes: [], compact };
             }
         }
         return { after: revision, revision, puts: [], deletes: [] };
     }
 
-    /** Replaces values with edits of those before the range; undefined if a datagram cannot hold the result either. */
-    private edit({ after, puts, deletes }: ChangeRange): EditedChanges | undefined {
-        const edited = puts.flatMap(put => this.compare(put, after) ?? []);
-        const whole = puts.filter(put => edited.every(({ key }) => key !== put.key));
-        const bytes = sumValueBytes(whole) + sumEditBytes(edited.flatMap(({ edits }) => edits));
-        return bytes <= maximumValueBytes ? { after, puts: whole, deletes, edited } : undefined;
+    /** Returns the compact form of changes; undefined if a datagram cannot hold it either. */
+    private compact({ after, puts, deletes }: ChangeRange): CompactChanges | undefined {
+        const forms = puts.map(put => this.compactForm(put, after));
+        const bytes = forms.reduce((sum, { compressedBytes }) => sum + compressedBytes, 0);
+        if (bytes > maximumCompressedBytes) {
+            return undefined;
+        }
+        const edited = forms.flatMap(form => form.edited ?? []);
+        return {
+            after,
+            puts: puts.filter((_, index) => forms[index]?.edited === undefined),
+            deletes,
+            edited,
+        };
     }
 
-    private compare(entry: KeyValueEntry, after: number): EditedEntry | undefined {
-        const { key, value, modRevision, createRevision } = entry;
-        const base = this.history.newestAt(key, after);
-        if (base === undefined) {
-            return undefined;
+    private compactForm(entry: KeyValueEntry, after: number): CompactForm {
+        const base = this.history.newestAt(entry.key, after);
+        const id = `${base?.modRevision} ${entry.modRevision} ${entry.key}`;
+        const known = this.compactForms.get(id);
+        if (known !== undefined) {
+            return known;
         }
-        const comparison = `${base.modRevision} ${modRevision} ${key}`;
-        if (!this.comparisons.has(comparison)) {
-            const edits = diffValues(base.value, value);
-            const { modRevision: baseRevision } = base;
-            const edited = edits && { key, modRevision, baseRevision, edits, digest: hashValue(value) };
-            this.comparisons.set(
-                comparison,
-                edited && (createRevision === undefined ? edited : { ...edited, createRevision }),
-            );
-            if (this.comparisons.size > keptComparisons) {
-                this.comparisons.delete(this.comparisons.keys().next().value!);
-            }
+        const edited = base && editEntry(base, entry);
+        const inserted = edited?.edits.map(edit => edit.inserted).join("");
+        const form = { edited, compressedBytes: deflateRawSync(inserted ?? entry.value).length };
+        this.compactForms.set(id, form);
+        if (this.compactForms.size > keptForms) {
+            this.compactForms.delete(this.compactForms.keys().next().value!);
         }
-        return this.comparisons.get(comparison);
+        return form;
     }
 }
 
+/** Describes an entry by edits of an earlier one; undefined if they differ too much. */
+function editEntry(base: KeyValueEntry, { value, ...entry }: KeyValueEntry): EditedEntry | undefined {
+    const edits = diffValues(base.value, value);
+    return edits && { ...entry, baseRevision: base.modRevision, edits, digest: hashValue(value) };
+}
+
 /** Returns the entry that edits of a relay describe; undefined if this process does not have its base. */
 export function restoreEntry(edited: EditedEntry, history: ValueHistory): KeyValueEntry | undefined {
-    const { key, modRevision, createRevision, baseRevision, edits, digest } = edited;
-    const base = history.find(key, baseRevision);
+    const { baseRevision, edits, digest, ...entry } = edited;
+    const base = history.find(entry.key, baseRevision);
     const value = base && applyEdits(base.value, edits);
-    return value !== undefined && hashValue(value) === digest
-        ? { key, value, modRevision, ...(createRevision === undefined ? {} : { createRevision }) }
-        : undefined;
+    return value !== undefined && hashValue(value) === digest ? { ...entry, value } : undefined;
 }
 
 function hashValue(value: string): string {
@@ -135,10 +150,6 @@
     return puts.reduce((sum, { value }) => sum + Buffer.byteLength(value), 0);
 }
 
-function sumEditBytes(edits: readonly ValueEdit[]): number {
-    return edits.reduce((sum, { inserted }) => sum + Buffer.byteLength(inserted) + editOverheadBytes, 0);
-}
-
 /** Merges contiguous ranges; the last change of each key counts. */
 function mergeRanges(ranges: readonly ChangeRange[]): ChangeRange {
     const finalEntries = new Map<string, KeyValueEntry | undefined>();
--- a/src/serving/store-relay/relay-datagram.ts
+++ b/src/serving/store-relay/relay-datagram.ts
@@ -1,16 +1,20 @@
 /** Datagram with which a relay passes changes of the store on. Fields may be added as optional ones only. */
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import * as z from "zod";
 import type { KeyValueEntry } from "../../contracts/key-value-stores.js";
+import { parseJson } from "../../links/json.js";
 import type { RelayedChanges } from "./change-relay.js";
-import type { EditedChanges } from "./recent-changes.js";
+import type { CompactChanges } from "./recent-changes.js";
+
+/** Maximum size of compressed changes once they are restored, in bytes. */
+const maximumRestoredBytes = 16 * 1024 * 1024;
 
 /** Key, value, revision of the last change and of the creation. */
 const putSchema = z.tuple([z.string(), z.string(), z.number(), z.number().nullable()]);
 /** Index, number of removed characters, inserted text. */
 const editSchema = z.tuple([z.int().nonnegative(), z.int().nonnegative(), z.string()]);
 
-/** The changes from an earlier revision, with large values as edits; earlier versions read the store for them. */
-const editedChangesSchema = z.object({
+const compactSchema = z.object({
     after: z.number(),
     puts: z.array(putSchema),
     deletes: z.array(z.string()),
@@ -26,8 +30,8 @@
     revision: z.number(),
     puts: z.array(putSchema),
     deletes: z.array(z.string()),
-    /** The changes from an earlier revision, with large values as edits; earlier versions read the store for them. */
-    byEdits: editedChangesSchema.optional(),
+    /** The changes from an earlier revision as JSON, deflated, in base64; earlier versions read the store for them. */
+    compact: z.string().optional(),
     faultAge: z.number().nullable().default(null),
 });
 
@@ -52,30 +56,30 @@
 });
 
 export function encodeChanges(changes: RelayedChanges): z.infer<typeof changesSchema> {
-    const { era, after, revision, puts, deletes, faultAge, byEdits } = changes;
+    const { era, after, revision, puts, deletes, faultAge, compact } = changes;
     return {
         era: era ?? null,
         after,
         revision,
         puts: puts.map(encodePut),
         deletes: [...deletes],
-        byEdits: byEdits && encodeByEdits(byEdits),
+        compact: compact && encodeCompact(compact),
         faultAge: faultAge ?? null,
     };
 }
 
-export function decodeChanges({ byEdits, ...wire }: z.infer<typeof changesSchema>): RelayedChanges {
+export function decodeChanges({ compact, ...wire }: z.infer<typeof changesSchema>): RelayedChanges {
     return {
         ...wire,
         era: wire.era ?? undefined,
         puts: wire.puts.map(decodePut),
-        ...(byEdits && { byEdits: decodeByEdits(byEdits) }),
+        ...(compact !== undefined && { compact: decodeCompact(compact) }),
         faultAge: wire.faultAge ?? undefined,
     };
 }
 
-function encodeByEdits({ after, puts, deletes, edited }: EditedChanges): z.infer<typeof editedChangesSchema> {
-    return {
+function encodeCompact({ after, puts, deletes, edited }: CompactChanges): string {
+    const wire: z.infer<typeof compactSchema> = {
         after,
         puts: puts.map(encodePut),
         deletes: [...deletes],
@@ -85,9 +89,16 @@
             edits.map(({ at, removed, inserted }) => [at, removed, inserted]),
         ]),
     };
+    return deflateRawSync(JSON.stringify(wire)).toString("base64");
 }
 
-function decodeByEdits({ edited, puts, ...wire }: z.infer<typeof editedChangesSchema>): EditedChanges {
+/** Returns undefined if the text cannot be read; the receiver then reads the store, as without it. */
+function decodeCompact(text: string): CompactChanges | undefined {
+    const parsed = compactSchema.safeParse(parseJson(inflate(text)));
+    if (!parsed.success) {
+        return undefined;
+    }
+    const { edited, puts, ...wire } = parsed.data;
     return {
         ...wire,
         puts: puts.map(decodePut),
@@ -102,6 +113,15 @@
     };
 }
 
+function inflate(text: string): string {
+    try {
+        const bytes = Buffer.from(text, "base64");
+        return inflateRawSync(bytes, { maxOutputLength: maximumRestoredBytes }).toString("utf8");
+    } catch {
+        return "";
+    }
+}
+
 function encodePut({ key, value, modRevision, createRevision }: KeyValueEntry): z.infer<typeof putSchema> {
     return [key, value, modRevision, createRevision ?? null];
 }
--- a/src/serving/store-relay/tests/change-relay.test.ts
+++ b/src/serving/store-relay/tests/change-relay.test.ts
@@ -1,7 +1,9 @@
+import { randomBytes } from "node:crypto";
 import test from "ava";
 import type { KeyValueEntry } from "../../../contracts/key-value-stores.js";
 import type { ProgressEvent } from "../watch-feed.js";
 import type { ReceivedMark, RelayedChanges, RelayedResponse, RelayTiming } from "../change-relay.js";
+import { decodeChanges, encodeChanges } from "../relay-datagram.js";
 import { ChangeRelay, omitKnownChanges } from "../change-relay.js";
 
 const era = 1;
@@ -332,12 +334,36 @@
         return relay.recordResponse({ era, revision: after }, event, 0)!.changes;
     };
     t.is(respond(0, 1, "a").after, 0);
-    const large = respond(1, 2, "b".repeat(100_000));
+    const large = respond(1, 2, randomBytes(60_000).toString("base64"));
     t.deepEqual([large.after, large.revision, large.puts], [2, 2, []]);
     const next = respond(2, 3, "c");
     t.deepEqual([next.after, next.revision, next.puts.length], [2, 3, 1]);
 });
 
+test("a large value that can be compressed needs no earlier version at its receivers", t => {
+    const names = Array.from({ length: 7 }, (_, index) => `entry-${index}`);
+    const relays = names.map(name => ChangeRelay.create({ name, timing: () => timing }));
+    relays.forEach(each => names.forEach(name => each.recordPeer(name, mark, 0)));
+    const relay = relays.find(each => each.receivers(0).length > 0)!;
+    const follower = relays.find(each => each.receivers(0).length === 0)!;
+    const routes = Array.from({ length: 1_400 }, (_, index) => ({
+        name: `route-${index}`,
+        prefix: `/${index}/`,
+    }));
+    const puts = [{ key: "configuration", value: JSON.stringify(routes), modRevision: 5, createRevision: 1 }];
+    const event: ProgressEvent = { kind: "changes", revision: 5, puts, deletes: [] };
+    const { changes } = relay.recordResponse({ era, revision: 4 }, event, 0)!;
+    const encoded = encodeChanges(changes);
+    t.true(JSON.stringify(encoded).length < 20_000);
+    const decoded = decodeChanges(encoded);
+    t.deepEqual(follower.apply(decoded, 0, { era, revision: 4 }, 1), {
+        kind: "event",
+        event: { kind: "changes", revision: 5, puts, deletes: [], isRelayed: true },
+    });
+    const unreadable = decodeChanges({ ...encoded, compact: "unreadable" });
+    t.is(follower.apply(unreadable, 0, { era, revision: 4 }, 1).kind, "poll");
+});
+
 test("a receiver gets only the changes that it lacks", t => {
     const put = (modRevision: number): KeyValueEntry => ({
         key: `key-${modRevision}`,
@@ -410,5 +436,5 @@
     t.is(createFollower([version(2)]).apply(changes, 0, { era, revision: 20 }, 1).kind, "poll");
     const other = { ...version(1), value: version(2).value };
     t.is(createFollower([other]).apply(changes, 0, { era, revision: 10 }, 1).kind, "poll");
-    t.deepEqual(omitKnownChanges(changes, { era, revision: 30 }).byEdits, undefined);
+    t.deepEqual(omitKnownChanges(changes, { era, revision: 30 }).compact, undefined);
 });
--- a/src/serving/tests/peer-link.test.ts
+++ b/src/serving/tests/peer-link.test.ts
@@ -80,7 +80,7 @@
             revision: 12,
             puts: [{ key: "a", value: "1", modRevision: 12, createRevision: undefined }],
             deletes: ["b"],
-            byEdits: {
+            compact: {
                 after: 8,
                 puts: [{ key: "c", value: "3", modRevision: 9, createRevision: 9 }],
                 deletes: ["b"],
@@ -125,8 +125,8 @@
             messages.slice(1).map(({ knownAt }) => knownAt),
             [100, undefined],
         );
-        const byEdits = { ...changes.byEdits, after: 11, puts: [] };
-        t.deepEqual(messages[1]?.changes, { ...changes, after: 11, byEdits });
+        const compact = { ...changes.compact, after: 11, puts: [] };
+        t.deepEqual(messages[1]?.changes, { ...changes, after: 11, compact });
         sender.close();
         receiver.close();
     },
