Compare and compress large values in less processor time

Comparing two versions that differ too much took 3 to 4 ms at full speed, compressing 260 KB up to 2.9 ms (a sample configuration, trial).

--- a/src/serving/store-relay/recent-changes.ts
+++ b/src/serving/store-relay/recent-changes.ts
@@ -3,7 +3,7 @@
  * that missed a message or follow another relay: a message overlaps with the ones before it, and applying a final state
  * again does no harm. Large values are compressed, and stated as edits of the version that the receivers have.
  */
-import { deflateRawSync } from "node:zlib";
+import { constants, deflateRawSync } from "node:zlib";
 import type { KeyValueEntry } from "../../contracts/key-value-stores.js";
 import { hashIdentity } from "../../core/identity-hashes.js";
 import type { ValueEdit } from "./value-edits.js";
@@ -119,7 +119,7 @@
         }
         const edited = base && editEntry(base, entry);
         const inserted = edited?.edits.map(edit => edit.inserted).join("");
-        const form = { edited, compressedBytes: deflateRawSync(inserted ?? entry.value).length };
+        const form = { edited, compressedBytes: compress(inserted ?? entry.value).length };
         this.compactForms.set(id, form);
         if (this.compactForms.size > keptForms) {
             this.compactForms.delete(this.compactForms.keys().next().value!);
@@ -142,6 +142,11 @@
     return value !== undefined && hashValue(value) === digest ? { ...entry, value } : undefined;
 }
 
+/** Compresses text as in messages of a relay, in little processor time. */
+export function compress(text: string): Buffer {
+    return deflateRawSync(text, { level: constants.Z_BEST_SPEED });
+}
+
 function hashValue(value: string): string {
     return hashIdentity([], value);
 }
--- a/src/serving/store-relay/relay-datagram.ts
+++ b/src/serving/store-relay/relay-datagram.ts
@@ -1,10 +1,11 @@
 /** Datagram with which a relay passes changes of the store on. Fields may be added as optional ones only. */
-import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { inflateRawSync } from "node:zlib";
 import * as z from "zod";
 import type { KeyValueEntry } from "../../contracts/key-value-stores.js";
 import { parseJson } from "../../links/json.js";
 import type { RelayedChanges } from "./change-relay.js";
 import type { CompactChanges } from "./recent-changes.js";
+import { compress } from "./recent-changes.js";
 
 /** Maximum size of compressed changes once they are restored, in bytes. */
 const maximumRestoredBytes = 16 * 1024 * 1024;
@@ -89,7 +90,7 @@
             edits.map(({ at, removed, inserted }) => [at, removed, inserted]),
         ]),
     };
-    return deflateRawSync(JSON.stringify(wire)).toString("base64");
+    return compress(JSON.stringify(wire)).toString("base64");
 }
 
 /** Returns undefined if the text cannot be read; the receiver then reads the store, as without it. */
--- a/src/serving/store-relay/value-edits.ts
+++ b/src/serving/store-relay/value-edits.ts
@@ -12,7 +12,7 @@
 }
 
 /** Number of inserted and removed parts beyond which two versions count as unrelated, which bounds the time of the search. */
-const maximumEditedParts = 400;
+const maximumEditedParts = 100;
 /** Values are compared by the objects of JSON that they hold. */
 const partBoundary = /(?<=\})/;
 
