Soak: large configurations beside slowed relays

Every second seed of `--relays` publishes configurations of 1,003 routes that differ in three of them.

--- a/tests/soak/soak-run.ts
+++ b/tests/soak/soak-run.ts
@@ -313,9 +313,15 @@
         return inOrder.sort((left, right) => (orderOf(left) < orderOf(right) ? -1 : 1)).slice(0, 2);
     }
 
+    /** Every second seed beside slowed relays plays configurations that no datagram can hold. */
+    private get unusedRoutes(): number {
+        const { seed, slowsRelays = false } = this.options;
+        return slowsRelays && seed % 2 === 0 ? 1_000 : 0;
+    }
+
     private publishConfiguration(): void {
         const version = (this.published.at(-1)?.version ?? 0) + 1;
-        this.store.put("op/config", configurationAt(version));
+        this.store.put("op/config", configurationAt(version, this.unusedRoutes));
         this.published.push({ version, at: this.now() });
     }
 
@@ -486,7 +492,7 @@
         this.copies.length = 0;
         this.recordDisturbance(undefined, this.now(), this.now());
         this.after(heartbeatMilliseconds, () => {
-            this.store.put("op/config", configurationAt(this.published.at(-1)!.version));
+            this.store.put("op/config", configurationAt(this.published.at(-1)!.version, this.unusedRoutes));
         });
         this.after(3 * heartbeatMilliseconds, () => {
             const registered = this.store.keysUnder("servers/");
--- a/tests/soak/workload.ts
+++ b/tests/soak/workload.ts
@@ -53,7 +53,8 @@
     { timeout: 4_000, idle: 4_000, headerBytes: 2_048, headerTimeout: 3_000, readService: "other" },
 ] as const;
 
-export function configurationAt(version: number): unknown {
+/** `unusedRoutes`: number of further routes, which make the configuration large; each version lacks another one. */
+export function configurationAt(version: number, unusedRoutes = 0): unknown {
     const variant = variants[(version - 1) % variants.length]!;
     const route = {
         Hostname: host,
@@ -84,6 +85,15 @@
             },
             { ...plain, Name: "marker", Prefix: markerPath(version), Kind: "idempotent", MaxAttempts: 2 },
             { ...route, ...stream, Service: "engines", MaxAttempts: 2 },
+            ...Array.from({ length: unusedRoutes }, (_, index) => index)
+                .filter(index => index !== version % unusedRoutes)
+                .map(index => ({
+                    ...plain,
+                    Name: `unused-${index}`,
+                    Prefix: `/unused-${index}/`,
+                    Kind: "idempotent",
+                    MaxAttempts: 1,
+                })),
         ],
         Services: [
             { Name: "plain", HealthPath: "/health", MaxConnections: 60 },
