--- a/src/serving/store-relay/value-history.ts
+++ b/src/serving/store-relay/value-history.ts
@@ -5,8 +5,10 @@
 const minimumValueLength = 2 * 1024;
 /** A relay's message covers its last three responses; versions that peers announced may lie between those. */
 const keptVersions = 6;
+/** Length of all kept versions of one key beyond which the earliest are forgotten, in characters. */
+const maximumKeptLength = 4 * 1024 * 1024;
 /** Keys with large values beyond which the one that changed first is forgotten. */
-const maximumKeys = 16;
+const maximumKeys = 4;
 
 export class ValueHistory {
     private era: number | undefined;
@@ -46,10 +48,20 @@
         }
         const versions = [...(this.versionsByKey.get(entry.key) ?? []), entry];
         versions.sort((left, right) => left.modRevision - right.modRevision);
+        while (
+            versions.length > 1 &&
+            (versions.length > keptVersions || sumLengths(versions) > maximumKeptLength)
+        ) {
+            versions.shift();
+        }
         this.versionsByKey.delete(entry.key);
-        this.versionsByKey.set(entry.key, versions.slice(-keptVersions));
+        this.versionsByKey.set(entry.key, versions);
         if (this.versionsByKey.size > maximumKeys) {
             this.versionsByKey.delete(this.versionsByKey.keys().next().value!);
         }
     }
 }
+
+function sumLengths(entries: readonly KeyValueEntry[]): number {
+    return entries.reduce((sum, { value }) => sum + value.length, 0);
+}
