--- a/src/daemons/serving/serving-follower.ts
+++ b/src/daemons/serving/serving-follower.ts
@@ -22,8 +22,8 @@
 import { PrefixFollower } from "../prefix-follower.js";
 
 /**
- * Time limits of following the store: a large configuration takes long to arrive on a slow link. Watch calls have their own deadlines; the limit on watch silence is a second
- * safeguard.
+ * Time limits of following the store: a large configuration takes long to arrive on a slow link. Watch calls have their own
+ * deadlines; the limit on watch silence is a second safeguard.
  */
 const followerTimes = {
     listTimeoutMilliseconds: 2_600,
