--- a/review/10/case-2.ts
+++ b/review/10/case-2.ts
@@ -1,4 +1,4 @@
-/** A part of prompts crashes replicas; its requests come for two seconds, stop for a minute, and come again. */
+/** A part of prompts that was served until then begins to crash replicas. */
 import { setTimeout as pause } from "node:timers/promises";
 import type { Answer, Deployment } from "../deployment-2.js";
 import {
@@ -18,9 +18,9 @@
 const prefillMilliseconds = 40;
 const crashDelayMilliseconds = 5;
 const downMilliseconds = 3_000;
-const waveMilliseconds = 2_000;
-const badIntervalMilliseconds = 60;
-const silenceMilliseconds = 62_000;
+const servedMilliseconds = 6_000;
+const crashingMilliseconds = 20_000;
+const badIntervalMilliseconds = 500;
 const soundIntervalMilliseconds = 250;
 const countedCrashes = 5;
 const allowedRequests = 3;
@@ -33,12 +33,11 @@
 class Callers {
     public readonly bad: Promise<Answer>[] = [];
     public readonly sound: Promise<Answer>[] = [];
-    private isEnded = false;
 
     public constructor(private readonly deployment: Deployment) {}
 
-    public async sendSound(): Promise<void> {
-        while (!this.isEnded) {
+    public async sendSound(until: number): Promise<void> {
+        while (Date.now() < until) {
             const number = this.sound.length;
             const prefix = `${soundPart}:400,5${number.toString(16).padStart(7, "0")}:200`;
             this.sound.push(this.send(`sound-${number}`, prefix, tenantKeys[0]));
@@ -46,20 +45,16 @@
         }
     }
 
-    public async sendWave(): Promise<void> {
-        const endsAt = Date.now() + waveMilliseconds;
-        while (Date.now() < endsAt) {
+    /** Sends requests with the part, no two alike. */
+    public async sendBad(until: number): Promise<void> {
+        while (Date.now() < until) {
             const number = this.bad.length;
             const prefix = `${soundPart}:400,${badPart}:200,b${number.toString(16).padStart(7, "0")}:200`;
-            this.bad.push(this.send(`bad-${number}`, prefix, tenantKeys[1]));
+            this.bad.push(this.send(`part-${number}`, prefix, tenantKeys[1]));
             await pause(badIntervalMilliseconds);
         }
     }
 
-    public end(): void {
-        this.isEnded = true;
-    }
-
     private send(id: string, prefix: string, key: string): Promise<Answer> {
         const { entries } = this.deployment;
         const { port } = entries[(this.bad.length + this.sound.length) % entries.length]!;
@@ -75,13 +70,14 @@
     const { record } = deployment;
     const engines = await deployment.startEngines(enginesPerZone);
     const crashTimes: number[] = [];
+    let isCrashing = false;
     for (const engine of engines) {
         engine.intercept = (arrival, response) => {
             if (!isBad(arrival.headers)) {
                 return false;
             }
             record.write(`${engine.id} begins to run ${arrival.id}`);
-            if (!hasTrouble) {
+            if (!isCrashing) {
                 return false;
             }
             setTimeout(() => {
@@ -105,20 +101,17 @@
     }
     await deployment.waitUntilReady();
     const callers = new Callers(deployment);
-    const sound = callers.sendSound();
-    await pause(stabilityMilliseconds);
-    record.write("first wave of requests with the part");
-    await callers.sendWave();
+    const endsAt = Date.now() + servedMilliseconds + crashingMilliseconds;
+    const sound = callers.sendSound(endsAt);
+    await callers.sendBad(Date.now() + servedMilliseconds);
+    record.write(`requests with the part so far: ${countStatuses(await Promise.all(callers.bad))}`);
+    const served = callers.bad.length;
+    isCrashing = hasTrouble;
+    record.write(hasTrouble ? "from now on the part crashes replicas" : "the part goes on to be served");
+    await Promise.all([callers.sendBad(endsAt), sound]);
     record.write(
-        `${crashTimes.length} crashes so far; no requests with the part for ${silenceMilliseconds} ms`,
+        `requests with the part since: ${countStatuses(await Promise.all(callers.bad.slice(served)))}`,
     );
-    await pause(silenceMilliseconds);
-    record.write("second wave of requests with the part");
-    await callers.sendWave();
-    await pause(stabilityMilliseconds);
-    callers.end();
-    await sound;
-    record.write(`requests with the part: ${countStatuses(await Promise.all(callers.bad))}`);
     record.write(`all other requests: ${countStatuses(await Promise.all(callers.sound))}`);
     const fifth = crashTimes[countedCrashes - 1];
     if (fifth === undefined) {
@@ -129,7 +122,7 @@
         .flatMap(({ arrivals }) => arrivals)
         .filter(({ at, headers }) => isBad(headers) && at > fifth + stabilityMilliseconds).length;
     record.write(
-        `${crashTimes.length} crashes in all; later than ${stabilityMilliseconds} ms after the fifth, ${late} requests with the part reached replicas; allowed: ${allowedRequests}`,
+        `${crashTimes.length} crashes; later than ${stabilityMilliseconds} ms after the fifth, ${late} requests with the part reached replicas; allowed: ${allowedRequests}`,
     );
     return late > allowedRequests;
 });
--- a/review/deployment-2.ts
+++ b/review/deployment-2.ts
@@ -82,17 +82,23 @@
 
     /** Starts the replicas of the plain service, one in each zone. */
     public async startPlainReplicas(): Promise<readonly PlainReplica[]> {
-        return Promise.all(
-            zones.map((zone, index) => this.startReplica(`i-plain-${index}`, "tracker-api", zone)),
-        );
+        const started: PlainReplica[] = [];
+        for (const [index, zone] of zones.entries()) {
+            started.push(await this.startReplica(`i-plain-${index}`, "tracker-api", zone));
+        }
+        return started;
     }
 
     /** Starts replicas of the model in each zone. */
     public async startEngines(countPerZone: number): Promise<readonly PlainReplica[]> {
-        const all = zones.flatMap(zone => Array.from({ length: countPerZone }, () => zone));
-        return Promise.all(
-            all.map((zone, index) => this.startReplica(`i-engine-${index}`, "llm-pool", zone, modelName)),
-        );
+        const started: PlainReplica[] = [];
+        for (const zone of zones) {
+            for (let count = 0; count < countPerZone; count += 1) {
+                const id = `i-engine-${started.length}`;
+                started.push(await this.startReplica(id, "llm-pool", zone, modelName));
+            }
+        }
+        return started;
     }
 
     private async startReplica(
@@ -397,6 +403,11 @@
 export async function runCase(run: (deployment: Deployment) => Promise<boolean>): Promise<void> {
     const record = new Record(join(process.argv[2] ?? ".", "record.txt"));
     let code: number;
+    process.once("uncaughtException", error => {
+        record.write(`the case could not run: ${String(error)}`);
+        record.save();
+        process.exit(2);
+    });
     process.once("SIGTERM", () => process.exit(2));
     process.once("SIGINT", () => process.exit(2));
     try {
--- a/review/replica-2.ts
+++ b/review/replica-2.ts
@@ -4,8 +4,9 @@
  */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { StandInStore } from "../platform/stand-ins/store.js";
+import { findPorts } from "../scripts/free-ports.js";
 
 /** One request of a caller as it reached the replica. */
 export interface Arrival {
@@ -94,8 +95,14 @@
     public static async create(options: ReplicaOptions): Promise<PlainReplica> {
         const server = createServer({ keepAliveTimeout: 30_000, maxHeaderSize: 256 * 1024 });
         server.maxHeadersCount = 0;
-        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-        const replica = new PlainReplica(options, server, (server.address() as AddressInfo).port);
+        // A port that the system gives to outgoing connections could be taken while the replica is down.
+        const port = await findPorts(1, undefined);
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(port, "127.0.0.1", resolve);
+        });
+        server.removeAllListeners("error");
+        const replica = new PlainReplica(options, server, port);
         server.on("connection", socket => {
             replica.sockets.add(socket);
             socket.on("error", () => undefined);
